Gateways tell each other load, demand and configuration; one reads the store for all

Change: reports over UDP when load changes, 4 a second in calm; the least name that the store answers reads for all; who is behind asks the peer that is ahead. A connection closes after its answer once the node stops.

--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -0,0 +1,30 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.Map;
+
+/**
+ * What another node told of itself.
+ *
+ * @param incarnation greater after each start of its process
+ * @param sequence greater with each report of an incarnation
+ * @param address where it answers its peers, IP:PORT
+ * @param storeAnswers whether the platform's store has answered its newest calls
+ * @param serversAgeMillis time since its server list was asked for
+ * @param serversDigest equal for equal server lists
+ * @param uses what it has in progress, by backend server
+ * @param demands what its callers ask, by service
+ */
+public record PeerReport(
+        String name,
+        long incarnation,
+        long sequence,
+        String address,
+        boolean storeAnswers,
+        long configVersion,
+        long serversAgeMillis,
+        long serversDigest,
+        Map<String, Use> uses,
+        Map<String, LaneDemand> demands) {
+    /** Requests in progress at a backend server, and prompt tokens that it still has to read for them. */
+    public record Use(int running, long promptTokens) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -0,0 +1,125 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The other nodes, as far as they have been heard, and which node reads the platform's store for all.
+ *
+ * <p>Answers the cost of many nodes that all poll the store: one reads, and tells the others. There is no election: the
+ * node with the least name among those that are heard and that the store answers takes itself for the reader. Two nodes
+ * that don't hear each other both read, which costs a few calls and harms nothing; a reader that dies or that the store
+ * turns away is replaced as soon as its silence or its report shows it.
+ */
+public final class PeerTable {
+    /** A peer that wasn't heard for this long counts as away: several reports in a row were lost. */
+    private static final long AWAY_MILLIS = 700;
+    /** A peer that wasn't heard for this long is forgotten, and no longer counts for the shared budget. */
+    private static final long FORGET_MILLIS = 30_000;
+
+    private final String self;
+    private final TreeMap<String, Peer> peers = new TreeMap<>();
+
+    private PeerTable(String self) {
+        this.self = self;
+    }
+
+    /** Returns a table of a node that has heard of nobody yet. */
+    public static PeerTable of(String self) {
+        return new PeerTable(self);
+    }
+
+    /** A peer's newest report and when it was heard. */
+    public record Peer(PeerReport report, long heardAt) {}
+
+    /**
+     * Takes a report.
+     *
+     * @return false if it is this node's own, or older than one that was heard before
+     */
+    public boolean hear(PeerReport report, long now) {
+        if (report.name().equals(self)) {
+            return false;
+        }
+        Peer known = peers.get(report.name());
+        if (known != null && !newer(report, known.report())) {
+            return false;
+        }
+        peers.put(report.name(), new Peer(report, now));
+        return true;
+    }
+
+    private static boolean newer(PeerReport report, PeerReport known) {
+        return report.incarnation() > known.incarnation()
+                || (report.incarnation() == known.incarnation() && report.sequence() > known.sequence());
+    }
+
+    /** Forgets peers that were silent for long. */
+    public void trim(long now) {
+        peers.values().removeIf(peer -> now - peer.heardAt() > FORGET_MILLIS);
+    }
+
+    /** Returns all peers that aren't forgotten. */
+    public Collection<Peer> all() {
+        return peers.values();
+    }
+
+    /** Returns whether a peer was heard of late. */
+    public static boolean present(Peer peer, long now) {
+        return now - peer.heardAt() <= AWAY_MILLIS;
+    }
+
+    /** Returns whether any peer was heard of late. */
+    public boolean anyPresent(long now) {
+        return peers.values().stream().anyMatch(peer -> present(peer, now));
+    }
+
+    /** Returns how many nodes there are with this one, those that are silent for now among them. */
+    public int nodes() {
+        return peers.size() + 1;
+    }
+
+    /**
+     * Returns whether this node reads the platform's store for all.
+     *
+     * @param storeAnswers whether the store answers this node
+     */
+    public boolean reads(boolean storeAnswers, long now) {
+        for (Peer peer : peers.values()) {
+            if (present(peer, now)
+                    && peer.report().storeAnswers()
+                    && (!storeAnswers || peer.report().name().compareTo(self) < 0)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns what the present peers have in progress, added up by backend server. */
+    public Map<String, PeerReport.Use> uses(long now) {
+        Map<String, PeerReport.Use> sums = new HashMap<>();
+        for (Peer peer : peers.values()) {
+            if (present(peer, now)) {
+                peer.report().uses().forEach((server, use) -> sums.merge(server, use, PeerTable::plus));
+            }
+        }
+        return sums;
+    }
+
+    private static PeerReport.Use plus(PeerReport.Use a, PeerReport.Use b) {
+        return new PeerReport.Use(a.running() + b.running(), a.promptTokens() + b.promptTokens());
+    }
+
+    /** Returns what the present peers' callers ask, added up by service. */
+    public Map<String, LaneDemand> demands(long now) {
+        Map<String, LaneDemand> sums = new HashMap<>();
+        for (Peer peer : peers.values()) {
+            if (present(peer, now)) {
+                peer.report().demands().forEach((service, demand) -> sums.merge(service, demand, LaneDemand::plus));
+            }
+        }
+        return sums;
+    }
+}
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -25,7 +25,7 @@
 
     private final PrefixMemory memory = PrefixMemory.create();
     private final Map<String, DemandMeter> meters = new HashMap<>();
-    private final Map<String, LaneDemand> peers = new HashMap<>();
+    private Map<String, LaneDemand> peers = Map.of();
     private final SpeedMeter speed = SpeedMeter.create(FIRST_SPEED);
     private long tightestPause = FIRST_PAUSE_MILLIS;
     private int turn;
@@ -52,9 +52,16 @@
         return meters.computeIfAbsent(service, name -> DemandMeter.create(now));
     }
 
-    /** Takes the demand for a service that the other nodes tell of, added up. */
-    public void peers(String service, LaneDemand demand) {
-        peers.put(service, demand);
+    /** Takes the demand that the other nodes tell of, added up by service. */
+    public void peers(Map<String, LaneDemand> demands) {
+        peers = Map.copyOf(demands);
+    }
+
+    /** Returns the demand of this node's own callers by service. */
+    public Map<String, LaneDemand> demands(long now) {
+        Map<String, LaneDemand> demands = new HashMap<>();
+        meters.forEach((service, meter) -> demands.put(service, meter.demand(now)));
+        return demands;
     }
 
     /** Returns the measured reading speed of engines. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -82,6 +82,25 @@
         arrange();
     }
 
+    /** Notes that a peer has seen an equal list that was asked for at a time. */
+    public void confirmed(long askedAt) {
+        lastList = Math.max(lastList, askedAt);
+    }
+
+    /** Returns a number that is equal for equal lists, whatever their order. */
+    public long digest() {
+        long digest = 0;
+        for (RelayServer server : servers.values()) {
+            digest += mix(server.id().hashCode() * 31L + (server.open() ? 1 : 0));
+        }
+        return digest;
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
+        return mixed ^ (mixed >>> 33);
+    }
+
     /** Returns the servers of a service that take new work, ordered by id. */
     public List<RelayServer> open(String service) {
         return byService.getOrDefault(service, List.of()).stream()
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -217,7 +217,7 @@
     private void finished() {
         exchange = null;
         idleSince = gateway.now();
-        if (!keepAlive) {
+        if (!keepAlive || gateway.draining()) {
             closeGently();
             return;
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -11,10 +11,14 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.tanagerhinge.core.relay.AttemptEnd;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.Placement;
+import org.tanagerhinge.core.relay.PlacementRequest;
+import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.PromptAware;
+import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.Registration;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
@@ -43,6 +47,9 @@
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private Optional<RelayConfig> config = Optional.empty();
+    private byte[] configDocument;
+    private boolean peersHeard;
+    private BiConsumer<RelayServer, Prompt> sentListener = (server, prompt) -> {};
     private volatile boolean draining;
     private volatile int inProgress;
 
@@ -120,23 +127,54 @@
         metrics.count(reason);
     }
 
-    /** Puts a configuration in force unless a newer one is. */
-    public void apply(RelayConfig newer) {
+    /** Returns the document of the configuration in force, as the operators wrote it. */
+    Optional<byte[]> configDocument() {
+        return Optional.ofNullable(configDocument);
+    }
+
+    /** Puts a configuration in force unless a newer one is; returns whether it did. */
+    boolean apply(RelayConfig newer, byte[] document) {
         if (config.isPresent() && config.get().version() >= newer.version()) {
-            return;
+            return false;
         }
         config = Optional.of(newer);
+        configDocument = document;
         LOG.log(Level.INFO, "configuration " + newer.version() + " in force, " + newer.routeCount() + " routes");
         if (placement instanceof PromptAware aware) {
             aware.tightestPause(newer.tightestPause());
         }
+        return true;
     }
 
-    /** Takes a list of registered servers that was asked for at a time. */
-    public void apply(List<Registration> registrations, long askedAt) {
-        for (ServerChange change : directory.apply(registrations, askedAt)) {
+    /** Takes a list of registered servers that was asked for at a time; returns whether it changed anything. */
+    boolean apply(List<Registration> registrations, long askedAt) {
+        List<ServerChange> changes = directory.apply(registrations, askedAt);
+        for (ServerChange change : changes) {
             LOG.log(Level.INFO, "server " + change.id() + " of " + change.service() + ": " + change.kind());
+            if (change.kind() == ServerChange.Kind.GONE && placement instanceof PromptAware aware) {
+                aware.memory().forget(change.id());
+            }
         }
+        return !changes.isEmpty();
+    }
+
+    /** Notes that a peer gave an engine parts of a prompt to read. */
+    void keeps(PromptAware aware, String serverId, List<PromptPart> parts) {
+        RelayServer server = directory.server(serverId);
+        if (server != null && config.isPresent()) {
+            aware.memory().keep(serverId, parts, config.get().service(server.service()).memoryTokens());
+        }
+    }
+
+    /** Tells {@code listener} of each prompt that an engine is given to read. */
+    void onSent(BiConsumer<RelayServer, Prompt> listener) {
+        sentListener = listener;
+    }
+
+    void sent(PlacementRequest request, Placement.Placed placed) {
+        placed.server().sent(placed.tokensToRead());
+        placement.sent(request, placed, now());
+        sentListener.accept(placed.server(), request.prompt());
     }
 
     /**
@@ -188,7 +226,14 @@
     }
 
     void load(RelayServer server, AnswerTerms.ServerLoad load) {
-        server.told(load.running(), load.waiting());
+        if (!peersHeard) {
+            server.told(load.running(), load.waiting());
+        }
+    }
+
+    /** Notes whether peers tell what they have in progress, which is fresher than what servers tell. */
+    void peersHeard(boolean heard) {
+        peersHeard = heard;
     }
 
     /** Notes that another incarnation answers at a server's address. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -19,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.tanagerhinge.core.relay.Placement;
+import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.node.daemon.Daemon;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
@@ -63,11 +65,22 @@
         NodeMetrics metrics = NodeMetrics.create();
         Gateway gateway = Gateway.create(loop, dialect, options, metrics, placement);
         GatewayDaemon daemon = new GatewayDaemon(loop, gateway, metrics, options);
-        loop.next().execute(() -> StoreFeed.start(gateway, store.apply(loop)));
         daemon.open();
+        MetadataStore client = store.apply(loop);
+        Peers peers = Peers.open(gateway, loop, document -> decode(client, document));
+        gateway.onSent(peers::sent);
+        loop.next().execute(() -> StoreFeed.start(gateway, client, peers));
         return daemon;
     }
 
+    private static RelayConfig decode(MetadataStore client, byte[] document) {
+        try {
+            return client.decode(document);
+        } catch (IOException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
     private void open() {
         listen(options.status(), new ChannelInitializer<Channel>() {
             @Override
@@ -79,6 +92,13 @@
                                 new StatusHandler(gateway, metrics));
             }
         });
+        listen(options.peers(), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new HttpServerCodec(), new HttpObjectAggregator(HEADERS), new PeerDoor(gateway));
+            }
+        });
         door = listen(options.listen(), new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -9,10 +9,16 @@
  * @param domain failure domain of this host
  * @param listen where callers connect
  * @param status where the platform asks for readiness, and where metrics are
+ * @param peers where other gateways send what they know, over UDP, and ask for more, over TCP
  * @param bounds the platform's bounds
  */
 public record GatewayOptions(
-        String name, String domain, InetSocketAddress listen, InetSocketAddress status, Bounds bounds) {
+        String name,
+        String domain,
+        InetSocketAddress listen,
+        InetSocketAddress status,
+        InetSocketAddress peers,
+        Bounds bounds) {
     /**
      * Bounds within which the platform wants things done.
      *
--- a/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
@@ -110,6 +110,16 @@
                 });
     }
 
+    /** Closes the connection; a call in progress fails. */
+    public void close() {
+        if (waiting != null) {
+            fail("closed");
+        } else if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
     private void send(HttpMethod method, String path, String body) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, method, path, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.gateway;
 
+import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
 import org.tanagerhinge.core.relay.Registration;
@@ -21,13 +23,30 @@
      */
     void configAfter(long revision, long waitMillis, Consumer<Reply<StoredConfig>> done);
 
+    /** Reads a configuration document. */
+    RelayConfig decode(byte[] document) throws IOException;
+
+    /**
+     * Tells the other gateways where this one answers, for as long as a lease is kept.
+     *
+     * @param address IP:PORT
+     * @param done gets the lease
+     */
+    void join(String name, String address, Duration lease, Consumer<Reply<Long>> done);
+
+    /** Keeps a lease; {@code done} gets whether it still holds. */
+    void keep(long lease, Consumer<Reply<Boolean>> done);
+
+    /** Reads where the gateways answer each other, IP:PORT each. */
+    void gateways(Consumer<Reply<List<String>>> done);
+
     /**
      * A configuration as the store holds it.
      *
      * @param revision the store's revision up to which changes are taken in
-     * @param config null if nothing has changed
+     * @param document null if nothing has changed
      */
-    record StoredConfig(long revision, RelayConfig config) {}
+    record StoredConfig(long revision, byte[] document) {}
 
     /** What became of a call. */
     sealed interface Reply<T> {}
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -0,0 +1,144 @@
+package org.tanagerhinge.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.tanagerhinge.core.relay.LaneDemand;
+import org.tanagerhinge.core.relay.PeerReport;
+import org.tanagerhinge.core.relay.PromptPart;
+import org.tanagerhinge.core.relay.Registration;
+import org.tanagerhinge.wire.peer.KeptParts;
+import org.tanagerhinge.wire.peer.Part;
+import org.tanagerhinge.wire.peer.PeerState;
+import org.tanagerhinge.wire.peer.ServerEntry;
+import org.tanagerhinge.wire.peer.ServerList;
+import org.tanagerhinge.wire.peer.ServerUse;
+import org.tanagerhinge.wire.peer.ServiceDemand;
+
+/** Translates between what gateways tell each other and the messages that carry it. */
+final class PeerCodec {
+    private PeerCodec() {}
+
+    /** Parts of prompts that a node gave a backend server to read. */
+    record Kept(String server, List<PromptPart> parts) {}
+
+    /** A report with the parts that were given out since the last one. */
+    record Told(PeerReport report, List<Kept> kept) {}
+
+    /** A server list with its age in milliseconds. */
+    record Servers(List<Registration> list, long ageMillis) {}
+
+    static byte[] state(Told told) {
+        PeerReport report = told.report();
+        PeerState.Builder state = PeerState.newBuilder()
+                .setName(report.name())
+                .setIncarnation(report.incarnation())
+                .setSequence(report.sequence())
+                .setAddress(report.address())
+                .setStoreAnswers(report.storeAnswers())
+                .setConfigVersion(report.configVersion())
+                .setServersAgeMillis((int) Math.min(Integer.MAX_VALUE, report.serversAgeMillis()))
+                .setServersDigest(report.serversDigest());
+        report.uses()
+                .forEach((server, use) -> state.addUses(ServerUse.newBuilder()
+                        .setServer(server)
+                        .setRunning(use.running())
+                        .setPromptTokens(Math.max(0, use.promptTokens()))));
+        report.demands()
+                .forEach((service, demand) -> state.addDemands(ServiceDemand.newBuilder()
+                        .setService(service)
+                        .setShortRunning(demand.shortRunning())
+                        .setShortTokens(demand.shortTokens())
+                        .setLongTokens(demand.longTokens())));
+        for (Kept kept : told.kept()) {
+            KeptParts.Builder parts = KeptParts.newBuilder().setServer(kept.server());
+            kept.parts()
+                    .forEach(part -> parts.addParts(
+                            Part.newBuilder().setId(part.id()).setTokens(part.tokens())));
+            state.addKept(parts);
+        }
+        return state.build().toByteArray();
+    }
+
+    static Told state(byte[] bytes) throws InvalidProtocolBufferException {
+        PeerState state = PeerState.parseFrom(bytes);
+        Map<String, PeerReport.Use> uses = new HashMap<>();
+        for (ServerUse use : state.getUsesList()) {
+            uses.put(use.getServer(), new PeerReport.Use(use.getRunning(), use.getPromptTokens()));
+        }
+        Map<String, LaneDemand> demands = new HashMap<>();
+        for (ServiceDemand demand : state.getDemandsList()) {
+            demands.put(
+                    demand.getService(),
+                    new LaneDemand(demand.getShortRunning(), demand.getShortTokens(), demand.getLongTokens()));
+        }
+        List<Kept> kept = new ArrayList<>();
+        for (KeptParts parts : state.getKeptList()) {
+            kept.add(new Kept(
+                    parts.getServer(),
+                    parts.getPartsList().stream()
+                            .map(part -> new PromptPart(part.getId(), part.getTokens()))
+                            .toList()));
+        }
+        PeerReport report = new PeerReport(
+                state.getName(),
+                state.getIncarnation(),
+                state.getSequence(),
+                state.getAddress(),
+                state.getStoreAnswers(),
+                state.getConfigVersion(),
+                state.getServersAgeMillis(),
+                state.getServersDigest(),
+                uses,
+                demands);
+        return new Told(report, kept);
+    }
+
+    static byte[] servers(Servers servers) {
+        ServerList.Builder list =
+                ServerList.newBuilder().setAgeMillis((int) Math.min(Integer.MAX_VALUE, servers.ageMillis()));
+        for (Registration server : servers.list()) {
+            list.addServers(ServerEntry.newBuilder()
+                    .setId(server.id())
+                    .setService(server.service())
+                    .setAddress(text(server.address()))
+                    .setDomain(server.domain())
+                    .setSlots(server.slots())
+                    .setDraining(server.draining()));
+        }
+        return list.build().toByteArray();
+    }
+
+    static Servers servers(byte[] bytes) throws InvalidProtocolBufferException {
+        ServerList list = ServerList.parseFrom(bytes);
+        List<Registration> servers = new ArrayList<>();
+        for (ServerEntry entry : list.getServersList()) {
+            servers.add(new Registration(
+                    entry.getId(),
+                    entry.getService(),
+                    address(entry.getAddress()),
+                    entry.getDomain(),
+                    entry.getSlots(),
+                    entry.getDraining()));
+        }
+        return new Servers(servers, list.getAgeMillis());
+    }
+
+    /** Returns an address as IP:PORT. */
+    static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    /** Returns the address that an IP:PORT text names. */
+    static InetSocketAddress address(String text) throws InvalidProtocolBufferException {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new InvalidProtocolBufferException("'" + text + "' is not IP:PORT", e);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerDoor.java
@@ -0,0 +1,55 @@
+package org.tanagerhinge.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import org.tanagerhinge.core.relay.RelayServer;
+
+/** Answers peers that are behind with this gateway's configuration and server list. */
+final class PeerDoor extends SimpleChannelInboundHandler<FullHttpRequest> {
+    static final String CONFIG = "/configuration";
+    static final String SERVERS = "/servers";
+
+    private final Gateway gateway;
+
+    PeerDoor(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        Optional<byte[]> body =
+                switch (request.uri()) {
+                    case CONFIG -> gateway.configDocument();
+                    case SERVERS -> Optional.of(servers());
+                    default -> Optional.empty();
+                };
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                body.isPresent() ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND,
+                Unpooled.wrappedBuffer(body.orElse(new byte[0])));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        context.writeAndFlush(response);
+    }
+
+    private byte[] servers() {
+        return PeerCodec.servers(new PeerCodec.Servers(
+                gateway.directory().all().stream()
+                        .map(RelayServer::registration)
+                        .toList(),
+                gateway.directory().known() ? gateway.now() - gateway.directory().lastList() : Integer.MAX_VALUE));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -0,0 +1,297 @@
+package org.tanagerhinge.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.tanagerhinge.core.relay.LaneDemand;
+import org.tanagerhinge.core.relay.PeerReport;
+import org.tanagerhinge.core.relay.PeerTable;
+import org.tanagerhinge.core.relay.Prompt;
+import org.tanagerhinge.core.relay.PromptAware;
+import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.relay.RelayServer;
+
+/**
+ * What this gateway tells its peers and hears from them: load, demand, what engines hold, and how new its configuration
+ * and server list are. Who is behind asks the peer that is ahead.
+ */
+final class Peers {
+    private static final Logger LOG = System.getLogger(Peers.class.getName());
+    /** Time between two reports of a node whose load hardly changes: three must be lost before it counts as away. */
+    private static final long CALM_MILLIS = 250;
+    /** Least time between two reports of a node whose load changes: load that is older misplaces bursts. */
+    private static final long BUSY_MILLIS = 60;
+    /** Reports that a node sends a second at the most, to all peers together: bounds its share of processor and link. */
+    private static final int REPORTS_A_SECOND = 45;
+    /** Prompt tokens given to engines since the last report that make another one due: a few short prompts or one long. */
+    private static final long DUE_TOKENS = 4_000;
+    /** Parts of prompts told in one report at the most: a report must fit into a datagram. */
+    private static final int MOST_KEPT = 24;
+    private static final long ASK_MILLIS = 700;
+    /** A list that is this much newer than this gateway's own is worth asking for, in milliseconds. */
+    private static final long NEWER_MILLIS = 50;
+
+    private final Gateway gateway;
+    private final EventLoopGroup loop;
+    private final PeerTable table;
+    private final Function<byte[], RelayConfig> decoder;
+    private final long incarnation = System.currentTimeMillis();
+    private final Set<InetSocketAddress> addresses = new HashSet<>();
+    private final List<PeerCodec.Kept> kept = new ArrayList<>();
+    private BooleanSupplier storeAnswers = () -> true;
+    private long sequence;
+    private long tokensSince;
+    private long toldAt;
+    private Channel channel;
+    private boolean askingConfig;
+    private boolean askingServers;
+
+    private Peers(Gateway gateway, EventLoopGroup loop, Function<byte[], RelayConfig> decoder) {
+        this.gateway = gateway;
+        this.loop = loop;
+        this.table = PeerTable.of(gateway.options().name());
+        this.decoder = decoder;
+    }
+
+    /** Opens the datagram socket and begins to report. */
+    static Peers open(Gateway gateway, EventLoopGroup loop, Function<byte[], RelayConfig> decoder) {
+        Peers peers = new Peers(gateway, loop, decoder);
+        peers.channel = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .handler(peers.new ReportHandler())
+                .bind(gateway.options().peers())
+                .syncUninterruptibly()
+                .channel();
+        loop.next().execute(peers::report);
+        return peers;
+    }
+
+    PeerTable table() {
+        return table;
+    }
+
+    /** Returns where this gateway answers its peers. */
+    String address() {
+        return PeerCodec.text(gateway.options().peers());
+    }
+
+    void storeAnswers(BooleanSupplier supplier) {
+        storeAnswers = supplier;
+    }
+
+    /** Takes the addresses at which gateways answer, from the platform's store. */
+    void addresses(List<String> texts) {
+        for (String text : texts) {
+            add(text);
+        }
+        tellNow();
+    }
+
+    private void add(String text) {
+        try {
+            if (!text.equals(address())) {
+                addresses.add(PeerCodec.address(text));
+            }
+        } catch (InvalidProtocolBufferException e) {
+            LOG.log(Level.WARNING, "address of a peer: " + e.getMessage());
+        }
+    }
+
+    /** Notes that an engine was given a prompt's parts to read, to be told with the next report. */
+    void sent(RelayServer server, Prompt prompt) {
+        tellIfDue(prompt.inputTokens());
+        if (kept.size() < MOST_KEPT && prompt.parts().size() > 1) {
+            kept.add(new PeerCodec.Kept(
+                    server.id(), prompt.parts().subList(0, prompt.parts().size() - 1)));
+        }
+    }
+
+    private void report() {
+        table.trim(gateway.now());
+        takeSums();
+        tellNow();
+        gateway.schedule(this::report, Math.max(CALM_MILLIS, leastMillis()));
+    }
+
+    private long leastMillis() {
+        return Math.max(BUSY_MILLIS, 1000L * Math.max(1, addresses.size()) / REPORTS_A_SECOND);
+    }
+
+    private void tellIfDue(int tokens) {
+        tokensSince += tokens;
+        if (tokensSince >= DUE_TOKENS && gateway.now() - toldAt >= leastMillis()) {
+            tellNow();
+        }
+    }
+
+    /** Sends this gateway's state to all peers now. */
+    void tellNow() {
+        byte[] bytes = PeerCodec.state(new PeerCodec.Told(state(), List.copyOf(kept)));
+        kept.clear();
+        tokensSince = 0;
+        toldAt = gateway.now();
+        for (InetSocketAddress address : addresses) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
+        }
+        channel.flush();
+    }
+
+    private PeerReport state() {
+        long now = gateway.now();
+        Map<String, PeerReport.Use> uses = new HashMap<>();
+        for (RelayServer server : gateway.directory().all()) {
+            if (server.running() > 0) {
+                uses.put(server.id(), new PeerReport.Use(server.running(), server.promptTokens()));
+            }
+        }
+        Map<String, LaneDemand> demands =
+                gateway.placement() instanceof PromptAware aware ? aware.demands(now) : Map.of();
+        return new PeerReport(
+                gateway.options().name(),
+                incarnation,
+                ++sequence,
+                address(),
+                storeAnswers.getAsBoolean(),
+                gateway.config().map(RelayConfig::version).orElse(0L),
+                gateway.directory().known() ? now - gateway.directory().lastList() : Integer.MAX_VALUE,
+                gateway.directory().digest(),
+                uses,
+                demands);
+    }
+
+    private void hear(PeerCodec.Told told) {
+        PeerReport report = told.report();
+        long now = gateway.now();
+        if (!table.hear(report, now)) {
+            return;
+        }
+        add(report.address());
+        gateway.budget().nodes(table.nodes());
+        if (gateway.placement() instanceof PromptAware aware) {
+            for (PeerCodec.Kept parts : told.kept()) {
+                gateway.keeps(aware, parts.server(), parts.parts());
+            }
+        }
+        takeSums();
+        if (report.configVersion() > gateway.config().map(RelayConfig::version).orElse(0L)) {
+            askConfig(report);
+        }
+        long age = gateway.directory().known() ? now - gateway.directory().lastList() : Long.MAX_VALUE;
+        if (report.serversAgeMillis() + NEWER_MILLIS < age) {
+            if (report.serversDigest() == gateway.directory().digest() && gateway.directory().known()) {
+                gateway.directory().confirmed(now - report.serversAgeMillis());
+            } else {
+                askServers(report);
+            }
+        }
+    }
+
+    /** Gives placement what the peers have in progress and what their callers ask. */
+    private void takeSums() {
+        long now = gateway.now();
+        boolean heard = table.anyPresent(now);
+        gateway.peersHeard(heard);
+        if (!heard) {
+            return;
+        }
+        Map<String, PeerReport.Use> uses = table.uses(now);
+        PeerReport.Use none = new PeerReport.Use(0, 0);
+        for (RelayServer server : gateway.directory().all()) {
+            PeerReport.Use use = uses.getOrDefault(server.id(), none);
+            server.peers(use.running(), use.promptTokens());
+        }
+        if (gateway.placement() instanceof PromptAware aware) {
+            aware.peers(table.demands(now));
+        }
+    }
+
+    private void askConfig(PeerReport ahead) {
+        if (askingConfig) {
+            return;
+        }
+        askingConfig = true;
+        ask(ahead, PeerDoor.CONFIG, body -> {
+            askingConfig = false;
+            if (body != null) {
+                try {
+                    gateway.apply(decoder.apply(body), body);
+                } catch (IllegalArgumentException e) {
+                    LOG.log(Level.ERROR, "configuration of peer " + ahead.name() + ": " + e.getMessage());
+                }
+            }
+        });
+    }
+
+    private void askServers(PeerReport ahead) {
+        if (askingServers) {
+            return;
+        }
+        askingServers = true;
+        long asked = gateway.now();
+        ask(ahead, PeerDoor.SERVERS, body -> {
+            askingServers = false;
+            if (body != null) {
+                try {
+                    PeerCodec.Servers servers = PeerCodec.servers(body);
+                    gateway.apply(servers.list(), asked - servers.ageMillis());
+                } catch (IOException e) {
+                    LOG.log(Level.ERROR, "server list of peer " + ahead.name() + ": " + e.getMessage());
+                }
+            }
+        });
+    }
+
+    private void ask(PeerReport peer, String path, java.util.function.Consumer<byte[]> done) {
+        InetSocketAddress address;
+        try {
+            address = PeerCodec.address(peer.address());
+        } catch (InvalidProtocolBufferException e) {
+            done.accept(null);
+            return;
+        }
+        JsonCaller caller = JsonCaller.to(loop, address);
+        caller.call(HttpMethod.GET, path, "", ASK_MILLIS, answer -> {
+            caller.close();
+            done.accept(answer.status() == 200 ? answer.body() : null);
+        });
+    }
+
+    /** Takes the reports that arrive. */
+    private final class ReportHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] bytes = new byte[packet.content().readableBytes()];
+            packet.content().readBytes(bytes);
+            try {
+                hear(PeerCodec.state(bytes));
+            } catch (InvalidProtocolBufferException e) {
+                gateway.count("peer_report_unreadable");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            gateway.count("peer_report_failed");
+        }
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -285,8 +285,7 @@
         }
 
         void start() {
-            server.sent(placed.tokensToRead());
-            gateway.placement().sent(request, placed, began);
+            gateway.sent(request, placed);
             long mostIdle = route.idempotent() ? Long.MAX_VALUE : FRESH_MILLIS;
             BackendConnection kept = gateway.pool().kept(server, mostIdle);
             if (kept != null) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -1,7 +1,9 @@
 package org.tanagerhinge.gateway;
 
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import org.tanagerhinge.core.relay.Registration;
@@ -10,61 +12,100 @@
  * Keeps a gateway's configuration and server list up to date with the platform's store.
  *
  * <p>The configuration is watched: it changes seldom, so a waiting call costs least. The servers are polled: each
- * refreshes its registration about once a second, so a watch would be answered many times as often.
+ * refreshes its registration about once a second, so a watch would be answered many times as often. Only the gateway that
+ * reads for all ({@link org.tanagerhinge.core.relay.PeerTable}) makes these calls; the others hear of changes from their
+ * peers and ask the store themselves when their list has grown old.
  */
-public final class StoreFeed {
+final class StoreFeed {
     private static final Logger LOG = System.getLogger(StoreFeed.class.getName());
     /** How often the servers are read, in milliseconds: well under the bound for servers that leave. */
     private static final int SERVERS_MILLIS = 800;
+    /** A list of this age is read again also by a gateway that doesn't read for all: its peers seem to fail it. */
+    private static final long OLD_LIST_MILLIS = 1_400;
     /** How long a watch waits: a connection that has fallen silent must show within the bound of configuration. */
     private static final long WATCH_MILLIS = 1_500;
     /** Pause before the next watch after a change, so that versions in quick succession are taken in together. */
     private static final int SETTLE_MILLIS = 150;
     /** Pause after a failed call. */
     private static final int FAILED_MILLIS = 250;
+    /** How often a gateway that doesn't read looks whether it has to, in milliseconds. */
+    private static final int IDLE_MILLIS = 200;
+    private static final Duration LEASE = Duration.ofSeconds(12);
+    /** How often the lease is kept: a few may fail before it ends. */
+    private static final int KEEP_MILLIS = 3_000;
 
     private final Gateway gateway;
     private final MetadataStore store;
+    private final Peers peers;
     private long revision = -1;
-    private boolean storeFailing;
+    private boolean watching;
+    private long lease;
+    private boolean storeAnswers = true;
 
-    private StoreFeed(Gateway gateway, MetadataStore store) {
+    private StoreFeed(Gateway gateway, MetadataStore store, Peers peers) {
         this.gateway = gateway;
         this.store = store;
+        this.peers = peers;
     }
 
     /** Starts to read; returns at once. */
-    public static StoreFeed start(Gateway gateway, MetadataStore store) {
-        StoreFeed feed = new StoreFeed(gateway, store);
-        feed.readServers();
+    static StoreFeed start(Gateway gateway, MetadataStore store, Peers peers) {
+        StoreFeed feed = new StoreFeed(gateway, store, peers);
+        peers.storeAnswers(() -> feed.storeAnswers);
         feed.readConfig();
+        feed.join();
+        feed.readServers();
         return feed;
     }
 
+    private boolean reads() {
+        return peers.table().reads(storeAnswers, gateway.now());
+    }
+
+    private void servers() {
+        long age = gateway.now() - gateway.directory().lastList();
+        boolean old = !gateway.directory().known() || age > OLD_LIST_MILLIS;
+        if (old || reads()) {
+            readServers();
+        } else {
+            later(this::servers, IDLE_MILLIS);
+        }
+    }
+
     private void readServers() {
         long asked = gateway.now();
         store.servers(reply -> {
             switch (reply) {
                 case MetadataStore.Answer<List<Registration>> answer -> {
                     heard();
-                    gateway.apply(answer.value(), asked);
-                    later(this::readServers, gateway.directory().all().isEmpty() ? FAILED_MILLIS : SERVERS_MILLIS);
+                    if (gateway.apply(answer.value(), asked)) {
+                        peers.tellNow();
+                    }
+                    boolean empty = gateway.directory().all().isEmpty();
+                    later(this::servers, empty ? FAILED_MILLIS : SERVERS_MILLIS);
                 }
-                case MetadataStore.HistoryGone<List<Registration>> gone -> later(this::readServers, FAILED_MILLIS);
+                case MetadataStore.HistoryGone<List<Registration>> gone -> later(this::servers, FAILED_MILLIS);
                 case MetadataStore.Failure<List<Registration>> failure -> {
                     failed(failure.why());
-                    later(this::readServers, FAILED_MILLIS);
+                    later(this::servers, FAILED_MILLIS);
                 }
             }
         });
     }
 
-    private void readConfig() {
-        store.config(this::takeConfig);
+    private void config() {
+        if (gateway.config().isPresent() && !reads()) {
+            watching = false;
+            later(this::config, IDLE_MILLIS);
+        } else if (watching) {
+            store.configAfter(revision, WATCH_MILLIS, this::takeConfig);
+        } else {
+            readConfig();
+        }
     }
 
-    private void watchConfig() {
-        store.configAfter(revision, WATCH_MILLIS, this::takeConfig);
+    private void readConfig() {
+        store.config(this::takeConfig);
     }
 
     private void takeConfig(MetadataStore.Reply<MetadataStore.StoredConfig> reply) {
@@ -73,35 +114,91 @@
                 heard();
                 MetadataStore.StoredConfig stored = answer.value();
                 revision = Math.max(revision, stored.revision());
-                if (stored.config() != null) {
-                    gateway.apply(stored.config());
-                    later(this::watchConfig, SETTLE_MILLIS);
-                } else if (gateway.config().isEmpty()) {
-                    later(this::readConfig, FAILED_MILLIS);
+                watching = gateway.config().isPresent() || stored.document() != null;
+                if (stored.document() == null) {
+                    later(this::config, watching ? 1 : FAILED_MILLIS);
                 } else {
-                    watchConfig();
+                    apply(stored.document());
+                    later(this::config, SETTLE_MILLIS);
                 }
             }
-            case MetadataStore.HistoryGone<MetadataStore.StoredConfig> gone -> readConfig();
+            case MetadataStore.HistoryGone<MetadataStore.StoredConfig> gone -> {
+                watching = false;
+                config();
+            }
             case MetadataStore.Failure<MetadataStore.StoredConfig> failure -> {
                 failed(failure.why());
-                later(this::readConfig, FAILED_MILLIS);
+                watching = false;
+                later(this::config, FAILED_MILLIS);
+            }
+        }
+    }
+
+    private void apply(byte[] document) {
+        try {
+            if (gateway.apply(store.decode(document), document)) {
+                peers.tellNow();
             }
+        } catch (IOException e) {
+            LOG.log(Level.ERROR, "configuration cannot be read, the one in force stays: " + e.getMessage());
         }
     }
 
+    private void join() {
+        store.join(gateway.options().name(), peers.address(), LEASE, reply -> {
+            if (reply instanceof MetadataStore.Answer<Long> answer) {
+                heard();
+                lease = answer.value();
+                readGateways();
+                later(this::keep, KEEP_MILLIS);
+            } else {
+                failed("could not join");
+                later(this::join, FAILED_MILLIS * 2);
+            }
+        });
+    }
+
+    private void keep() {
+        store.keep(lease, reply -> {
+            if (reply instanceof MetadataStore.Answer<Boolean> answer) {
+                heard();
+                if (answer.value()) {
+                    if (!peers.table().anyPresent(gateway.now())) {
+                        readGateways();
+                    }
+                    later(this::keep, KEEP_MILLIS);
+                } else {
+                    join();
+                }
+            } else {
+                failed("lease could not be kept");
+                later(this::keep, FAILED_MILLIS * 4);
+            }
+        });
+    }
+
+    private void readGateways() {
+        store.gateways(reply -> {
+            if (reply instanceof MetadataStore.Answer<List<String>> answer) {
+                heard();
+                peers.addresses(answer.value());
+            }
+        });
+    }
+
     private void heard() {
-        if (storeFailing) {
-            storeFailing = false;
+        if (!storeAnswers) {
+            storeAnswers = true;
             LOG.log(Level.INFO, "platform's store answers again");
         }
     }
 
     private void failed(String why) {
         gateway.count("store_call_failed");
-        if (!storeFailing) {
-            storeFailing = true;
+        if (storeAnswers) {
+            storeAnswers = false;
             LOG.log(Level.WARNING, "platform's store: " + why);
+            peers.tellNow();
         }
     }
 
