Class archive and own runtime made by the build; stand-ins of the platform's store and servers

Change: the build records the classes that a short scene of stand-ins on loopback needs, and dumps them with the options of the deploy file. The names of the platform's wire stand in one class, PlatformNames. Ruled out: an AOT cache; the platform starts Java with a sharing option, with which the JVM refuses it.

--- a/standin/src/main/java/org/tanagerhinge/standin/StandinMain.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/StandinMain.java
@@ -26,6 +26,7 @@
                         Engine.class,
                         Service.class,
                         Ports.class,
+                        org.tanagerhinge.standin.relay.StartupTraining.class,
                         DemoCommands.Await.class,
                         DemoCommands.Fault.class,
                         DemoCommands.DemoLoad.class,
--- /dev/null
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformScene.java
@@ -0,0 +1,104 @@
+package org.tanagerhinge.standin.relay;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.tanagerhinge.platform.PlatformNames;
+
+/** Writes the operators' and the servers' documents into a store. */
+public final class PlatformScene {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final StoreStandin store;
+    private final ObjectNode config = JSON.createObjectNode();
+    private final ArrayNode routes = config.putArray(PlatformNames.ROUTES);
+    private final ArrayNode services = config.putArray(PlatformNames.SERVICES);
+    private final ArrayNode tenants = config.putArray(PlatformNames.TENANTS);
+    private String host = "shop.example";
+    private long version;
+
+    private PlatformScene(StoreStandin store) {
+        this.store = store;
+        config.putObject("limits")
+                .put(PlatformNames.HEADER_BYTES, 16_384)
+                .put(PlatformNames.BODY_BYTES, 4 << 20)
+                .put(PlatformNames.HEADER_TIMEOUT, 3_000)
+                .put(PlatformNames.IDLE_TIMEOUT, 15_000);
+    }
+
+    /** Returns a scene without routes; {@link #publish()} writes it. */
+    public static PlatformScene in(StoreStandin store) {
+        return new PlatformScene(store);
+    }
+
+    /** Sets the host of the routes that are added from now on; {@code shop.example} until then. */
+    public void host(String name) {
+        host = name;
+    }
+
+    /** Adds a route; kind is {@code safe}, {@code unsafe} or {@code streaming}. */
+    public ObjectNode route(String prefix, String kind, String service) {
+        return routes.addObject()
+                .put("name", "r" + routes.size())
+                .put(PlatformNames.HOST, host)
+                .put("prefix", prefix)
+                .put(PlatformNames.KIND, kind)
+                .put(PlatformNames.TIMEOUT, 5_000)
+                .put(PlatformNames.TARGET, 300)
+                .put("priority", 1)
+                .put("service", service)
+                .put(PlatformNames.MOST_ATTEMPTS, 2)
+                .put(PlatformNames.OPEN, false)
+                .put(PlatformNames.PROMPTS, kind.equals("streaming"))
+                .put(PlatformNames.RESUMABLE, false)
+                .put(PlatformNames.GAP, 120);
+    }
+
+    /** Adds a service; model engines have slots and memory. */
+    public ObjectNode service(String name, int slots) {
+        ObjectNode service = services.addObject().put("name", name).put(PlatformNames.MOST_CONNECTIONS, 300);
+        if (slots > 0) {
+            service.putObject("engine").put("slots", slots).put(PlatformNames.MEMORY, 300_000);
+        }
+        return service;
+    }
+
+    /** Adds a workspace with a key. */
+    public void workspace(String name, String key) {
+        tenants.addObject().put("name", name).putArray(PlatformNames.KEYS).add(key);
+    }
+
+    /** Takes a workspace away. */
+    public void dropWorkspaces() {
+        tenants.removeAll();
+    }
+
+    /** Returns the routes, to be changed before the next {@link #publish()}. */
+    public ArrayNode routes() {
+        return routes;
+    }
+
+    /** Writes the configuration as a new version, and returns it. */
+    public long publish() {
+        version += 3;
+        config.put("version", version);
+        store.put(PlatformNames.CONFIG_KEY, config.toString());
+        return version;
+    }
+
+    /** Registers a server; state is {@code ready} or {@code draining}. */
+    public void register(ServerStandin server, String service, String state) {
+        ObjectNode entry = JSON.createObjectNode()
+                .put("service", service)
+                .put("address", "127.0.0.1:" + server.address().getPort())
+                .put(PlatformNames.DOMAIN, "north")
+                .put("slots", 8)
+                .put("state", state);
+        store.put(PlatformNames.SERVERS + server.id(), entry.toString());
+    }
+
+    /** Removes a server's registration. */
+    public void unregister(ServerStandin server) {
+        store.remove(PlatformNames.SERVERS + server.id());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
@@ -0,0 +1,182 @@
+package org.tanagerhinge.standin.relay;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A small HTTP server on loopback whose answers are written byte by byte, so that they can be wrong in any way. */
+public final class RawServer implements AutoCloseable {
+    /** Answers one request; what it throws ends the connection. */
+    public interface Answerer {
+        void answer(Request request, Connection connection) throws IOException, InterruptedException;
+    }
+
+    /** A request that was read whole; header names are in lower case. */
+    public record Request(String method, String target, Map<String, String> headers, byte[] body) {
+        /** Returns a header's value, or an empty text. */
+        public String header(String name) {
+            return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
+        }
+
+        /** Returns the value of a query's parameter, or an empty text. */
+        public String parameter(String name) {
+            int query = target.indexOf('?');
+            for (String pair : query < 0 ? new String[0] : target.substring(query + 1).split("&", -1)) {
+                if (pair.startsWith(name + "=")) {
+                    return pair.substring(name.length() + 1);
+                }
+            }
+            return "";
+        }
+
+        /** Returns the target without its query. */
+        public String path() {
+            int query = target.indexOf('?');
+            return query < 0 ? target : target.substring(0, query);
+        }
+    }
+
+    /** The connection that a request came on. */
+    public record Connection(Socket socket, OutputStream out) {
+        /** Writes a text as it is. */
+        public void write(String text) throws IOException {
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+
+        /** Writes a whole answer; headers are lines that end with CRLF. */
+        public void answer(int status, String headers, String body) throws IOException {
+            int length = body.getBytes(StandardCharsets.UTF_8).length;
+            write("HTTP/1.1 " + status + " Status\r\n" + headers + "Content-Length: " + length + "\r\n\r\n" + body);
+        }
+
+        /** Resets the connection. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    private static final int BACKLOG = 256;
+
+    private final ServerSocket door;
+    private final Answerer answerer;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    private RawServer(ServerSocket door, Answerer answerer) {
+        this.door = door;
+        this.answerer = answerer;
+    }
+
+    /** Starts a server on a port, or on a free one if it is 0. */
+    public static RawServer start(int port, Answerer answerer) {
+        try {
+            ServerSocket door = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
+            RawServer server = new RawServer(door, answerer);
+            Thread.ofVirtual().start(server::accept);
+            return server;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) door.getLocalSocketAddress();
+    }
+
+    /** Returns how many connections were accepted. */
+    public int connections() {
+        return connections.get();
+    }
+
+    private void accept() {
+        while (!door.isClosed()) {
+            try {
+                Socket socket = door.accept();
+                socket.setTcpNoDelay(true);
+                connections.incrementAndGet();
+                open.add(socket);
+                Thread.ofVirtual().start(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            Connection connection = new Connection(socket, socket.getOutputStream());
+            while (!socket.isClosed()) {
+                Request request = read(in);
+                if (request == null) {
+                    return;
+                }
+                answerer.answer(request, connection);
+            }
+        } catch (IOException e) {
+            // The peer or the test has closed the connection.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            open.remove(socket);
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        String first = line(in);
+        if (first == null) {
+            return null;
+        }
+        String[] words = first.split(" ", -1);
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        return new Request(words[0], words[1], headers, in.readNBytes(length));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int b = in.read(); b >= 0; b = in.read()) {
+            if (b == '\n') {
+                return line.toString(StandardCharsets.UTF_8).trim();
+            }
+            line.write(b);
+        }
+        return null;
+    }
+
+    /** Ends all connections and stops to listen. */
+    @Override
+    public void close() {
+        try {
+            door.close();
+            for (Socket socket : open) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
@@ -0,0 +1,148 @@
+package org.tanagerhinge.standin.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.tanagerhinge.platform.PlatformNames;
+
+/** A backend server: notes what it is sent, and answers as its script says. */
+public final class ServerStandin implements AutoCloseable {
+    /** How it answers a request. */
+    public interface Script {
+        void answer(ServerStandin server, RawServer.Request request, RawServer.Connection connection)
+                throws IOException, InterruptedException;
+    }
+
+    private final String id;
+    private final RawServer server;
+    private final AtomicReference<Script> script;
+    private final List<RawServer.Request> seen = new CopyOnWriteArrayList<>();
+    private final AtomicInteger broken = new AtomicInteger();
+
+    private ServerStandin(int port, String id, Script script) {
+        this.id = id;
+        this.script = new AtomicReference<>(script);
+        this.server = RawServer.start(port, this::answer);
+    }
+
+    /** Starts a server on a free port that answers as a script says. */
+    public static ServerStandin start(String id, Script script) {
+        return new ServerStandin(0, id, script);
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Returns what it was sent, refused requests among it. */
+    public List<RawServer.Request> seen() {
+        return seen;
+    }
+
+    /** Returns how many of its answers ended because the connection was closed under them. */
+    public int broken() {
+        return broken.get();
+    }
+
+    /** Returns how many connections it accepted. */
+    public int connections() {
+        return server.connections();
+    }
+
+    /** Changes how it answers. */
+    public void script(Script newScript) {
+        script.set(newScript);
+    }
+
+    private void answer(RawServer.Request request, RawServer.Connection connection)
+            throws IOException, InterruptedException {
+        String meant = request.header(PlatformNames.EXPECT_INSTANCE);
+        if (!meant.isEmpty() && !meant.equals(id)) {
+            connection.answer(421, PlatformNames.INSTANCE + ": " + id + "\r\n", "");
+            return;
+        }
+        seen.add(request);
+        try {
+            script.get().answer(this, request, connection);
+        } catch (IOException e) {
+            broken.incrementAndGet();
+            throw e;
+        }
+    }
+
+    /** Returns the header lines of an answer of this server to a request. */
+    public String headers(RawServer.Request request) {
+        return PlatformNames.ATTEMPT_ID + ": " + request.header(PlatformNames.ATTEMPT_ID) + "\r\n"
+                + PlatformNames.SEAL + ": seal-of-" + id + "\r\n";
+    }
+
+    /** Returns a script that answers with a status and a body. */
+    public static Script plain(int status, String body) {
+        return (server, request, connection) -> connection.answer(status, server.headers(request), body);
+    }
+
+    /** Returns a script that refuses without running the request. */
+    public static Script refusing() {
+        return (server, request, connection) -> connection.answer(503, PlatformNames.NOT_EXECUTED + ": 1\r\n", "");
+    }
+
+    /**
+     * Returns a script that streams events, from the one after that which the request names.
+     *
+     * @param events number of the last event
+     * @param pauseMillis between two events
+     */
+    public static Script events(int events, long pauseMillis) {
+        return (server, request, connection) -> {
+            beginStream(server, request, connection);
+            for (int event = firstEvent(request); event <= events; event++) {
+                writeEvent(connection, event);
+                Thread.sleep(pauseMillis);
+            }
+            connection.write("0\r\n\r\n");
+        };
+    }
+
+    /** Returns a script that streams events and resets the connection in the midst of one. */
+    public static Script cutWithin(int event) {
+        return (server, request, connection) -> {
+            beginStream(server, request, connection);
+            for (int i = firstEvent(request); i < event; i++) {
+                writeEvent(connection, i);
+            }
+            connection.write("6\r\nid: " + event + "\n\r\n");
+            Thread.sleep(50);
+            connection.reset();
+        };
+    }
+
+    /** Writes the head of a stream. */
+    public static void beginStream(ServerStandin server, RawServer.Request request, RawServer.Connection connection)
+            throws IOException {
+        connection.write("HTTP/1.1 200 OK\r\n" + server.headers(request)
+                + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    /** Writes one event as a chunk. */
+    public static void writeEvent(RawServer.Connection connection, int event) throws IOException {
+        String text = "id: " + event + "\ndata: piece " + event + "\n\n";
+        connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    private static int firstEvent(RawServer.Request request) {
+        String last = request.header(PlatformNames.LAST_EVENT);
+        return last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -0,0 +1,284 @@
+package org.tanagerhinge.standin.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.tanagerhinge.platform.PlatformNames;
+
+/** The platform's store: revisions, writes under conditions, watches, leases; and its troubles. */
+public final class StoreStandin implements AutoCloseable {
+    /** What the store does to callers. */
+    public enum Mood {
+        /** It serves. */
+        SERVES,
+        /** It answers 503: nothing was done. */
+        BUSY,
+        /** It resets connections. */
+        RESETS,
+        /** It never answers. */
+        SILENT,
+        /** It does what it is told and its answers are lost. */
+        LOSES_ANSWERS
+    }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int PAGE = 50;
+
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final Map<Long, Long> leases = new HashMap<>();
+    private final Map<String, Integer> calls = new TreeMap<>();
+    private long revision;
+    private long forgotten;
+    private long nextLease = 100;
+    private Mood mood = Mood.SERVES;
+    private final RawServer server;
+
+    private record Item(String value, long revision, long created, long lease) {}
+
+    private record Change(String key, Item item, long revision) {}
+
+    private StoreStandin(int port) {
+        server = RawServer.start(port, this::answer);
+    }
+
+    /** Starts a store on a port, or on a free one if it is 0. */
+    public static StoreStandin start(int port) {
+        return new StoreStandin(port);
+    }
+
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Sets what it does to callers from now on. */
+    public synchronized void mood(Mood newMood) {
+        mood = newMood;
+        notifyAll();
+    }
+
+    /** Writes a text under a key, as the operators and the servers do. */
+    public synchronized long put(String key, String text) {
+        write(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
+        notifyAll();
+        return revision;
+    }
+
+    /** Removes a key. */
+    public synchronized void remove(String key) {
+        drop(key);
+        notifyAll();
+    }
+
+    /** Forgets all history: watches that continue from before are told so. */
+    public synchronized void compact() {
+        forgotten = revision;
+        history.clear();
+        notifyAll();
+    }
+
+    /** Returns the keys that begin with a text. */
+    public synchronized List<String> keys(String prefix) {
+        expire();
+        return items.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+    }
+
+    /** Returns how often a call was made, by its path. */
+    public synchronized int calls(String path) {
+        return calls.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(path))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
+    private void write(String key, String value, long lease) {
+        revision++;
+        Item old = items.get(key);
+        Item item = new Item(value, revision, old == null ? revision : old.created(), lease);
+        items.put(key, item);
+        history.add(new Change(key, item, revision));
+    }
+
+    private void drop(String key) {
+        if (items.remove(key) != null) {
+            revision++;
+            history.add(new Change(key, null, revision));
+        }
+    }
+
+    private void expire() {
+        long now = System.nanoTime();
+        List<Long> ended = leases.entrySet().stream()
+                .filter(lease -> lease.getValue() - now < 0)
+                .map(Map.Entry::getKey)
+                .toList();
+        for (long lease : ended) {
+            leases.remove(lease);
+            items.entrySet().stream()
+                    .filter(item -> item.getValue().lease() == lease)
+                    .map(Map.Entry::getKey)
+                    .toList()
+                    .forEach(this::drop);
+        }
+    }
+
+    private void answer(RawServer.Request request, RawServer.Connection connection)
+            throws IOException, InterruptedException {
+        Reply reply;
+        Mood now;
+        synchronized (this) {
+            calls.merge(request.path(), 1, Integer::sum);
+            now = mood;
+            reply = now == Mood.SERVES || now == Mood.LOSES_ANSWERS ? reply(request) : new Reply(503, "{}");
+            now = mood == Mood.SERVES ? now : mood;
+        }
+        switch (now) {
+            case SERVES, BUSY ->
+                connection.answer(reply.status(), "Content-Type: application/json\r\n", reply.body());
+            case RESETS -> connection.reset();
+            case SILENT, LOSES_ANSWERS -> Thread.sleep(TimeUnit.HOURS.toMillis(1));
+        }
+    }
+
+    private record Reply(int status, String body) {}
+
+    private Reply reply(RawServer.Request request) throws IOException, InterruptedException {
+        expire();
+        String path = request.path();
+        if (path.startsWith(PlatformNames.KEEP_CALL)) {
+            return keep(Long.parseLong(path.substring(PlatformNames.KEEP_CALL.length())));
+        }
+        return switch (path) {
+            case PlatformNames.KEY_CALL -> key(request.parameter("key"));
+            case PlatformNames.RANGE_CALL -> range(request.parameter("prefix"), request.parameter("after"));
+            case PlatformNames.WATCH_CALL -> watch(request);
+            case PlatformNames.WRITE_CALL -> write(JSON.readTree(request.body()));
+            case PlatformNames.LEASE_CALL -> lease(JSON.readTree(request.body()));
+            default -> new Reply(404, "{}");
+        };
+    }
+
+    private Reply key(String key) {
+        Item item = items.get(key);
+        ObjectNode body = item == null ? JSON.createObjectNode() : node(key, item);
+        return new Reply(item == null ? 404 : 200, body.put(PlatformNames.STORE_REVISION, revision).toString());
+    }
+
+    private Reply range(String prefix, String after) {
+        ObjectNode body = JSON.createObjectNode();
+        ArrayNode list = body.putArray("items");
+        boolean truncated = false;
+        for (Map.Entry<String, Item> entry : items.entrySet()) {
+            if (!entry.getKey().startsWith(prefix) || entry.getKey().compareTo(after) <= 0) {
+                continue;
+            }
+            if (list.size() == PAGE) {
+                truncated = true;
+                break;
+            }
+            list.add(node(entry.getKey(), entry.getValue()));
+        }
+        body.put(PlatformNames.TRUNCATED, truncated).put(PlatformNames.STORE_REVISION, revision);
+        return new Reply(200, body.toString());
+    }
+
+    private Reply watch(RawServer.Request request) throws InterruptedException {
+        long after = Long.parseLong(request.parameter("after"));
+        long until = System.nanoTime()
+                + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(request.parameter(PlatformNames.WAIT)));
+        Mood begun = mood;
+        while (mood == begun) {
+            if (after < forgotten) {
+                return new Reply(410, "{}");
+            }
+            ObjectNode body = JSON.createObjectNode();
+            ArrayNode events = body.putArray(PlatformNames.EVENTS);
+            for (Change change : history) {
+                if (change.revision() > after && change.key().startsWith(request.parameter("prefix"))) {
+                    events.add(change.item() == null ? tombstone(change) : node(change.key(), change.item()));
+                }
+            }
+            long left = until - System.nanoTime();
+            if (!events.isEmpty() || left <= 0) {
+                return new Reply(200, body.put(PlatformNames.STORE_REVISION, revision).toString());
+            }
+            TimeUnit.NANOSECONDS.timedWait(this, left);
+        }
+        return new Reply(503, "{}");
+    }
+
+    private Reply write(JsonNode call) {
+        ObjectNode conflict = JSON.createObjectNode();
+        ArrayNode current = conflict.putArray("items");
+        boolean held = true;
+        for (JsonNode row : call.path(PlatformNames.EXPECTATIONS)) {
+            Item item = items.get(row.path("key").asText());
+            held &= row.path("revision").asLong() == (item == null ? 0 : item.revision());
+            if (item != null) {
+                current.add(node(row.path("key").asText(), item));
+            }
+        }
+        if (!held) {
+            return new Reply(412, conflict.toString());
+        }
+        for (JsonNode put : call.path(PlatformNames.PUTS)) {
+            long lease = put.path("lease").asLong(0);
+            if (lease != 0 && !leases.containsKey(lease)) {
+                return new Reply(404, "{}");
+            }
+        }
+        for (JsonNode put : call.path(PlatformNames.PUTS)) {
+            write(put.path("key").asText(), put.path("value").asText(), put.path("lease").asLong(0));
+        }
+        call.path(PlatformNames.REMOVALS).forEach(key -> drop(key.asText()));
+        notifyAll();
+        return new Reply(200, JSON.createObjectNode().put("revision", revision).toString());
+    }
+
+    private Reply lease(JsonNode call) {
+        long ttl = call.path(PlatformNames.TIME_TO_LIVE).asLong();
+        leases.put(++nextLease, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttl));
+        ObjectNode body = JSON.createObjectNode().put("lease", nextLease).put(PlatformNames.TIME_TO_LIVE, ttl);
+        return new Reply(200, body.toString());
+    }
+
+    private Reply keep(long lease) {
+        if (!leases.containsKey(lease)) {
+            return new Reply(404, "{}");
+        }
+        leases.put(lease, System.nanoTime() + TimeUnit.SECONDS.toNanos(12));
+        return new Reply(200, "{}");
+    }
+
+    private static ObjectNode node(String key, Item item) {
+        return JSON.createObjectNode()
+                .put("key", key)
+                .put("value", item.value())
+                .put("revision", item.revision())
+                .put(PlatformNames.CREATED_REVISION, item.created())
+                .put("lease", item.lease());
+    }
+
+    private static ObjectNode tombstone(Change change) {
+        return JSON.createObjectNode()
+                .put("key", change.key())
+                .put("revision", change.revision())
+                .put(PlatformNames.TOMBSTONE, true);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
