--- a/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
@@ -8,20 +8,14 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
 import org.tanagerhinge.core.agent.AgentCore;
 import org.tanagerhinge.core.agent.AgentOptions;
 import org.tanagerhinge.core.agent.AgentPort;
 import org.tanagerhinge.core.agent.Run;
-import org.tanagerhinge.core.claim.JournalSegment;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
 import org.tanagerhinge.core.id.RouterId;
@@ -36,10 +30,8 @@
 import org.tanagerhinge.node.daemon.HttpServer.Page;
 import org.tanagerhinge.node.daemon.Incarnation;
 import org.tanagerhinge.node.metrics.NodeMetrics;
-import org.tanagerhinge.node.platform.ClaimJournalStore;
 import org.tanagerhinge.node.platform.ConfigPoller;
 import org.tanagerhinge.node.platform.ConfigStore;
-import org.tanagerhinge.node.platform.PlatformException;
 import org.tanagerhinge.node.platform.PlatformStore;
 import org.tanagerhinge.wire.Link;
 import org.tanagerhinge.wire.LinkListener;
@@ -76,8 +68,6 @@
     private final Map<RouterId, Link> links = new ConcurrentHashMap<>();
     private final AgentCore core;
     private final BackendClient backend;
-    private final ClaimJournalStore journal;
-    private final ExecutorService journalThread;
     private LinkServer linkServer;
     private HttpServer pages;
     private ConfigPoller poller;
@@ -88,9 +78,6 @@
         this.network = new MultiThreadIoEventLoopGroup(
                 NETWORK_THREADS, new DefaultThreadFactory("net-" + parts.name(), true), NioIoHandler.newFactory());
         this.backend = new BackendClient(parts.http(), parts.backendUrl(), parts.probePath(), new PostedEvents());
-        this.journal = ClaimJournalStore.in(parts.platform());
-        this.journalThread = Executors.newSingleThreadExecutor(
-                Thread.ofPlatform().name("journal").daemon().factory());
         this.core = AgentCore.create(
                 parts.name(), Incarnation.next(), parts.options(), SteadyClock.create(), new Port(), metrics);
     }
@@ -164,11 +151,6 @@
         return control.ask(core::revision);
     }
 
-    /** Returns whether a key that was never used can be run at once. */
-    public boolean claimsSettled() {
-        return control.ask(core::claimsSettled);
-    }
-
     /** Returns the number of requests at the backend server. */
     public int inFlight() {
         return control.ask(core::inFlight);
@@ -215,52 +197,9 @@
             linkServer.close();
         }
         network.shutdownGracefully(0, 500, java.util.concurrent.TimeUnit.MILLISECONDS);
-        journalThread.shutdownNow();
         control.close();
     }
 
-    private void onJournalThread(Runnable call) {
-        try {
-            journalThread.execute(call);
-        } catch (RejectedExecutionException e) {
-            metrics.count("platform_call_after_stop");
-        }
-    }
-
-    private void readJournals() {
-        try {
-            metrics.count("platform_call");
-            Map<ServerId, List<JournalSegment>> homes = new HashMap<>(journal.readAll());
-            List<JournalSegment> own = homes.remove(parts.name());
-            control.post(() -> core.onJournalRead(own == null ? List.of() : own, homes));
-        } catch (PlatformException e) {
-            metrics.count("platform_call_failed");
-            LOG.log(Level.WARNING, "the journals of claims cannot be read: " + e.getMessage());
-        }
-    }
-
-    private void writeJournal(JournalSegment segment) {
-        boolean done = false;
-        try {
-            metrics.count("platform_call");
-            journal.write(parts.name(), segment);
-            done = true;
-        } catch (PlatformException e) {
-            metrics.count("platform_call_failed");
-        }
-        boolean written = done;
-        control.post(() -> core.onJournalWritten(written));
-    }
-
-    private void deleteFromJournal(long index) {
-        try {
-            metrics.count("platform_call");
-            journal.delete(parts.name(), index);
-        } catch (PlatformException e) {
-            metrics.count("platform_call_failed");
-        }
-    }
-
     /** Carries out what the decisions ask for; called on the control thread. */
     private final class Port implements AgentPort {
         @Override
@@ -291,21 +230,6 @@
             backend.pause(runId, paused);
         }
 
-        @Override
-        public void journalRead() {
-            onJournalThread(AgentDaemon.this::readJournals);
-        }
-
-        @Override
-        public void journalWrite(JournalSegment segment) {
-            onJournalThread(() -> writeJournal(segment));
-        }
-
-        @Override
-        public void journalDelete(long index) {
-            onJournalThread(() -> deleteFromJournal(index));
-        }
-
         @Override
         public void count(String reason) {
             metrics.count(reason);
--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.tanagerhinge.core.claim.JournalSegment;
 import org.tanagerhinge.core.config.BackendServer;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
@@ -18,7 +17,6 @@
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.invariant.InvariantMonitor;
 import org.tanagerhinge.core.invariant.Promise;
-import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.Load;
@@ -43,7 +41,6 @@
     private final ConcurrencyLimit limit;
     private final RateMeter meter = new RateMeter();
     private final ExecutionTable executions;
-    private final ClaimHome claims;
     private final Map<Long, Run> running = new HashMap<>();
     private final Map<RouterId, Map<Long, Run>> attempts = new HashMap<>();
     private final Map<RouterId, Instant> lastSent = new HashMap<>();
@@ -68,7 +65,6 @@
         this.queue = new ClassQueue(options.queueBound(), options.queueBytes(), monitor);
         this.limit = ConcurrencyLimit.of(options.concurrency());
         this.executions = new ExecutionTable(options, monitor);
-        this.claims = new ClaimHome(self, options, port, clock.instant());
     }
 
     /**
@@ -114,11 +110,6 @@
         return limit.limit();
     }
 
-    /** Returns whether this home can tell that a key was never used. */
-    public boolean claimsSettled() {
-        return claims.settled(now());
-    }
-
     /** Returns the number of routers linked now. */
     public int routers() {
         return attempts.size();
@@ -138,8 +129,6 @@
                 .toList()
                 .forEach(this::onRouterDown);
         attempts.put(router, new HashMap<>());
-        claims.routerUp(router);
-        handOverClaims(router, claims.unwitnessed(router));
         send(router, new Frame.Heartbeat(config.revision()));
         send(router, new Frame.LoadReport(load()));
     }
@@ -153,10 +142,6 @@
     public void onRouterDown(RouterId router) {
         Map<Long, Run> lost = attempts.remove(router);
         lastSent.remove(router);
-        claims.routerDown(router);
-        attempts.keySet().stream()
-                .findFirst()
-                .ifPresent(witness -> handOverClaims(witness, claims.unwitnessed(witness)));
         if (lost == null) {
             return;
         }
@@ -171,13 +156,6 @@
         dispatch();
     }
 
-    /** Has a router remember claims, so that they outlive this agent. */
-    private void handOverClaims(RouterId witness, List<ClaimEntry> entries) {
-        if (!entries.isEmpty()) {
-            send(witness, new Frame.ClaimSync(config.servers().revision(), entries, false));
-        }
-    }
-
     private void abandon(Run run) {
         if (queue.remove(run)) {
             run.machine().fire(RunEvent.CANCEL);
@@ -210,9 +188,6 @@
             case Frame.Attach attach -> onAttach(router, attach);
             case Frame.Cancel cancel -> onCancel(router, cancel.attempt(), cancel.runOn());
             case Frame.Credit credit -> onCredit(router, credit);
-            case Frame.ClaimAsk ask -> claims.ask(router, ask, now());
-            case Frame.ClaimSync sync -> claims.sync(router, sync, now());
-            case Frame.ClaimRelease release -> claims.release(release);
             case Frame.Heartbeat heartbeat -> onPeerRevision(router, heartbeat.revision());
             case Frame.ConfigPull pull -> send(router, new Frame.ConfigPush(config));
             case Frame.ConfigPush push -> applyConfig(push.config());
@@ -477,21 +452,6 @@
         }
     }
 
-    /**
-     * The journals of claims were read from the platform's service.
-     *
-     * @param own this home's segments
-     * @param others the segments of other homes, some of whose keys may fall here now
-     */
-    public void onJournalRead(List<JournalSegment> own, Map<ServerId, List<JournalSegment>> others) {
-        claims.journalRead(own, others, now());
-    }
-
-    /** The write of a journal segment has ended; {@code done} is false if it failed or its answer was lost. */
-    public void onJournalWritten(boolean done) {
-        claims.journalWritten(done);
-    }
-
     private void reportLoad() {
         List.copyOf(attempts.keySet()).forEach(router -> send(router, new Frame.LoadReport(load())));
     }
@@ -623,7 +583,6 @@
                 () -> "revision went from " + before + " to " + merged.revision());
         boolean wasAccepting = accepting();
         config = merged;
-        claims.servers(config.servers(), now());
         limit.gapBound(gapBound());
         port.applied(config);
         if (wasAccepting && !accepting()) {
@@ -655,7 +614,6 @@
         }
         stopping = true;
         giveBackQueue(ResultCode.SERVER_LEAVING);
-        attempts.keySet().stream().findFirst().ifPresent(witness -> handOverClaims(witness, claims.outsideJournal()));
         reportLoad();
     }
 
@@ -674,7 +632,6 @@
             port.probe();
         }
         executions.trim(now);
-        claims.tick(now);
         heartbeats(now);
         dispatch();
     }
--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentOptions.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentOptions.java
@@ -11,7 +11,6 @@
  * @param recordTtl how long a non-idempotent request and its result are remembered
  * @param recordBound requests remembered at the most
  * @param recordBytes bytes of results remembered at the most
- * @param claimSettle how long after a start or a new server list a home waits for routers to report their claims
  * @param heartbeat how often a silent link shows a sign of life
  * @param overdueGrace how long past its deadline a run may go on when its router has not cancelled it
  * @param concurrency how the number of requests at the backend server is bounded
@@ -23,7 +22,6 @@
         Duration recordTtl,
         int recordBound,
         long recordBytes,
-        Duration claimSettle,
         Duration heartbeat,
         Duration overdueGrace,
         Concurrency concurrency) {
@@ -46,7 +44,6 @@
                 Duration.ofHours(1),
                 20_000,
                 64L << 20,
-                Duration.ofSeconds(2),
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(2),
                 new Concurrency.Adaptive(8, 512));
@@ -61,39 +58,14 @@
                 recordTtl,
                 recordBound,
                 recordBytes,
-                claimSettle,
                 heartbeat,
                 overdueGrace,
                 next);
     }
 
-    /** Returns these options with another settling time of claims. */
-    public AgentOptions withClaimSettle(Duration next) {
-        return new AgentOptions(
-                queueBound,
-                queueBytes,
-                creditUnits,
-                recordTtl,
-                recordBound,
-                recordBytes,
-                next,
-                heartbeat,
-                overdueGrace,
-                concurrency);
-    }
-
     /** Returns these options with other bounds of the queue. */
     public AgentOptions withQueue(int bound, long bytes) {
         return new AgentOptions(
-                bound,
-                bytes,
-                creditUnits,
-                recordTtl,
-                recordBound,
-                recordBytes,
-                claimSettle,
-                heartbeat,
-                overdueGrace,
-                concurrency);
+                bound, bytes, creditUnits, recordTtl, recordBound, recordBytes, heartbeat, overdueGrace, concurrency);
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentPort.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentPort.java
@@ -1,6 +1,5 @@
 package org.tanagerhinge.core.agent;
 
-import org.tanagerhinge.core.claim.JournalSegment;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.id.RouterId;
 import org.tanagerhinge.core.message.Frame;
@@ -22,15 +21,6 @@
     /** Stops, or goes on, reading a run's output from the backend server. */
     void pause(long runId, boolean paused);
 
-    /** Reads all homes' journals of claims; the answer comes back as {@link AgentCore#onJournalRead}, or not at all. */
-    void journalRead();
-
-    /** Writes a segment of the journal; the answer comes back as {@link AgentCore#onJournalWritten}. */
-    void journalWrite(JournalSegment segment);
-
-    /** Deletes a segment of the journal. */
-    void journalDelete(long index);
-
     /** Counts a refusal, shed or failure by its reason. */
     void count(String reason);
 
--- a/core/src/main/java/org/tanagerhinge/core/claim/package-info.java
+++ b/core/src/main/java/org/tanagerhinge/core/claim/package-info.java
@@ -1,2 +1,2 @@
-/** Where the claims of callers' keys live. */
+/** Claims of callers' keys, and hashing that spreads work over servers. */
 package org.tanagerhinge.core.claim;
--- a/core/src/main/java/org/tanagerhinge/core/message/Frame.java
+++ b/core/src/main/java/org/tanagerhinge/core/message/Frame.java
@@ -1,11 +1,9 @@
 package org.tanagerhinge.core.message;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
-import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.result.ResultCode;
 
@@ -66,33 +64,6 @@
     /** Says that the caller took more units of an attempt's answer. */
     record Credit(long attempt, long units) implements FromRouter {}
 
-    /**
-     * Asks a key's home for the right to run the request under that key.
-     *
-     * @param owner the request that asks; the same one may ask again when the answer is late
-     * @param expectedGeneration the generation that the claim replaces; 0 for a key not used before
-     * @param keyAge how long ago the caller made the key, if the key tells
-     */
-    record ClaimAsk(
-            long sequence,
-            long epoch,
-            RequestId owner,
-            ClaimEntry wanted,
-            long expectedGeneration,
-            Optional<Duration> keyAge)
-            implements FromRouter {}
-
-    /**
-     * Passes on claims: from a router to the home to which they fall under an epoch, or from a home to a router that is
-     * to remember them in the place of one that is gone.
-     *
-     * @param last whether the sender now has passed on all that it knows
-     */
-    record ClaimSync(long epoch, List<ClaimEntry> entries, boolean last) implements FromEither {}
-
-    /** Gives a claim back: under it nothing ran and nothing will. */
-    record ClaimRelease(KeyDigest digest, long generation) implements FromRouter {}
-
     /** The attempt that was attached to is queued here and has not begun. */
     record Queued(long attempt) implements FromAgent {}
 
@@ -119,21 +90,6 @@
     /** The attempt ended without a whole answer and may have run. */
     record Failed(long attempt, ResultCode code, String detail, Load load) implements FromAgent {}
 
-    /** A home's answer to a claim. */
-    record ClaimReply(long sequence, Verdict verdict, Optional<ClaimEntry> entry) implements FromAgent {}
-
-    /** How a home decided a claim. */
-    enum Verdict {
-        /** The claim is the asker's; the entry holds its generation. */
-        GRANTED,
-        /** Another call holds the key; the entry says where it runs. */
-        HELD,
-        /** The home cannot yet tell whether the key was used. */
-        UNSETTLED,
-        /** The two sides have different server lists; the one behind must catch up first. */
-        OTHER_EPOCH
-    }
-
     /** Tells how loaded an agent is; sent on its own when nothing else was sent for a while. */
     record LoadReport(Load load) implements FromAgent {}
 
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -137,8 +137,8 @@
     private List<RelayServer> lane(PlacementRequest request, List<RelayServer> candidates, long now) {
         String service = request.service().name();
         LaneDemand demand = meter(service, now).demand(now).plus(peers.getOrDefault(service, LaneDemand.NONE));
-        int shortEngines = Lanes.shortEngines(
-                candidates.size(), request.service().slots(), demand, speed.tokensPerMilli());
+        int shortEngines =
+                Lanes.shortEngines(candidates.size(), request.service().slots(), demand, speed.tokensPerMilli());
         if (shortEngines >= candidates.size()) {
             return candidates;
         }
--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -22,9 +22,7 @@
             CallerLimits limits) {
         this.version = version;
         for (Route route : routes) {
-            this.routes
-                    .computeIfAbsent(route.host(), host -> new HashMap<>())
-                    .put(route.prefix(), route);
+            this.routes.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.prefix(), route);
         }
         for (ServiceTerms service : services) {
             this.services.put(service.name(), service);
--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayServer.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayServer.java
@@ -60,8 +60,8 @@
     /** Takes a newer registration; a server that has said that it leaves stays so. */
     void update(Registration newer) {
         boolean leaving = registration.draining() || newer.draining();
-        registration = new Registration(
-                newer.id(), newer.service(), newer.address(), newer.domain(), newer.slots(), leaving);
+        registration =
+                new Registration(newer.id(), newer.service(), newer.address(), newer.domain(), newer.slots(), leaving);
     }
 
     /** Notes that the incarnation has ended. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/RetryBudget.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RetryBudget.java
@@ -16,16 +16,14 @@
     /** Part of the allowance that is used, so that windows of other nodes that lie a little apart don't exceed it. */
     private static final double USED = 0.85;
 
-    private final double ratio;
-    private final double slack;
-    private final long windowMillis;
+    private double ratio;
+    private double slack;
+    private long windowMillis;
     private int nodes = 1;
     private final Map<String, Window> windows = new HashMap<>();
 
     private RetryBudget(double ratio, double slack, long windowMillis) {
-        this.ratio = ratio;
-        this.slack = slack;
-        this.windowMillis = windowMillis;
+        terms(ratio, slack, windowMillis);
     }
 
     /**
@@ -38,6 +36,13 @@
         return new RetryBudget(ratio, slack, windowMillis);
     }
 
+    /** Takes other terms from now on; what was spent before counts on. */
+    public final void terms(double newRatio, double newSlack, long newWindowMillis) {
+        ratio = newRatio;
+        slack = newSlack;
+        windowMillis = newWindowMillis;
+    }
+
     /** Sets among how many nodes the slack is divided. */
     public void nodes(int count) {
         nodes = Math.max(1, count);
--- a/core/src/main/java/org/tanagerhinge/core/relay/SpeedMeter.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/SpeedMeter.java
@@ -9,6 +9,7 @@
 public final class SpeedMeter {
     /** Prompts below this tell more of the network than of reading, in tokens. */
     private static final int LEAST_TOKENS = 2_000;
+
     private static final double FASTER = 0.3;
     private static final double SLOWER = 0.01;
 
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -12,8 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import org.tanagerhinge.core.claim.KeyAge;
-import org.tanagerhinge.core.claim.KeyHomes;
+import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.config.BackendServer;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
@@ -40,7 +39,7 @@
 public final class RouterCore {
     private static final Duration ASK_AGAIN = Duration.ofMillis(200);
     private static final Duration COME_BACK = Duration.ofSeconds(1);
-    private static final Duration HOME_LINK_IDLE = Duration.ofMinutes(1);
+    private static final Duration DEMAND_LINK_IDLE = Duration.ofMinutes(1);
     private static final long MODEL_CREDIT_WORTH = 64;
     private static final long SERVICE_CREDIT_WORTH = 64 * 1024;
     private static final long PROMPT_TOKENS_PER_UNIT = 16;
@@ -59,14 +58,12 @@
     private final Balancer balancer;
     private final RetryBudgets budgets;
     private final LengthEstimator lengths = new LengthEstimator();
-    private final ClaimWitness witness;
     private final Desk desk = new Desk();
     private final Doorkeeper doorkeeper = new Doorkeeper();
     private final Map<RequestId, Exchange> exchanges = new LinkedHashMap<>();
     private final Map<Long, Exchange> byAttempt = new HashMap<>();
     private final Map<Long, Exchange> byClaim = new HashMap<>();
     private ClusterConfig config = ClusterConfig.EMPTY;
-    private KeyHomes homes = KeyHomes.of(config.servers());
     private long nextNumber = 1;
     private Instant lastJudged = Instant.MIN;
     private boolean stopping;
@@ -86,7 +83,6 @@
         this.servers = new ServerTable(self.name(), options.linksPerTarget());
         this.balancer = new Balancer(options.failureDomain(), random);
         this.budgets = new RetryBudgets(options.retryRatio(), options.retryBurst());
-        this.witness = new ClaimWitness(options.witnessTtl(), options.witnessBound());
     }
 
     /** Returns the decisions of one router run. */
@@ -220,7 +216,7 @@
         }
         exchange.chosen(chosen.get().server().id(), chosen.get().incarnation());
         if (exchange.keyed()) {
-            askHome(exchange);
+            askForClaim(exchange);
         } else {
             exchange.nextGeneration();
             submit(exchange);
@@ -264,42 +260,29 @@
 
     // ---- claims of keys
 
-    private void askHome(Exchange exchange) {
+    private void askForClaim(Exchange exchange) {
         exchange.machine().fire(ExchangeEvent.CLAIM);
         Instant since = exchange.waitingSince(now());
-        boolean patient = since.plus(options.claimPatience()).isAfter(now());
-        if (!patient || !witness.hasRoom()) {
+        if (!since.plus(options.claimPatience()).isAfter(now())) {
             refuse(
                     exchange,
-                    new Refusal(
+                    Refusal.notRun(
                             ResultCode.CLAIMS_UNSETTLED,
-                            RunState.UNKNOWN,
                             COME_BACK,
-                            "whether the key was used before cannot be told yet"));
+                            "whether the key was used before cannot be told yet; this call ran nothing"));
             return;
         }
         exchange.lastAsked(now());
         byClaim.remove(exchange.claimSequence());
         exchange.claimSequence(nextNumber++);
         byClaim.put(exchange.claimSequence(), exchange);
-        Optional<ServerId> home = homes.homeOf(exchange.digest());
-        home.ifPresent(this::linkOnDemand);
-        home.filter(this::isLinked).ifPresent(id -> {
-            ClaimEntry wanted = ClaimEntry.wanted(
-                    exchange.digest(),
-                    exchange.arrival().bodyDigest(),
-                    exchange.server(),
-                    exchange.serverIncarnation());
-            port.send(
-                    id,
-                    new Frame.ClaimAsk(
-                            exchange.claimSequence(),
-                            config.servers().revision(),
-                            exchange.id(),
-                            wanted,
-                            exchange.expectedGeneration(),
-                            exchange.arrival().idempotencyKey().flatMap(key -> KeyAge.of(key, now()))));
-        });
+        ClaimEntry wanted = ClaimEntry.wanted(
+                exchange.digest(),
+                exchange.arrival().bodyDigest(),
+                exchange.server(),
+                exchange.serverIncarnation(),
+                exchange.id());
+        port.claim(exchange.claimSequence(), wanted, exchange.expectedGeneration());
     }
 
     private boolean isLinked(ServerId id) {
@@ -316,22 +299,21 @@
         servers.find(id).ifPresent(view -> view.lastUsed(now()));
     }
 
-    private void onClaimReply(Frame.ClaimReply reply) {
-        Exchange exchange = byClaim.get(reply.sequence());
+    /** The platform's store has decided a claim, or did not answer. */
+    public void onClaimDecided(long sequence, ClaimDecision decision) {
+        Exchange exchange = byClaim.get(sequence);
         if (exchange == null || !exchange.in(ExchangeState.CLAIMING)) {
             return;
         }
-        switch (reply.verdict()) {
-            case GRANTED -> granted(exchange, reply.entry().orElseThrow());
-            case HELD -> follow(exchange, reply.entry().orElseThrow());
-            case UNSETTLED -> port.count("claim_unsettled");
-            case OTHER_EPOCH -> port.count("claim_other_epoch");
+        switch (decision) {
+            case ClaimDecision.Granted granted -> granted(exchange, granted.entry());
+            case ClaimDecision.Held held -> follow(exchange, held.entry());
+            case ClaimDecision.Unsettled unsettled -> port.count("claim_unsettled");
         }
     }
 
     private void granted(Exchange exchange, ClaimEntry entry) {
         byClaim.remove(exchange.claimSequence());
-        witness.remember(entry, now());
         exchange.claim(entry);
         exchange.followed(null);
         if (isLinked(exchange.server())) {
@@ -350,7 +332,6 @@
             return;
         }
         port.count("claim_followed");
-        witness.remember(entry, now());
         exchange.followed(entry);
         exchange.claim(null);
         exchange.attached(false);
@@ -394,17 +375,11 @@
         view.machine().fire(ServerEvent.LINK);
         view.lastUsed(now());
         port.send(server, new Frame.Heartbeat(config.revision()));
-        reportClaims(view);
         List.copyOf(exchanges.values()).stream()
                 .filter(exchange -> exchange.in(ExchangeState.UNCERTAIN) && server.equals(exchange.server()))
                 .forEach(this::attach);
     }
 
-    private void reportClaims(ServerView view) {
-        ServerId home = view.server().id();
-        port.send(home, new Frame.ClaimSync(config.servers().revision(), witness.claimsOf(home, homes), true));
-    }
-
     /** The connection to an agent is gone. */
     public void onLinkDown(ServerId server) {
         Optional<ServerView> found = servers.find(server).filter(ServerView::linked);
@@ -483,8 +458,6 @@
                 attemptOf(failed.attempt(), server).ifPresent(exchange -> onFailed(exchange, failed));
             }
             case Frame.LoadReport report -> reported(view, report.load());
-            case Frame.ClaimReply reply -> onClaimReply(reply);
-            case Frame.ClaimSync sync -> sync.entries().forEach(entry -> witness.remember(entry, now()));
             case Frame.Heartbeat heartbeat -> {
                 if (config.revision().behind(heartbeat.revision())) {
                     port.send(server, new Frame.ConfigPull());
@@ -672,19 +645,12 @@
             exchange.machine().fire(ExchangeEvent.REFUSE);
         }
         if (refusal.run() == RunState.NOT_RUN) {
-            exchange.claim().ifPresent(this::release);
+            exchange.claim().ifPresent(port::release);
         }
         port.count("refused_" + refusal.code().label());
         port.ended(outcome(exchange, refusal.code(), refusal.run()));
     }
 
-    private void release(ClaimEntry claim) {
-        witness.remember(claim.released(), now());
-        homes.homeOf(claim.digest())
-                .filter(this::isLinked)
-                .ifPresent(home -> port.send(home, new Frame.ClaimRelease(claim.digest(), claim.generation())));
-    }
-
     /** Tells the agent that nobody waits; a keyed request runs on, so that a repeat of the key finds its result. */
     private void letGo(Exchange exchange) {
         boolean out = exchange.in(ExchangeState.SUBMITTED) || exchange.in(ExchangeState.RUNNING);
@@ -724,7 +690,6 @@
                 () -> "revision went from " + before + " to " + merged.revision());
         boolean serversChanged = merged.servers().revision() > before.servers();
         config = merged;
-        homes = KeyHomes.of(config.servers());
         desk.config(config);
         port.applied(config);
         if (serversChanged) {
@@ -734,9 +699,6 @@
         for (ServerView view : List.copyOf(servers.all())) {
             if (view.linked()) {
                 port.send(view.server().id(), news);
-                if (serversChanged) {
-                    reportClaims(view);
-                }
             }
         }
     }
@@ -785,10 +747,9 @@
                 watch(exchange, now);
             }
         }
-        witness.expire(now);
         judgeServers(now);
         heartbeats(now);
-        closeIdleHomeLinks(now);
+        closeIdleDemandLinks(now);
     }
 
     private void watch(Exchange exchange, Instant now) {
@@ -799,9 +760,9 @@
                 if (timeLeft.isNegative()) {
                     refuse(
                             exchange,
-                            Refusal.unknown(ResultCode.CLAIMS_UNSETTLED, "the key's home did not decide in time"));
+                            Refusal.notRun(ResultCode.CLAIMS_UNSETTLED, COME_BACK, "the store did not decide in time"));
                 } else if (exchange.lastAsked().plus(ASK_AGAIN).isBefore(now)) {
-                    askHome(exchange);
+                    askForClaim(exchange);
                 }
             }
             case UNCERTAIN -> watchDoubt(exchange, now, overdue);
@@ -854,12 +815,12 @@
         }
     }
 
-    private void closeIdleHomeLinks(Instant now) {
+    private void closeIdleDemandLinks(Instant now) {
         Set<ServerId> wanted = servers.all().isEmpty() ? Set.of() : null;
         for (ServerView view : List.copyOf(servers.all())) {
             ServerId id = view.server().id();
             boolean idle = !view.lastUsed().equals(Instant.MIN)
-                    && view.lastUsed().plus(HOME_LINK_IDLE).isBefore(now);
+                    && view.lastUsed().plus(DEMAND_LINK_IDLE).isBefore(now);
             if (idle) {
                 wanted = wanted == null ? servers.wanted(config.servers()) : wanted;
                 view.lastUsed(now);
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
@@ -10,14 +10,12 @@
  * @param retryRatio retries that a class earns with each whole answer
  * @param retryBurst retries that a class may save up
  * @param mostReturns how often a request that agents give back as not run is offered to another
- * @param claimPatience how long a keyed request waits for a home that cannot decide
+ * @param claimPatience how long a keyed request waits for the platform's store
  * @param doubtPatience how long a non-idempotent request waits for the agent that had it
  * @param stallTimeout how long a stream may pause before an idempotent request is resumed elsewhere
  * @param firstOutputTimeout how long an idempotent request may run without any output before it is tried elsewhere
  * @param verdictGrace how long past the deadline an agent's word on a request is waited for
  * @param heartbeat how often a silent link shows a sign of life
- * @param witnessTtl how long claims are remembered
- * @param witnessBound claims remembered at the most
  * @param mostExchanges requests in progress at the most
  * @param policy how an agent is chosen and what happens when an attempt fails
  */
@@ -33,8 +31,6 @@
         Duration firstOutputTimeout,
         Duration verdictGrace,
         Duration heartbeat,
-        Duration witnessTtl,
-        int witnessBound,
         int mostExchanges,
         Policy policy) {
 
@@ -55,14 +51,12 @@
                 0.2,
                 20,
                 3,
-                Duration.ofSeconds(4),
+                Duration.ofSeconds(1),
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(10),
                 Duration.ofMillis(250),
                 Duration.ofSeconds(1),
-                Duration.ofHours(1),
-                200_000,
                 20_000,
                 new Policy.LeastTime());
     }
@@ -81,8 +75,6 @@
                 firstOutputTimeout,
                 verdictGrace,
                 heartbeat,
-                witnessTtl,
-                witnessBound,
                 mostExchanges,
                 next);
     }
@@ -101,8 +93,6 @@
                 firstOutputTimeout,
                 verdictGrace,
                 heartbeat,
-                witnessTtl,
-                witnessBound,
                 mostExchanges,
                 policy);
     }
@@ -121,8 +111,6 @@
                 firstOutputTimeout,
                 verdictGrace,
                 heartbeat,
-                witnessTtl,
-                witnessBound,
                 next,
                 policy);
     }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
@@ -4,6 +4,7 @@
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.ServerId;
+import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.result.Refusal;
 
@@ -12,6 +13,16 @@
     /** Sends a message to an agent, if it is linked. */
     void send(ServerId server, Frame.FromRouter frame);
 
+    /**
+     * Claims a caller's key in the platform's store; the answer comes back as {@link RouterCore#onClaimDecided}.
+     *
+     * @param expectedGeneration the generation that the claim replaces; 0 for a key not used before
+     */
+    void claim(long sequence, ClaimEntry wanted, long expectedGeneration);
+
+    /** Gives a claim back in the platform's store, if that answers: under it nothing ran and nothing will. */
+    void release(ClaimEntry claim);
+
     /** Opens a connection to an agent and keeps trying until {@link #unlink}. */
     void link(BackendServer server);
 
--- a/core/src/test/java/org/tanagerhinge/core/agent/ExecutionTableTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/agent/ExecutionTableTest.java
@@ -60,7 +60,6 @@
                         small.recordTtl(),
                         100,
                         2,
-                        small.claimSettle(),
                         small.heartbeat(),
                         small.overdueGrace(),
                         small.concurrency()),
--- /dev/null
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -0,0 +1,300 @@
+package org.tanagerhinge.core.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The relay's decisions, each by the load or fault that it answers. */
+class RelayDecisionsTest {
+    private static final ServiceTerms ENGINES = new ServiceTerms("model", 300, 48, 300_000);
+
+    private static Registration registration(String id, boolean draining) {
+        return new Registration(id, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
+    }
+
+    private static Route route(RouteKind kind, boolean resumable, int attempts) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                kind,
+                resumable,
+                List.of(new ServiceShare("model", 1)),
+                attempts,
+                5000,
+                300,
+                120,
+                0,
+                false,
+                true);
+    }
+
+    // ---- membership
+
+    @Test
+    void aServerThatIsMissingFromAListIsGone() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 1_000);
+        directory.apply(List.of(registration("a", false)), 1_800);
+        assertEquals(1, directory.open("model").size());
+    }
+
+    /**
+     * Symptom: no server was left to send to after the store's return. Events: the store is away, registrations lapse
+     * though their servers live, the store returns, the registrations come back within two seconds. Cause: a list with
+     * nothing in it was taken for the truth.
+     */
+    @Test
+    void registrationsThatLapsedWhileTheStoreWasAwayAreWaitedForAndThoseStillMissingAreGone() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 1_000);
+        directory.apply(List.of(), 9_000);
+        assertEquals(2, directory.open("model").size());
+        directory.apply(List.of(registration("a", false)), 9_800);
+        assertEquals(2, directory.open("model").size());
+        directory.apply(List.of(registration("a", false)), 11_300);
+        assertEquals(1, directory.open("model").size());
+    }
+
+    @Test
+    void aServerThatHasSaidThatItLeavesStaysLeaving() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", true)), 1_000);
+        directory.apply(List.of(registration("a", false)), 1_800);
+        assertTrue(directory.open("model").isEmpty());
+    }
+
+    @Test
+    void equalListsHaveEqualDigestsWhateverTheirOrder() {
+        ServerDirectory one = ServerDirectory.create();
+        ServerDirectory other = ServerDirectory.create();
+        one.apply(List.of(registration("a", false), registration("b", false)), 1);
+        other.apply(List.of(registration("b", false), registration("a", false)), 1);
+        assertEquals(one.digest(), other.digest());
+        other.apply(List.of(registration("b", true), registration("a", false)), 2);
+        assertNotEquals(one.digest(), other.digest());
+    }
+
+    // ---- peers
+
+    private static PeerReport report(String name, long incarnation, long sequence, boolean store) {
+        return new PeerReport(
+                name,
+                incarnation,
+                sequence,
+                "1.2.3.4:5",
+                store,
+                1,
+                0,
+                0,
+                Map.of("a", new PeerReport.Use(2, 100)),
+                Map.of("model", new LaneDemand(1, 2, 3)));
+    }
+
+    @Test
+    void theLeastNameThatTheStoreAnswersReadsForAll() {
+        PeerTable table = PeerTable.of("b");
+        assertTrue(table.reads(true, 0), "alone");
+        table.hear(report("a", 1, 1, true), 0);
+        assertFalse(table.reads(true, 100));
+        assertTrue(table.reads(true, 5_000), "the other has fallen silent");
+        table.hear(report("a", 1, 2, false), 5_000);
+        assertTrue(table.reads(true, 5_100), "the store turns the other away");
+        table.hear(report("c", 1, 1, true), 5_000);
+        assertFalse(table.reads(false, 5_100), "the store turns this one away");
+    }
+
+    @Test
+    void reportsThatWereOvertakenChangeNothing() {
+        PeerTable table = PeerTable.of("b");
+        assertTrue(table.hear(report("a", 1, 5, true), 0));
+        assertFalse(table.hear(report("a", 1, 4, false), 1));
+        assertTrue(table.hear(report("a", 2, 1, true), 2), "its process has started again");
+        assertFalse(table.hear(report("b", 9, 9, true), 3), "its own");
+        assertEquals(2, table.uses(10).get("a").running());
+        assertTrue(table.uses(5_000).isEmpty(), "old reports say nothing of now");
+    }
+
+    // ---- retries
+
+    @ParameterizedTest
+    @CsvSource({
+        "SAFE,   false, BROKEN,       1, 1, true",
+        "SAFE,   false, BROKEN,       2, 2, false",
+        "UNSAFE, false, BROKEN,       1, 1, false",
+        "UNSAFE, false, SERVER_ERROR, 1, 1, false",
+        "UNSAFE, false, NOT_RUN,      0, 1, true",
+        "UNSAFE, false, NOT_SENT,     0, 1, true",
+        "UNSAFE, false, NOT_RUN,      0, 4, false",
+        "STREAM, false, CUT,          1, 1, false",
+        "STREAM, true,  CUT,          1, 1, true",
+    })
+    void aRequestIsRepeatedOnlyWhereItDoesNoHarm(
+            RouteKind kind, boolean resumable, AttemptEnd end, int runs, int sends, boolean repeated) {
+        assertEquals(repeated, RetryRules.mayRepeat(route(kind, resumable, 2), end, runs, sends, 1_000));
+        assertFalse(RetryRules.mayRepeat(route(kind, resumable, 2), end, runs, sends, 5), "no time left");
+    }
+
+    /** Load: every server fails and every request could be repeated; four nodes have one budget. */
+    @Test
+    void repeatsOfAllNodesTogetherStayWithinTheBudgetInEachWindow() {
+        double ratio = 0.2;
+        double slack = 50;
+        List<RetryBudget> nodes = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            RetryBudget budget = RetryBudget.of(ratio, slack, 10_000);
+            budget.nodes(4);
+            nodes.add(budget);
+        }
+        List<Long> repeats = new ArrayList<>();
+        List<Long> requests = new ArrayList<>();
+        for (long now = 0; now < 40_000; now += 10) {
+            RetryBudget budget = nodes.get((int) (now / 10 % 4));
+            budget.request("s", now);
+            requests.add(now);
+            if (budget.take("s", now)) {
+                repeats.add(now);
+            }
+        }
+        assertTrue(repeats.size() > 100);
+        for (long from = 0; from < 30_000; from += 500) {
+            long begin = from;
+            long in = repeats.stream()
+                    .filter(t -> t >= begin && t < begin + 10_000)
+                    .count();
+            long of = requests.stream()
+                    .filter(t -> t >= begin && t < begin + 10_000)
+                    .count();
+            assertTrue(in <= ratio * of + slack, in + " repeats of " + of);
+        }
+    }
+
+    // ---- health
+
+    @Test
+    void aServerThatFailsInARowIsLeftOutAndComesBackByASingleProbe() {
+        ServerHealth health = ServerHealth.create();
+        for (int i = 0; i < 3; i++) {
+            assertTrue(health.usable(0));
+            health.failed(0);
+        }
+        assertFalse(health.usable(10));
+        assertFalse(health.probeDue(10));
+        assertTrue(health.probeDue(1_000));
+        health.probeSent(1_000);
+        assertFalse(health.probeDue(1_001), "one probe at a time");
+        health.succeeded();
+        assertTrue(health.usable(1_002));
+    }
+
+    @Test
+    void aServerThatAnswersWithAnErrorNowAndThenIsNotLeftOut() {
+        ServerHealth health = ServerHealth.create();
+        for (int i = 0; i < 1_000; i++) {
+            if (i % 7 == 0) {
+                health.failed(i);
+            } else {
+                health.succeeded();
+            }
+            assertTrue(health.usable(i));
+        }
+    }
+
+    // ---- placing
+
+    @ParameterizedTest
+    @CsvSource({
+        // engines, short requests running, short and long tokens a second, expected
+        "8,  0,   0,     0,      8",
+        "8,  50,  15000, 60000,  2",
+        "8,  100, 30000, 60000,  3",
+        "8,  10,  1000,  60000,  1",
+        "2,  500, 90000, 60000,  1",
+        "1,  50,  15000, 60000,  1",
+    })
+    void shortPromptsGetAsFewEnginesAsHoldThem(int engines, int running, double shorts, double longs, int expected) {
+        assertEquals(expected, Lanes.shortEngines(engines, 48, new LaneDemand(running, shorts, longs), 42.8));
+    }
+
+    private static Prompt prompt(int tokens, String shared) {
+        return Prompt.of(tokens, 80, List.of(new PromptPart(shared, tokens / 2), new PromptPart("own" + tokens, 10)));
+    }
+
+    /**
+     * Symptom: streams of short prompts paused too long. Events: long prompts come beside them. Cause: an engine that
+     * reads a long prompt makes its other streams wait for each piece of it.
+     */
+    @Test
+    void longPromptsAndShortOnesGoToEnginesOfTheirOwn() {
+        PromptAware placement = PromptAware.create();
+        ServerDirectory directory = ServerDirectory.create();
+        List<Registration> list = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            list.add(registration("e" + i, false));
+        }
+        directory.apply(list, 0);
+        Map<String, Integer> longs = new HashMap<>();
+        Map<String, Integer> shorts = new HashMap<>();
+        for (int i = 0; i < 200; i++) {
+            boolean isLong = i % 3 == 0;
+            PlacementRequest request = new PlacementRequest(
+                    route(RouteKind.STREAM, true, 2), ENGINES, prompt(isLong ? 9_000 : 800, "p" + i % 9), "north");
+            Placement.Placed placed =
+                    placement.place(request, directory.open("model"), i * 10L).orElseThrow();
+            placed.server().sent(placed.tokensToRead());
+            placement.sent(request, placed, i * 10L);
+            placed.server().read(placed.tokensToRead());
+            placed.server().ended();
+            placement.ended(request, i * 10L);
+            if (i > 30) {
+                (isLong ? longs : shorts).merge(placed.server().id(), 1, Integer::sum);
+            }
+        }
+        for (String id : shorts.keySet()) {
+            assertFalse(longs.containsKey(id), "engine " + id + " has both");
+        }
+    }
+
+    @Test
+    void aPromptGoesWhereItsPartsAreHeldUnlessThatEngineHasMuchToRead() {
+        PromptAware placement = PromptAware.create();
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false), registration("c", false)), 0);
+        PlacementRequest request =
+                new PlacementRequest(route(RouteKind.STREAM, true, 2), ENGINES, prompt(9_000, "p"), "north");
+        Placement.Placed first =
+                placement.place(request, directory.open("model"), 0).orElseThrow();
+        placement.sent(request, first, 0);
+        Placement.Placed second =
+                placement.place(request, directory.open("model"), 10).orElseThrow();
+        assertEquals(first.server().id(), second.server().id());
+        assertTrue(second.tokensToRead() < first.tokensToRead());
+        first.server().peers(0, 50_000);
+        Placement.Placed third =
+                placement.place(request, directory.open("model"), 20).orElseThrow();
+        assertNotEquals(first.server().id(), third.server().id());
+    }
+
+    @Test
+    void anEngineIsTakenToHoldWhatFitsItsMemoryTheOldestGoesFirst() {
+        PrefixMemory memory = PrefixMemory.create();
+        Prompt old = Prompt.of(600, 1, List.of(new PromptPart("a", 600)));
+        Prompt young = Prompt.of(500, 1, List.of(new PromptPart("b", 500)));
+        memory.keep("e", old.parts(), 1_000);
+        assertEquals(600, memory.held("e", old));
+        memory.keep("e", young.parts(), 1_000);
+        assertEquals(0, memory.held("e", old));
+        assertEquals(500, memory.held("e", young));
+        assertEquals(0, memory.held("other", young));
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendPool.java
@@ -24,6 +24,7 @@
     private static final int CONNECT_MILLIS = 600;
     /** Keep-alive probes: a peer that lost power or fell silent shows after about three seconds. */
     private static final int PROBE_SECONDS = 1;
+
     private static final int PROBES = 2;
     /** Idle connections beyond this time are closed, whatever the server allows, in milliseconds. */
     private static final long LONGEST_IDLE_MILLIS = 30_000;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -112,8 +112,8 @@
         head = request;
         body = channel.alloc().heapBuffer(256);
         if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
@@ -121,7 +121,8 @@
     private static boolean ambiguous(HttpRequest request) {
         int hosts = request.headers().getAll(HttpHeaderNames.HOST).size();
         int lengths = request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size();
-        int codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size();
+        int codings =
+                request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size();
         return hosts != 1
                 || lengths > 1
                 || (codings > 0 && lengths > 0)
@@ -190,8 +191,8 @@
     void refuse(Refusal refusal) {
         gateway.count(refusal.code().label());
         ByteBuf text = ByteBufUtil.writeUtf8(channel.alloc(), refusal.code().meaning() + "\n");
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.status()), text);
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.status()), text);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
         response.headers().set("X-Tanagerhinge-Result", refusal.code().number());
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -63,17 +63,14 @@
         this.pool = new BackendPool(loop, dialect, this::now, this::count);
         GatewayOptions.Bounds bounds = options.bounds();
         this.budget = RetryBudget.of(
-                bounds.retryRatio(),
-                bounds.retrySlack(),
-                bounds.retryWindow().toMillis());
+                bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindow().toMillis());
     }
 
     /** Returns a gateway that knows nothing yet. */
     public static Gateway create(
             EventLoopGroup loop, Dialect dialect, GatewayOptions options, NodeMetrics metrics, Placement placement) {
         Gateway gateway = new Gateway(loop, dialect, options, metrics, placement);
-        loop.next()
-                .scheduleWithFixedDelay(gateway::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.next().scheduleWithFixedDelay(gateway::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return gateway;
     }
 
@@ -110,6 +107,11 @@
         return options;
     }
 
+    /** Takes bounds that have changed. */
+    void bounds(GatewayOptions.Bounds newer) {
+        budget.terms(newer.retryRatio(), newer.retrySlack(), newer.retryWindow().toMillis());
+    }
+
     /** Returns the configuration in force, if there is one yet. */
     public Optional<RelayConfig> config() {
         return config;
@@ -162,7 +164,11 @@
     void keeps(PromptAware aware, String serverId, List<PromptPart> parts) {
         RelayServer server = directory.server(serverId);
         if (server != null && config.isPresent()) {
-            aware.memory().keep(serverId, parts, config.get().service(server.service()).memoryTokens());
+            aware.memory()
+                    .keep(
+                            serverId,
+                            parts,
+                            config.get().service(server.service()).memoryTokens());
         }
     }
 
@@ -222,7 +228,11 @@
         } else {
             server.health().succeeded();
         }
-        metrics.times(route.kind().name(), java.time.Duration.ZERO, java.time.Duration.ZERO, java.time.Duration.ofMillis(millis));
+        metrics.times(
+                route.kind().name(),
+                java.time.Duration.ZERO,
+                java.time.Duration.ZERO,
+                java.time.Duration.ofMillis(millis));
     }
 
     void load(RelayServer server, AnswerTerms.ServerLoad load) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -40,6 +40,7 @@
     private final Gateway gateway;
     private final NodeMetrics metrics;
     private final GatewayOptions options;
+    private volatile Duration stopTimeout;
     private Channel door;
     private long stopBegan;
     private volatile boolean idleClosed;
@@ -49,6 +50,7 @@
         this.gateway = gateway;
         this.metrics = metrics;
         this.options = options;
+        this.stopTimeout = options.bounds().stopTimeout();
     }
 
     /**
@@ -125,11 +127,35 @@
                 .channel();
     }
 
+    /** Returns the metrics. */
+    public NodeMetrics metrics() {
+        return metrics;
+    }
+
+    /** Returns whether the platform may send this node new connections. */
+    public boolean ready() {
+        return loop.next().submit(gateway::ready).awaitUninterruptibly().getNow();
+    }
+
+    /** Returns the version of the configuration in force, 0 if there is none. */
+    public long configVersion() {
+        return loop.next()
+                .submit(() -> gateway.config().map(RelayConfig::version).orElse(0L))
+                .awaitUninterruptibly()
+                .getNow();
+    }
+
     /** Returns where callers connect. */
     public InetSocketAddress address() {
         return (InetSocketAddress) door.localAddress();
     }
 
+    /** Takes bounds that have changed; addresses and names are those of the start. */
+    public void bounds(GatewayOptions.Bounds newer) {
+        stopTimeout = newer.stopTimeout();
+        loop.next().execute(() -> gateway.bounds(newer));
+    }
+
     @Override
     public void beginStop() {
         stopBegan = System.nanoTime();
@@ -150,7 +176,7 @@
 
     @Override
     public Duration stopTimeout() {
-        return options.bounds().stopTimeout().minus(EXIT);
+        return stopTimeout.minus(EXIT);
     }
 
     @Override
@@ -158,5 +184,6 @@
         LOG.log(Level.INFO, "stopped after " + (System.nanoTime() - stopBegan) / 1_000_000 + " ms");
         loop.next().submit(gateway::stopNow).awaitUninterruptibly(EXIT.toMillis() / 3);
         loop.next().submit(gateway::closeIdleCallers).awaitUninterruptibly(EXIT.toMillis() / 3);
+        loop.shutdownGracefully(0, EXIT.toMillis() / 3, TimeUnit.MILLISECONDS);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
@@ -126,7 +126,8 @@
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         if (!body.isEmpty() || method.equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+            request.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         }
         channel.writeAndFlush(request);
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -56,8 +56,8 @@
         for (Kept kept : told.kept()) {
             KeptParts.Builder parts = KeptParts.newBuilder().setServer(kept.server());
             kept.parts()
-                    .forEach(part -> parts.addParts(
-                            Part.newBuilder().setId(part.id()).setTokens(part.tokens())));
+                    .forEach(part ->
+                            parts.addParts(Part.newBuilder().setId(part.id()).setTokens(part.tokens())));
             state.addKept(parts);
         }
         return state.build().toByteArray();
@@ -136,7 +136,8 @@
     static InetSocketAddress address(String text) throws InvalidProtocolBufferException {
         int colon = text.lastIndexOf(':');
         try {
-            return new InetSocketAddress(text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+            return new InetSocketAddress(
+                    text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
         } catch (IllegalArgumentException e) {
             throw new InvalidProtocolBufferException("'" + text + "' is not IP:PORT", e);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerDoor.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerDoor.java
@@ -25,12 +25,11 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        Optional<byte[]> body =
-                switch (request.uri()) {
-                    case CONFIG -> gateway.configDocument();
-                    case SERVERS -> Optional.of(servers());
-                    default -> Optional.empty();
-                };
+        Optional<byte[]> body = switch (request.uri()) {
+            case CONFIG -> gateway.configDocument();
+            case SERVERS -> Optional.of(servers());
+            default -> Optional.empty();
+        };
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 body.isPresent() ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND,
@@ -45,7 +44,9 @@
                 gateway.directory().all().stream()
                         .map(RelayServer::registration)
                         .toList(),
-                gateway.directory().known() ? gateway.now() - gateway.directory().lastList() : Integer.MAX_VALUE));
+                gateway.directory().known()
+                        ? gateway.now() - gateway.directory().lastList()
+                        : Integer.MAX_VALUE));
     }
 
     @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -46,6 +46,7 @@
     private static final long DUE_TOKENS = 4_000;
     /** Parts of prompts told in one report at the most: a report must fit into a datagram. */
     private static final int MOST_KEPT = 24;
+
     private static final long ASK_MILLIS = 700;
     /** A list that is this much newer than this gateway's own is worth asking for, in milliseconds. */
     private static final long NEWER_MILLIS = 50;
@@ -198,7 +199,8 @@
         }
         long age = gateway.directory().known() ? now - gateway.directory().lastList() : Long.MAX_VALUE;
         if (report.serversAgeMillis() + NEWER_MILLIS < age) {
-            if (report.serversDigest() == gateway.directory().digest() && gateway.directory().known()) {
+            if (report.serversDigest() == gateway.directory().digest()
+                    && gateway.directory().known()) {
                 gateway.directory().confirmed(now - report.serversAgeMillis());
             } else {
                 askServers(report);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -319,13 +319,17 @@
                 gateway.replaced(server);
                 leave(AttemptEnd.WRONG_SERVER, "another server has the address");
             } else if (answerTerms.notRun()) {
-                leave(AttemptEnd.NOT_RUN, "server refused with " + response.status().code());
+                leave(
+                        AttemptEnd.NOT_RUN,
+                        "server refused with " + response.status().code());
             } else if (!usable(response, answerTerms)) {
                 connection.abort();
                 fail(AttemptEnd.BROKEN, "answer without signature or with a coding");
             } else if (response.status().code() >= 500 && (headPassed || repeatAfterError())) {
                 paid = !headPassed;
-                leave(AttemptEnd.SERVER_ERROR, "server answered " + response.status().code());
+                leave(
+                        AttemptEnd.SERVER_ERROR,
+                        "server answered " + response.status().code());
             } else {
                 begin(response, answerTerms);
             }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -30,6 +30,7 @@
     private static final int FAILED_MILLIS = 250;
     /** How often a gateway that doesn't read looks whether it has to, in milliseconds. */
     private static final int IDLE_MILLIS = 200;
+
     private static final Duration LEASE = Duration.ofSeconds(12);
     /** How often the lease is kept: a few may fail before it ends. */
     private static final int KEEP_MILLIS = 3_000;
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/Fixture.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/Fixture.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import org.tanagerhinge.core.agent.AgentPort;
 import org.tanagerhinge.core.agent.Run;
-import org.tanagerhinge.core.claim.JournalSegment;
 import org.tanagerhinge.core.config.BackendServer;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.Profile;
@@ -27,6 +26,7 @@
 import org.tanagerhinge.core.id.TargetName;
 import org.tanagerhinge.core.id.WorkspaceId;
 import org.tanagerhinge.core.message.Call;
+import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.Load;
 import org.tanagerhinge.core.result.Refusal;
@@ -63,6 +63,12 @@
         final List<Frame.Submit> submits = new ArrayList<>();
         ServerId lastServer;
 
+        @Override
+        public void claim(long sequence, ClaimEntry wanted, long expectedGeneration) {}
+
+        @Override
+        public void release(ClaimEntry claim) {}
+
         @Override
         public void send(ServerId server, Frame.FromRouter frame) {
             frames++;
@@ -127,15 +133,6 @@
         @Override
         public void pause(long runId, boolean paused) {}
 
-        @Override
-        public void journalRead() {}
-
-        @Override
-        public void journalWrite(JournalSegment segment) {}
-
-        @Override
-        public void journalDelete(long index) {}
-
         @Override
         public void count(String reason) {}
 
--- a/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
@@ -185,7 +185,7 @@
                 new InetSocketAddress("127.0.0.1", port),
                 SECRET,
                 kind == Kind.PRODUCT ? options : options.withPolicy(new RouterOptions.Policy.RoundRobin()),
-                store,
+                EtcdStore.at(http, platform.url(), PLATFORM_TIMEOUT),
                 POLL,
                 PEER_IDLE,
                 MOST_BODY,
@@ -203,12 +203,6 @@
         return port;
     }
 
-    /** Waits until a key that was never used can be run at once, at every home. */
-    public LocalCluster awaitSettled() {
-        await(() -> agents.values().stream().allMatch(AgentDaemon::claimsSettled));
-        return this;
-    }
-
     /** Waits until every router is linked to every agent and all have the newest configuration. */
     public LocalCluster awaitReady() throws TanagerhingeException {
         ServersDocument servers = store.read().servers();
--- a/harness/src/main/java/org/tanagerhinge/bench/experiment/Experiment.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/experiment/Experiment.java
@@ -72,7 +72,6 @@
             cluster.router("router-" + i, domains.get(i % domains.size()));
         }
         cluster.awaitReady();
-        cluster.awaitSettled();
     }
 
     private void schedule(ScheduledExecutorService faults, LocalCluster cluster, Scenario.Fault fault) {
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimAgent.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimAgent.java
@@ -8,7 +8,6 @@
 import org.tanagerhinge.core.agent.AgentOptions;
 import org.tanagerhinge.core.agent.AgentPort;
 import org.tanagerhinge.core.agent.Run;
-import org.tanagerhinge.core.claim.JournalSegment;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
 import org.tanagerhinge.core.id.RouterId;
@@ -148,28 +147,6 @@
         backend.pause(runId, paused);
     }
 
-    @Override
-    public void journalRead() {
-        int ofLife = life();
-        sim.store.readJournals(homes -> deliver(ofLife, () -> {
-            List<JournalSegment> own = homes.remove(ServerId.of(name));
-            sim.timeline.log(() -> "FAULT-FREE " + name + " reads its journal: " + own);
-            core.onJournalRead(own == null ? List.of() : own, homes);
-        }));
-    }
-
-    @Override
-    public void journalWrite(JournalSegment segment) {
-        int ofLife = life();
-        sim.timeline.log(() -> "FAULT-FREE " + name + " writes " + segment);
-        sim.store.writeJournal(ServerId.of(name), segment, done -> deliver(ofLife, () -> core.onJournalWritten(done)));
-    }
-
-    @Override
-    public void journalDelete(long index) {
-        sim.store.deleteJournal(ServerId.of(name), index);
-    }
-
     @Override
     public void count(String reason) {
         sim.counted(reason);
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimBackend.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimBackend.java
@@ -89,12 +89,12 @@
                     () -> agent.deliver(
                             life, () -> agent.core().onFailed(run.id(), reached, failure(reached), "down")));
             if (reached) {
-                sim.requestOf(run).begun(sim, agent.name);
+                sim.requestOf(run).begun(sim, agent.name, run.submit().request());
             }
             return;
         }
         SimRequest request = sim.requestOf(run);
-        request.begun(sim, agent.name);
+        request.begun(sim, agent.name, run.submit().request());
         if (run.submit().work().call() instanceof Call.ServiceCall) {
             call(run, request, life);
             return;
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimRequest.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimRequest.java
@@ -1,7 +1,11 @@
 package org.tanagerhinge.bench.soak;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.invariant.Promise;
 import org.tanagerhinge.core.result.RunState;
 
@@ -14,6 +18,8 @@
     private final boolean keyed;
     private final int length;
     private final List<RunState> told = new ArrayList<>();
+    private final Set<RequestId> callsBegun = new HashSet<>();
+    private final Set<RequestId> callsNotRun = new HashSet<>();
     private int begun;
     private int wholeAnswers;
 
@@ -60,8 +66,9 @@
     }
 
     /** A backend server begins to run it. */
-    void begun(Simulation sim, String server) {
+    void begun(Simulation sim, String server, RequestId call) {
         begun++;
+        callsBegun.add(call);
         sim.timeline.log(() -> "request " + number + " begins at " + server);
         sim.checks.check(
                 Promise.AT_MOST_ONCE, idempotent || begun == 1, () -> this + " begins for the " + begun + ". time");
@@ -69,16 +76,26 @@
     }
 
     /** A caller was told how one call ended. */
-    void told(Simulation sim, RunState run) {
+    void told(Simulation sim, RunState run, RequestId call) {
         told.add(run);
+        if (run == RunState.NOT_RUN) {
+            callsNotRun.add(call);
+        }
         if (run == RunState.COMPLETE) {
             wholeAnswers++;
         }
         checkNotRun(sim);
     }
 
-    /** If every call so far was told "not run", nothing may have begun, now or later. */
+    /**
+     * If every call so far was told "not run", nothing may have begun, now or later; and of a call that was told so
+     * nothing may have begun, whatever became of other calls with the same key.
+     */
     private void checkNotRun(Simulation sim) {
+        sim.checks.check(
+                Promise.NOT_RUN_IS_TRUE,
+                Collections.disjoint(callsBegun, callsNotRun),
+                () -> this + " began for a call that was told not run");
         boolean allNotRun = !told.isEmpty() && told.stream().allMatch(run -> run == RunState.NOT_RUN);
         boolean open = sim.callsOpen(this) > 0;
         sim.checks.check(
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
@@ -12,6 +12,7 @@
 import org.tanagerhinge.core.id.RouterId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.invariant.Promise;
+import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.result.Refusal;
 import org.tanagerhinge.core.router.Outcome;
@@ -188,6 +189,18 @@
         }
     }
 
+    @Override
+    public void claim(long sequence, ClaimEntry wanted, long expectedGeneration) {
+        int ofLife = life();
+        sim.store.claimFor(
+                wanted, expectedGeneration, decision -> deliver(ofLife, () -> core.onClaimDecided(sequence, decision)));
+    }
+
+    @Override
+    public void release(ClaimEntry claim) {
+        sim.store.releaseFor(claim);
+    }
+
     @Override
     public void link(BackendServer server) {
         wanted.put(server.id(), true);
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
@@ -2,15 +2,15 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import org.tanagerhinge.core.claim.JournalSegment;
+import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.InvalidConfigException;
-import org.tanagerhinge.core.id.ServerId;
+import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.node.platform.ClaimStore;
 import org.tanagerhinge.node.platform.ConfigStore;
 import org.tanagerhinge.node.platform.PlatformException;
 import org.tanagerhinge.node.platform.PlatformStore;
@@ -20,8 +20,11 @@
     private final Simulation sim;
     private final Map<String, Versioned> values = new TreeMap<>();
     private final Map<String, Versioned> stale = new HashMap<>();
-    private final Map<ServerId, Map<Long, JournalSegment>> journals = new HashMap<>();
+    /** Claims are apart from the documents: they are never read from a replica that is behind. */
+    private final Map<String, Versioned> claimed = new HashMap<>();
+
     private final ConfigStore documents = ConfigStore.in(this);
+    private final ClaimStore claims;
     private long version;
     private int loseAnswers;
     private boolean down;
@@ -30,6 +33,7 @@
 
     SimStore(Simulation sim) {
         this.sim = sim;
+        this.claims = ClaimStore.in(this, () -> sim.timeline.instant());
     }
 
     ConfigStore documents() {
@@ -84,50 +88,63 @@
         }
     }
 
-    /** Reads all journals; the answer comes later, or never. */
-    void readJournals(Consumer<Map<ServerId, List<JournalSegment>>> found) {
+    /**
+     * Claims a key; the answer comes later, and may be lost: the write takes effect at once, seconds later, or never.
+     */
+    void claimFor(ClaimEntry wanted, long expectedGeneration, Consumer<ClaimDecision> decided) {
         calls++;
-        if (down) {
+        boolean lost = sim.chance(0.005);
+        if (down || lost) {
+            if (!down || sim.chance(0.1)) {
+                Duration late = sim.chance(0.5) ? slowness : Duration.ofMillis(500 + sim.random.nextInt(4000));
+                sim.timeline.after(late, () -> claims.claim(wanted, expectedGeneration));
+            }
+            sim.timeline.after(Duration.ofSeconds(1), () -> decided.accept(new ClaimDecision.Unsettled("no answer")));
             return;
         }
-        Map<ServerId, List<JournalSegment>> copy = new HashMap<>();
-        journals.forEach((home, segments) -> copy.put(home, List.copyOf(segments.values())));
-        sim.timeline.after(slowness, () -> found.accept(copy));
+        sim.timeline.after(slowness.dividedBy(2), () -> {
+            ClaimDecision decision = claims.claim(wanted, expectedGeneration);
+            sim.timeline.log(() -> "claim " + wanted + " replacing " + expectedGeneration + ": " + decision);
+            sim.timeline.after(slowness.dividedBy(2), () -> decided.accept(decision));
+        });
     }
 
-    /** Writes a segment; the answer comes later, and may be lost after the write has taken effect. */
-    void writeJournal(ServerId home, JournalSegment segment, Consumer<Boolean> ended) {
+    /** Gives a claim back; the call may be lost. */
+    void releaseFor(ClaimEntry claim) {
         calls++;
-        if (down) {
-            sim.timeline.after(Duration.ofSeconds(2), () -> ended.accept(false));
+        if (sim.chance(0.01)) {
             return;
         }
-        journals.computeIfAbsent(home, _ -> new TreeMap<>()).put(segment.index(), segment);
-        boolean lost = sim.chance(0.002);
-        sim.timeline.after(lost ? Duration.ofSeconds(2) : slowness, () -> ended.accept(!lost));
-    }
-
-    void deleteJournal(ServerId home, long index) {
-        calls++;
-        if (!down) {
-            journals.getOrDefault(home, new TreeMap<>()).remove(index);
-        }
+        sim.timeline.after(slowness, () -> {
+            try {
+                claims.release(claim);
+            } catch (PlatformException e) {
+                sim.counted("claim_release_failed");
+            }
+        });
     }
 
     @Override
-    public void put(String key, String value) throws PlatformException {
-        throw new PlatformException("put", "journals are kept as they are here", null);
+    public Swap swap(String key, String value, long expected, long lease) throws PlatformException {
+        refuseIfDown("swap");
+        Versioned before = claimed.get(key);
+        if ((before == null ? 0 : before.version()) != expected) {
+            return new Swap.Differs(Optional.ofNullable(before));
+        }
+        claimed.put(key, new Versioned(value, ++version));
+        return new Swap.Done();
     }
 
     @Override
-    public void delete(String key) throws PlatformException {
-        throw new PlatformException("delete", "journals are kept as they are here", null);
+    public long grantLease(Duration length) {
+        return 1;
     }
 
     @Override
     public Optional<Versioned> read(String key) throws PlatformException {
         refuseIfDown("read");
-        return Optional.ofNullable(values.get(key));
+        Versioned claim = claimed.get(key);
+        return Optional.ofNullable(claim == null ? values.get(key) : claim);
     }
 
     @Override
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
@@ -171,7 +171,7 @@
     void ended(SimCall call, RunState run) {
         open.remove(call.id());
         openCalls.merge(call.request(), -1, Integer::sum);
-        call.request().told(this, run);
+        call.request().told(this, run, call.id());
         if (run == RunState.COMPLETE) {
             wholeAnswers++;
         } else if (run == RunState.UNKNOWN && call.request().keyed() && call.tries() < MOST_TRIES) {
@@ -292,12 +292,6 @@
             case Frame.Submit submit ->
                 "submit " + submit.attempt() + " of " + submit.request() + " execution " + submit.execution();
             case Frame.Chunk chunk -> "chunk " + chunk.attempt() + " at " + chunk.offset();
-            case Frame.ClaimSync sync ->
-                "sync last=" + sync.last() + " epoch " + sync.epoch() + " of "
-                        + sync.entries().size() + ": "
-                        + sync.entries().stream()
-                                .map(entry -> entry.digest().hex())
-                                .toList();
             case Frame.LoadReport report -> "load " + report.load().accepting();
             case Frame.ConfigPush push -> "config " + push.config().revision();
             default -> frame.toString();
--- /dev/null
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
@@ -0,0 +1,152 @@
+package org.tanagerhinge.bench.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.tanagerhinge.gateway.GatewayDaemon;
+import org.tanagerhinge.platform.PlatformNames;
+import org.tanagerhinge.standin.relay.ServerStandin;
+import org.tanagerhinge.standin.relay.StoreStandin;
+
+/** What gateways believe, from where, and how they stop. */
+class RelayControlTest {
+    private RelayScene scene;
+
+    @BeforeEach
+    void setUp() {
+        scene = new RelayScene();
+        scene.platform.service("plain", 0);
+        scene.platform.service("model", 8);
+        scene.platform.route("/safe/", "safe", "plain");
+        scene.platform.route("/stream/", "streaming", "model");
+        scene.platform.workspace("coop", "key-1");
+        scene.platform.publish();
+    }
+
+    @AfterEach
+    void tearDown() {
+        scene.close();
+    }
+
+    private int status(GatewayDaemon gateway, String path) {
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            return caller.exchange(RawCaller.request("GET", path, "a", "", "")).status();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void aNewVersionComesIntoForceAndAKeyThatWasTakenAwayEndsForConnectedCallers() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon gateway = scene.gateway();
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            assertEquals(
+                    200,
+                    caller.exchange(RawCaller.request("GET", "/safe/x", "a", "", ""))
+                            .status());
+            scene.platform.dropWorkspaces();
+            scene.platform.workspace("coop", "key-2");
+            long version = scene.platform.publish();
+            RelayScene.await(() -> gateway.configVersion() == version);
+            assertEquals(
+                    401,
+                    caller.exchange(RawCaller.request("GET", "/safe/x", "b", "", ""))
+                            .status());
+        }
+    }
+
+    @Test
+    void aVersionInForceIsNeverReplacedByAnOlderOne() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon gateway = scene.gateway();
+        long version = scene.platform.publish();
+        RelayScene.await(() -> gateway.configVersion() == version);
+        String older = "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{},\"tenants\":[]}";
+        scene.store.put(PlatformNames.CONFIG_KEY, older);
+        int calls = scene.store.calls(PlatformNames.WATCH_CALL);
+        RelayScene.await(() -> scene.store.calls(PlatformNames.WATCH_CALL) > calls + 1);
+        assertEquals(version, gateway.configVersion());
+        assertEquals(200, status(gateway, "/safe/x"));
+    }
+
+    @Test
+    void aHistoryThatWasForgottenCostsNoChange() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon gateway = scene.gateway();
+        scene.store.compact();
+        long version = scene.platform.publish();
+        scene.store.compact();
+        RelayScene.await(() -> gateway.configVersion() == version);
+    }
+
+    /**
+     * Symptom: one gateway went on with old routes while the store turned it away. Events: the store refuses one gateway
+     * and serves the other and the operators; a version is written. Cause: each gateway asked the store alone.
+     */
+    @Test
+    void aGatewayThatTheStoreTurnsAwayHearsOfChangesFromAPeer() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon reader = scene.gateway();
+        GatewayDaemon other = scene.gateway();
+        // The second gateway has found the first by now; its own way to the store ends here, as far as changes go:
+        // only the gateway with the least name reads for all.
+        long version = scene.platform.publish();
+        RelayScene.await(() -> reader.configVersion() == version && other.configVersion() == version);
+        int watches = scene.store.calls(PlatformNames.WATCH_CALL);
+        long next = scene.platform.publish();
+        RelayScene.await(() -> other.configVersion() == next);
+        assertTrue(scene.store.calls(PlatformNames.WATCH_CALL) <= watches + 3, "one watch for both");
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = StoreStandin.Mood.class,
+            names = {"BUSY", "RESETS", "SILENT"})
+    void servesOnWhileTheStoreIsAwayAndCatchesUpOnItsReturn(StoreStandin.Mood mood) throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon gateway = scene.gateway();
+        scene.store.mood(mood);
+        assertEquals(200, status(gateway, "/safe/x"));
+        long version = scene.platform.publish();
+        assertTrue(gateway.ready());
+        scene.store.mood(StoreStandin.Mood.SERVES);
+        RelayScene.await(() -> gateway.configVersion() == version);
+        assertEquals(200, status(gateway, "/safe/x"));
+    }
+
+    @Test
+    void gatewaysFindEachOtherThroughTheStore() throws IOException {
+        scene.gateway();
+        scene.gateway();
+        RelayScene.await(() -> scene.store.keys("gateways/").size() == 2);
+    }
+
+    /**
+     * Symptom: a request that came seconds after SIGTERM was cut off. Events: a stream begins, the gateway is told to
+     * stop, the stream ends, its caller sends another request on the same connection. Cause: only answers that began
+     * after SIGTERM told the caller that the connection ends.
+     */
+    @Test
+    void aConnectionWhoseStreamBeganBeforeAStopEndsWithThatStream() throws IOException {
+        ServerStandin server = scene.server("e-1", "model", ServerStandin.events(30, 10));
+        GatewayDaemon gateway = scene.gateway();
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            caller.send(RawCaller.request("POST", "/stream/x", "a", "", "{}"));
+            RelayScene.await(() -> !server.seen().isEmpty());
+            gateway.beginStop();
+            assertFalse(gateway.ready());
+            RawCaller.Answer answer = caller.read();
+            assertTrue(answer.whole(), "what was begun is finished");
+            assertTrue(caller.closed());
+        }
+        RelayScene.await(gateway::drained);
+    }
+}
--- /dev/null
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -0,0 +1,327 @@
+package org.tanagerhinge.bench.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagerhinge.gateway.GatewayDaemon;
+import org.tanagerhinge.platform.PlatformNames;
+import org.tanagerhinge.standin.relay.RawServer;
+import org.tanagerhinge.standin.relay.ServerStandin;
+import org.tanagerhinge.standin.relay.StoreStandin;
+
+/** What callers see of the relay when servers answer, fail, lie and break off. */
+class RelayPathTest {
+    private RelayScene scene;
+
+    @BeforeEach
+    void setUp() {
+        scene = new RelayScene();
+        scene.platform.service("plain", 0);
+        scene.platform.service("model", 8);
+        scene.platform.route("/safe/", "safe", "plain");
+        scene.platform.route("/once/", "unsafe", "plain").put(PlatformNames.MOST_ATTEMPTS, 1);
+        scene.platform.route("/stream/", "streaming", "model").put(PlatformNames.RESUMABLE, true);
+        scene.platform.route("/ask/", "streaming", "model").put(PlatformNames.MOST_ATTEMPTS, 1);
+        scene.platform.route("/open/", "safe", "plain").put(PlatformNames.OPEN, true);
+        scene.platform.workspace("coop", "key-1");
+        scene.platform.publish();
+    }
+
+    @AfterEach
+    void tearDown() {
+        scene.close();
+    }
+
+    private RawCaller.Answer ask(GatewayDaemon gateway, String method, String path, String headers, String body)
+            throws IOException {
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            return caller.exchange(RawCaller.request(method, path, "attempt-1", headers, body));
+        }
+    }
+
+    @Test
+    void passesARequestAndItsAnswerOnUnchanged() throws IOException {
+        ServerStandin server = scene.server("s-1", "plain", ServerStandin.plain(200, "the body"));
+        GatewayDaemon gateway = scene.gateway();
+        RawCaller.Answer answer = ask(gateway, "POST", "/safe/a%20b?x=1", "X-Other: kept\r\n", "{\"n\": 1}");
+        assertEquals(200, answer.status());
+        assertEquals("the body", answer.body());
+        assertEquals("seal-of-s-1", answer.header(PlatformNames.SEAL));
+        RawServer.Request seen = server.seen().get(0);
+        assertEquals("/safe/a%20b?x=1", seen.target());
+        assertEquals("POST", seen.method());
+        assertEquals("{\"n\": 1}", new String(seen.body(), java.nio.charset.StandardCharsets.UTF_8));
+        assertEquals("kept", seen.header("X-Other"));
+        assertEquals("attempt-1", seen.header(PlatformNames.ATTEMPT_ID));
+        assertEquals("coop", seen.header(PlatformNames.TENANT));
+        assertEquals("s-1", seen.header(PlatformNames.EXPECT_INSTANCE));
+        assertTrue(Long.parseLong(seen.header(PlatformNames.DEADLINE)) <= 5_000, "no more time than the route's");
+        assertEquals("", seen.header("Authorization"));
+    }
+
+    @Test
+    void whatOnlyTheRelayMaySetIsTakenOutOfACallersRequest() throws IOException {
+        ServerStandin server = scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon gateway = scene.gateway();
+        String forged = PlatformNames.TENANT + ": other\r\n" + PlatformNames.HOLD + ": 1\r\n" + PlatformNames.PIN
+                + ": 1\r\n" + PlatformNames.BACKUP + ": 1.2.3.4:5\r\n" + PlatformNames.MEMORY_FROM
+                + ": 1.2.3.4:5/6\r\n" + PlatformNames.EXPECT_INSTANCE + ": s-9\r\n";
+        assertEquals(200, ask(gateway, "GET", "/safe/x", forged, "").status());
+        RawServer.Request seen = server.seen().get(0);
+        assertEquals("coop", seen.header(PlatformNames.TENANT));
+        assertEquals("s-1", seen.header(PlatformNames.EXPECT_INSTANCE));
+        for (String name :
+                new String[] {PlatformNames.HOLD, PlatformNames.PIN, PlatformNames.BACKUP, PlatformNames.MEMORY_FROM}) {
+            assertEquals("", seen.header(name), name);
+        }
+    }
+
+    @Test
+    void aRouteThatIsNotThereAndAKeyThatNobodyHoldsAreRefused() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals(404, ask(gateway, "GET", "/none/x", "", "").status());
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            String request = RawCaller.request("GET", "/safe/x", "a", "", "").replace("key-1", "key-9");
+            assertEquals(401, caller.exchange(request).status());
+            assertEquals(
+                    200, caller.exchange(request.replace("/safe/", "/open/")).status(), "an open route needs no key");
+        }
+    }
+
+    /**
+     * Symptom: the first callers of a starting gateway were told that their route does not exist. Events: the gateway
+     * listens, a request comes, the store answers later. Cause: no configuration was taken for an empty one.
+     */
+    @Test
+    void aGatewayWithoutAConfigurationPromisesNotToHaveRunTheRequest() throws IOException {
+        scene.store.mood(StoreStandin.Mood.BUSY);
+        GatewayDaemon gateway = scene.start("gateway-0", scene.store.address());
+        RawCaller.Answer answer = ask(gateway, "GET", "/safe/x", "", "");
+        assertEquals(503, answer.status());
+        assertFalse(answer.header("Retry-After").isEmpty());
+        assertFalse(gateway.ready());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "POST /once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "POST /once/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+                "GET /once/x HTTP/1.1\r\nHost: shop.example\r\nHost: other.example\r\n\r\n",
+                "GET http://shop.example/once/x HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+            })
+    void aRequestThatTwoReadersCouldCutDifferentlyIsRefusedAndReachesNoServer(String text) throws IOException {
+        ServerStandin server = scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon gateway = scene.gateway();
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            assertEquals(400, caller.exchange(text).status());
+            assertTrue(caller.closed());
+        }
+        assertTrue(server.seen().isEmpty());
+    }
+
+    @Test
+    void aSafeRequestThatAServerFailsIsTriedAtAnother() throws IOException {
+        ServerStandin failing = scene.server("s-1", "plain", ServerStandin.plain(500, "no"));
+        ServerStandin sound = scene.server("s-2", "plain", ServerStandin.plain(200, "yes"));
+        GatewayDaemon gateway = scene.gateway();
+        for (int i = 0; i < 4; i++) {
+            assertEquals("yes", ask(gateway, "GET", "/safe/x", "", "").body());
+        }
+        assertTrue(failing.seen().size() + sound.seen().size() >= 4);
+    }
+
+    @Test
+    void aServersOwnErrorIsPassedOnWithItsSignatureWhenNoOtherServerIsLeft() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(500, "no"));
+        GatewayDaemon gateway = scene.gateway();
+        RawCaller.Answer answer = ask(gateway, "POST", "/once/x", "", "{}");
+        assertEquals(500, answer.status());
+        assertEquals("no", answer.body());
+        assertEquals("seal-of-s-1", answer.header(PlatformNames.SEAL));
+    }
+
+    /**
+     * Symptom: a status record was written twice. Events: a server runs a request that must not be repeated and its
+     * answer is lost. Cause: a retry that takes a broken connection for a request that did not run.
+     */
+    @Test
+    void anUnsafeRequestWhoseAnswerIsLostIsNotSentAgainAndNotPromisedUnrun() throws IOException {
+        ServerStandin first = scene.server("s-1", "plain", (server, request, connection) -> connection.reset());
+        ServerStandin second = scene.server("s-2", "plain", (server, request, connection) -> connection.reset());
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals(502, ask(gateway, "POST", "/once/x", "", "{}").status());
+        assertEquals(1, first.seen().size() + second.seen().size());
+    }
+
+    @Test
+    void anUnsafeRequestThatServersRefuseUnrunIsPromisedUnrun() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.refusing());
+        scene.server("s-2", "plain", ServerStandin.refusing());
+        GatewayDaemon gateway = scene.gateway();
+        RawCaller.Answer answer = ask(gateway, "POST", "/once/x", "", "{}");
+        assertEquals(503, answer.status());
+        assertFalse(answer.header("Retry-After").isEmpty());
+    }
+
+    /**
+     * Symptom: a caller got another caller's answer. Events: a server sends an answer twice; the second copy stands on
+     * the kept connection where the next request's answer is expected. Cause: answers matched by order alone.
+     */
+    @Test
+    void aLateCopyOfAnotherAnswerIsGivenToNobody() throws IOException {
+        ServerStandin server = scene.server("s-1", "plain", ServerStandin.plain(200, "one"));
+        GatewayDaemon gateway = scene.gateway();
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            assertEquals(
+                    "one",
+                    caller.exchange(RawCaller.request("GET", "/safe/x", "first", "", ""))
+                            .body());
+            server.script((standin, request, connection) -> {
+                connection.write("HTTP/1.1 200 OK\r\n" + PlatformNames.ATTEMPT_ID + ": first\r\n" + PlatformNames.SEAL
+                        + ": s\r\nContent-Length: 3\r\n\r\none");
+                connection.answer(200, standin.headers(request), "two");
+            });
+            assertEquals(
+                    "two",
+                    caller.exchange(RawCaller.request("GET", "/safe/x", "second", "", ""))
+                            .body());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"garbage\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"})
+    void bytesThatAreNoAnswerOfTheServerNeverReachACaller(String bytes) throws IOException {
+        scene.server("s-1", "plain", (server, request, connection) -> {
+            connection.write(bytes);
+            connection.socket().close();
+        });
+        GatewayDaemon gateway = scene.gateway();
+        RawCaller.Answer answer = ask(gateway, "POST", "/once/x", "", "{}");
+        assertEquals(502, answer.status());
+        assertEquals("", answer.header(PlatformNames.SEAL));
+    }
+
+    @Test
+    void aTruncatedAnswerIsNotPassedOnAsWhole() throws IOException {
+        scene.server("s-1", "plain", (server, request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\n" + server.headers(request) + "Content-Length: 10\r\n\r\nhalf");
+            connection.socket().close();
+        });
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals(502, ask(gateway, "POST", "/once/x", "", "{}").status());
+    }
+
+    /**
+     * Symptom: half an event, then the whole one. Events: an engine crashes in the midst of an event; the stream goes on
+     * at another engine. Cause: bytes were passed on as they came and not event by event.
+     */
+    @Test
+    void aStreamThatBreaksWithinAnEventGoesOnElsewhereWithEachEventOnce() throws IOException {
+        ServerStandin cutting = scene.server("e-1", "model", ServerStandin.cutWithin(4));
+        ServerStandin sound = scene.server("e-2", "model", ServerStandin.events(6, 1));
+        GatewayDaemon gateway = scene.gateway();
+        for (int i = 0; i < 4; i++) {
+            RawCaller.Answer answer = ask(gateway, "POST", "/stream/x", "", "{}");
+            assertTrue(answer.whole());
+            StringBuilder expected = new StringBuilder();
+            for (int event = 1; event <= 6; event++) {
+                expected.append("id: ")
+                        .append(event)
+                        .append("\ndata: piece ")
+                        .append(event)
+                        .append("\n\n");
+            }
+            assertEquals(expected.toString(), answer.body());
+        }
+        assertFalse(cutting.seen().isEmpty());
+        assertTrue(sound.seen().stream()
+                .anyMatch(request -> request.header(PlatformNames.LAST_EVENT).equals("3")));
+    }
+
+    @Test
+    void aBrokenStreamThatMayNotGoOnElsewhereDoesNotLookComplete() throws IOException {
+        scene.server("e-1", "model", ServerStandin.cutWithin(3));
+        scene.server("e-2", "model", ServerStandin.cutWithin(3));
+        GatewayDaemon gateway = scene.gateway();
+        RawCaller.Answer answer = ask(gateway, "POST", "/ask/x", "", "{}");
+        assertFalse(answer.whole());
+        assertFalse(answer.body().contains("id: 3"), "half an event");
+    }
+
+    /**
+     * Symptom: answers came long after the operators' limit. Events: a server hangs. Cause: the relay waited for the
+     * caller's own, longer deadline.
+     */
+    @Test
+    void aRequestIsAnsweredAtItsRoutesTimeoutThoughTheCallerWouldWaitLonger() throws IOException {
+        scene.platform
+                .routes()
+                .forEach(route ->
+                        ((com.fasterxml.jackson.databind.node.ObjectNode) route).put(PlatformNames.TIMEOUT, 300));
+        scene.platform.publish();
+        CountDownLatch never = new CountDownLatch(1);
+        scene.server("s-1", "plain", (server, request, connection) -> never.await());
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals(504, ask(gateway, "POST", "/once/x", "", "{}").status());
+        never.countDown();
+    }
+
+    @Test
+    void aServerIsFreedWhenTheCallerOfAStreamLeaves() throws IOException {
+        ServerStandin server = scene.server("e-1", "model", ServerStandin.events(100_000, 5));
+        GatewayDaemon gateway = scene.gateway();
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            caller.send(RawCaller.request("POST", "/stream/x", "a", "", "{}"));
+            caller.line();
+        }
+        RelayScene.await(() -> server.broken() == 1);
+    }
+
+    /**
+     * Symptom: a request of one service ran at a server of another. Events: a server ends, its address is given to
+     * another server. Cause: a server was known by its address.
+     */
+    @Test
+    void aServerThatHasTheAddressOfAnEndedOneDoesNotRunItsRequests() throws IOException {
+        ServerStandin other = ServerStandin.start("s-new", ServerStandin.plain(200, "wrong"));
+        ServerStandin old = ServerStandin.start("s-old", ServerStandin.plain(200, "x"));
+        scene.store.put(
+                PlatformNames.SERVERS + "s-old",
+                "{\"service\":\"plain\",\"address\":\"127.0.0.1:"
+                        + other.address().getPort() + "\",\"zone\":\"north\",\"slots\":4,\"state\":\"ready\"}");
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals(503, ask(gateway, "POST", "/once/x", "", "{}").status());
+        assertTrue(other.seen().isEmpty());
+        old.close();
+        other.close();
+    }
+
+    @Test
+    void aServerThatIsDrainingGetsNoNewRequests() throws IOException {
+        ServerStandin leaving = scene.server("s-1", "plain", ServerStandin.plain(200, "one"));
+        scene.server("s-2", "plain", ServerStandin.plain(200, "two"));
+        GatewayDaemon gateway = scene.gateway();
+        scene.platform.register(leaving, "plain", PlatformNames.DRAINING);
+        RelayScene.await(() -> {
+            int before = leaving.seen().size();
+            try {
+                for (int i = 0; i < 6; i++) {
+                    ask(gateway, "GET", "/safe/x", "", "");
+                }
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+            return leaving.seen().size() == before;
+        });
+    }
+}
--- /dev/null
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -0,0 +1,84 @@
+package org.tanagerhinge.bench.relay;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.tanagerhinge.core.relay.PromptAware;
+import org.tanagerhinge.gateway.GatewayDaemon;
+import org.tanagerhinge.gateway.GatewayOptions;
+import org.tanagerhinge.platform.PlatformGateway;
+import org.tanagerhinge.standin.relay.PlatformScene;
+import org.tanagerhinge.standin.relay.ServerStandin;
+import org.tanagerhinge.standin.relay.StoreStandin;
+
+/** A store, backend servers and gateways in one process, for tests of the relay from outside. */
+final class RelayScene implements AutoCloseable {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+    final StoreStandin store = StoreStandin.start(0);
+    final PlatformScene platform = PlatformScene.in(store);
+    private final List<ServerStandin> servers = new ArrayList<>();
+    private final List<GatewayDaemon> gateways = new ArrayList<>();
+
+    /** Starts a server and registers it. */
+    ServerStandin server(String id, String service, ServerStandin.Script script) {
+        ServerStandin server = ServerStandin.start(id, script);
+        servers.add(server);
+        platform.register(server, service, "ready");
+        return server;
+    }
+
+    /** Starts a gateway and waits until it is ready. */
+    GatewayDaemon gateway() throws IOException {
+        GatewayDaemon gateway = start("gateway-" + gateways.size(), store.address());
+        await(gateway::ready);
+        return gateway;
+    }
+
+    /** Starts a gateway that may never become ready, at a store of its own choice. */
+    GatewayDaemon start(String name, InetSocketAddress storeAddress) throws IOException {
+        GatewayOptions options = new GatewayOptions(
+                name,
+                "north",
+                free(),
+                free(),
+                free(),
+                new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10)));
+        GatewayDaemon gateway = PlatformGateway.start(options, PromptAware.create(), storeAddress);
+        gateways.add(gateway);
+        return gateway;
+    }
+
+    /** Waits until something holds; fails if it never does. */
+    static void await(BooleanSupplier condition) {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - until > 0) {
+                throw new AssertionError("did not come to hold");
+            }
+            try {
+                Thread.sleep(10);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    @Override
+    public void close() {
+        gateways.forEach(GatewayDaemon::close);
+        servers.forEach(ServerStandin::close);
+        store.close();
+    }
+}
--- a/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
@@ -17,6 +17,8 @@
 
 /** A short fixed set of random runs, the seeds that once failed, and proof that the checks of a run can fail. */
 class SoakTest {
+    private static final RequestId CALL = RequestId.of("r1-1");
+
     @Test
     void aFixedSetOfSeedsPasses() {
         List<Soak.Result> results = Soak.runAll(1, 24, 4);
@@ -31,14 +33,16 @@
     }
 
     /**
-     * Symptom of each: a keyed request ran twice. Events and causes: 32, a home stopped as planned and its successor
+     * Symptom of each: a keyed request ran twice. Events and causes, all of them while the claims of keys were kept by the
+     * agents themselves: 32, a home stopped as planned and its successor
      * granted before the router that knew the claim was back; 52, a home and the router that made a claim crashed one
      * after the other; 120, a home was restarted twice and the second run forgot whose word the first still waited for;
      * 160, a fate that was settled counted as open; 305, two calls of one key at one router shared a generation, and one
-     * gave it back; 838, a claim that was not granted after all took the record of the former one with it.
+     * gave it back; 838, a claim that was not granted after all took the record of the former one with it;
+     * 153, more homes than journal writes could keep up with. The platform's store keeps the claims now.
      */
     @ParameterizedTest
-    @ValueSource(longs = {32, 52, 120, 160, 305, 838})
+    @ValueSource(longs = {32, 52, 120, 153, 160, 305, 838})
     void aSeedThatOnceFailedPasses(long seed) {
         assertEquals("", Soak.run(seed).failure());
     }
@@ -52,16 +56,25 @@
     void aSecondRunOfANonIdempotentRequestIsCaught() {
         Simulation sim = new Simulation(1, false);
         SimRequest request = new SimRequest(1, "card", false, false, true, 5);
-        request.begun(sim, "engine-0");
-        caught(Promise.AT_MOST_ONCE, () -> request.begun(sim, "engine-1"));
+        request.begun(sim, "engine-0", CALL);
+        caught(Promise.AT_MOST_ONCE, () -> request.begun(sim, "engine-1", CALL));
     }
 
     @Test
     void aRunAfterNotRunWasToldIsCaught() {
         Simulation sim = new Simulation(1, false);
         SimRequest request = new SimRequest(1, "chat", false, true, false, 5);
-        request.told(sim, RunState.NOT_RUN);
-        caught(Promise.NOT_RUN_IS_TRUE, () -> request.begun(sim, "engine-0"));
+        request.told(sim, RunState.NOT_RUN, CALL);
+        caught(Promise.NOT_RUN_IS_TRUE, () -> request.begun(sim, "engine-0", CALL));
+    }
+
+    @Test
+    void aRunOfACallThatWasToldNotRunIsCaughtThoughAnotherCallOfTheKeyWasToldOtherwise() {
+        Simulation sim = new Simulation(1, false);
+        SimRequest request = new SimRequest(1, "card", false, false, true, 5);
+        request.told(sim, RunState.UNKNOWN, RequestId.of("r1-2"));
+        request.told(sim, RunState.NOT_RUN, CALL);
+        caught(Promise.NOT_RUN_IS_TRUE, () -> request.begun(sim, "engine-0", CALL));
     }
 
     @Test
--- a/node/src/main/java/org/tanagerhinge/node/daemon/DaemonCommand.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/DaemonCommand.java
@@ -4,9 +4,11 @@
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -15,9 +17,12 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.tanagerhinge.core.result.TanagerhingeException;
 import org.tanagerhinge.node.settings.Setting;
 import org.tanagerhinge.node.settings.Settings;
+import sun.misc.Signal;
 
 /** The command line that all daemons share: read settings, check them, run until asked to stop. */
 public abstract class DaemonCommand implements Callable<Integer> {
@@ -27,8 +32,13 @@
     public static final int EXIT_CANNOT_START = 3;
 
     private static final Logger LOG = System.getLogger(DaemonCommand.class.getName());
+    /** How often the settings file is looked at: it may change without a signal. */
+    private static final Duration SETTINGS_POLL = Duration.ofSeconds(1);
+
     private static final Duration STOP_POLL = Duration.ofMillis(50);
 
+    private final AtomicInteger hangUps = new AtomicInteger();
+
     @AirlineModule
     private HelpOption<DaemonCommand> help;
 
@@ -56,6 +66,9 @@
     /** Starts the daemon. */
     protected abstract Daemon start(Settings settings) throws TanagerhingeException;
 
+    /** Gives a running daemon settings that were read again; what can't change while it runs is left alone. */
+    protected void reloaded(Daemon daemon, Settings settings) {}
+
     @Override
     public final Integer call() {
         if (help != null && help.showHelpIfRequested()) {
@@ -71,6 +84,8 @@
      * @return exit code
      */
     public final int run(Path file) {
+        // Read before the settings are taken from it: a change that comes while the daemon starts must be noticed.
+        String inForce = read(file);
         Settings settings;
         try {
             settings = Settings.load(file, parsedOverrides(), settings());
@@ -82,7 +97,7 @@
             return 0;
         }
         try {
-            runUntilStopped(start(settings));
+            runUntilStopped(start(settings), file, inForce);
             return 0;
         } catch (TanagerhingeException e) {
             return fail(e, EXIT_CANNOT_START);
@@ -111,19 +126,47 @@
     }
 
     /** SIGTERM is a planned stop: the hook holds the process until nothing is in progress or the bound is reached. */
-    private static void runUntilStopped(Daemon daemon) {
+    private void runUntilStopped(Daemon daemon, Path file, String atStart) {
         CountDownLatch stopped = new CountDownLatch(1);
+        // Without a handler of its own a JVM takes SIGHUP for a request to end.
+        Signal.handle(new Signal("HUP"), signal -> hangUps.incrementAndGet());
         Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("stop").unstarted(() -> {
             stop(daemon);
             stopped.countDown();
         }));
         try {
-            stopped.await();
+            String inForce = atStart;
+            int seen = hangUps.get();
+            while (!stopped.await(SETTINGS_POLL.toMillis(), TimeUnit.MILLISECONDS)) {
+                String now = read(file);
+                if (!now.isEmpty() && (hangUps.get() != seen || !now.equals(inForce))) {
+                    seen = hangUps.get();
+                    inForce = now;
+                    reload(daemon, file);
+                }
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private void reload(Daemon daemon, Path file) {
+        try {
+            reloaded(daemon, Settings.load(file, parsedOverrides(), settings()));
+            LOG.log(Level.INFO, "settings read again");
+        } catch (TanagerhingeException e) {
+            LOG.log(Level.ERROR, "settings cannot be used, those in force stay: " + e.getMessage());
+        }
+    }
+
     private static void stop(Daemon daemon) {
         LOG.log(Level.INFO, "stopping");
         daemon.beginStop();
--- /dev/null
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
@@ -0,0 +1,136 @@
+package org.tanagerhinge.node.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.tanagerhinge.core.claim.ClaimDecision;
+import org.tanagerhinge.core.id.KeyDigest;
+import org.tanagerhinge.core.id.RequestId;
+import org.tanagerhinge.core.id.ServerId;
+import org.tanagerhinge.core.message.ClaimEntry;
+
+/**
+ * Claims of callers' keys: one value a key in the platform's store, written by compare-and-swap under a lease.
+ *
+ * <p>A new key costs one call. Claims of one process share a lease for a while, so that leases cost next to nothing.
+ * Calls block.
+ */
+public final class ClaimStore {
+    /** How long claims last at the least: longer than agents remember a request (an hour) and than any deadline. */
+    private static final Duration LEAST_LIFE = Duration.ofHours(2);
+    /** For how long new claims go under one lease. */
+    private static final Duration SHARED = Duration.ofHours(1);
+    /** A swap that meets another version is tried again at most so often: each time somebody else got further. */
+    private static final int MOST_SWAPS = 4;
+
+    private static final String PREFIX = "tanagerhinge/claims/";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final PlatformStore store;
+    private final InstantSource clock;
+    private long lease;
+    private Instant leaseFrom = Instant.MIN;
+
+    private ClaimStore(PlatformStore store, InstantSource clock) {
+        this.store = store;
+        this.clock = clock;
+    }
+
+    /**
+     * Returns the claims kept in a store.
+     *
+     * @param clock a steady clock
+     */
+    public static ClaimStore in(PlatformStore store, InstantSource clock) {
+        return new ClaimStore(store, clock);
+    }
+
+    /**
+     * Claims a key.
+     *
+     * @param expectedGeneration the generation that the claim replaces; 0 for a key not used before
+     */
+    public ClaimDecision claim(ClaimEntry wanted, long expectedGeneration) {
+        try {
+            Optional<PlatformStore.Versioned> current =
+                    expectedGeneration == 0 ? Optional.empty() : store.read(key(wanted.digest()));
+            for (int i = 0; i < MOST_SWAPS; i++) {
+                ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
+                ClaimDecision decision = ClaimDecision.onCurrent(held, wanted, expectedGeneration);
+                if (decision != null) {
+                    return decision;
+                }
+                ClaimEntry next = wanted.withGeneration(held == null ? 1 : held.generation() + 1);
+                long version = current.map(PlatformStore.Versioned::version).orElse(0L);
+                PlatformStore.Swap swap = store.swap(key(wanted.digest()), render(next), version, lease());
+                if (swap instanceof PlatformStore.Swap.Differs differs) {
+                    current = differs.current();
+                } else {
+                    return new ClaimDecision.Granted(next);
+                }
+            }
+            return new ClaimDecision.Unsettled("others wrote the claim each time");
+        } catch (PlatformException e) {
+            return new ClaimDecision.Unsettled(e.getMessage());
+        }
+    }
+
+    /** Gives a claim back, so that the next request may have the key. */
+    public void release(ClaimEntry claim) throws PlatformException {
+        String key = key(claim.digest());
+        Optional<PlatformStore.Versioned> current = store.read(key);
+        if (current.isEmpty()) {
+            return;
+        }
+        ClaimEntry held = parse(current.get().value());
+        if (held.generation() == claim.generation() && held.owner().equals(claim.owner()) && !held.free()) {
+            store.swap(key, render(claim.released()), current.get().version(), lease());
+        }
+    }
+
+    private synchronized long lease() throws PlatformException {
+        Instant now = clock.instant();
+        if (leaseFrom.equals(Instant.MIN) || leaseFrom.plus(SHARED).isBefore(now)) {
+            lease = store.grantLease(LEAST_LIFE.plus(SHARED));
+            leaseFrom = now;
+        }
+        return lease;
+    }
+
+    private static String key(KeyDigest digest) {
+        return PREFIX + digest.hex();
+    }
+
+    private static String render(ClaimEntry entry) {
+        ObjectNode root = JSON.createObjectNode();
+        root.put("digest", entry.digest().hex());
+        root.put("body", entry.body());
+        root.put("executor", entry.executor().value());
+        root.put("executorIncarnation", entry.executorIncarnation());
+        root.put("generation", entry.generation());
+        root.put("owner", entry.owner().value());
+        root.put("free", entry.free());
+        return root.toString();
+    }
+
+    private static ClaimEntry parse(String text) throws PlatformException {
+        try {
+            JsonNode root = JSON.readTree(text);
+            return new ClaimEntry(
+                    new KeyDigest(root.path("digest").asText()),
+                    root.path("body").asText(),
+                    ServerId.of(root.path("executor").asText()),
+                    root.path("executorIncarnation").asLong(),
+                    root.path("generation").asLong(),
+                    RequestId.of(root.path("owner").asText()),
+                    root.path("free").asBoolean());
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            throw new PlatformException("read a claim", "not a claim: " + e.getMessage(), e);
+        }
+    }
+}
--- a/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
@@ -53,15 +53,36 @@
     private Map<String, Versioned> range(ObjectNode request) throws PlatformException {
         Map<String, Versioned> values = new LinkedHashMap<>();
         for (JsonNode kv : call("/v3/kv/range", request).path("kvs")) {
-            Versioned versioned = new Versioned(
-                    decode(kv.path("value").asText()), kv.path("mod_revision").asLong());
-            values.put(decode(kv.path("key").asText()), versioned);
+            values.put(decode(kv.path("key").asText()), versioned(kv));
         }
         return values;
     }
 
     @Override
     public boolean write(String key, String value, long expected) throws PlatformException {
+        return call("/v3/kv/txn", conditional(key, value, expected))
+                .path("succeeded")
+                .asBoolean(false);
+    }
+
+    @Override
+    public Swap swap(String key, String value, long expected, long lease) throws PlatformException {
+        ObjectNode request = conditional(key, value, expected);
+        ((ObjectNode) request.path("success").path(0).path("request_put")).put("lease", Long.toString(lease));
+        request.putArray("failure").addObject().putObject("request_range").put("key", encode(key));
+        JsonNode answer = call("/v3/kv/txn", request);
+        if (answer.path("succeeded").asBoolean(false)) {
+            return new Swap.Done();
+        }
+        JsonNode current = answer.path("responses")
+                .path(0)
+                .path("response_range")
+                .path("kvs")
+                .path(0);
+        return new Swap.Differs(current.isMissingNode() ? Optional.empty() : Optional.of(versioned(current)));
+    }
+
+    private static ObjectNode conditional(String key, String value, long expected) {
         ObjectNode request = JSON.createObjectNode();
         ObjectNode compare = request.putArray("compare").addObject();
         compare.put("key", encode(key)).put("result", "EQUAL");
@@ -75,17 +96,18 @@
                 .putObject("request_put")
                 .put("key", encode(key))
                 .put("value", encode(value));
-        return call("/v3/kv/txn", request).path("succeeded").asBoolean(false);
+        return request;
     }
 
-    @Override
-    public void put(String key, String value) throws PlatformException {
-        call("/v3/kv/put", JSON.createObjectNode().put("key", encode(key)).put("value", encode(value)));
+    private static Versioned versioned(JsonNode kv) {
+        return new Versioned(
+                decode(kv.path("value").asText()), kv.path("mod_revision").asLong());
     }
 
     @Override
-    public void delete(String key) throws PlatformException {
-        call("/v3/kv/deleterange", JSON.createObjectNode().put("key", encode(key)));
+    public long grantLease(Duration length) throws PlatformException {
+        ObjectNode request = JSON.createObjectNode().put("TTL", Long.toString(length.toSeconds()));
+        return call("/v3/lease/grant", request).path("ID").asLong();
     }
 
     private JsonNode call(String path, ObjectNode request) throws PlatformException {
--- a/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
@@ -1,5 +1,6 @@
 package org.tanagerhinge.node.platform;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
@@ -14,12 +15,6 @@
     /** Returns all values whose keys begin with a prefix, in one call. */
     Map<String, Versioned> readAll(String prefix) throws PlatformException;
 
-    /** Writes a value whatever the key's version is. */
-    void put(String key, String value) throws PlatformException;
-
-    /** Deletes a key. */
-    void delete(String key) throws PlatformException;
-
     /**
      * Writes a value if the key is still at a version.
      *
@@ -28,4 +23,24 @@
      * @throws PlatformException if no answer came; the write may have taken effect all the same
      */
     boolean write(String key, String value, long expected) throws PlatformException;
+
+    /** How a conditional write under a lease ended. */
+    sealed interface Swap {
+        /** It took effect. */
+        record Done() implements Swap {}
+
+        /** The key is at another version; nothing was changed. */
+        record Differs(Optional<Versioned> current) implements Swap {}
+    }
+
+    /**
+     * Writes a value that ends with a lease, if the key is still at a version; else tells what is there, in one call.
+     *
+     * @param expected the version read before; 0 if the key must not exist
+     * @throws PlatformException if no answer came; the write may have taken effect all the same
+     */
+    Swap swap(String key, String value, long expected, long lease) throws PlatformException;
+
+    /** Returns a new lease, whose keys are removed after a time. */
+    long grantLease(Duration length) throws PlatformException;
 }
--- /dev/null
+++ b/node/src/test/java/org/tanagerhinge/node/daemon/DaemonCommandTest.java
@@ -0,0 +1,84 @@
+package org.tanagerhinge.node.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.tanagerhinge.node.settings.Setting;
+import org.tanagerhinge.node.settings.Settings;
+import sun.misc.Signal;
+
+/** A running daemon takes changed settings, with a signal and without one. */
+class DaemonCommandTest {
+    private static final Setting<String> WORD = Setting.text("a", "word", "none", "a word");
+
+    private static final class Idle implements Daemon {
+        @Override
+        public void beginStop() {}
+
+        @Override
+        public boolean drained() {
+            return true;
+        }
+
+        @Override
+        public Duration stopTimeout() {
+            return Duration.ZERO;
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    private static final class Command extends DaemonCommand {
+        private final BlockingQueue<String> words = new LinkedBlockingQueue<>();
+
+        private String next() throws InterruptedException {
+            String word = words.poll(60, TimeUnit.SECONDS);
+            return word == null ? "nothing happened" : word;
+        }
+
+        @Override
+        protected List<Setting<?>> settings() {
+            return List.of(WORD);
+        }
+
+        @Override
+        protected Daemon start(Settings settings) {
+            words.add("start " + settings.value(WORD));
+            return new Idle();
+        }
+
+        @Override
+        protected void reloaded(Daemon daemon, Settings settings) {
+            words.add("reload " + settings.value(WORD));
+        }
+    }
+
+    /**
+     * Symptom: processes ended while their settings changed. Events: the settings file changes, SIGHUP comes, or only
+     * one of the two. Cause: a JVM without a handler of its own ends at SIGHUP.
+     */
+    @Test
+    void settingsAreReadAgainAtAChangeAndAtSighupAndBadOnesAreLeftAlone(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("a.ini");
+        Files.writeString(file, "[a]\nword = one\n");
+        Command command = new Command();
+        Thread.ofPlatform().daemon().start(() -> command.run(file));
+        assertEquals("start one", command.next());
+        Files.writeString(file, "[a]\nword = two\n");
+        assertEquals("reload two", command.next());
+        Files.writeString(file, "[a]\nwrong = three\n");
+        Files.writeString(file, "[a]\nword = four\n");
+        assertEquals("reload four", command.next());
+        Signal.raise(new Signal("HUP"));
+        assertEquals("reload four", command.next());
+    }
+}
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -20,11 +20,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.config.BackendServer;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
@@ -32,6 +34,7 @@
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.RouterId;
 import org.tanagerhinge.core.id.ServerId;
+import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.result.Refusal;
 import org.tanagerhinge.core.result.TanagerhingeException;
@@ -48,8 +51,11 @@
 import org.tanagerhinge.node.daemon.Incarnation;
 import org.tanagerhinge.node.daemon.RequestLog;
 import org.tanagerhinge.node.metrics.NodeMetrics;
+import org.tanagerhinge.node.platform.ClaimStore;
 import org.tanagerhinge.node.platform.ConfigPoller;
 import org.tanagerhinge.node.platform.ConfigStore;
+import org.tanagerhinge.node.platform.PlatformException;
+import org.tanagerhinge.node.platform.PlatformStore;
 import org.tanagerhinge.wire.Link;
 import org.tanagerhinge.wire.LinkClient;
 import org.tanagerhinge.wire.LinkListener;
@@ -62,6 +68,9 @@
     private static final Duration TICK = Duration.ofMillis(50);
     private static final int NETWORK_THREADS = 2;
     private static final int TRAFFIC_THREADS = 4;
+    /** Claims that are with the platform's store at once: its answers take milliseconds, its rate is a few hundred. */
+    private static final int CLAIM_THREADS = 4;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** What a router is started with. */
@@ -70,7 +79,7 @@
             InetSocketAddress listen,
             SharedSecret secret,
             RouterOptions options,
-            ConfigStore configStore,
+            PlatformStore platform,
             Duration pollInterval,
             Duration peerIdle,
             int mostBodyBytes,
@@ -82,6 +91,8 @@
     private final ControlLoop control;
     private final EventLoopGroup network;
     private final ExecutorService traffic;
+    private final ExecutorService claimCalls;
+    private final ClaimStore claims;
     private final RouterCore core;
     private final AtomicLong requestNumbers = new AtomicLong();
     private final Map<RequestId, CallerSession> sessions = new ConcurrentHashMap<>();
@@ -105,6 +116,9 @@
         this.traffic = Executors.newFixedThreadPool(
                 TRAFFIC_THREADS,
                 Thread.ofPlatform().name("traffic-", 0).daemon().factory());
+        this.claimCalls = Executors.newFixedThreadPool(
+                CLAIM_THREADS, Thread.ofPlatform().name("claims-", 0).daemon().factory());
+        this.claims = ClaimStore.in(parts.platform(), SteadyClock.create());
         this.core = RouterCore.create(
                 self, parts.options(), SteadyClock.create(), RandomGenerator.getDefault(), new Port(), metrics);
     }
@@ -136,7 +150,7 @@
                         "/readyz", this::readiness),
                 new CallerHandler(this, parts.mostBodyBytes()));
         poller = ConfigPoller.start(
-                parts.configStore(),
+                ConfigStore.in(parts.platform()),
                 parts::pollInterval,
                 found -> control.post(() -> core.applyConfig(found)),
                 metrics);
@@ -300,6 +314,7 @@
         if (hangups != null) {
             hangups.close();
         }
+        claimCalls.shutdownNow();
         control.close();
         traffic.shutdown();
     }
@@ -314,6 +329,36 @@
             }
         }
 
+        @Override
+        public void claim(long sequence, ClaimEntry wanted, long expectedGeneration) {
+            onClaimThread(() -> {
+                metrics.count("platform_call");
+                ClaimDecision decision = claims.claim(wanted, expectedGeneration);
+                control.post(() -> core.onClaimDecided(sequence, decision));
+            });
+        }
+
+        @Override
+        public void release(ClaimEntry claim) {
+            onClaimThread(() -> {
+                try {
+                    metrics.count("platform_call");
+                    claims.release(claim);
+                } catch (PlatformException e) {
+                    metrics.count("platform_call_failed");
+                    LOG.log(Level.INFO, "claim " + claim.digest() + " was not given back: " + e.getMessage());
+                }
+            });
+        }
+
+        private void onClaimThread(Runnable call) {
+            try {
+                claimCalls.execute(call);
+            } catch (RejectedExecutionException e) {
+                metrics.count("platform_call_after_stop");
+            }
+        }
+
         @Override
         public void link(BackendServer server) {
             String address = server.agentAddress();
--- a/router/src/main/java/org/tanagerhinge/router/RouterModule.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterModule.java
@@ -5,7 +5,6 @@
 import jakarta.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
 import org.tanagerhinge.node.daemon.HttpClients;
-import org.tanagerhinge.node.platform.ConfigStore;
 import org.tanagerhinge.node.platform.EtcdStore;
 import org.tanagerhinge.node.platform.PlatformStore;
 import org.tanagerhinge.node.settings.Settings;
@@ -41,7 +40,7 @@
                 settings.value(RouterSettings.LISTEN),
                 settings.value(RouterSettings.SECRET),
                 RouterSettings.options(settings),
-                ConfigStore.in(platform),
+                platform,
                 RouterSettings.pollInterval(settings.value(RouterSettings.ROUTERS)),
                 settings.value(RouterSettings.PEER_IDLE),
                 settings.value(RouterSettings.BODY_KILOBYTES) * KILOBYTE,
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformScene.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformScene.java
@@ -12,7 +12,7 @@
     private final StoreStandin store;
     private final ObjectNode config = JSON.createObjectNode();
     private final ArrayNode routes = config.putArray(PlatformNames.ROUTES);
-    private final ArrayNode services = config.putArray(PlatformNames.SERVICES);
+    private final ArrayNode services = config.putArray("services");
     private final ArrayNode tenants = config.putArray(PlatformNames.TENANTS);
     private String host = "shop.example";
     private long version;
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
@@ -35,7 +35,8 @@
         /** Returns the value of a query's parameter, or an empty text. */
         public String parameter(String name) {
             int query = target.indexOf('?');
-            for (String pair : query < 0 ? new String[0] : target.substring(query + 1).split("&", -1)) {
+            for (String pair :
+                    query < 0 ? new String[0] : target.substring(query + 1).split("&", -1)) {
                 if (pair.startsWith(name + "=")) {
                     return pair.substring(name.length() + 1);
                 }
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StartupTraining.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StartupTraining.java
@@ -59,9 +59,7 @@
     private void play(StoreStandin store) throws IOException, InterruptedException {
         int callers = freePort();
         int status = freePort();
-        Files.writeString(
-                Path.of(settings),
-                """
+        Files.writeString(Path.of(settings), """
                 [gateway]
                 name = training
                 failure_domain = north
@@ -75,8 +73,8 @@
                 retry_ratio = 0.2
                 retry_slack = 50
                 retry_window = 10s
-                """
-                        .formatted(callers, status, freePort(), store.address().getPort()));
+                """.formatted(
+                        callers, status, freePort(), store.address().getPort()));
         HttpClient client =
                 HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
         URI readiness = URI.create("http://127.0.0.1:" + status + PlatformNames.READINESS);
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -144,8 +144,7 @@
             now = mood == Mood.SERVES ? now : mood;
         }
         switch (now) {
-            case SERVES, BUSY ->
-                connection.answer(reply.status(), "Content-Type: application/json\r\n", reply.body());
+            case SERVES, BUSY -> connection.answer(reply.status(), "Content-Type: application/json\r\n", reply.body());
             case RESETS -> connection.reset();
             case SILENT, LOSES_ANSWERS -> Thread.sleep(TimeUnit.HOURS.toMillis(1));
         }
@@ -172,7 +171,9 @@
     private Reply key(String key) {
         Item item = items.get(key);
         ObjectNode body = item == null ? JSON.createObjectNode() : node(key, item);
-        return new Reply(item == null ? 404 : 200, body.put(PlatformNames.STORE_REVISION, revision).toString());
+        return new Reply(
+                item == null ? 404 : 200,
+                body.put(PlatformNames.STORE_REVISION, revision).toString());
     }
 
     private Reply range(String prefix, String after) {
@@ -211,7 +212,8 @@
             }
             long left = until - System.nanoTime();
             if (!events.isEmpty() || left <= 0) {
-                return new Reply(200, body.put(PlatformNames.STORE_REVISION, revision).toString());
+                return new Reply(
+                        200, body.put(PlatformNames.STORE_REVISION, revision).toString());
             }
             TimeUnit.NANOSECONDS.timedWait(this, left);
         }
@@ -239,7 +241,10 @@
             }
         }
         for (JsonNode put : call.path(PlatformNames.PUTS)) {
-            write(put.path("key").asText(), put.path("value").asText(), put.path("lease").asLong(0));
+            write(
+                    put.path("key").asText(),
+                    put.path("value").asText(),
+                    put.path("lease").asLong(0));
         }
         call.path(PlatformNames.REMOVALS).forEach(key -> drop(key.asText()));
         notifyAll();
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
@@ -9,11 +9,9 @@
 import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.id.ProfileName;
 import org.tanagerhinge.core.id.RequestId;
-import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.id.TargetName;
 import org.tanagerhinge.core.id.WorkspaceId;
 import org.tanagerhinge.core.message.Call;
-import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.ClassTerms;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
@@ -51,25 +49,6 @@
             case CREDIT ->
                 new Frame.Credit(
                         packet.getCredit().getAttempt(), packet.getCredit().getUnits());
-            case CLAIM_ASK ->
-                new Frame.ClaimAsk(
-                        packet.getClaimAsk().getSequence(),
-                        packet.getClaimAsk().getEpoch(),
-                        RequestId.of(packet.getClaimAsk().getOwner()),
-                        entry(packet.getClaimAsk().getWanted()),
-                        packet.getClaimAsk().getExpectedGeneration(),
-                        optional(packet.getClaimAsk().getKeyAgeMillis()));
-            case CLAIM_SYNC ->
-                new Frame.ClaimSync(
-                        packet.getClaimSync().getEpoch(),
-                        packet.getClaimSync().getEntriesList().stream()
-                                .map(FrameDecoder::entry)
-                                .toList(),
-                        packet.getClaimSync().getLast());
-            case CLAIM_RELEASE ->
-                new Frame.ClaimRelease(
-                        new KeyDigest(packet.getClaimRelease().getDigest()),
-                        packet.getClaimRelease().getGeneration());
             case QUEUED -> new Frame.Queued(packet.getQueued().getAttempt());
             case STARTED -> new Frame.Started(packet.getStarted().getAttempt());
             case HEAD ->
@@ -101,13 +80,6 @@
                         code(packet.getFailed().getCode()),
                         packet.getFailed().getDetail(),
                         load(packet.getFailed().getLoad()));
-            case CLAIM_REPLY ->
-                new Frame.ClaimReply(
-                        packet.getClaimReply().getSequence(),
-                        Frame.Verdict.values()[packet.getClaimReply().getVerdict()],
-                        packet.getClaimReply().hasEntry()
-                                ? Optional.of(entry(packet.getClaimReply().getEntry()))
-                                : Optional.empty());
             case LOAD -> new Frame.LoadReport(load(packet.getLoad()));
             case HEARTBEAT ->
                 new Frame.Heartbeat(ConfigRevision.of(
@@ -156,16 +128,6 @@
         return Execution.of(new KeyDigest(execution.getDigest()), execution.getGeneration());
     }
 
-    private static ClaimEntry entry(org.tanagerhinge.wire.proto.ClaimEntry entry) {
-        return new ClaimEntry(
-                new KeyDigest(entry.getDigest()),
-                entry.getBody(),
-                ServerId.of(entry.getExecutor()),
-                entry.getExecutorIncarnation(),
-                entry.getGeneration(),
-                entry.getFree());
-    }
-
     private static Load load(LoadState load) {
         return new Load(
                 load.getInFlight(),
@@ -178,10 +140,6 @@
                 load.getAccepting());
     }
 
-    private static Optional<Duration> optional(long millisPlusOne) {
-        return millisPlusOne == 0 ? Optional.empty() : Optional.of(Duration.ofMillis(millisPlusOne - 1));
-    }
-
     private static ResultCode code(int number) {
         return ResultCode.ofNumber(number)
                 .orElseThrow(() -> new IllegalArgumentException("result code " + number + " is not known"));
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
@@ -2,11 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
-import java.time.Duration;
-import java.util.Optional;
 import org.tanagerhinge.core.config.ConfigJson;
 import org.tanagerhinge.core.message.Call;
-import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.Load;
@@ -15,10 +12,6 @@
 import org.tanagerhinge.wire.proto.Attempt;
 import org.tanagerhinge.wire.proto.Cancel;
 import org.tanagerhinge.wire.proto.Chunk;
-import org.tanagerhinge.wire.proto.ClaimAsk;
-import org.tanagerhinge.wire.proto.ClaimRelease;
-import org.tanagerhinge.wire.proto.ClaimReply;
-import org.tanagerhinge.wire.proto.ClaimSync;
 import org.tanagerhinge.wire.proto.Config;
 import org.tanagerhinge.wire.proto.Credit;
 import org.tanagerhinge.wire.proto.Done;
@@ -51,19 +44,6 @@
             case Frame.Credit credit ->
                 packet.setCredit(
                         Credit.newBuilder().setAttempt(credit.attempt()).setUnits(credit.units()));
-            case Frame.ClaimAsk ask ->
-                packet.setClaimAsk(ClaimAsk.newBuilder()
-                        .setSequence(ask.sequence())
-                        .setEpoch(ask.epoch())
-                        .setOwner(ask.owner().value())
-                        .setWanted(entry(ask.wanted()))
-                        .setExpectedGeneration(ask.expectedGeneration())
-                        .setKeyAgeMillis(optional(ask.keyAge())));
-            case Frame.ClaimSync sync -> packet.setClaimSync(claimSync(sync));
-            case Frame.ClaimRelease release ->
-                packet.setClaimRelease(ClaimRelease.newBuilder()
-                        .setDigest(release.digest().hex())
-                        .setGeneration(release.generation()));
             case Frame.Queued queued -> packet.setQueued(attempt(queued.attempt()));
             case Frame.Started started -> packet.setStarted(attempt(started.attempt()));
             case Frame.Head head ->
@@ -95,7 +75,6 @@
                         .setCode(failed.code().number())
                         .setDetail(failed.detail())
                         .setLoad(load(failed.load())));
-            case Frame.ClaimReply reply -> packet.setClaimReply(claimReply(reply));
             case Frame.LoadReport report -> packet.setLoad(load(report.load()));
             case Frame.Heartbeat heartbeat ->
                 packet.setHeartbeat(Revision.newBuilder()
@@ -137,20 +116,6 @@
         return submit.build();
     }
 
-    private static ClaimSync claimSync(Frame.ClaimSync frame) {
-        ClaimSync.Builder sync = ClaimSync.newBuilder().setEpoch(frame.epoch()).setLast(frame.last());
-        frame.entries().forEach(entry -> sync.addEntries(entry(entry)));
-        return sync.build();
-    }
-
-    private static ClaimReply claimReply(Frame.ClaimReply frame) {
-        ClaimReply.Builder reply = ClaimReply.newBuilder()
-                .setSequence(frame.sequence())
-                .setVerdict(frame.verdict().ordinal());
-        frame.entry().ifPresent(entry -> reply.setEntry(entry(entry)));
-        return reply.build();
-    }
-
     private static org.tanagerhinge.wire.proto.Execution execution(Execution execution) {
         return org.tanagerhinge.wire.proto.Execution.newBuilder()
                 .setDigest(execution.digest().hex())
@@ -158,22 +123,6 @@
                 .build();
     }
 
-    private static org.tanagerhinge.wire.proto.ClaimEntry entry(ClaimEntry entry) {
-        return org.tanagerhinge.wire.proto.ClaimEntry.newBuilder()
-                .setDigest(entry.digest().hex())
-                .setBody(entry.body())
-                .setExecutor(entry.executor().value())
-                .setExecutorIncarnation(entry.executorIncarnation())
-                .setGeneration(entry.generation())
-                .setFree(entry.free())
-                .build();
-    }
-
-    /** Returns milliseconds plus one, so that zero can stand for nothing. */
-    private static long optional(Optional<Duration> duration) {
-        return duration.map(length -> length.toMillis() + 1).orElse(0L);
-    }
-
     private static Attempt attempt(long number) {
         return Attempt.newBuilder().setAttempt(number).build();
     }
