Placement: a prompt token to be read weighs twice one that waits before it

Ruled out: memory as the cause; at the traffic's rate a part is used again every 7 s and an engine holds 20 s of them.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -20,6 +20,8 @@
     private static final long FIRST_PAUSE_MILLIS = 120;
     /** What a request in progress weighs, in prompt tokens: about one step of an engine. */
     private static final int RUNNING_TOKENS = 150;
+    /** What a prompt token to be read weighs against one that is read before it. */
+    private static final double READING_WEIGHT = 2;
     /** A server of another failure domain has to be better by this many tokens or requests' worth. */
     private static final int OTHER_DOMAIN_TOKENS = 40;
 
@@ -123,7 +125,7 @@
     }
 
     private double cost(PlacementRequest request, RelayServer server, int toRead) {
-        double cost = server.promptTokensOfAll() + toRead + RUNNING_TOKENS * server.runningOfAll();
+        double cost = server.promptTokensOfAll() + READING_WEIGHT * toRead + RUNNING_TOKENS * server.runningOfAll();
         if (server.runningOfAll() >= server.slots()) {
             cost += (double) RUNNING_TOKENS * 10 * (server.runningOfAll() - server.slots() + 1);
         }
