--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -21,7 +21,7 @@
     /** What a request in progress weighs, in prompt tokens: about one step of an engine. */
     private static final int RUNNING_TOKENS = 150;
     /** What a prompt token to be read weighs against one that is read before it. */
-    private static final double READING_WEIGHT = 2;
+    private static final double READING_WEIGHT = 4;
     /** A server of another failure domain has to be better by this many tokens or requests' worth. */
     private static final int OTHER_DOMAIN_TOKENS = 40;
 
