Servers that owe events and say nothing get no new work; streams leave them; safe requests without an answer go elsewhere

Cause: a server that loses power resets nothing; requests were sent there until its probes ran out after 3 s.

--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayServer.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayServer.java
@@ -13,6 +13,8 @@
     private long promptTokens;
     private int peersRunning;
     private long peersPromptTokens;
+    private int streaming;
+    private long lastHeard = Long.MIN_VALUE;
     private final ServerHealth health = ServerHealth.create();
 
     private RelayServer(Registration registration) {
@@ -111,6 +113,31 @@
         promptTokens -= tokens;
     }
 
+    /** Notes that a stream has begun to bring events. */
+    public void streamBegan() {
+        streaming++;
+    }
+
+    /** Notes that a stream that had begun has ended. */
+    public void streamEnded() {
+        streaming--;
+    }
+
+    /** Notes that the server sent anything at all, at a time in milliseconds. */
+    public void heard(long now) {
+        lastHeard = now;
+    }
+
+    /**
+     * Returns how long the server has said nothing though it owes events, in milliseconds; 0 if it owes none.
+     *
+     * <p>Answers servers that lose power or whose links go dark: nothing is reset then, and requests go on being sent
+     * there until they time out.
+     */
+    public long silentFor(long now) {
+        return streaming > 0 ? now - lastHeard : 0;
+    }
+
     /** Notes that a request has ended, whichever way. */
     public void ended() {
         running--;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -33,8 +33,14 @@
     private static final Logger LOG = System.getLogger(Gateway.class.getName());
     /** Callers that are refused come back after this time and up to twice it, so that they don't return as one wave. */
     private static final int COME_BACK_MILLIS = 300;
-    /** Idle connections are looked through this often, in milliseconds. */
-    private static final long SWEEP_MILLIS = 500;
+    /** Idle connections and silent servers are looked through this often, in milliseconds. */
+    private static final long SWEEP_MILLIS = 250;
+    /** A server that owes events and says nothing for so long gets no new work: twice the longest usual pause. */
+    private static final long SILENT_MILLIS = 500;
+    /** Streams that can be resumed leave a server that has been silent for so long. */
+    private static final long LEAVE_MILLIS = 900;
+    /** If this node itself stood still for longer than this, it can't tell who was silent. */
+    private static final long STOOD_STILL_MILLIS = 2 * SWEEP_MILLIS;
 
     private final EventLoopGroup loop;
     private final Dialect dialect;
@@ -49,6 +55,7 @@
     private Optional<RelayConfig> config = Optional.empty();
     private byte[] configDocument;
     private boolean peersHeard;
+    private long lastSweep;
     private BiConsumer<RelayServer, Prompt> sentListener = (server, prompt) -> {};
     private volatile boolean draining;
     private volatile int inProgress;
@@ -194,7 +201,7 @@
         List<RelayServer> untried = new ArrayList<>();
         int sound = 0;
         for (RelayServer server : open) {
-            boolean fine = server.health().usable(now);
+            boolean fine = server.health().usable(now) && !silent(server, now);
             sound += fine ? 1 : 0;
             if (!tried.contains(server.id())) {
                 untried.add(server);
@@ -212,6 +219,10 @@
         return usable.isEmpty() || sound * 2 < open.size() ? untried : usable;
     }
 
+    private boolean silent(RelayServer server, long now) {
+        return now - lastSweep < STOOD_STILL_MILLIS && server.silentFor(now) > SILENT_MILLIS;
+    }
+
     void attemptFailed(Route route, RelayServer server, AttemptEnd end, String why) {
         count("attempt_" + end.name().toLowerCase(java.util.Locale.ROOT));
         LOG.log(Level.INFO, "attempt of " + route.name() + " at " + server.id() + ": " + end + ", " + why);
@@ -309,6 +320,13 @@
 
     private void sweep() {
         long now = now();
+        boolean stoodStill = now - lastSweep > STOOD_STILL_MILLIS;
+        lastSweep = now;
+        if (stoodStill) {
+            directory.all().forEach(server -> server.heard(now));
+        } else {
+            Set.copyOf(exchanges).forEach(exchange -> exchange.leaveSilentServer(LEAVE_MILLIS));
+        }
         Set.copyOf(callers).forEach(caller -> caller.sweep(now));
         pool.sweep();
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -36,6 +36,8 @@
 final class RelayExchange {
     /** Answers up to this size are held until they are whole, so that a broken one can be asked for again, in bytes. */
     private static final int MOST_HELD = 256 * 1024;
+    /** A safe request that has no answer after this many times its target is tried elsewhere. */
+    private static final int PATIENCE = 3;
     /** Longest idle time of a connection for a request that can't be sent again if its close crosses it. */
     private static final long FRESH_MILLIS = 1_500;
 
@@ -228,6 +230,17 @@
         end();
     }
 
+    /** Goes on elsewhere if the server of a stream that can be resumed has fallen silent. */
+    void leaveSilentServer(long silentMillis) {
+        if (attempt != null
+                && attempt.streaming
+                && route.resumable()
+                && attempt.server.silentFor(gateway.now()) > silentMillis) {
+            attempt.connection.abort();
+            attempt.fail(AttemptEnd.SILENT, "server fell silent");
+        }
+    }
+
     /** The caller reads again, or has stopped reading. */
     void callerWritable(boolean writable) {
         if (attempt != null && attempt.connection != null) {
@@ -274,6 +287,8 @@
         private boolean reading = true;
         private boolean done;
         private boolean paid;
+        private boolean streaming;
+        private Future<?> patience;
         private HttpResponse answer;
         private CompositeByteBuf held;
         private EventSplitter events;
@@ -310,10 +325,25 @@
             sent = true;
             connection.reading(caller.writable());
             connection.send(requestTo(server), terms.attemptId(), this);
+            if (route.kind() == RouteKind.SAFE && route.targetMillis() > 0) {
+                patience = gateway.schedule(this::tooSilent, PATIENCE * route.targetMillis());
+            }
+        }
+
+        /** The server has said nothing for so long that another one is the better choice. */
+        private void tooSilent() {
+            boolean mayRepeat =
+                    RetryRules.mayRepeat(route, AttemptEnd.SILENT, runs + 1, sends, giveUpAt - gateway.now());
+            if (!done && answer == null && mayRepeat && gateway.budget().take(service, gateway.now())) {
+                paid = true;
+                connection.abort();
+                fail(AttemptEnd.SILENT, "no answer in time");
+            }
         }
 
         @Override
         public void head(HttpResponse response, AnswerTerms answerTerms) {
+            server.heard(gateway.now());
             answerTerms.load().ifPresent(load -> gateway.load(server, load));
             if (response.status().code() == 421) {
                 gateway.replaced(server);
@@ -381,6 +411,7 @@
         }
 
         private void stream(ByteBuf bytes) {
+            server.heard(gateway.now());
             for (EventSplitter.Event event : events.feed(bytes)) {
                 noteRead();
                 if (done || (event.id() >= 0 && event.id() <= lastEvent)) {
@@ -483,6 +514,10 @@
         }
 
         private void noteRead() {
+            if (!streaming) {
+                streaming = true;
+                server.streamBegan();
+            }
             if (reading) {
                 reading = false;
                 server.read(placed.tokensToRead());
@@ -495,6 +530,12 @@
                 return;
             }
             done = true;
+            if (patience != null) {
+                patience.cancel(false);
+            }
+            if (streaming) {
+                server.streamEnded();
+            }
             if (reading) {
                 reading = false;
                 server.read(placed.tokensToRead());
