Callers wait in the socket's queue while a gateway starts, and for its first configuration

Change: the socket for callers is opened first, from a look at the settings file; a request that comes before the first configuration waits for it, 0.4 s at the most.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -146,17 +146,20 @@
         if (config.isPresent() && config.get().version() >= newer.version()) {
             return false;
         }
+        boolean wasInformed = informed();
         config = Optional.of(newer);
         configDocument = document;
         LOG.log(Level.INFO, "configuration " + newer.version() + " in force, " + newer.routeCount() + " routes");
         if (placement instanceof PromptAware aware) {
             aware.tightestPause(newer.tightestPause());
         }
+        tellWaiting(wasInformed);
         return true;
     }
 
     /** Takes a list of registered servers that was asked for at a time; returns whether it changed anything. */
     boolean apply(List<Registration> registrations, long askedAt) {
+        boolean wasInformed = informed();
         List<ServerChange> changes = directory.apply(registrations, askedAt);
         for (ServerChange change : changes) {
             LOG.log(Level.INFO, "server " + change.id() + " of " + change.service() + ": " + change.kind());
@@ -164,6 +167,7 @@
                 aware.memory().forget(change.id());
             }
         }
+        tellWaiting(wasInformed);
         return !changes.isEmpty();
     }
 
@@ -291,7 +295,18 @@
 
     /** Returns whether this node should be given new connections. */
     boolean ready() {
-        return !draining && config.isPresent() && directory.known();
+        return !draining && informed();
+    }
+
+    /** Returns whether this node knows a configuration and the servers. */
+    boolean informed() {
+        return config.isPresent() && directory.known();
+    }
+
+    private void tellWaiting(boolean wasInformed) {
+        if (!wasInformed && informed()) {
+            Set.copyOf(exchanges).forEach(RelayExchange::informed);
+        }
     }
 
     boolean draining() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -16,7 +16,9 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.tanagerhinge.core.relay.Placement;
@@ -57,17 +59,19 @@
      * Starts a gateway.
      *
      * @param store makes the client of the platform's store on the gateway's event loop
+     * @param early the socket for callers, if it was opened already
      */
     public static GatewayDaemon start(
             GatewayOptions options,
             Dialect dialect,
             Placement placement,
-            Function<EventLoopGroup, MetadataStore> store) {
+            Function<EventLoopGroup, MetadataStore> store,
+            Optional<ServerSocketChannel> early) {
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         NodeMetrics metrics = NodeMetrics.create();
         Gateway gateway = Gateway.create(loop, dialect, options, metrics, placement);
         GatewayDaemon daemon = new GatewayDaemon(loop, gateway, metrics, options);
-        daemon.open();
+        daemon.open(early);
         MetadataStore client = store.apply(loop);
         Peers peers = Peers.open(gateway, loop, document -> decode(client, document));
         gateway.onSent(peers::sent);
@@ -83,7 +87,7 @@
         }
     }
 
-    private void open() {
+    private void open(Optional<ServerSocketChannel> early) {
         listen(options.status(), new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -101,7 +105,7 @@
                         .addLast(new HttpServerCodec(), new HttpObjectAggregator(HEADERS), new PeerDoor(gateway));
             }
         });
-        door = listen(options.listen(), new ChannelInitializer<Channel>() {
+        ChannelHandler callers = new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 HttpDecoderConfig limits = new HttpDecoderConfig()
@@ -110,10 +114,22 @@
                         .setMaxChunkSize(CHUNK);
                 channel.pipeline().addLast(new HttpServerCodec(limits), new CallerConnection(gateway));
             }
-        });
+        };
+        door = early.map(socket -> takeOver(socket, callers)).orElseGet(() -> listen(options.listen(), callers));
         LOG.log(Level.INFO, "listening on " + options.listen());
     }
 
+    private Channel takeOver(ServerSocketChannel socket, ChannelHandler handler) {
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(() -> new NioServerSocketChannel(socket))
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(handler)
+                .register()
+                .syncUninterruptibly()
+                .channel();
+    }
+
     private Channel listen(InetSocketAddress address, ChannelHandler handler) {
         return new ServerBootstrap()
                 .group(loop)
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -36,6 +36,11 @@
 final class RelayExchange {
     /** Answers up to this size are held until they are whole, so that a broken one can be asked for again, in bytes. */
     private static final int MOST_HELD = 256 * 1024;
+    /**
+     * How long a request waits for a gateway that has just started to learn its configuration: that takes a tenth of a
+     * second, and a caller that is sent away comes back later than that.
+     */
+    private static final long START_MILLIS = 400;
     /** A safe request that has no answer after this many times its target is tried elsewhere. */
     private static final int PATIENCE = 3;
     /** Longest idle time of a connection for a request that can't be sent again if its close crosses it. */
@@ -81,12 +86,29 @@
     /** Finds the route and sends the request, or refuses it. */
     void start() {
         gateway.began(this);
-        Optional<RelayConfig> inForce = gateway.config();
-        if (inForce.isEmpty() || !gateway.directory().known()) {
-            refuse(Refusal.notRun(ResultCode.NOT_READY, gateway.comeBackMillis()));
+        if (!gateway.informed()) {
+            timer = gateway.schedule(this::notInformed, START_MILLIS);
             return;
         }
-        config = inForce.get();
+        resolve();
+    }
+
+    /** The gateway has its first configuration and server list: whoever waited for them goes on. */
+    void informed() {
+        if (!over && route == null && timer != null) {
+            timer.cancel(false);
+            resolve();
+        }
+    }
+
+    private void notInformed() {
+        if (!over && route == null) {
+            refuse(Refusal.notRun(ResultCode.NOT_READY, gateway.comeBackMillis()));
+        }
+    }
+
+    private void resolve() {
+        config = gateway.config().orElseThrow();
         Optional<Route> found = config.route(head.headers().get(HttpHeaderNames.HOST), head.uri());
         if (found.isEmpty()) {
             refuse(Refusal.of(404, ResultCode.UNKNOWN_PATH));
