--- a/core/src/main/java/org/tanagerhinge/core/relay/DemandMeter.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/DemandMeter.java
@@ -5,9 +5,15 @@
     /** Time constant of the rates: long enough to smooth single long prompts, short enough to follow a burst. */
     private static final double FADE_MILLIS = 1_500;
 
+    /** Size of a short prompt taken until some came, in tokens. */
+    private static final double FIRST_SHORT_PROMPT = 800;
+    /** Weight of the newest short prompt in their mean size. */
+    private static final double NEWEST = 0.02;
+
     private int shortRunning;
     private double shortTokens;
     private double longTokens;
+    private double shortPrompt = FIRST_SHORT_PROMPT;
     private long last;
 
     private DemandMeter(long now) {
@@ -26,6 +32,7 @@
             longTokens += tokens;
         } else {
             shortTokens += tokens;
+            shortPrompt += NEWEST * (tokens - shortPrompt);
             shortRunning++;
         }
     }
@@ -35,6 +42,11 @@
         shortRunning--;
     }
 
+    /** Returns the mean tokens that have to be read for a short prompt. */
+    public double shortPrompt() {
+        return shortPrompt;
+    }
+
     /** Returns the demand at a time. */
     public LaneDemand demand(long now) {
         fade(now);
--- a/core/src/main/java/org/tanagerhinge/core/relay/Lanes.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Lanes.java
@@ -12,8 +12,10 @@
 public final class Lanes {
     /** Share of an engine's slots that short requests may fill: the rest absorbs what peers send unseen. */
     private static final double SLOTS_FILLED = 0.8;
-    /** Share of an engine's time that the reading of short prompts may take: more makes the pauses of the others long. */
-    private static final double SHORT_READING = 0.35;
+    /** Part of the allowed pause that the reading of other prompts may fill; the rest are the steps themselves. */
+    private static final double PAUSE_FILLED = 0.85;
+    /** How many standard deviations above the mean the prompts that arrive within one pause must still fit into it. */
+    private static final double DEVIATIONS = 1.5;
     /** Share of an engine's time that the reading of long prompts may take: more makes them wait for each other. */
     private static final double LONG_READING = 0.6;
 
@@ -25,15 +27,17 @@
      * @param engines how many take new work
      * @param slots requests that one runs at once
      * @param tokensPerMilli prompt tokens that one reads in a millisecond
+     * @param shortReading share of an engine's time that the reading of short prompts may take
      */
-    public static int shortEngines(int engines, int slots, LaneDemand demand, double tokensPerMilli) {
+    public static int shortEngines(
+            int engines, int slots, LaneDemand demand, double tokensPerMilli, double shortReading) {
         if (engines <= 1 || demand.longTokens() <= 0) {
             return engines;
         }
         double perSecond = tokensPerMilli * 1000;
         double needShort = Math.max(
                 demand.shortRunning() / (SLOTS_FILLED * Math.max(1, slots)),
-                demand.shortTokens() / (SHORT_READING * perSecond));
+                demand.shortTokens() / (shortReading * perSecond));
         double needLong = demand.longTokens() / (LONG_READING * perSecond);
         double share = needShort;
         if (needShort + needLong > engines) {
@@ -41,4 +45,20 @@
         }
         return (int) Math.min(engines - 1, Math.max(1, Math.ceil(share)));
     }
+
+    /**
+     * Returns the share of an engine's time that the reading of short prompts may take, so that streams beside it seldom
+     * pause longer than they may.
+     *
+     * <p>Prompts arrive by chance: their number within one pause has about its mean as variance. The mean is chosen such
+     * that so many deviations more still fit.
+     *
+     * @param pauseMillis pause that is allowed
+     * @param promptMillis time that the reading of one short prompt takes
+     */
+    public static double shortReading(double pauseMillis, double promptMillis) {
+        double fit = PAUSE_FILLED * pauseMillis / promptMillis;
+        double root = Math.sqrt(DEVIATIONS * DEVIATIONS / 4 + fit) - DEVIATIONS / 2;
+        return root * root * promptMillis / pauseMillis;
+    }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -139,8 +139,13 @@
     private List<RelayServer> lane(PlacementRequest request, List<RelayServer> candidates, long now) {
         String service = request.service().name();
         LaneDemand demand = meter(service, now).demand(now).plus(peers.getOrDefault(service, LaneDemand.NONE));
-        int shortEngines =
-                Lanes.shortEngines(candidates.size(), request.service().slots(), demand, speed.tokensPerMilli());
+        double promptMillis = Math.max(1, meter(service, now).shortPrompt() / speed.tokensPerMilli());
+        int shortEngines = Lanes.shortEngines(
+                candidates.size(),
+                request.service().slots(),
+                demand,
+                speed.tokensPerMilli(),
+                Lanes.shortReading(tightestPause, promptMillis));
         if (shortEngines >= candidates.size()) {
             return candidates;
         }
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -223,7 +223,17 @@
         "1,  50,  15000, 60000,  1",
     })
     void shortPromptsGetAsFewEnginesAsHoldThem(int engines, int running, double shorts, double longs, int expected) {
-        assertEquals(expected, Lanes.shortEngines(engines, 48, new LaneDemand(running, shorts, longs), 42.8));
+        assertEquals(expected, Lanes.shortEngines(engines, 48, new LaneDemand(running, shorts, longs), 42.8, 0.35));
+    }
+
+    /** Load: short prompts that arrive by chance beside streams; the quicker each is read, the more may be read in all. */
+    @Test
+    void quickerReadingAndLongerPausesLeaveMoreOfAnEnginesTimeForReading() {
+        double slow = Lanes.shortReading(120, 19.3);
+        double quick = Lanes.shortReading(150, 11.8);
+        assertEquals(0.45, slow, 0.01);
+        assertEquals(0.54, quick, 0.01);
+        assertTrue(Lanes.shortReading(120, 1) < 0.85);
     }
 
     private static Prompt prompt(int tokens, String shared) {
