Own interface: unknown services are 404, unparsable requests have a numbered result, unread bodies end the connection

Cause: an unknown service was answered 400 when the profile was unknown too; the HTTP library's refusals had no number; a refusal that leaves a body unread did not say that the connection ends, so the caller's next request could be cut (seen once: WholePathTest.anUnknownKeyIsRefused after the 413 test; the new assertion fails on the code before). Ruled out: the new tests themselves; only their order made the race show.

--- a/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.core.relay;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** A policy that chooses the backend server of a request. */
@@ -23,6 +24,23 @@
     /** Notes that a request that was sent has ended, whichever way. */
     void ended(PlacementRequest request, long now);
 
+    /** Takes the tightest pause between events that a route allows, in milliseconds; 0 if none states one. */
+    default void tightestPause(long millis) {}
+
+    /** Notes that another node gave an engine parts of a prompt to read. */
+    default void kept(RelayServer server, ServiceTerms service, List<PromptPart> parts) {}
+
+    /** Forgets what is known of a server that has ended. */
+    default void forget(String serverId) {}
+
+    /** Returns the demand of this node's own callers by service, for the other nodes. */
+    default Map<String, LaneDemand> demands(long now) {
+        return Map.of();
+    }
+
+    /** Takes the demand that the other nodes tell of, added up by service. */
+    default void peers(Map<String, LaneDemand> demands) {}
+
     /**
      * A choice.
      *
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -39,41 +39,40 @@
         return new PromptAware();
     }
 
-    /** Sets the tightest pause between events that a route allows, in milliseconds. */
+    @Override
     public void tightestPause(long millis) {
         tightestPause = millis > 0 ? millis : FIRST_PAUSE_MILLIS;
     }
 
     /** Returns whether a prompt is long: reading it makes the streams beside it pause. */
-    public boolean isLong(Prompt prompt) {
+    private boolean isLong(Prompt prompt) {
         return prompt.inputTokens() > LONG_SHARE * tightestPause * speed.tokensPerMilli();
     }
 
-    /** Returns the meter of a service's demand. */
-    public DemandMeter meter(String service, long now) {
+    private DemandMeter meter(String service, long now) {
         return meters.computeIfAbsent(service, name -> DemandMeter.create(now));
     }
 
-    /** Takes the demand that the other nodes tell of, added up by service. */
+    @Override
     public void peers(Map<String, LaneDemand> demands) {
         peers = Map.copyOf(demands);
     }
 
-    /** Returns the demand of this node's own callers by service. */
+    @Override
     public Map<String, LaneDemand> demands(long now) {
         Map<String, LaneDemand> demands = new HashMap<>();
         meters.forEach((service, meter) -> demands.put(service, meter.demand(now)));
         return demands;
     }
 
-    /** Returns the measured reading speed of engines. */
-    public SpeedMeter speed() {
-        return speed;
+    @Override
+    public void kept(RelayServer server, ServiceTerms service, List<PromptPart> parts) {
+        memory.keep(server.id(), parts, service.memoryTokens());
     }
 
-    /** Returns what servers hold. */
-    public PrefixMemory memory() {
-        return memory;
+    @Override
+    public void forget(String serverId) {
+        memory.forget(serverId);
     }
 
     @Override
--- a/core/src/main/java/org/tanagerhinge/core/router/Desk.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Desk.java
@@ -44,6 +44,11 @@
         if (workspace == null) {
             return wrong(ResultCode.UNKNOWN_KEY, "the bearer key is missing or belongs to no workspace");
         }
+        if (!served(arrival)) {
+            return wrong(
+                    arrival.kind() == ServerKind.MODEL ? ResultCode.UNKNOWN_MODEL : ResultCode.UNKNOWN_SERVICE,
+                    unknownTarget(arrival));
+        }
         Optional<Profile> profile = config.profiles().profiles().stream()
                 .filter(each -> each.name().value().equals(arrival.profile()))
                 .findFirst();
@@ -56,11 +61,6 @@
                     ResultCode.BAD_IDEMPOTENCY_KEY,
                     "Idempotency-Key: expected 1 to " + LONGEST_KEY + " printable characters");
         }
-        if (!served(arrival)) {
-            return wrong(
-                    arrival.kind() == ServerKind.MODEL ? ResultCode.UNKNOWN_MODEL : ResultCode.UNKNOWN_SERVICE,
-                    unknownTarget(arrival));
-        }
         return new Resolution.Known(workspace, profile.get(), TargetName.of(arrival.target()));
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -17,7 +17,6 @@
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.Prompt;
-import org.tanagerhinge.core.relay.PromptAware;
 import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.Registration;
 import org.tanagerhinge.core.relay.RelayConfig;
@@ -150,9 +149,7 @@
         config = Optional.of(newer);
         configDocument = document;
         LOG.log(Level.INFO, "configuration " + newer.version() + " in force, " + newer.routeCount() + " routes");
-        if (placement instanceof PromptAware aware) {
-            aware.tightestPause(newer.tightestPause());
-        }
+        placement.tightestPause(newer.tightestPause());
         tellWaiting(wasInformed);
         return true;
     }
@@ -163,8 +160,8 @@
         List<ServerChange> changes = directory.apply(registrations, askedAt);
         for (ServerChange change : changes) {
             LOG.log(Level.INFO, "server " + change.id() + " of " + change.service() + ": " + change.kind());
-            if (change.kind() == ServerChange.Kind.GONE && placement instanceof PromptAware aware) {
-                aware.memory().forget(change.id());
+            if (change.kind() == ServerChange.Kind.GONE) {
+                placement.forget(change.id());
             }
         }
         tellWaiting(wasInformed);
@@ -172,14 +169,10 @@
     }
 
     /** Notes that a peer gave an engine parts of a prompt to read. */
-    void keeps(PromptAware aware, String serverId, List<PromptPart> parts) {
+    void keeps(String serverId, List<PromptPart> parts) {
         RelayServer server = directory.server(serverId);
         if (server != null && config.isPresent()) {
-            aware.memory()
-                    .keep(
-                            serverId,
-                            parts,
-                            config.get().service(server.service()).memoryTokens());
+            placement.kept(server, config.get().service(server.service()), parts);
         }
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -19,6 +19,12 @@
         InetSocketAddress status,
         InetSocketAddress peers,
         Bounds bounds) {
+    /** Returns these options with no budget for repeats: the plain baseline that the product is compared with. */
+    public GatewayOptions withoutRetries() {
+        Bounds none = new Bounds(bounds.stopTimeout(), 0, 0, bounds.retryWindow());
+        return new GatewayOptions(name, domain, listen, status, peers, none);
+    }
+
     /**
      * Bounds within which the platform wants things done.
      *
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -22,11 +22,9 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import org.tanagerhinge.core.relay.LaneDemand;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PeerTable;
 import org.tanagerhinge.core.relay.Prompt;
-import org.tanagerhinge.core.relay.PromptAware;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
 
@@ -118,7 +116,7 @@
         }
     }
 
-    /** Notes that an engine was given a prompt's parts to read, to be told with the next report. */
+    /** Notes that a server was given a request: its prompt's parts are told with the next report. */
     void sent(RelayServer server, Prompt prompt) {
         tellIfDue(prompt.inputTokens());
         if (kept.size() < MOST_KEPT && prompt.parts().size() > 1) {
@@ -165,8 +163,6 @@
                 uses.put(server.id(), new PeerReport.Use(server.running(), server.promptTokens()));
             }
         }
-        Map<String, LaneDemand> demands =
-                gateway.placement() instanceof PromptAware aware ? aware.demands(now) : Map.of();
         return new PeerReport(
                 gateway.options().name(),
                 incarnation,
@@ -177,7 +173,7 @@
                 gateway.directory().known() ? now - gateway.directory().lastList() : Integer.MAX_VALUE,
                 gateway.directory().digest(),
                 uses,
-                demands);
+                gateway.placement().demands(now));
     }
 
     private void hear(PeerCodec.Told told) {
@@ -188,10 +184,8 @@
         }
         add(report.address());
         gateway.budget().nodes(table.nodes());
-        if (gateway.placement() instanceof PromptAware aware) {
-            for (PeerCodec.Kept parts : told.kept()) {
-                gateway.keeps(aware, parts.server(), parts.parts());
-            }
+        for (PeerCodec.Kept parts : told.kept()) {
+            gateway.keeps(parts.server(), parts.parts());
         }
         takeSums();
         if (report.configVersion() > gateway.config().map(RelayConfig::version).orElse(0L)) {
@@ -222,9 +216,7 @@
             PeerReport.Use use = uses.getOrDefault(server.id(), none);
             server.peers(use.running(), use.promptTokens());
         }
-        if (gateway.placement() instanceof PromptAware aware) {
-            aware.peers(table.demands(now));
-        }
+        gateway.placement().peers(table.demands(now));
     }
 
     private void askConfig(PeerReport ahead) {
--- a/harness/src/test/java/org/tanagerhinge/bench/WholePathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/WholePathTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.BufferingResponseListener;
@@ -15,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.bench.cluster.LocalCluster;
 import org.tanagerhinge.core.config.ServerMark;
 import org.tanagerhinge.standin.Answers;
@@ -82,11 +86,43 @@
     }
 
     @Test
-    void aBodyOverTheLimitIsRefused() throws Exception {
+    void anUnknownServiceIsNotFoundWhateverProfileIsNamed() throws Exception {
+        String url = cluster.routerUrls().get(0) + "/v1/services/nowhere/x";
+        ContentResponse response =
+                Callers.post(cluster.http(), url, "none", "{}", Map.of()).send();
+        assertEquals(404, response.getStatus());
+        assertEquals("1004", response.getHeaders().get("X-Tanagerhinge-Result"));
+    }
+
+    /**
+     * Symptom: a refusal without a numbered result. Events: a header holds a line break, and the HTTP library refuses the
+     * request before the router sees it. Cause: only the router's own refusals were numbered.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"Idempotency-Key: a\n b", "Idempotency-Key: a\u0000b"})
+    void aRequestThatCannotBeParsedIsRefusedWithANumberedResult(String header) throws Exception {
+        URI url = URI.create(cluster.routerUrls().get(0));
+        try (Socket socket = new Socket(url.getHost(), url.getPort())) {
+            String text = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + header
+                    + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 4"), answer);
+            assertTrue(answer.contains("X-Tanagerhinge-Result: 10"), answer);
+        }
+    }
+
+    /**
+     * Symptom: a request after one that was refused for its size was cut off. Events: the router refuses without reading
+     * the body and closes the connection; the caller sends the next request on it. Cause: the answer did not say so.
+     */
+    @Test
+    void aBodyOverTheLimitIsRefusedAndTheCallerToldThatTheConnectionEnds() throws Exception {
         String url = cluster.routerUrls().get(0) + "/v1/chat/completions";
         ContentResponse response = Callers.post(cluster.http(), url, "chat", "x".repeat(2 << 20), Map.of())
                 .send();
         assertEquals(413, response.getStatus());
+        assertEquals("close", response.getHeaders().get("Connection"));
         assertEquals("1005", response.getHeaders().get("X-Tanagerhinge-Result"));
     }
 
--- a/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
@@ -12,8 +12,10 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.result.TanagerhingeException;
 
 /** A Jetty server on one address, with plain pages such as {@code /metrics} before a handler of the daemon's own. */
@@ -40,6 +42,8 @@
         }
     }
 
+    private static final String RESULT_HEADER = "X-Tanagerhinge-Result";
+
     private final Server server;
     private final ServerConnector connector;
 
@@ -69,6 +73,7 @@
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
         server.addConnector(connector);
         server.setHandler(new PageHandler(pages, other));
+        server.setErrorHandler(new NumberedErrors());
         try {
             server.start();
         } catch (Exception e) {
@@ -114,4 +119,26 @@
             return true;
         }
     }
+
+    /** Answers requests that cannot even be parsed with a numbered result, as every other refusal has one. */
+    private static final class NumberedErrors extends ErrorHandler {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            ResultCode code = code(response.getStatus());
+            response.getHeaders().put(RESULT_HEADER, Integer.toString(code.number()));
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
+            Content.Sink.write(response, true, code.meaning() + "\n", callback);
+            return true;
+        }
+
+        private static ResultCode code(int status) {
+            return switch (status) {
+                case 404 -> ResultCode.UNKNOWN_PATH;
+                case 405 -> ResultCode.BAD_METHOD;
+                case 413 -> ResultCode.BODY_TOO_LARGE;
+                case 431 -> ResultCode.HEADER_TOO_LONG;
+                default -> status < 500 ? ResultCode.MALFORMED_BODY : ResultCode.INTERNAL;
+            };
+        }
+    }
 }
--- a/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -49,6 +50,10 @@
         Optional<Refusal> wrong = wrongHead(request, path);
         if (wrong.isPresent()) {
             daemon.countRefusal(wrong.get());
+            if (request.getLength() != 0) {
+                // The body stays unread, so the connection ends; a caller that isn't told sends its next request on it.
+                response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+            }
             refusing.refuse(wrong.get());
             return true;
         }
