Peers that report seldom are away later; links of a router in a file of their own

Cause: reports to n peers are bounded in number, so with more than 12 gateways they come less often than the fixed 0.7 s after which a peer counted as away; several gateways would read the store by turns and forget each other's load. Change: a report says when the next one comes; away is 2.5 of that.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -11,6 +11,7 @@
  * @param storeAnswers whether the platform's store has answered its newest calls
  * @param serversAgeMillis time since its server list was asked for
  * @param serversDigest equal for equal server lists
+ * @param intervalMillis time until its next report at the latest
  * @param uses what it has in progress, by backend server
  * @param demands what its callers ask, by service
  */
@@ -23,6 +24,7 @@
         long configVersion,
         long serversAgeMillis,
         long serversDigest,
+        long intervalMillis,
         Map<String, Use> uses,
         Map<String, LaneDemand> demands) {
     /** Requests in progress at a backend server, and prompt tokens that it still has to read for them. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -14,7 +14,9 @@
  * turns away is replaced as soon as its silence or its report shows it.
  */
 public final class PeerTable {
-    /** A peer that wasn't heard for this long counts as away: several reports in a row were lost. */
+    /** A peer that wasn't heard for this many of its intervals counts as away: reports were lost or it is gone. */
+    private static final double AWAY_INTERVALS = 2.5;
+    /** A peer counts as away after this long at the least, in milliseconds. */
     private static final long AWAY_MILLIS = 700;
     /** A peer that wasn't heard for this long is forgotten, and no longer counts for the shared budget. */
     private static final long FORGET_MILLIS = 30_000;
@@ -68,7 +70,8 @@
 
     /** Returns whether a peer was heard of late. */
     public static boolean present(Peer peer, long now) {
-        return now - peer.heardAt() <= AWAY_MILLIS;
+        return now - peer.heardAt()
+                <= Math.max(AWAY_MILLIS, AWAY_INTERVALS * peer.report().intervalMillis());
     }
 
     /** Returns whether any peer was heard of late. */
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.tanagerhinge.core.claim.ClaimDecision;
-import org.tanagerhinge.core.config.BackendServer;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
 import org.tanagerhinge.core.config.ServerKind;
@@ -39,7 +38,6 @@
 public final class RouterCore {
     private static final Duration ASK_AGAIN = Duration.ofMillis(200);
     private static final Duration COME_BACK = Duration.ofSeconds(1);
-    private static final Duration DEMAND_LINK_IDLE = Duration.ofMinutes(1);
     private static final long MODEL_CREDIT_WORTH = 64;
     private static final long SERVICE_CREDIT_WORTH = 64 * 1024;
     private static final long PROMPT_TOKENS_PER_UNIT = 16;
@@ -55,6 +53,7 @@
     private final RouterPort port;
     private final InvariantMonitor monitor;
     private final ServerTable servers;
+    private final AgentLinks links;
     private final Balancer balancer;
     private final RetryBudgets budgets;
     private final LengthEstimator lengths = new LengthEstimator();
@@ -81,6 +80,7 @@
         this.port = port;
         this.monitor = monitor;
         this.servers = new ServerTable(self.name(), options.linksPerTarget());
+        this.links = new AgentLinks(servers, port, options.heartbeat(), this::inUse, this::onLinkDown);
         this.balancer = new Balancer(options.failureDomain(), random);
         this.budgets = new RetryBudgets(options.retryRatio(), options.retryBurst());
     }
@@ -285,20 +285,6 @@
         port.claim(exchange.claimSequence(), wanted, exchange.expectedGeneration());
     }
 
-    private boolean isLinked(ServerId id) {
-        return servers.find(id).map(ServerView::linked).orElse(false);
-    }
-
-    private void linkOnDemand(ServerId id) {
-        if (servers.find(id).isEmpty()) {
-            config.servers().server(id).ifPresent(server -> {
-                servers.add(server);
-                port.link(server);
-            });
-        }
-        servers.find(id).ifPresent(view -> view.lastUsed(now()));
-    }
-
     /** The platform's store has decided a claim, or did not answer. */
     public void onClaimDecided(long sequence, ClaimDecision decision) {
         Exchange exchange = byClaim.get(sequence);
@@ -316,7 +302,7 @@
         byClaim.remove(exchange.claimSequence());
         exchange.claim(entry);
         exchange.followed(null);
-        if (isLinked(exchange.server())) {
+        if (links.isLinked(exchange.server())) {
             submit(exchange);
         } else {
             exchange.machine().fire(ExchangeEvent.RETURN);
@@ -344,8 +330,8 @@
     private void attach(Exchange exchange) {
         exchange.waitingSince(now());
         exchange.lastAsked(now());
-        linkOnDemand(exchange.server());
-        if (exchange.attached() || !isLinked(exchange.server())) {
+        links.demand(exchange.server(), now());
+        if (exchange.attached() || !links.isLinked(exchange.server())) {
             return;
         }
         Execution execution = exchange.followed()
@@ -654,7 +640,7 @@
     /** Tells the agent that nobody waits; a keyed request runs on, so that a repeat of the key finds its result. */
     private void letGo(Exchange exchange) {
         boolean out = exchange.in(ExchangeState.SUBMITTED) || exchange.in(ExchangeState.RUNNING);
-        if (out && isLinked(exchange.server())) {
+        if (out && links.isLinked(exchange.server())) {
             port.send(exchange.server(), new Frame.Cancel(exchange.attempt(), exchange.keyed()));
         }
     }
@@ -692,48 +678,14 @@
         config = merged;
         desk.config(config);
         port.applied(config);
-        if (serversChanged) {
-            relink();
-        }
-        Frame.Heartbeat news = new Frame.Heartbeat(config.revision());
-        for (ServerView view : List.copyOf(servers.all())) {
-            if (view.linked()) {
-                port.send(view.server().id(), news);
-            }
-        }
-    }
-
-    private void relink() {
-        Set<ServerId> wanted = servers.wanted(config.servers());
-        for (ServerView view : List.copyOf(servers.all())) {
-            ServerId id = view.server().id();
-            Optional<BackendServer> listed = config.servers().server(id);
-            boolean moved = listed.isEmpty()
-                    || !listed.get().agentAddress().equals(view.server().agentAddress());
-            listed.ifPresent(view::server);
-            if (moved || (!wanted.contains(id) && !inUse(id))) {
-                unlink(id);
-            }
-        }
-        for (ServerId id : wanted) {
-            if (servers.find(id).isEmpty()) {
-                BackendServer server = config.servers().server(id).orElseThrow();
-                servers.add(server);
-                port.link(server);
-            }
-        }
+        links.config(config, serversChanged);
+        links.tellRevision();
     }
 
     private boolean inUse(ServerId id) {
         return exchanges.values().stream().anyMatch(exchange -> id.equals(exchange.server()));
     }
 
-    private void unlink(ServerId id) {
-        onLinkDown(id);
-        servers.remove(id);
-        port.unlink(id);
-    }
-
     /** Begins a planned stop: no new requests, those in progress are finished. */
     public void beginStop() {
         stopping = true;
@@ -748,8 +700,7 @@
             }
         }
         judgeServers(now);
-        heartbeats(now);
-        closeIdleDemandLinks(now);
+        links.tick(now);
     }
 
     private void watch(Exchange exchange, Instant now) {
@@ -804,33 +755,6 @@
         }
     }
 
-    private void heartbeats(Instant now) {
-        for (ServerView view : servers.all()) {
-            boolean due = view.lastSent().equals(Instant.MIN)
-                    || !view.lastSent().plus(options.heartbeat()).isAfter(now);
-            if (view.linked() && due) {
-                view.lastSent(now);
-                port.send(view.server().id(), new Frame.Heartbeat(config.revision()));
-            }
-        }
-    }
-
-    private void closeIdleDemandLinks(Instant now) {
-        Set<ServerId> wanted = servers.all().isEmpty() ? Set.of() : null;
-        for (ServerView view : List.copyOf(servers.all())) {
-            ServerId id = view.server().id();
-            boolean idle = !view.lastUsed().equals(Instant.MIN)
-                    && view.lastUsed().plus(DEMAND_LINK_IDLE).isBefore(now);
-            if (idle) {
-                wanted = wanted == null ? servers.wanted(config.servers()) : wanted;
-                view.lastUsed(now);
-                if (!wanted.contains(id) && !inUse(id)) {
-                    unlink(id);
-                }
-            }
-        }
-    }
-
     private Instant now() {
         return clock.instant();
     }
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -88,6 +88,10 @@
     // ---- peers
 
     private static PeerReport report(String name, long incarnation, long sequence, boolean store) {
+        return report(name, incarnation, sequence, store, 250);
+    }
+
+    private static PeerReport report(String name, long incarnation, long sequence, boolean store, long interval) {
         return new PeerReport(
                 name,
                 incarnation,
@@ -97,6 +101,7 @@
                 1,
                 0,
                 0,
+                interval,
                 Map.of("a", new PeerReport.Use(2, 100)),
                 Map.of("model", new LaneDemand(1, 2, 3)));
     }
@@ -114,6 +119,18 @@
         assertFalse(table.reads(false, 5_100), "the store turns this one away");
     }
 
+    /**
+     * Symptom: with many gateways several read the store, by turns. Events: reports come seldom, since there are many
+     * peers to tell; one is lost. Cause: a fixed time after which a peer counts as away.
+     */
+    @Test
+    void aPeerThatReportsSeldomIsAwayLater() {
+        PeerTable table = PeerTable.of("b");
+        table.hear(report("a", 1, 1, true, 650), 0);
+        assertFalse(table.reads(true, 1_500));
+        assertTrue(table.reads(true, 1_700));
+    }
+
     @Test
     void reportsThatWereOvertakenChangeNothing() {
         PeerTable table = PeerTable.of("b");
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -41,7 +41,8 @@
                 .setStoreAnswers(report.storeAnswers())
                 .setConfigVersion(report.configVersion())
                 .setServersAgeMillis((int) Math.min(Integer.MAX_VALUE, report.serversAgeMillis()))
-                .setServersDigest(report.serversDigest());
+                .setServersDigest(report.serversDigest())
+                .setIntervalMillis((int) report.intervalMillis());
         report.uses()
                 .forEach((server, use) -> state.addUses(ServerUse.newBuilder()
                         .setServer(server)
@@ -92,6 +93,7 @@
                 state.getConfigVersion(),
                 state.getServersAgeMillis(),
                 state.getServersDigest(),
+                state.getIntervalMillis(),
                 uses,
                 demands);
         return new Told(report, kept);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -129,7 +129,12 @@
         table.trim(gateway.now());
         takeSums();
         tellNow();
-        gateway.schedule(this::report, Math.max(CALM_MILLIS, leastMillis()));
+        gateway.schedule(this::report, intervalMillis());
+    }
+
+    /** Returns the time between two reports of a node whose load hardly changes; it grows with the number of peers. */
+    long intervalMillis() {
+        return Math.max(CALM_MILLIS, leastMillis());
     }
 
     private long leastMillis() {
@@ -172,6 +177,7 @@
                 gateway.config().map(RelayConfig::version).orElse(0L),
                 gateway.directory().known() ? now - gateway.directory().lastList() : Integer.MAX_VALUE,
                 gateway.directory().digest(),
+                intervalMillis(),
                 uses,
                 gateway.placement().demands(now));
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -20,8 +20,11 @@
     private static final Logger LOG = System.getLogger(StoreFeed.class.getName());
     /** How often the servers are read, in milliseconds: well under the bound for servers that leave. */
     private static final int SERVERS_MILLIS = 800;
-    /** A list of this age is read again also by a gateway that doesn't read for all: its peers seem to fail it. */
-    private static final long OLD_LIST_MILLIS = 1_400;
+    /**
+     * A list that is older than this and the time between two reports is read again also by a gateway that doesn't read
+     * for all: its peers seem to fail it.
+     */
+    private static final long OLD_LIST_MILLIS = 1_150;
     /** How long a watch waits: a connection that has fallen silent must show within the bound of configuration. */
     private static final long WATCH_MILLIS = 1_500;
     /** Pause before the next watch after a change, so that versions in quick succession are taken in together. */
@@ -65,7 +68,7 @@
 
     private void servers() {
         long age = gateway.now() - gateway.directory().lastList();
-        boolean old = !gateway.directory().known() || age > OLD_LIST_MILLIS;
+        boolean old = !gateway.directory().known() || age > OLD_LIST_MILLIS + peers.intervalMillis();
         if (old || reads()) {
             readServers();
         } else {
