Ranks: the workspace's goes before the route's; less urgent requests yield where more urgent ones are overdue

Cause: a workspace's rank replaced the route's. Change: ranks are ordered by workspace, then route; a request is refused as not run, with a time to come back, at a server where two more urgent ones of this node have no output by their target.

--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RankGate.java
@@ -0,0 +1,60 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Turns less urgent requests away from a server where more urgent ones wait longer than they may.
+ *
+ * <p>Answers the load pattern of too few engines for all kinds of requests together: whatever is sent fills places,
+ * memory and queues, and in the end the most urgent requests wait until their callers leave while large, less urgent ones
+ * run. Neither places nor memory tell of it beforehand, since prompts share parts; that urgent requests have no first
+ * output by their target tells it at once. As soon as they have, the others are taken again, so that no rank is shut out
+ * for longer than the shortage lasts.
+ */
+public final class RankGate {
+    /** Overdue requests that show a shortage: one may be a lost answer, or a prompt of unusual size. */
+    private static final int SHORTAGE = 2;
+
+    private final Map<String, Set<Waiting>> byServer = new HashMap<>();
+
+    private RankGate() {}
+
+    /** Returns a gate that has seen no request. */
+    public static RankGate create() {
+        return new RankGate();
+    }
+
+    /**
+     * A request that was sent and has no output yet.
+     *
+     * @param number tells two requests apart
+     * @param rank 0 is the most urgent
+     * @param dueAt time at which its first output is due, in milliseconds
+     */
+    public record Waiting(String serverId, long number, int rank, long dueAt) {}
+
+    /** Notes a request that was sent. */
+    public void sent(Waiting request) {
+        byServer.computeIfAbsent(request.serverId(), id -> new HashSet<>()).add(request);
+    }
+
+    /** Notes that a request has output, or has ended. */
+    public void settled(Waiting request) {
+        Set<Waiting> waiting = byServer.get(request.serverId());
+        if (waiting != null && waiting.remove(request) && waiting.isEmpty()) {
+            byServer.remove(request.serverId());
+        }
+    }
+
+    /** Returns whether a request has to yield to more urgent ones at a server. */
+    public boolean yields(int rank, String serverId, long now) {
+        return byServer.getOrDefault(serverId, Set.of()).stream()
+                        .filter(other -> other.rank() < rank && other.dueAt() < now)
+                        .limit(SHORTAGE)
+                        .count()
+                >= SHORTAGE;
+    }
+}
--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** One version of the operators' configuration, arranged for looking things up; immutable. */
 public final class RelayConfig {
@@ -13,6 +14,8 @@
     private final Map<String, ServiceTerms> services = new HashMap<>();
     private final Map<String, WorkspaceTerms> workspaces;
     private final CallerLimits limits;
+    private final List<Integer> workspaceRanks;
+    private final List<Integer> routeRanks;
 
     private RelayConfig(
             long version,
@@ -29,6 +32,13 @@
         }
         this.workspaces = Map.copyOf(workspaces);
         this.limits = limits;
+        this.workspaceRanks = workspaces.values().stream()
+                .flatMap(workspace -> workspace.priority().stream().boxed())
+                .distinct()
+                .sorted()
+                .toList();
+        this.routeRanks =
+                routes.stream().map(Route::priority).distinct().sorted().toList();
     }
 
     /**
@@ -68,6 +78,16 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns the rank of a request, 0 for the most urgent: the workspace's goes first, and among workspaces of one rank
+     * the route's. A workspace without a rank is taken for one of the middle.
+     */
+    public int rank(Optional<WorkspaceTerms> workspace, Route route) {
+        OptionalInt own = workspace.map(WorkspaceTerms::priority).orElse(OptionalInt.empty());
+        int of = own.isPresent() ? workspaceRanks.indexOf(own.getAsInt()) : workspaceRanks.size() / 2;
+        return of * routeRanks.size() + Math.max(0, routeRanks.indexOf(route.priority()));
+    }
+
     /** Returns whether callers need a key on routes that aren't open. */
     public boolean keysNeeded() {
         return !workspaces.isEmpty();
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -227,6 +227,28 @@
         }
     }
 
+    // ---- turning away
+
+    /**
+     * Symptom: questions got nothing while cards of over twice their size began. Events: engines leave until one is left;
+     * both kinds fill its places and its queue. Cause: whatever came was sent.
+     */
+    @Test
+    void aServerWhereMoreUrgentRequestsAreOverdueIsLeftToThem() {
+        RankGate gate = RankGate.create();
+        RankGate.Waiting first = new RankGate.Waiting("e", 1, 0, 300);
+        RankGate.Waiting second = new RankGate.Waiting("e", 2, 0, 400);
+        gate.sent(first);
+        gate.sent(second);
+        assertFalse(gate.yields(1, "e", 250), "nobody is overdue");
+        assertFalse(gate.yields(1, "e", 350), "one may be a lost answer");
+        assertTrue(gate.yields(1, "e", 500));
+        assertFalse(gate.yields(0, "e", 500), "the most urgent never yield");
+        assertFalse(gate.yields(1, "other", 500));
+        gate.settled(second);
+        assertFalse(gate.yields(1, "e", 600), "the shortage is over");
+    }
+
     // ---- placing
 
     @ParameterizedTest
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.PromptPart;
+import org.tanagerhinge.core.relay.RankGate;
 import org.tanagerhinge.core.relay.Registration;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
@@ -49,11 +50,13 @@
     private final ServerDirectory directory = ServerDirectory.create();
     private final Placement placement;
     private final RetryBudget budget;
+    private final RankGate ranks = RankGate.create();
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private Optional<RelayConfig> config = Optional.empty();
     private byte[] configDocument;
     private boolean peersHeard;
+    private long attempts;
     private long lastSweep;
     private BiConsumer<RelayServer, Prompt> sentListener = (server, prompt) -> {};
     private volatile boolean draining;
@@ -105,6 +108,14 @@
         return budget;
     }
 
+    RankGate ranks() {
+        return ranks;
+    }
+
+    RankGate.Waiting waiting(RelayServer server, int rank, long dueAt) {
+        return new RankGate.Waiting(server.id(), ++attempts, rank, dueAt);
+    }
+
     String domain() {
         return options.domain();
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -24,6 +24,7 @@
 import org.tanagerhinge.core.relay.AttemptEnd;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.PlacementRequest;
+import org.tanagerhinge.core.relay.RankGate;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
 import org.tanagerhinge.core.relay.RetryRules;
@@ -138,6 +139,10 @@
             noServer();
             return;
         }
+        if (sends == 0 && gateway.ranks().yields(rank(), placed.get().server().id(), now)) {
+            refuse(Refusal.notRun(ResultCode.QUEUE_FULL, gateway.comeBackMillis()));
+            return;
+        }
         tried.add(placed.get().server().id());
         sends++;
         attempt = new Attempt(request, placed.get());
@@ -154,11 +159,8 @@
         }
     }
 
-    private int priority() {
-        if (workspace.isPresent() && workspace.get().priority().isPresent()) {
-            return workspace.get().priority().getAsInt();
-        }
-        return route.priority();
+    private int rank() {
+        return config.rank(workspace, route);
     }
 
     private FullHttpRequest requestTo(RelayServer server) {
@@ -171,7 +173,7 @@
                                 server.id(),
                                 Math.max(1, giveUpAt - gateway.now()),
                                 workspace.map(WorkspaceTerms::name),
-                                priority(),
+                                rank(),
                                 eventsPassed ? OptionalLong.of(lastEvent) : OptionalLong.empty(),
                                 weightsVersion));
         if (body.isReadable() || !bodiless(head.method())) {
@@ -311,6 +313,7 @@
         private boolean paid;
         private boolean streaming;
         private Future<?> patience;
+        private RankGate.Waiting waiting;
         private HttpResponse answer;
         private CompositeByteBuf held;
         private EventSplitter events;
@@ -323,6 +326,8 @@
 
         void start() {
             gateway.sent(request, placed);
+            waiting = gateway.waiting(server, rank(), began + route.targetMillis());
+            gateway.ranks().sent(waiting);
             long mostIdle = route.idempotent() ? Long.MAX_VALUE : FRESH_MILLIS;
             BackendConnection kept = gateway.pool().kept(server, mostIdle);
             if (kept != null) {
@@ -539,6 +544,7 @@
             if (!streaming) {
                 streaming = true;
                 server.streamBegan();
+                gateway.ranks().settled(waiting);
             }
             if (reading) {
                 reading = false;
@@ -552,6 +558,7 @@
                 return;
             }
             done = true;
+            gateway.ranks().settled(waiting);
             if (patience != null) {
                 patience.cancel(false);
             }
