--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -83,7 +83,7 @@
      * the route's. A workspace without a rank is taken for one of the middle.
      */
     public int rank(Optional<WorkspaceTerms> workspace, Route route) {
-        OptionalInt own = workspace.map(WorkspaceTerms::priority).orElse(OptionalInt.empty());
+        OptionalInt own = workspace.map(WorkspaceTerms::priority).orElseGet(OptionalInt::empty);
         int of = own.isPresent() ? workspaceRanks.indexOf(own.getAsInt()) : workspaceRanks.size() / 2;
         return of * routeRanks.size() + Math.max(0, routeRanks.indexOf(route.priority()));
     }
