--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -248,6 +248,32 @@
                 .anyMatch(request -> request.header(PlatformNames.LAST_EVENT).equals("3")));
     }
 
+    /**
+     * Symptom: streams stood still until their callers left. Events: an engine loses power in the midst of a stream, and
+     * nothing is reset. Cause: only a broken connection was taken for a lost engine.
+     */
+    @Test
+    void aStreamWhoseEngineFallsSilentGoesOnElsewhere() throws IOException {
+        CountDownLatch never = new CountDownLatch(1);
+        ServerStandin silent = scene.server("e-1", "model", (server, request, connection) -> {
+            ServerStandin.beginStream(server, request, connection);
+            ServerStandin.writeEvent(connection, 1);
+            ServerStandin.writeEvent(connection, 2);
+            never.await();
+        });
+        scene.server("e-2", "model", ServerStandin.events(4, 1));
+        GatewayDaemon gateway = scene.gateway();
+        for (int i = 0; i < 2; i++) {
+            RawCaller.Answer answer = ask(gateway, "POST", "/stream/x", "", "{}");
+            assertTrue(answer.whole());
+            for (int event = 1; event <= 4; event++) {
+                assertEquals(2, answer.body().split("id: " + event + "\n", -1).length, "event " + event + " once");
+            }
+        }
+        assertFalse(silent.seen().isEmpty());
+        never.countDown();
+    }
+
     @Test
     void aBrokenStreamThatMayNotGoOnElsewhereDoesNotLookComplete() throws IOException {
         scene.server("e-1", "model", ServerStandin.cutWithin(3));
