--- a/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
@@ -9,7 +9,8 @@
     /**
      * Chooses a server.
      *
-     * @param candidates servers of the request's service that take new work and that it hasn't been sent to yet
+     * @param candidates servers of the request's service that take new work and that it hasn't been sent to yet, in the
+     *     order of their ids
      * @param now time in milliseconds
      * @return the server, with the prompt tokens that it is expected to read; empty if there is none to send to
      */
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -1,7 +1,5 @@
 package org.tanagerhinge.core.relay;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -132,8 +130,8 @@
     }
 
     /**
-     * Returns the engines of a request's lane. All nodes order the engines alike, by id, so that they agree on the lanes
-     * without asking each other.
+     * Returns the engines of a request's lane. Candidates are in the order of their ids, so that all nodes agree on the
+     * lanes without asking each other.
      */
     private List<RelayServer> lane(PlacementRequest request, List<RelayServer> candidates, long now) {
         String service = request.service().name();
@@ -148,11 +146,9 @@
         if (shortEngines >= candidates.size()) {
             return candidates;
         }
-        List<RelayServer> ordered = new ArrayList<>(candidates);
-        ordered.sort(Comparator.comparing(RelayServer::id));
         return isLong(request.prompt())
-                ? ordered.subList(shortEngines, ordered.size())
-                : ordered.subList(0, shortEngines);
+                ? candidates.subList(shortEngines, candidates.size())
+                : candidates.subList(0, shortEngines);
     }
 
     private Placed leastBusy(PlacementRequest request, List<RelayServer> candidates) {
--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -124,9 +124,6 @@
             if (route != null) {
                 return Optional.of(route);
             }
-            if (slash == 0) {
-                break;
-            }
         }
         return Optional.empty();
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerHealth.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerHealth.java
@@ -74,11 +74,6 @@
         eject(now);
     }
 
-    /** Returns the share of recent requests that failed, 0 to 1. */
-    public double failureRate() {
-        return failureRate;
-    }
-
     private void eject(long now) {
         if (now < ejectedUntil && !probing) {
             return;
--- a/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
+++ b/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
@@ -49,6 +49,9 @@
     NOT_READY(5001, 503, "the node has no configuration yet"),
     INTERNAL(5002, 500, "a fault of the router or agent itself");
 
+    /** Header that carries the number of a refusal's code. */
+    public static final String HEADER = "X-Tanagerhinge-Result";
+
     private final int number;
     private final int httpStatus;
     private final String meaning;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -48,7 +48,6 @@
     private boolean closeAfter;
     private long idleMillis = IDLE_DEFAULT_MILLIS;
     private long idleSince;
-    private boolean used;
 
     BackendConnection(BackendPool pool, RelayServer server) {
         this.pool = pool;
@@ -75,11 +74,6 @@
                 && now - idleSince < Math.min(mostIdle, (long) (IDLE_USED * idleMillis));
     }
 
-    /** Returns how long nothing was in progress, in milliseconds. */
-    long idleFor(long now) {
-        return attempt == null ? now - idleSince : 0;
-    }
-
     /** Sends a request whose answer goes to a listener. */
     void send(FullHttpRequest request, String id, AttemptListener listener) {
         attempt = listener;
@@ -89,12 +83,6 @@
         closeAfter = false;
         decoder.expect(request.method());
         written = channel.writeAndFlush(request);
-        used = true;
-    }
-
-    /** Returns whether a request was ever sent on this connection. */
-    boolean used() {
-        return used;
     }
 
     /** Ends the attempt without another word to its listener, and with it the connection. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendPool.java
@@ -77,12 +77,6 @@
         return null;
     }
 
-    /** Returns how many connections to a server are open. */
-    int open(RelayServer server) {
-        Set<BackendConnection> connections = all.get(server.id());
-        return connections == null ? 0 : connections.size();
-    }
-
     /** Opens a connection; {@code done} gets it, or null if none could be made. */
     void connect(RelayServer server, Consumer<BackendConnection> done) {
         BackendConnection connection = new BackendConnection(this, server);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -195,7 +195,7 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.status()), text);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
-        response.headers().set("X-Tanagerhinge-Result", refusal.code().number());
+        response.headers().set(ResultCode.HEADER, refusal.code().number());
         if (refusal.retryAfterMillis() > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(refusal.retryAfterMillis()));
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -4,9 +4,11 @@
 import io.netty.util.concurrent.Future;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -232,7 +234,7 @@
     }
 
     void attemptFailed(Route route, RelayServer server, AttemptEnd end, String why) {
-        count("attempt_" + end.name().toLowerCase(java.util.Locale.ROOT));
+        count("attempt_" + end.name().toLowerCase(Locale.ROOT));
         LOG.log(Level.INFO, "attempt of " + route.name() + " at " + server.id() + ": " + end + ", " + why);
         switch (end) {
             case NOT_SENT, SILENT -> server.health().unreachable(now());
@@ -247,11 +249,7 @@
         } else {
             server.health().succeeded();
         }
-        metrics.times(
-                route.kind().name(),
-                java.time.Duration.ZERO,
-                java.time.Duration.ZERO,
-                java.time.Duration.ofMillis(millis));
+        metrics.times(route.kind().name(), Duration.ZERO, Duration.ZERO, Duration.ofMillis(millis));
     }
 
     void load(RelayServer server, AnswerTerms.ServerLoad load) {
--- a/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
@@ -42,8 +42,6 @@
         }
     }
 
-    private static final String RESULT_HEADER = "X-Tanagerhinge-Result";
-
     private final Server server;
     private final ServerConnector connector;
 
@@ -125,7 +123,7 @@
         @Override
         public boolean handle(Request request, Response response, Callback callback) {
             ResultCode code = code(response.getStatus());
-            response.getHeaders().put(RESULT_HEADER, Integer.toString(code.number()));
+            response.getHeaders().put(ResultCode.HEADER, Integer.toString(code.number()));
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
             Content.Sink.write(response, true, code.meaning() + "\n", callback);
             return true;
--- a/router/src/main/java/org/tanagerhinge/router/CallerSession.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerSession.java
@@ -22,7 +22,6 @@
  * those, so what waits is bounded by an agent's credit window.
  */
 final class CallerSession extends IteratingCallback {
-    private static final String RESULT_HEADER = "X-Tanagerhinge-Result";
     private static final String REQUEST_HEADER = "X-Tanagerhinge-Request";
 
     /** Told of what becomes of the writing. */
@@ -145,7 +144,7 @@
             case Event.Complete complete -> {
                 if (!committed) {
                     commonHeaders();
-                    response.getHeaders().put(RESULT_HEADER, Integer.toString(ResultCode.OK.number()));
+                    response.getHeaders().put(ResultCode.HEADER, Integer.toString(ResultCode.OK.number()));
                 }
                 out.writeBytes(format.end(complete.finishReason(), complete.units()));
                 last = true;
@@ -177,7 +176,8 @@
         response.setStatus(refusal.code().httpStatus());
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.getHeaders().put(REQUEST_HEADER, request.value());
-        response.getHeaders().put(RESULT_HEADER, Integer.toString(refusal.code().number()));
+        response.getHeaders()
+                .put(ResultCode.HEADER, Integer.toString(refusal.code().number()));
         if (refusal.code() == ResultCode.UNKNOWN_KEY) {
             response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
         }
