Incarnations of peers no longer come from the time of day

Cause: a gateway's reports carried the time of its start as incarnation, and peers took only greater ones. If its host's clock had stepped back between two starts, its peers ignored it for 30 s: its load was not counted where they placed, its list was not asked for, and a second node read the store. Ruled out: the sequence alone (it starts over). Now any number that isn't one of the peer's ended incarnations is a new start; late reports of ended ones are refused. Test: RelayDecisionsTest.aPeerThatStartedAgainIsHeardWhateverItsClockSaid, red before.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -5,7 +5,8 @@
 /**
  * What another node told of itself.
  *
- * @param incarnation greater after each start of its process
+ * @param incarnation another number after each start of its process; which came later is not in the number, since the time
+ *     of day may jump back between two starts
  * @param sequence greater with each report of an incarnation
  * @param address where it answers its peers, IP:PORT
  * @param storeAnswers whether the platform's store has answered its newest calls
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -1,6 +1,8 @@
 package org.tanagerhinge.core.relay;
 
+import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,6 +22,8 @@
     private static final long AWAY_MILLIS = 700;
     /** A peer that wasn't heard for this long is forgotten, and no longer counts for the shared budget. */
     private static final long FORGET_MILLIS = 30_000;
+    /** Ended incarnations of a peer that are remembered: its late reports must not be taken for those of a new start. */
+    private static final int MOST_ENDED = 8;
 
     private final String self;
     private final TreeMap<String, Peer> peers = new TreeMap<>();
@@ -33,8 +37,12 @@
         return new PeerTable(self);
     }
 
-    /** A peer's newest report and when it was heard. */
-    public record Peer(PeerReport report, long heardAt) {}
+    /**
+     * A peer's newest report and when it was heard.
+     *
+     * @param ended incarnations that it had before
+     */
+    public record Peer(PeerReport report, long heardAt, Deque<Long> ended) {}
 
     /**
      * Takes a report.
@@ -46,18 +54,25 @@
             return false;
         }
         Peer known = peers.get(report.name());
-        if (known != null && !newer(report, known.report())) {
+        if (known == null) {
+            peers.put(report.name(), new Peer(report, now, new ArrayDeque<>()));
+            return true;
+        }
+        if (report.incarnation() != known.report().incarnation()) {
+            if (known.ended().contains(report.incarnation())) {
+                return false;
+            }
+            known.ended().addLast(known.report().incarnation());
+            if (known.ended().size() > MOST_ENDED) {
+                known.ended().removeFirst();
+            }
+        } else if (report.sequence() <= known.report().sequence()) {
             return false;
         }
-        peers.put(report.name(), new Peer(report, now));
+        peers.put(report.name(), new Peer(report, now, known.ended()));
         return true;
     }
 
-    private static boolean newer(PeerReport report, PeerReport known) {
-        return report.incarnation() > known.incarnation()
-                || (report.incarnation() == known.incarnation() && report.sequence() > known.sequence());
-    }
-
     /** Forgets peers that were silent for long. */
     public void trim(long now) {
         peers.values().removeIf(peer -> now - peer.heardAt() > FORGET_MILLIS);
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -142,6 +142,20 @@
         assertTrue(table.uses(5_000).isEmpty(), "old reports say nothing of now");
     }
 
+    /**
+     * Symptom: after a restart a node's load was invisible to its peers for half a minute, and two nodes read the store.
+     * Events: the time of day of its host steps back, its process is killed and starts again. Cause: incarnations were
+     * taken from the time of day, so the new one looked older than the one before.
+     */
+    @Test
+    void aPeerThatStartedAgainIsHeardWhateverItsClockSaid() {
+        PeerTable table = PeerTable.of("b");
+        table.hear(report("a", 9_000, 70, true), 0);
+        assertTrue(table.hear(report("a", 4_000, 1, true), 100));
+        assertFalse(table.hear(report("a", 9_000, 71, true), 110), "a late report of the process that has ended");
+        assertTrue(table.hear(report("a", 4_000, 2, true), 120));
+    }
+
     // ---- retries
 
     @ParameterizedTest
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -27,6 +27,7 @@
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.node.daemon.Incarnation;
 
 /**
  * What this gateway tells its peers and hears from them: load, demand, what engines hold, and how new its configuration
@@ -53,7 +54,7 @@
     private final EventLoopGroup loop;
     private final PeerTable table;
     private final Function<byte[], RelayConfig> decoder;
-    private final long incarnation = System.currentTimeMillis();
+    private final long incarnation = Incarnation.next();
     private final Set<InetSocketAddress> addresses = new HashSet<>();
     private final List<PeerCodec.Kept> kept = new ArrayList<>();
     private BooleanSupplier storeAnswers = () -> true;
