A request ends as the long or short one that it was sent as

Cause: PromptAware.ended judged anew whether a prompt was long, by a bound that moves with the measured reading speed. The choice now carries the judgement. Test: RelayDecisionsTest.aRequestEndsAsWhatItWasSent..., -1 short requests in progress before, 0 after.

--- a/core/src/main/java/org/tanagerhinge/core/relay/LeastInFlight.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/LeastInFlight.java
@@ -26,7 +26,7 @@
             }
         }
         return Optional.ofNullable(best)
-                .map(server -> new Placed(server, request.prompt().inputTokens()));
+                .map(server -> new Placed(server, request.prompt().inputTokens(), false));
     }
 
     @Override
@@ -40,7 +40,7 @@
     }
 
     @Override
-    public void ended(PlacementRequest request, long now) {
+    public void ended(PlacementRequest request, Placed placed, long now) {
         // The plain policy keeps no account of prompts.
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
@@ -23,7 +23,7 @@
     void read(int tokens, long millis);
 
     /** Notes that a request that was sent has ended, whichever way. */
-    void ended(PlacementRequest request, long now);
+    void ended(PlacementRequest request, Placed placed, long now);
 
     /** Takes the tightest pause between events that a route allows, in milliseconds; 0 if none states one. */
     default void tightestPause(long millis) {}
@@ -46,6 +46,8 @@
      * A choice.
      *
      * @param tokensToRead prompt tokens that the server doesn't hold yet
+     * @param longPrompt whether the prompt counted as long when the choice was made; the bound moves with the measured
+     *     speed, so it must not be judged anew when the request ends
      */
-    record Placed(RelayServer server, int tokensToRead) {}
+    record Placed(RelayServer server, int tokensToRead, boolean longPrompt) {}
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -82,7 +82,8 @@
         if (!request.service().engines() || request.prompt().inputTokens() == 0) {
             return Optional.of(leastBusy(request, candidates));
         }
-        List<RelayServer> lane = lane(request, candidates, now);
+        boolean longPrompt = isLong(request.prompt());
+        List<RelayServer> lane = lane(request, longPrompt, candidates, now);
         Placed best = null;
         double bestCost = 0;
         for (int i = 0; i < lane.size(); i++) {
@@ -90,7 +91,7 @@
             int toRead = Math.max(1, request.prompt().inputTokens() - memory.held(server.id(), request.prompt()));
             double cost = cost(request, server, toRead);
             if (best == null || cost < bestCost) {
-                best = new Placed(server, toRead);
+                best = new Placed(server, toRead, longPrompt);
                 bestCost = cost;
             }
         }
@@ -106,7 +107,7 @@
                 placed.server().id(),
                 request.prompt().parts(),
                 request.service().memoryTokens());
-        meter(request.service().name(), now).sent(isLong(request.prompt()), placed.tokensToRead(), now);
+        meter(request.service().name(), now).sent(placed.longPrompt(), placed.tokensToRead(), now);
     }
 
     @Override
@@ -115,8 +116,8 @@
     }
 
     @Override
-    public void ended(PlacementRequest request, long now) {
-        if (request.service().engines() && !isLong(request.prompt())) {
+    public void ended(PlacementRequest request, Placed placed, long now) {
+        if (request.service().engines() && !placed.longPrompt()) {
             meter(request.service().name(), now).shortEnded();
         }
     }
@@ -133,7 +134,8 @@
      * Returns the engines of a request's lane. Candidates are in the order of their ids, so that all nodes agree on the
      * lanes without asking each other.
      */
-    private List<RelayServer> lane(PlacementRequest request, List<RelayServer> candidates, long now) {
+    private List<RelayServer> lane(
+            PlacementRequest request, boolean longPrompt, List<RelayServer> candidates, long now) {
         String service = request.service().name();
         LaneDemand demand = meter(service, now).demand(now).plus(peers.getOrDefault(service, LaneDemand.NONE));
         double promptMillis = Math.max(1, meter(service, now).shortPrompt() / speed.tokensPerMilli());
@@ -146,9 +148,7 @@
         if (shortEngines >= candidates.size()) {
             return candidates;
         }
-        return isLong(request.prompt())
-                ? candidates.subList(shortEngines, candidates.size())
-                : candidates.subList(0, shortEngines);
+        return longPrompt ? candidates.subList(shortEngines, candidates.size()) : candidates.subList(0, shortEngines);
     }
 
     private Placed leastBusy(PlacementRequest request, List<RelayServer> candidates) {
@@ -163,6 +163,6 @@
                 bestCost = cost;
             }
         }
-        return new Placed(best, 0);
+        return new Placed(best, 0, false);
     }
 }
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -318,7 +318,7 @@
             placement.sent(request, placed, i * 10L);
             placed.server().read(placed.tokensToRead());
             placed.server().ended();
-            placement.ended(request, i * 10L);
+            placement.ended(request, placed, i * 10L);
             if (i > 30) {
                 (isLong ? longs : shorts).merge(placed.server().id(), 1, Integer::sum);
             }
@@ -328,6 +328,28 @@
         }
     }
 
+    /**
+     * Symptom: the count of short requests in progress fell below none, and the short lane was too small. Events: a
+     * prompt is sent as a long one; faster reading is measured; it ends, and is a short one by the new speed. Cause: an
+     * ended request was judged anew.
+     */
+    @Test
+    void aRequestEndsAsWhatItWasSentWhateverSpeedWasMeasuredMeanwhile() {
+        PromptAware placement = PromptAware.create();
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 0);
+        PlacementRequest request =
+                new PlacementRequest(route(RouteKind.STREAM, true, 2), ENGINES, prompt(2_600, "p"), "north");
+        Placement.Placed placed =
+                placement.place(request, directory.open("model"), 0).orElseThrow();
+        placement.sent(request, placed, 0);
+        for (int i = 0; i < 20; i++) {
+            placement.read(9_000, 90);
+        }
+        placement.ended(request, placed, 10);
+        assertEquals(0, placement.demands(10).get("model").shortRunning());
+    }
+
     @Test
     void aPromptGoesWhereItsPartsAreHeldUnlessThatEngineHasMuchToRead() {
         PromptAware placement = PromptAware.create();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -570,7 +570,7 @@
                 server.read(placed.tokensToRead());
             }
             server.ended();
-            gateway.placement().ended(request, gateway.now());
+            gateway.placement().ended(request, placed, gateway.now());
             if (events != null) {
                 events.release();
             }
