--- a/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
@@ -4,8 +4,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -29,6 +27,11 @@
 import org.tanagerhinge.node.daemon.HttpServer;
 import org.tanagerhinge.node.daemon.HttpServer.Page;
 import org.tanagerhinge.node.daemon.Incarnation;
+import org.tanagerhinge.node.daemon.RequestLog;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
+import org.tanagerhinge.node.log.LogSetup;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 import org.tanagerhinge.node.platform.ConfigPoller;
 import org.tanagerhinge.node.platform.ConfigStore;
@@ -41,7 +44,6 @@
 
 /** Joins the agent's decisions to the network, the backend server and the platform. */
 public final class AgentDaemon implements Daemon {
-    private static final Logger LOG = System.getLogger(AgentDaemon.class.getName());
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration POLL_ALONE = Duration.ofSeconds(1);
     private static final int NETWORK_THREADS = 2;
@@ -120,7 +122,10 @@
                 config -> control.post(() -> core.applyConfig(config)),
                 metrics);
         control.every(TICK, core::onTick);
-        LOG.log(Level.INFO, "agent " + parts.name() + " listens on port " + linkServer.port());
+        LogSetup.node(parts.name().value());
+        LogLine.of(LogEvent.STARTED)
+                .with(LogField.WHY, "listening on port " + linkServer.port())
+                .write();
     }
 
     private void gauges() {
@@ -212,6 +217,7 @@
 
         @Override
         public void start(Run run) {
+            RequestLog.sent(run.submit().request(), parts.name(), run.submit().timeLeft());
             backend.start(run);
         }
 
@@ -237,7 +243,9 @@
 
         @Override
         public void applied(ClusterConfig config) {
-            LOG.log(Level.INFO, "configuration " + config.revision() + " is in force");
+            LogLine.of(LogEvent.CONFIGURATION)
+                    .with(LogField.CONFIG, config.revision().toString())
+                    .write();
         }
     }
 
--- a/agent/src/main/java/org/tanagerhinge/agent/AgentSettings.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentSettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.tanagerhinge.core.agent.AgentOptions;
 import org.tanagerhinge.core.id.ServerId;
+import org.tanagerhinge.node.daemon.DaemonCommand;
 import org.tanagerhinge.node.settings.Setting;
 import org.tanagerhinge.node.settings.Settings;
 import org.tanagerhinge.wire.SharedSecret;
@@ -51,6 +52,7 @@
     /** Returns all settings, for checking a file. */
     public static List<Setting<?>> all() {
         return List.of(
+                DaemonCommand.REQUEST_LINES,
                 NAME,
                 LISTEN,
                 METRICS,
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -5,7 +5,9 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * The other nodes, as far as they have been heard, and which node reads the platform's store for all.
@@ -89,6 +91,14 @@
                 <= Math.max(AWAY_MILLIS, AWAY_INTERVALS * peer.report().intervalMillis());
     }
 
+    /** Returns the names of the peers that were heard of late. */
+    public Set<String> present(long now) {
+        return peers.entrySet().stream()
+                .filter(peer -> present(peer.getValue(), now))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Returns whether any peer was heard of late. */
     public boolean anyPresent(long now) {
         return peers.values().stream().anyMatch(peer -> present(peer, now));
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -388,6 +388,7 @@
     /** An attempt is out of reach and may have run. */
     private void lost(Exchange exchange, ResultCode code, String detail) {
         byAttempt.remove(exchange.attempt());
+        port.attemptFailed(exchange.id(), exchange.server(), code, RunState.UNKNOWN, detail);
         if (exchange.idempotent()) {
             recover(exchange, code, detail);
         } else {
@@ -523,6 +524,7 @@
 
     private void broken(Exchange exchange, String detail) {
         byAttempt.remove(exchange.attempt());
+        port.attemptFailed(exchange.id(), exchange.server(), ResultCode.ANSWER_CUT, RunState.UNKNOWN, detail);
         if (exchange.idempotent()) {
             recover(exchange, ResultCode.ANSWER_CUT, detail);
         } else {
@@ -554,6 +556,7 @@
         byAttempt.remove(exchange.attempt());
         Refusal refusal =
                 Refusal.notRun(notRun.code(), notRun.retryAfter(), notRun.code().meaning());
+        port.attemptFailed(exchange.id(), exchange.server(), notRun.code(), RunState.NOT_RUN, refusal.detail());
         if (exchange.in(ExchangeState.UNCERTAIN)) {
             settledAsNotRun(exchange, refusal);
             return;
@@ -599,6 +602,7 @@
 
     private void onFailed(Exchange exchange, Frame.Failed failed) {
         byAttempt.remove(exchange.attempt());
+        port.attemptFailed(exchange.id(), exchange.server(), failed.code(), RunState.UNKNOWN, failed.detail());
         if (exchange.idempotent()) {
             recover(exchange, failed.code(), failed.detail());
         } else {
@@ -750,8 +754,7 @@
         Duration patience = exchange.deliveredUnits() > 0 ? options.stallTimeout() : options.firstOutputTimeout();
         if (exchange.lastProgress().plus(patience).isBefore(now)) {
             letGo(exchange);
-            byAttempt.remove(exchange.attempt());
-            recover(exchange, ResultCode.STALLED, "its backend server stopped producing");
+            lost(exchange, ResultCode.STALLED, "its backend server stopped producing");
         }
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
@@ -7,6 +7,8 @@
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.result.Refusal;
+import org.tanagerhinge.core.result.ResultCode;
+import org.tanagerhinge.core.result.RunState;
 
 /** What a router's decisions ask of the world. Calls return at once; nothing calls back before they return. */
 public interface RouterPort {
@@ -41,6 +43,9 @@
     /** Tells the caller why it gets no whole answer; pieces may have been given before. */
     void refuse(RequestId request, Refusal refusal);
 
+    /** Notes that a request's attempt has failed, for whoever explains it later. */
+    default void attemptFailed(RequestId request, ServerId server, ResultCode code, RunState run, String why) {}
+
     /** Notes how an exchange ended. */
     void ended(Outcome outcome);
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -98,7 +98,7 @@
     private void malformed(Throwable cause) {
         boolean tooLong = cause instanceof TooLongHttpHeaderException;
         keepAlive = false;
-        refuse(Refusal.of(tooLong ? 431 : 400, tooLong ? ResultCode.HEADER_TOO_LONG : ResultCode.MALFORMED_BODY));
+        turnAway(Refusal.of(tooLong ? 431 : 400, tooLong ? ResultCode.HEADER_TOO_LONG : ResultCode.MALFORMED_BODY));
     }
 
     private void begin(HttpRequest request) {
@@ -106,7 +106,7 @@
         keepAlive = HttpUtil.isKeepAlive(request);
         if (ambiguous(request)) {
             keepAlive = false;
-            refuse(Refusal.of(400, ResultCode.MALFORMED_BODY));
+            turnAway(Refusal.of(400, ResultCode.MALFORMED_BODY));
             return;
         }
         head = request;
@@ -136,7 +136,7 @@
         if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
             release();
             keepAlive = false;
-            refuse(Refusal.of(413, ResultCode.BODY_TOO_LARGE));
+            turnAway(Refusal.of(413, ResultCode.BODY_TOO_LARGE));
             return;
         }
         body.writeBytes(content.content());
@@ -187,6 +187,12 @@
         channel.close();
     }
 
+    /** Answers a request that wasn't read whole, so that there is no exchange to tell of it. */
+    private void turnAway(Refusal refusal) {
+        RequestTrail.of(gateway, "", gateway.now()).refused(refusal);
+        refuse(refusal);
+    }
+
     /** Answers a request in the relay's own name. */
     void refuse(Refusal refusal) {
         gateway.count(refusal.code().label());
@@ -259,7 +265,7 @@
         if (head != null && now - headAt > limits.headerTimeoutMillis() + limits.idleTimeoutMillis()) {
             release();
             keepAlive = false;
-            refuse(Refusal.of(408, ResultCode.CALLER_TOO_SLOW));
+            turnAway(Refusal.of(408, ResultCode.CALLER_TOO_SLOW));
         } else if (head == null && now - idleSince > limits.idleTimeoutMillis() + limits.headerTimeoutMillis()) {
             closeGently();
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -2,9 +2,6 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.Future;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -25,14 +22,15 @@
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
 import org.tanagerhinge.core.relay.RetryBudget;
-import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.ServerChange;
 import org.tanagerhinge.core.relay.ServerDirectory;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** What one node believes and does, on its event loop thread: the state that all exchanges share. */
 public final class Gateway {
-    private static final Logger LOG = System.getLogger(Gateway.class.getName());
     /** Callers that are refused come back after this time and up to twice it, so that they don't return as one wave. */
     private static final int COME_BACK_MILLIS = 300;
     /** Idle connections and silent servers are looked through this often, in milliseconds. */
@@ -58,6 +56,7 @@
     private Optional<RelayConfig> config = Optional.empty();
     private byte[] configDocument;
     private boolean peersHeard;
+    private int peersPresent;
     private long attempts;
     private long lastSweep;
     private BiConsumer<RelayServer, Prompt> sentListener = (server, prompt) -> {};
@@ -136,6 +135,20 @@
         return config;
     }
 
+    /** Returns the version of the configuration in force, 0 if there is none. */
+    long configVersion() {
+        return config.map(RelayConfig::version).orElse(0L);
+    }
+
+    /** Returns how old the list of servers is, in seconds; not a number if there is none. */
+    double serversAgeSeconds() {
+        return directory.known() ? (now() - directory.lastList()) / 1000.0 : Double.NaN;
+    }
+
+    NodeMetrics metrics() {
+        return metrics;
+    }
+
     CallerLimits limits() {
         return config.map(RelayConfig::limits).orElse(CallerLimits.DEFAULT);
     }
@@ -161,7 +174,10 @@
         boolean wasInformed = informed();
         config = Optional.of(newer);
         configDocument = document;
-        LOG.log(Level.INFO, "configuration " + newer.version() + " in force, " + newer.routeCount() + " routes");
+        LogLine.of(LogEvent.CONFIGURATION)
+                .with(LogField.CONFIG, newer.version())
+                .with(LogField.ROUTES, newer.routeCount())
+                .write();
         placement.tightestPause(newer.tightestPause());
         tellWaiting(wasInformed);
         return true;
@@ -172,7 +188,10 @@
         boolean wasInformed = informed();
         List<ServerChange> changes = directory.apply(registrations, askedAt);
         for (ServerChange change : changes) {
-            LOG.log(Level.INFO, "server " + change.id() + " of " + change.service() + ": " + change.kind());
+            LogLine.of(event(change.kind()))
+                    .with(LogField.SERVER, change.id())
+                    .with(LogField.SERVICE, change.service())
+                    .write();
             if (change.kind() == ServerChange.Kind.GONE) {
                 placement.forget(change.id());
             }
@@ -181,6 +200,14 @@
         return !changes.isEmpty();
     }
 
+    private static LogEvent event(ServerChange.Kind kind) {
+        return switch (kind) {
+            case SEEN -> LogEvent.SERVER_SEEN;
+            case DRAINING -> LogEvent.SERVER_DRAINING;
+            case GONE -> LogEvent.SERVER_GONE;
+        };
+    }
+
     /** Notes that a peer gave an engine parts of a prompt to read. */
     void keeps(String serverId, List<PromptPart> parts) {
         RelayServer server = directory.server(serverId);
@@ -233,23 +260,36 @@
         return now - lastSweep < STOOD_STILL_MILLIS && server.silentFor(now) > SILENT_MILLIS;
     }
 
-    void attemptFailed(Route route, RelayServer server, AttemptEnd end, String why) {
+    void attemptFailed(RelayServer server, AttemptEnd end) {
         count("attempt_" + end.name().toLowerCase(Locale.ROOT));
-        LOG.log(Level.INFO, "attempt of " + route.name() + " at " + server.id() + ": " + end + ", " + why);
+        boolean wasUsable = server.health().usable(now());
         switch (end) {
             case NOT_SENT, SILENT -> server.health().unreachable(now());
             case SERVER_ERROR, BROKEN, CUT -> server.health().failed(now());
             case NOT_RUN, WRONG_SERVER -> {}
         }
+        tellHealth(server, wasUsable);
     }
 
-    void answered(Route route, RelayServer server, int status, long millis) {
+    void answered(RelayServer server, int status) {
+        boolean wasUsable = server.health().usable(now());
         if (status >= 500) {
             server.health().failed(now());
         } else {
             server.health().succeeded();
         }
-        metrics.times(route.kind().name(), Duration.ZERO, Duration.ZERO, Duration.ofMillis(millis));
+        tellHealth(server, wasUsable);
+    }
+
+    private void tellHealth(RelayServer server, boolean wasUsable) {
+        boolean usable = server.health().usable(now());
+        if (usable != wasUsable) {
+            count(usable ? "server_back" : "server_ejected");
+            LogLine.of(usable ? LogEvent.SERVER_BACK : LogEvent.SERVER_EJECTED, !usable)
+                    .with(LogField.SERVER, server.id())
+                    .with(LogField.SERVICE, server.service())
+                    .write();
+        }
     }
 
     void load(RelayServer server, AnswerTerms.ServerLoad load) {
@@ -263,15 +303,24 @@
         peersHeard = heard;
     }
 
+    /** Notes how many peers were heard of late. */
+    void peersPresent(int count) {
+        peersPresent = count;
+    }
+
+    int peersPresent() {
+        return peersPresent;
+    }
+
     /** Notes that another incarnation answers at a server's address. */
     void replaced(RelayServer server) {
+        LogLine.of(LogEvent.SERVER_REPLACED)
+                .with(LogField.SERVER, server.id())
+                .with(LogField.SERVICE, server.service())
+                .write();
         directory.replaced(server);
     }
 
-    void logCut(String attemptId, Route route, String why) {
-        LOG.log(Level.INFO, "answer to " + attemptId + " on " + route.name() + " cut: " + why);
-    }
-
     /** Returns how long a caller that is refused should wait, in milliseconds. */
     long comeBackMillis() {
         return COME_BACK_MILLIS + ThreadLocalRandom.current().nextInt(COME_BACK_MILLIS);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -24,6 +25,10 @@
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.node.daemon.Daemon;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
+import org.tanagerhinge.node.log.LogSetup;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** The daemon on an entry host: opens the doors, reads the store, stops as planned. */
@@ -44,7 +49,6 @@
     private final GatewayOptions options;
     private volatile Duration stopTimeout;
     private Channel door;
-    private long stopBegan;
     private volatile boolean idleClosed;
 
     private GatewayDaemon(EventLoopGroup loop, Gateway gateway, NodeMetrics metrics, GatewayOptions options) {
@@ -72,13 +76,24 @@
         Gateway gateway = Gateway.create(loop, dialect, options, metrics, placement);
         GatewayDaemon daemon = new GatewayDaemon(loop, gateway, metrics, options);
         daemon.open(early);
-        MetadataStore client = store.apply(loop);
+        MetadataStore client = MeasuredStore.of(store.apply(loop), metrics);
         Peers peers = Peers.open(gateway, loop, document -> decode(client, document));
         gateway.onSent(peers::sent);
+        daemon.showBeliefs(peers);
         loop.next().execute(() -> StoreFeed.start(gateway, client, peers));
         return daemon;
     }
 
+    /** Shows what this node has in progress and how old its beliefs are, read on the event loop when it is asked for. */
+    private void showBeliefs(Peers peers) {
+        metrics.gauge("requests_in_progress", "Requests of callers in progress", gateway::inProgress);
+        metrics.gauge("config_version", "Version of the configuration in force", gateway::configVersion);
+        metrics.gauge("servers_age_seconds", "Age of the list of servers", gateway::serversAgeSeconds);
+        metrics.gauge("peers_present", "Peers heard of late", gateway::peersPresent);
+        metrics.gauge("peers_age_seconds", "Age of the oldest report of a present peer", peers::oldestReportSeconds);
+        metrics.gauge("log_lines_dropped", "Log lines dropped since the start", LogSetup::dropped);
+    }
+
     private static RelayConfig decode(MetadataStore client, byte[] document) {
         try {
             return client.decode(document);
@@ -88,7 +103,7 @@
     }
 
     private void open(Optional<ServerSocketChannel> early) {
-        listen(options.status(), new ChannelInitializer<Channel>() {
+        ChannelHandler status = new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
@@ -97,7 +112,9 @@
                                 new HttpObjectAggregator(HEADERS),
                                 new StatusHandler(gateway, metrics));
             }
-        });
+        };
+        listen(options.status(), status);
+        options.metrics().ifPresent(address -> tryToListen(address, status));
         listen(options.peers(), new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -116,7 +133,10 @@
             }
         };
         door = early.map(socket -> takeOver(socket, callers)).orElseGet(() -> listen(options.listen(), callers));
-        LOG.log(Level.INFO, "listening on " + options.listen());
+        LogSetup.node(options.name());
+        LogLine.of(LogEvent.STARTED)
+                .with(LogField.WHY, "listening on " + options.listen())
+                .write();
     }
 
     private Channel takeOver(ServerSocketChannel socket, ChannelHandler handler) {
@@ -130,6 +150,15 @@
                 .channel();
     }
 
+    /** A host on which the port for metrics is taken serves callers all the same. */
+    private void tryToListen(InetSocketAddress address, ChannelHandler handler) {
+        try {
+            listen(address, handler);
+        } catch (ChannelException e) {
+            LOG.log(Level.WARNING, "metrics are not shown at " + address + ": " + e.getMessage());
+        }
+    }
+
     private Channel listen(InetSocketAddress address, ChannelHandler handler) {
         return new ServerBootstrap()
                 .group(loop)
@@ -174,7 +203,6 @@
 
     @Override
     public void beginStop() {
-        stopBegan = System.nanoTime();
         gateway.beginStop();
         loop.next().schedule(this::closeIdle, UNNOTICED.toMillis(), TimeUnit.MILLISECONDS);
     }
@@ -197,7 +225,6 @@
 
     @Override
     public void close() {
-        LOG.log(Level.INFO, "stopped after " + (System.nanoTime() - stopBegan) / 1_000_000 + " ms");
         loop.next().submit(gateway::stopNow).awaitUninterruptibly(EXIT.toMillis() / 3);
         loop.next().submit(gateway::closeIdleCallers).awaitUninterruptibly(EXIT.toMillis() / 3);
         loop.shutdownGracefully(0, EXIT.toMillis() / 3, TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * What a gateway is told by its settings.
@@ -9,6 +10,7 @@
  * @param domain failure domain of this host
  * @param listen where callers connect
  * @param status where the platform asks for readiness, and where metrics are
+ * @param metrics where metrics are shown besides, if anywhere: a platform may fetch them at one port on all hosts
  * @param peers where other gateways send what they know, over UDP, and ask for more, over TCP
  * @param bounds the platform's bounds
  */
@@ -17,12 +19,13 @@
         String domain,
         InetSocketAddress listen,
         InetSocketAddress status,
+        Optional<InetSocketAddress> metrics,
         InetSocketAddress peers,
         Bounds bounds) {
     /** Returns these options with no budget for repeats: the plain baseline that the product is compared with. */
     public GatewayOptions withoutRetries() {
         Bounds none = new Bounds(bounds.stopTimeout(), 0, 0, bounds.retryWindow());
-        return new GatewayOptions(name, domain, listen, status, peers, none);
+        return new GatewayOptions(name, domain, listen, status, metrics, peers, none);
     }
 
     /**
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MeasuredStore.java
@@ -0,0 +1,73 @@
+package org.tanagerhinge.gateway;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.tanagerhinge.core.relay.Registration;
+import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.node.metrics.NodeMetrics;
+
+/** Measures how long each call of the platform's store takes, and how it ends. */
+final class MeasuredStore implements MetadataStore {
+    private final MetadataStore store;
+    private final NodeMetrics metrics;
+
+    private MeasuredStore(MetadataStore store, NodeMetrics metrics) {
+        this.store = store;
+        this.metrics = metrics;
+    }
+
+    /** Returns a store that makes the calls of another one. */
+    static MeasuredStore of(MetadataStore store, NodeMetrics metrics) {
+        return new MeasuredStore(store, metrics);
+    }
+
+    private <T> Consumer<Reply<T>> timed(String call, Consumer<Reply<T>> done) {
+        long began = System.nanoTime();
+        return reply -> {
+            String result = switch (reply) {
+                case Answer<T> answer -> "answered";
+                case HistoryGone<T> gone -> "history_gone";
+                case Failure<T> failure -> "failed";
+            };
+            metrics.storeCall(call, result, Duration.ofNanos(System.nanoTime() - began));
+            done.accept(reply);
+        };
+    }
+
+    @Override
+    public void servers(Consumer<Reply<List<Registration>>> done) {
+        store.servers(timed("servers", done));
+    }
+
+    @Override
+    public void config(Consumer<Reply<StoredConfig>> done) {
+        store.config(timed("config", done));
+    }
+
+    @Override
+    public void configAfter(long revision, long waitMillis, Consumer<Reply<StoredConfig>> done) {
+        store.configAfter(revision, waitMillis, timed("config_watch", done));
+    }
+
+    @Override
+    public RelayConfig decode(byte[] document) throws IOException {
+        return store.decode(document);
+    }
+
+    @Override
+    public void join(String name, String address, Duration lease, Consumer<Reply<Long>> done) {
+        store.join(name, address, lease, timed("join", done));
+    }
+
+    @Override
+    public void keep(long lease, Consumer<Reply<Boolean>> done) {
+        store.keep(lease, timed("keep", done));
+    }
+
+    @Override
+    public void gateways(Consumer<Reply<List<String>>> done) {
+        store.gateways(timed("gateways", done));
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -28,6 +28,9 @@
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
 import org.tanagerhinge.node.daemon.Incarnation;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 
 /**
  * What this gateway tells its peers and hears from them: load, demand, what engines hold, and how new its configuration
@@ -57,6 +60,7 @@
     private final long incarnation = Incarnation.next();
     private final Set<InetSocketAddress> addresses = new HashSet<>();
     private final List<PeerCodec.Kept> kept = new ArrayList<>();
+    private Set<String> present = Set.of();
     private BooleanSupplier storeAnswers = () -> true;
     private long sequence;
     private long tokensSince;
@@ -212,7 +216,8 @@
     /** Gives placement what the peers have in progress and what their callers ask. */
     private void takeSums() {
         long now = gateway.now();
-        boolean heard = table.anyPresent(now);
+        tellPresence(now);
+        boolean heard = !present.isEmpty();
         gateway.peersHeard(heard);
         if (!heard) {
             return;
@@ -226,6 +231,33 @@
         gateway.placement().peers(table.demands(now));
     }
 
+    private void tellPresence(long now) {
+        Set<String> newly = table.present(now);
+        for (String name : newly) {
+            if (!present.contains(name)) {
+                LogLine.of(LogEvent.PEER_BACK).with(LogField.SERVER, name).write();
+            }
+        }
+        for (String name : present) {
+            if (!newly.contains(name)) {
+                gateway.count("peer_lost");
+                LogLine.failure(LogEvent.PEER_LOST).with(LogField.SERVER, name).write();
+            }
+        }
+        present = newly;
+        gateway.peersPresent(newly.size());
+    }
+
+    /** Returns the age of the oldest report of a present peer, in seconds; not a number without one. */
+    double oldestReportSeconds() {
+        long now = gateway.now();
+        return table.all().stream()
+                .filter(peer -> PeerTable.present(peer, now))
+                .mapToDouble(peer -> (now - peer.heardAt()) / 1000.0)
+                .max()
+                .orElse(Double.NaN);
+    }
+
     private void askConfig(PeerReport ahead) {
         if (askingConfig) {
             return;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Refusal.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Refusal.java
@@ -10,6 +10,11 @@
  * @param retryAfterMillis when the caller may come back; 0 to say nothing of it
  */
 record Refusal(int status, ResultCode code, long retryAfterMillis) {
+    /** Returns what the caller may take for known of whether its request ran. */
+    String run() {
+        return status == 503 || status == 429 || (status < 500 && status != 408) ? "not_run" : "unknown";
+    }
+
     static Refusal of(int status, ResultCode code) {
         return new Refusal(status, code, 0);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
@@ -0,0 +1,171 @@
+package org.tanagerhinge.gateway;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import org.tanagerhinge.core.relay.AttemptEnd;
+import org.tanagerhinge.core.relay.Placement;
+import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.Route;
+import org.tanagerhinge.core.relay.RouteKind;
+import org.tanagerhinge.core.relay.WorkspaceTerms;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
+import org.tanagerhinge.node.metrics.NodeMetrics;
+
+/** What is told of one request, in log lines and metrics: each decision, the inputs that decided it, and the outcome. */
+final class RequestTrail {
+    private final Gateway gateway;
+    private final String id;
+    private final long arrived;
+    private Optional<Route> route = Optional.empty();
+    private int attempts;
+    private String server = "";
+
+    private RequestTrail(Gateway gateway, String id, long arrived) {
+        this.gateway = gateway;
+        this.id = id;
+        this.arrived = arrived;
+    }
+
+    /** Returns the trail of a request that arrived at a time in milliseconds. */
+    static RequestTrail of(Gateway gateway, String id, long arrived) {
+        return new RequestTrail(gateway, id, arrived);
+    }
+
+    private LogLine line(LogEvent event, boolean failure) {
+        return LogLine.of(event, failure).with(LogField.ID, id);
+    }
+
+    void routed(Route found, Optional<WorkspaceTerms> workspace, String service, int rank, long leftMillis) {
+        route = Optional.of(found);
+        line(LogEvent.ROUTED, false)
+                .with(LogField.ROUTE, found.name())
+                .with(LogField.WORKSPACE, workspace.map(WorkspaceTerms::name).orElse(""))
+                .with(LogField.SERVICE, service)
+                .with(LogField.CONFIG, gateway.configVersion())
+                .with(
+                        LogField.SERVERS_AGE_MS,
+                        gateway.now() - gateway.directory().lastList())
+                .with(LogField.RANK, rank)
+                .with(LogField.LEFT_MS, leftMillis)
+                .write();
+    }
+
+    /** Another attempt begins; the server's load is as it was when it was chosen. */
+    void sent(Placement.Placed placed, int candidates) {
+        attempts++;
+        RelayServer chosen = placed.server();
+        server = chosen.id();
+        line(LogEvent.SENT, false)
+                .with(LogField.SERVER, server)
+                .with(LogField.ATTEMPT, attempts)
+                .with(LogField.CANDIDATES, candidates)
+                .with(LogField.RUNNING, chosen.runningOfAll())
+                .with(LogField.READING, chosen.promptTokensOfAll())
+                .with(LogField.TO_READ, placed.tokensToRead())
+                .with(LogField.PEERS, gateway.peersPresent())
+                .write();
+    }
+
+    void attemptFailed(AttemptEnd end, String why, long began, AnswerProgress progress) {
+        line(LogEvent.ATTEMPT_FAILED, true)
+                .with(LogField.SERVER, server)
+                .with(LogField.ATTEMPT, attempts)
+                .with(LogField.END, end.name().toLowerCase(Locale.ROOT))
+                .with(LogField.WHY, why)
+                .with(LogField.RUN, end.mayHaveRun() ? "unknown" : "not_run")
+                .with(LogField.EVENT_ID, progress.lastEvent())
+                .with(LogField.MS, gateway.now() - began)
+                .write();
+    }
+
+    /** The request goes to another server. */
+    void again(boolean resumed, AnswerProgress progress) {
+        gateway.count(resumed ? "resumed" : "repeated");
+        line(resumed ? LogEvent.RESUMED : LogEvent.REPEATED, true)
+                .with(LogField.ATTEMPT, attempts + 1)
+                .with(LogField.EVENT_ID, progress.lastEvent())
+                .write();
+    }
+
+    void givenUp() {
+        gateway.count("given_up");
+        line(LogEvent.GIVEN_UP, true).with(LogField.MS, gateway.now() - arrived).write();
+    }
+
+    void refused(Refusal refusal) {
+        line(LogEvent.REFUSED, true)
+                .with(LogField.ROUTE, route.map(Route::name).orElse(""))
+                .with(LogField.STATUS, refusal.status())
+                .with(LogField.CODE, refusal.code().number())
+                .with(LogField.RUN, refusal.run())
+                .with(LogField.RETRY_AFTER_MS, refusal.retryAfterMillis())
+                .with(LogField.ATTEMPT, attempts)
+                .with(LogField.MS, gateway.now() - arrived)
+                .write();
+    }
+
+    void cut(String why, AnswerProgress progress) {
+        gateway.count("answer_cut");
+        last(LogEvent.CUT, true, progress).with(LogField.WHY, why).write();
+    }
+
+    void callerGone(AnswerProgress progress) {
+        gateway.count("caller_gone");
+        last(LogEvent.CALLER_GONE, true, progress).write();
+    }
+
+    /** The answer was passed on whole. */
+    void ended(int status, AnswerProgress progress) {
+        long now = gateway.now();
+        boolean late = late(now, progress);
+        last(LogEvent.ENDED, late || status >= 400, progress)
+                .with(LogField.STATUS, status)
+                .with(LogField.LATE, late)
+                .write();
+        route.ifPresent(of -> measure(label(of), now, progress));
+        if (late) {
+            gateway.count("answered_late");
+        }
+    }
+
+    private void measure(String label, long now, AnswerProgress progress) {
+        long first = progress.firstAt() < 0 ? 0 : progress.firstAt() - arrived;
+        NodeMetrics metrics = gateway.metrics();
+        metrics.times(label, Duration.ofMillis(first), Duration.ZERO, Duration.ofMillis(now - arrived));
+        metrics.longestPause(label, Duration.ofMillis(progress.longestPause()));
+    }
+
+    /** Requests of one kind and rank are shown together: their number doesn't grow with routes and workspaces. */
+    private static String label(Route route) {
+        return route.kind().name().toLowerCase(Locale.ROOT) + "/" + route.priority();
+    }
+
+    private LogLine last(LogEvent event, boolean failure, AnswerProgress progress) {
+        LogLine line = line(event, failure)
+                .with(LogField.ROUTE, route.map(Route::name).orElse(""))
+                .with(LogField.SERVER, server)
+                .with(LogField.ATTEMPT, attempts)
+                .with(LogField.MS, gateway.now() - arrived);
+        if (progress.firstAt() >= 0) {
+            line.with(LogField.FIRST_MS, progress.firstAt() - arrived)
+                    .with(LogField.PAUSE_MS, progress.longestPause())
+                    .with(LogField.EVENT_ID, progress.lastEvent());
+        }
+        return line;
+    }
+
+    private boolean late(long now, AnswerProgress progress) {
+        if (route.isEmpty() || route.get().targetMillis() <= 0) {
+            return false;
+        }
+        Route of = route.get();
+        if (of.kind() != RouteKind.STREAM || progress.firstAt() < 0) {
+            return now - arrived > of.targetMillis();
+        }
+        return progress.firstAt() - arrived > of.targetMillis()
+                || (of.gapMillis() > 0 && progress.longestPause() > of.gapMillis());
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import org.tanagerhinge.core.relay.Registration;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 
 /**
  * Keeps a gateway's configuration and server list up to date with the platform's store.
@@ -193,7 +196,7 @@
     private void heard() {
         if (!storeAnswers) {
             storeAnswers = true;
-            LOG.log(Level.INFO, "platform's store answers again");
+            LogLine.of(LogEvent.STORE_BACK).write();
         }
     }
 
@@ -201,7 +204,7 @@
         gateway.count("store_call_failed");
         if (storeAnswers) {
             storeAnswers = false;
-            LOG.log(Level.WARNING, "platform's store: " + why);
+            LogLine.failure(LogEvent.STORE_LOST).with(LogField.WHY, why).write();
             peers.tellNow();
         }
     }
--- /dev/null
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/LogCost.java
@@ -0,0 +1,188 @@
+package org.tanagerhinge.bench.capacity;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.tanagerhinge.core.relay.PromptAware;
+import org.tanagerhinge.gateway.GatewayDaemon;
+import org.tanagerhinge.gateway.GatewayOptions;
+import org.tanagerhinge.node.log.LogSetup;
+import org.tanagerhinge.node.log.RequestLines;
+import org.tanagerhinge.platform.PlatformGateway;
+import org.tanagerhinge.platform.PlatformNames;
+import org.tanagerhinge.standin.relay.PlatformScene;
+import org.tanagerhinge.standin.relay.ServerStandin;
+import org.tanagerhinge.standin.relay.StoreStandin;
+
+/**
+ * What log lines cost a gateway: processor time a request with lines about requests, without them, and with a reader that
+ * has stopped; the three by turns in one run, since machines are noisy.
+ */
+public final class LogCost {
+    private static final int ROUNDS = 12;
+    private static final int REQUESTS = 150;
+    private static final int EVENTS = 40;
+
+    private final Map<Mode, List<Double>> cpuMicros = new EnumMap<>(Mode.class);
+    private final Map<Mode, List<Double>> millis = new EnumMap<>(Mode.class);
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private LogCost() {}
+
+    private enum Mode {
+        WITH,
+        WITHOUT,
+        READER_STOPPED
+    }
+
+    /** A stream that nobody reads until it is closed. */
+    private static final class Stopped extends OutputStream {
+        private final CountDownLatch over = new CountDownLatch(1);
+
+        @Override
+        public void write(int b) throws IOException {
+            try {
+                over.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        }
+
+        @Override
+        public void write(byte[] bytes, int from, int length) throws IOException {
+            write(0);
+        }
+
+        @Override
+        public void close() {
+            over.countDown();
+        }
+    }
+
+    /** Measures and prints. */
+    public static int run() throws IOException {
+        new LogCost().measure();
+        return 0;
+    }
+
+    private void measure() throws IOException {
+        try (StoreStandin store = StoreStandin.start(0);
+                ServerStandin engine = ServerStandin.start("e-1", ServerStandin.events(EVENTS, 0))) {
+            PlatformScene scene = PlatformScene.in(store);
+            scene.host("127.0.0.1");
+            scene.service("model", 8);
+            scene.route("/stream/", "streaming", "model").put(PlatformNames.RESUMABLE, true);
+            scene.workspace("coop", "key-1");
+            scene.register(engine, "model", "ready");
+            scene.publish();
+            InetSocketAddress door = free();
+            GatewayDaemon gateway = PlatformGateway.start(
+                    new GatewayOptions(
+                            "gateway-0",
+                            "north",
+                            door,
+                            free(),
+                            Optional.empty(),
+                            free(),
+                            new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10))),
+                    PromptAware.create(),
+                    store.address());
+            while (!gateway.ready()) {
+                Thread.onSpinWait();
+            }
+            for (int round = 0; round < ROUNDS; round++) {
+                for (Mode mode : Mode.values()) {
+                    block(mode, door.getPort(), round > 1);
+                }
+            }
+            gateway.close();
+        }
+        print();
+    }
+
+    private void block(Mode mode, int port, boolean counts) throws IOException {
+        LogSetup.requests(mode == Mode.WITHOUT ? RequestLines.NONE : RequestLines.ALL);
+        try (Stopped stopped = new Stopped()) {
+            AutoCloseable copy = mode == Mode.READER_STOPPED ? LogSetup.copyTo(stopped) : () -> {};
+            long before = cpu();
+            for (int i = 0; i < REQUESTS; i++) {
+                long began = System.nanoTime();
+                send(port, "attempt-" + i);
+                if (counts) {
+                    millis.computeIfAbsent(mode, key -> new ArrayList<>()).add((System.nanoTime() - began) / 1e6);
+                }
+            }
+            if (counts) {
+                cpuMicros.computeIfAbsent(mode, key -> new ArrayList<>()).add((cpu() - before) / 1e3 / REQUESTS);
+            }
+            stopped.close();
+            copy.close();
+        } catch (IOException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new IOException(e);
+        }
+    }
+
+    private void send(int port, String id) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/stream/x"))
+                .header("Authorization", "Token key-1")
+                .header(PlatformNames.ATTEMPT_ID, id)
+                .header(PlatformNames.DEADLINE, "4000")
+                .header(PlatformNames.TOKENS, "900,80")
+                .header(PlatformNames.PARTS, "aa:600,bb:300")
+                .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                .build();
+        int status =
+                client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+        if (status != 200) {
+            throw new IOException("status " + status);
+        }
+    }
+
+    private static long cpu() {
+        return Probe.cpuNanos(name -> name.startsWith("multiThreadIoEventLoopGroup") || name.equals("log"));
+    }
+
+    private void print() {
+        System.out.println("mode              us of processor time a request      ms a request, median and 99 in 100");
+        for (Mode mode : Mode.values()) {
+            List<Double> cpu = sorted(cpuMicros.get(mode));
+            List<Double> times = sorted(millis.get(mode));
+            System.out.println(String.format(
+                    Locale.ROOT,
+                    "%-16s %7.1f (%.1f to %.1f) %27.2f %.2f",
+                    mode.name().toLowerCase(Locale.ROOT),
+                    cpu.get(cpu.size() / 2),
+                    cpu.get(0),
+                    cpu.get(cpu.size() - 1),
+                    times.get(times.size() / 2),
+                    times.get(times.size() * 99 / 100)));
+        }
+    }
+
+    private static List<Double> sorted(List<Double> values) {
+        return values.stream().sorted().toList();
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
--- a/harness/src/main/java/org/tanagerhinge/bench/experiment/BenchMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/experiment/BenchMain.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.Callable;
 import java.util.function.ToDoubleFunction;
 import org.tanagerhinge.bench.capacity.Capacity;
+import org.tanagerhinge.bench.capacity.LogCost;
 import org.tanagerhinge.bench.cluster.LocalCluster.Kind;
 import org.tanagerhinge.core.result.TanagerhingeException;
 import org.tanagerhinge.standin.load.Ending;
@@ -29,14 +30,15 @@
 /** The command line of the experiments. */
 @Command(
         name = "bench",
-        description = "Runs scenarios against the product and its naive version, or 'capacity' for slopes")
+        description =
+                "Runs scenarios against the product and its naive version, 'capacity' for slopes, or 'logs' for what log lines cost")
 public final class BenchMain implements Callable<Integer> {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     @AirlineModule
     private HelpOption<BenchMain> help;
 
-    @Arguments(title = "SCENARIO", description = "Names of scenarios, all, or capacity")
+    @Arguments(title = "SCENARIO", description = "Names of scenarios, all, capacity or logs")
     private List<String> names = new ArrayList<>();
 
     @Option(
@@ -80,6 +82,9 @@
             if (names.equals(List.of("capacity"))) {
                 return Capacity.run(jsonFile);
             }
+            if (names.equals(List.of("logs"))) {
+                return LogCost.run();
+            }
             boolean all = names.isEmpty() || names.equals(List.of("all"));
             return runScenarios(all ? ScenarioReader.NAMES : names);
         } catch (TanagerhingeException | IOException | IllegalArgumentException e) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.tanagerhinge.core.relay.PromptAware;
 import org.tanagerhinge.gateway.GatewayDaemon;
@@ -47,6 +48,7 @@
                 "north",
                 free(),
                 free(),
+                Optional.empty(),
                 free(),
                 new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10)));
         GatewayDaemon gateway = PlatformGateway.start(options, PromptAware.create(), storeAddress);
--- a/node/src/main/java/org/tanagerhinge/node/daemon/DaemonCommand.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/DaemonCommand.java
@@ -6,8 +6,6 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -20,6 +18,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tanagerhinge.core.result.TanagerhingeException;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
+import org.tanagerhinge.node.log.LogSetup;
+import org.tanagerhinge.node.log.RequestLines;
 import org.tanagerhinge.node.settings.Setting;
 import org.tanagerhinge.node.settings.Settings;
 import sun.misc.Signal;
@@ -31,12 +34,23 @@
     /** Exit code for a daemon that could not start. */
     public static final int EXIT_CANNOT_START = 3;
 
-    private static final Logger LOG = System.getLogger(DaemonCommand.class.getName());
+    /** Which lines about single requests are logged; each daemon has it among its settings. */
+    public static final Setting<RequestLines> REQUEST_LINES = Setting.word(
+            "log",
+            "requests",
+            RequestLines.class,
+            RequestLines.ALL,
+            "which lines about single requests are logged: all, failed ones only, or none");
+
     /** How often the settings file is looked at: it may change without a signal. */
     private static final Duration SETTINGS_POLL = Duration.ofSeconds(1);
 
     private static final Duration STOP_POLL = Duration.ofMillis(50);
 
+    static {
+        LogSetup.toStandardOutput();
+    }
+
     private final AtomicInteger hangUps = new AtomicInteger();
 
     @AirlineModule
@@ -96,6 +110,7 @@
             System.out.println(file + ": ok");
             return 0;
         }
+        setUpLog(settings);
         try {
             runUntilStopped(start(settings), file, inForce);
             return 0;
@@ -104,6 +119,12 @@
         }
     }
 
+    private void setUpLog(Settings settings) {
+        if (settings().contains(REQUEST_LINES)) {
+            LogSetup.requests(settings.value(REQUEST_LINES));
+        }
+    }
+
     private static int fail(TanagerhingeException problem, int exitCode) {
         PrintStream err = System.err;
         err.println(problem.getMessage());
@@ -160,17 +181,22 @@
 
     private void reload(Daemon daemon, Path file) {
         try {
-            reloaded(daemon, Settings.load(file, parsedOverrides(), settings()));
-            LOG.log(Level.INFO, "settings read again");
+            Settings newer = Settings.load(file, parsedOverrides(), settings());
+            setUpLog(newer);
+            reloaded(daemon, newer);
+            LogLine.of(LogEvent.SETTINGS_READ).write();
         } catch (TanagerhingeException e) {
-            LOG.log(Level.ERROR, "settings cannot be used, those in force stay: " + e.getMessage());
+            LogLine.failure(LogEvent.SETTINGS_REFUSED)
+                    .with(LogField.WHY, e.getMessage())
+                    .write();
         }
     }
 
     private static void stop(Daemon daemon) {
-        LOG.log(Level.INFO, "stopping");
+        LogLine.of(LogEvent.STOPPING).write();
+        long began = System.nanoTime();
         daemon.beginStop();
-        long bound = System.nanoTime() + daemon.stopTimeout().toNanos();
+        long bound = began + daemon.stopTimeout().toNanos();
         try {
             while (!daemon.drained() && System.nanoTime() - bound < 0) {
                 Thread.sleep(STOP_POLL.toMillis());
@@ -178,7 +204,12 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        LOG.log(Level.INFO, daemon.drained() ? "stopped" : "stopped with work in progress");
+        boolean drained = daemon.drained();
         daemon.close();
+        LogLine.of(LogEvent.STOPPED, !drained)
+                .with(LogField.MS, (System.nanoTime() - began) / 1_000_000)
+                .with(LogField.END, drained ? "drained" : "with work in progress")
+                .write();
+        LogSetup.flush();
     }
 }
--- a/node/src/main/java/org/tanagerhinge/node/daemon/RequestLog.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/RequestLog.java
@@ -1,37 +1,52 @@
 package org.tanagerhinge.node.daemon;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
-import org.slf4j.MDC;
+import java.time.Duration;
+import org.tanagerhinge.core.id.RequestId;
+import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.result.ResultCode;
+import org.tanagerhinge.core.result.RunState;
 import org.tanagerhinge.core.router.Outcome;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 
-/** Writes one JSON line for each ended request; ids and result codes only, never keys or bodies. */
+/** Writes one line for each ended request; ids and result codes only, never keys or bodies. */
 public final class RequestLog {
-    private static final Logger LOG = System.getLogger("request");
-
     private RequestLog() {}
 
+    /** Logs that a request goes to a backend server, or to its agent. */
+    public static void sent(RequestId request, ServerId server, Duration left) {
+        LogLine.of(LogEvent.SENT)
+                .with(LogField.ID, request.value())
+                .with(LogField.SERVER, server.value())
+                .with(LogField.LEFT_MS, left.toMillis())
+                .write();
+    }
+
+    /** Logs how a request's attempt failed. */
+    public static void attemptFailed(RequestId request, ServerId server, ResultCode code, RunState run, String why) {
+        LogLine.failure(LogEvent.ATTEMPT_FAILED)
+                .with(LogField.ID, request.value())
+                .with(LogField.SERVER, server.value())
+                .with(LogField.CODE, code.number())
+                .with(LogField.RUN, run.word())
+                .with(LogField.WHY, why)
+                .write();
+    }
+
     /** Logs how a request ended. */
     public static void ended(Outcome outcome) {
-        Level level = outcome.code() == ResultCode.OK ? Level.DEBUG : Level.INFO;
-        if (!LOG.isLoggable(level)) {
-            return;
-        }
-        try (MDC.MDCCloseable request =
-                        MDC.putCloseable("request", outcome.request().value());
-                MDC.MDCCloseable workspace =
-                        MDC.putCloseable("workspace", outcome.workspace().value());
-                MDC.MDCCloseable profile =
-                        MDC.putCloseable("profile", outcome.profile().value());
-                MDC.MDCCloseable code =
-                        MDC.putCloseable("code", Integer.toString(outcome.code().number()));
-                MDC.MDCCloseable run = MDC.putCloseable("run", outcome.run().word());
-                MDC.MDCCloseable units = MDC.putCloseable("units", Long.toString(outcome.units()));
-                MDC.MDCCloseable attempts = MDC.putCloseable("attempts", Integer.toString(outcome.attempts()));
-                MDC.MDCCloseable millis =
-                        MDC.putCloseable("millis", Long.toString(outcome.whole().toMillis()))) {
-            LOG.log(level, outcome.code().meaning());
-        }
+        boolean whole = outcome.code() == ResultCode.OK;
+        LogLine.of(whole ? LogEvent.ENDED : LogEvent.REFUSED, !whole)
+                .with(LogField.ID, outcome.request().value())
+                .with(LogField.WORKSPACE, outcome.workspace().value())
+                .with(LogField.PROFILE, outcome.profile().value())
+                .with(LogField.STATUS, outcome.code().httpStatus())
+                .with(LogField.CODE, outcome.code().number())
+                .with(LogField.RUN, outcome.run().word())
+                .with(LogField.UNITS, outcome.units())
+                .with(LogField.ATTEMPT, outcome.attempts())
+                .with(LogField.MS, outcome.whole().toMillis())
+                .write();
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -0,0 +1,68 @@
+package org.tanagerhinge.node.log;
+
+import java.util.Locale;
+import java.util.Set;
+
+/** What a log line tells of. */
+public enum LogEvent {
+    ROUTED(Subject.REQUEST),
+    SENT(Subject.REQUEST),
+    ATTEMPT_FAILED(Subject.REQUEST),
+    REPEATED(Subject.REQUEST),
+    RESUMED(Subject.REQUEST),
+    GIVEN_UP(Subject.REQUEST),
+    REFUSED(Subject.REQUEST),
+    CUT(Subject.REQUEST),
+    CALLER_GONE(Subject.REQUEST),
+    ENDED(Subject.REQUEST),
+
+    SERVER_SEEN(Subject.BELIEF),
+    SERVER_DRAINING(Subject.BELIEF),
+    SERVER_GONE(Subject.BELIEF),
+    SERVER_REPLACED(Subject.BELIEF),
+    SERVER_EJECTED(Subject.BELIEF),
+    SERVER_BACK(Subject.BELIEF),
+    CONFIGURATION(Subject.BELIEF),
+    STORE_LOST(Subject.BELIEF),
+    STORE_BACK(Subject.BELIEF),
+    PEER_LOST(Subject.BELIEF),
+    PEER_BACK(Subject.BELIEF),
+
+    STARTED(Subject.PROCESS),
+    STOPPING(Subject.PROCESS),
+    STOPPED(Subject.PROCESS),
+    SETTINGS_READ(Subject.PROCESS),
+    SETTINGS_REFUSED(Subject.PROCESS),
+    LOG_DROPPED(Subject.PROCESS);
+
+    /** Whom a line concerns; each has a logger of its own, by the name in lower case. */
+    public enum Subject {
+        REQUEST,
+        BELIEF,
+        PROCESS;
+
+        /** Names of the loggers whose lines have an event and fields in place of a text. */
+        static final Set<String> LOGGERS = Set.of(REQUEST.logger(), BELIEF.logger(), PROCESS.logger());
+
+        String logger() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    private final Subject subject;
+    private final String label = name().toLowerCase(Locale.ROOT);
+
+    LogEvent(Subject subject) {
+        this.subject = subject;
+    }
+
+    /** Returns whom the line concerns. */
+    public Subject subject() {
+        return subject;
+    }
+
+    /** Returns the word in a line. */
+    public String label() {
+        return label;
+    }
+}
--- a/node/src/main/java/org/tanagerhinge/node/log/LogSetup.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogSetup.java
@@ -3,45 +3,98 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.spi.Configurator;
 import ch.qos.logback.classic.spi.ConfiguratorRank;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.OutputStream;
+import java.time.Duration;
+import org.slf4j.LoggerFactory;
 
 /**
- * Sets up JSON lines on standard error; the system property {@code tanagerhinge.log} gives the least level, INFO if
- * absent, and {@code tanagerhinge.request.log} that of the lines about single requests.
+ * Sets up JSON lines, on standard output in daemons and on standard error in programs that print results; the system
+ * property {@code tanagerhinge.log} gives the least level, INFO if absent, and {@code tanagerhinge.request.log} that of
+ * the lines about single requests.
  *
  * <p>In code and not in an XML file, since reading one takes over a tenth of a second of processor time, for which nobody
  * is served after a restart.
  */
 @ConfiguratorRank(ConfiguratorRank.CUSTOM_HIGH_PRIORITY)
 public final class LogSetup extends ContextAwareBase implements Configurator {
+    private static final String TARGET = "tanagerhinge.log.target";
+    private static final Duration MOST_FLUSH = Duration.ofMillis(300);
+    private static final JsonLineEncoder ENCODER = new JsonLineEncoder();
+    private static volatile BoundedAppender appender;
+
+    /** Has lines written to standard output; must be called before the first logger is made. */
+    public static void toStandardOutput() {
+        System.setProperty(TARGET, "out");
+    }
+
+    /** Sets the name that each line of this process bears. */
+    public static void node(String name) {
+        ENCODER.node(name);
+    }
+
+    /** Sets which lines about single requests are written, while the process runs. */
+    public static void requests(RequestLines lines) {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.getLogger(LogEvent.Subject.REQUEST.logger())
+                    .setLevel(
+                            switch (lines) {
+                                case ALL -> level("tanagerhinge.request.log");
+                                case FAILED -> Level.WARN;
+                                case NONE -> Level.OFF;
+                            });
+        }
+    }
+
+    /** Returns how many lines were dropped since the start, since nobody read them or there were too many. */
+    public static long dropped() {
+        BoundedAppender current = appender;
+        return current == null ? 0 : current.dropped();
+    }
+
+    /** Has lines written to another stream as well, until the returned handle is closed; that waits for those so far. */
+    public static AutoCloseable copyTo(OutputStream out) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        BoundedAppender copy = BoundedAppender.to(out, ENCODER);
+        copy.setContext(context);
+        copy.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.addAppender(copy);
+        return () -> {
+            root.detachAppender(copy);
+            copy.flush(MOST_FLUSH);
+            copy.stop();
+        };
+    }
+
+    /** Waits until the lines so far are written, for a short time at the most. */
+    public static void flush() {
+        BoundedAppender current = appender;
+        if (current != null) {
+            current.flush(MOST_FLUSH);
+        }
+    }
+
     @Override
     public ExecutionStatus configure(LoggerContext context) {
-        JsonEncoder encoder = new JsonEncoder();
-        encoder.setContext(context);
-        encoder.setWithSequenceNumber(false);
-        encoder.setWithNanoseconds(false);
-        encoder.setWithContext(false);
-        encoder.setWithFormattedMessage(true);
-        encoder.setWithMessage(false);
-        encoder.setWithArguments(false);
-        encoder.start();
-        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
-        appender.setContext(context);
-        appender.setName("STDERR");
-        appender.setTarget("System.err");
-        appender.setEncoder(encoder);
-        appender.start();
+        FileDescriptor target = "out".equals(System.getProperty(TARGET)) ? FileDescriptor.out : FileDescriptor.err;
+        BoundedAppender bounded = BoundedAppender.to(new FileOutputStream(target), ENCODER);
+        bounded.setContext(context);
+        bounded.setName("LINES");
+        bounded.start();
+        appender = bounded;
+        Runtime.getRuntime()
+                .addShutdownHook(Thread.ofPlatform().name("log-flush").unstarted(LogSetup::flush));
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(level("tanagerhinge.log"));
-        root.addAppender(appender);
+        root.addAppender(bounded);
         context.getLogger("org.eclipse.jetty").setLevel(Level.WARN);
         context.getLogger("io.netty").setLevel(Level.WARN);
-        context.getLogger("request").setLevel(level("tanagerhinge.request.log"));
+        context.getLogger(LogEvent.Subject.REQUEST.logger()).setLevel(level("tanagerhinge.request.log"));
         return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 
--- a/node/src/main/java/org/tanagerhinge/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tanagerhinge/node/metrics/NodeMetrics.java
@@ -42,8 +42,18 @@
     private final Histogram firstToken = histogram("tanagerhinge_first_output_seconds", "Arrival to first output");
     private final Histogram betweenTokens =
             histogram("tanagerhinge_between_tokens_seconds", "Mean time between tokens of an answer");
+    private final Histogram longestPause =
+            histogram("tanagerhinge_longest_pause_seconds", "Longest pause between two events of a stream");
     private final Histogram whole = histogram("tanagerhinge_whole_answer_seconds", "Arrival to whole answer");
 
+    private final Histogram storeCalls = Histogram.builder()
+            .name("tanagerhinge_store_call_seconds")
+            .help("Calls to the platform's store, by call and how they ended")
+            .labelNames("call", "result")
+            .classicOnly()
+            .classicUpperBounds(SECONDS)
+            .register(registry);
+
     private NodeMetrics() {}
 
     /** Returns the metrics of a node that starts now. */
@@ -78,6 +88,16 @@
         observe(whole, profile, all);
     }
 
+    /** Notes the longest pause of a stream that has ended; zero is left out. */
+    public void longestPause(String profile, Duration pause) {
+        observe(longestPause, profile, pause);
+    }
+
+    /** Notes a call to the platform's store. */
+    public void storeCall(String call, String result, Duration time) {
+        storeCalls.labelValues(call, result).observe(time.toNanos() / 1e9);
+    }
+
     private static void observe(Histogram histogram, String profile, Duration time) {
         if (!time.isZero()) {
             histogram.labelValues(profile).observe(time.toNanos() / 1e9);
--- a/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
+++ b/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
@@ -49,6 +49,17 @@
                 help);
     }
 
+    /** Returns a setting that is {@code IP:PORT} or left out. */
+    public static Setting<Optional<InetSocketAddress>> maybeAddress(String section, String name, String help) {
+        return new Setting<>(
+                section,
+                name,
+                "IP:PORT, for example 127.0.0.1:7700, or nothing",
+                text -> text.isEmpty() ? Optional.empty() : Optional.of(parseAddress(text)),
+                Optional.of(""),
+                help);
+    }
+
     /** Returns a setting that is a whole number in a range. */
     public static Setting<Integer> whole(String section, String name, int least, int most, int absent, String help) {
         Function<String, Integer> parser = text -> {
--- /dev/null
+++ b/node/src/test/java/org/tanagerhinge/node/log/LogFieldsPageTest.java
@@ -0,0 +1,22 @@
+package org.tanagerhinge.node.log;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+/** Whoever queries logs finds each event and field in the operators' page. */
+class LogFieldsPageTest {
+    @Test
+    void theOperatorsPageListsEachEventAndEachField() throws IOException {
+        String page = Files.readString(Path.of("..", "docs", "OPERATIONS.md"));
+        for (LogEvent event : LogEvent.values()) {
+            assertTrue(page.contains("`" + event.label() + "`"), "event " + event.label());
+        }
+        for (LogField field : LogField.values()) {
+            assertTrue(page.contains("`" + field.label() + "`"), "field " + field.label());
+        }
+    }
+}
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -37,6 +37,8 @@
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.result.Refusal;
+import org.tanagerhinge.core.result.ResultCode;
+import org.tanagerhinge.core.result.RunState;
 import org.tanagerhinge.core.result.TanagerhingeException;
 import org.tanagerhinge.core.router.Arrival;
 import org.tanagerhinge.core.router.Outcome;
@@ -50,6 +52,10 @@
 import org.tanagerhinge.node.daemon.HttpServer.Page;
 import org.tanagerhinge.node.daemon.Incarnation;
 import org.tanagerhinge.node.daemon.RequestLog;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
+import org.tanagerhinge.node.log.LogSetup;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 import org.tanagerhinge.node.platform.ClaimStore;
 import org.tanagerhinge.node.platform.ConfigPoller;
@@ -155,7 +161,10 @@
                 found -> control.post(() -> core.applyConfig(found)),
                 metrics);
         control.every(TICK, core::onTick);
-        LOG.log(Level.INFO, "router " + self + " serves callers on port " + http.port());
+        LogSetup.node(self.name());
+        LogLine.of(LogEvent.STARTED)
+                .with(LogField.WHY, "serving callers on port " + http.port())
+                .write();
     }
 
     private void gauges() {
@@ -323,12 +332,20 @@
     private final class Port implements RouterPort {
         @Override
         public void send(ServerId server, Frame.FromRouter frame) {
+            if (frame instanceof Frame.Submit submit) {
+                RequestLog.sent(submit.request(), server, submit.timeLeft());
+            }
             Link link = links.get(server);
             if (link != null) {
                 link.send(frame);
             }
         }
 
+        @Override
+        public void attemptFailed(RequestId request, ServerId server, ResultCode code, RunState run, String why) {
+            RequestLog.attemptFailed(request, server, code, run, why);
+        }
+
         @Override
         public void claim(long sequence, ClaimEntry wanted, long expectedGeneration) {
             onClaimThread(() -> {
@@ -442,7 +459,9 @@
         @Override
         public void applied(ClusterConfig applied) {
             config = applied;
-            LOG.log(Level.INFO, "configuration " + applied.revision() + " is in force");
+            LogLine.of(LogEvent.CONFIGURATION)
+                    .with(LogField.CONFIG, applied.revision().toString())
+                    .write();
         }
     }
 
--- a/router/src/main/java/org/tanagerhinge/router/RouterSettings.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterSettings.java
@@ -7,6 +7,7 @@
 import org.tanagerhinge.core.id.FailureDomain;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.router.RouterOptions;
+import org.tanagerhinge.node.daemon.DaemonCommand;
 import org.tanagerhinge.node.settings.Setting;
 import org.tanagerhinge.node.settings.Settings;
 import org.tanagerhinge.wire.SharedSecret;
@@ -49,6 +50,7 @@
     /** Returns all settings, for checking a file. */
     public static List<Setting<?>> all() {
         return List.of(
+                DaemonCommand.REQUEST_LINES,
                 NAME,
                 DOMAIN,
                 LISTEN,
