One history of attempts, one rule for repeats and one budget under both front doors

Cause: whether a request may be sent again was decided twice: by RetryRules for the relay, by conditions spread over RouterCore for the OpenAI interface, each with a budget of its own kind (a window there, a balance of successes here).

core.attempt holds it now: AttemptTerms (how often a request may be sent), AttemptHistory (what was sent, what may have run, whether another may follow), RetryBudget, AttemptEnd. RelayExchange and the router's Exchange each keep a history; RetryRules and RetryBudgets are gone. The router's budget is counted like the relay's: 0.2 of a class's requests in 10 s and 20 besides, in place of 0.2 of its whole answers.

Tests: RelayDecisionsTest.aRequestIsRepeatedOnlyWhereItDoesNoHarm asks the history, same table.

--- a/core/src/main/java/org/tanagerhinge/core/relay/AttemptEnd.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/AttemptEnd.java
@@ -1,4 +1,4 @@
-package org.tanagerhinge.core.relay;
+package org.tanagerhinge.core.attempt;
 
 /** The ways in which sending a request to a backend server may fail. */
 public enum AttemptEnd {
--- a/core/src/main/java/org/tanagerhinge/core/relay/RetryBudget.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
@@ -1,4 +1,4 @@
-package org.tanagerhinge.core.relay;
+package org.tanagerhinge.core.attempt;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -6,7 +6,8 @@
 import java.util.Map;
 
 /**
- * How many requests may be sent to a second backend server, for each service, in a sliding window that all nodes share.
+ * How many requests may be sent to a second backend server, for each class of requests (a service, a profile), in a sliding
+ * window that all nodes share.
  *
  * <p>Answers the load pattern of a service whose servers all fail: retries would multiply the load just when there is
  * least room. Each node may spend a share of its own requests, and its part of a fixed slack. The nodes don't ask each
@@ -48,14 +49,14 @@
         nodes = Math.max(1, count);
     }
 
-    /** Notes a request for a service. */
-    public void request(String service, long now) {
-        window(service, now).requests.add(now);
+    /** Notes a request of a class. */
+    public void request(String of, long now) {
+        window(of, now).requests.add(now);
     }
 
     /** Takes one repeat if there is one left. */
-    public boolean take(String service, long now) {
-        Window window = window(service, now);
+    public boolean take(String of, long now) {
+        Window window = window(of, now);
         if (window.repeats.size() + 1 > USED * (ratio * window.requests.size() + slack / nodes)) {
             return false;
         }
@@ -63,8 +64,8 @@
         return true;
     }
 
-    private Window window(String service, long now) {
-        Window window = windows.computeIfAbsent(service, name -> new Window());
+    private Window window(String of, long now) {
+        Window window = windows.computeIfAbsent(of, key -> new Window());
         window.trim(now - windowMillis);
         return window;
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/Route.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Route.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.core.relay;
 
 import java.util.List;
+import org.tanagerhinge.core.attempt.AttemptTerms;
 
 /**
  * One route of the operators' configuration.
@@ -30,11 +31,19 @@
         int priority,
         boolean open,
         boolean prompts) {
+    /** Sends beyond those that may have run: a refusal costs little, but each one draws on the shared budget. */
+    private static final int MORE_SENDS = 2;
+
     /** Returns whether a request may run more than once without harm. */
     public boolean idempotent() {
         return kind == RouteKind.SAFE || (kind == RouteKind.STREAM && resumable);
     }
 
+    /** Returns how often one request may be sent. */
+    public AttemptTerms attemptTerms() {
+        return new AttemptTerms(idempotent(), maxAttempts, Integer.MAX_VALUE, maxAttempts + MORE_SENDS);
+    }
+
     /**
      * Returns the service for a request.
      *
--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.tanagerhinge.core.attempt.AttemptHistory;
 import org.tanagerhinge.core.chart.Machine;
 import org.tanagerhinge.core.chart.StateChart;
 import org.tanagerhinge.core.config.Profile;
@@ -33,12 +34,11 @@
     private final Instant arrived;
     private final long expectedUnits;
     private final Machine<ExchangeState, ExchangeEvent> machine = CHART.start();
+    private final AttemptHistory history;
     private final Set<ServerId> tried = new HashSet<>();
     private final ByteArrayOutputStream delivered = new ByteArrayOutputStream();
 
     private long attempt;
-    private int attempts;
-    private int returns;
     private ServerId server;
     private long serverIncarnation;
     private long generation;
@@ -51,7 +51,6 @@
     private long uncreditedUnits;
     private boolean headSent;
     private boolean fateOpen;
-    private boolean lostAny;
     private boolean attached;
     private Instant firstOutput;
     private Instant lastProgress;
@@ -63,13 +62,15 @@
             Profile profile,
             TargetName target,
             Instant arrived,
-            long expectedUnits) {
+            long expectedUnits,
+            AttemptHistory history) {
         this.arrival = arrival;
         this.workspace = workspace;
         this.profile = profile;
         this.target = target;
         this.arrived = arrived;
         this.expectedUnits = expectedUnits;
+        this.history = history;
     }
 
     RequestId id() {
@@ -146,16 +147,16 @@
     }
 
     int attempts() {
-        return attempts;
+        return history.sends();
     }
 
-    int returns() {
-        return returns;
+    AttemptHistory history() {
+        return history;
     }
 
     /** The attempt came back as not run. */
     void returned(Refusal refusal) {
-        returns++;
+        history.ended(false);
         fateOpen = false;
         tried.add(server);
         lastRefusal = refusal;
@@ -181,7 +182,7 @@
 
     void attemptMade(long number, Instant now) {
         attempt = number;
-        attempts++;
+        history.sent();
         fateOpen = true;
         lastProgress = now;
         waitingSince = null;
@@ -260,7 +261,7 @@
 
     /** The attempt failed or is out of reach for good, and may have run. */
     void attemptLost() {
-        lostAny = true;
+        history.ended(true);
         fateOpen = false;
     }
 
@@ -276,7 +277,7 @@
 
     /** Returns whether any attempt may have run, in part or whole. */
     boolean mayHaveRun() {
-        return fateOpen || lostAny || anythingDelivered();
+        return fateOpen || history.mayHaveRun() || anythingDelivered();
     }
 
     Instant lastAsked() {
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.tanagerhinge.core.attempt.AttemptHistory;
+import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
@@ -55,7 +57,7 @@
     private final ServerTable servers;
     private final AgentLinks links;
     private final Balancer balancer;
-    private final RetryBudgets budgets;
+    private final RetryBudget budget;
     private final LengthEstimator lengths = new LengthEstimator();
     private final Desk desk = new Desk();
     private final Doorkeeper doorkeeper = new Doorkeeper();
@@ -82,7 +84,10 @@
         this.servers = new ServerTable(self.name(), options.linksPerTarget());
         this.links = new AgentLinks(servers, port, options.heartbeat(), this::inUse, this::onLinkDown);
         this.balancer = new Balancer(options.failureDomain(), random);
-        this.budgets = new RetryBudgets(options.retryRatio(), options.retryBurst());
+        this.budget = RetryBudget.of(
+                options.retryRatio(),
+                options.retrySlack(),
+                options.retryWindow().toMillis());
     }
 
     /** Returns the decisions of one router run. */
@@ -167,8 +172,16 @@
         long expected = arrival.kind() == ServerKind.SERVICE
                 ? 1
                 : lengths.expected(known.profile().name(), known.workspace().id());
-        Exchange exchange = new Exchange(arrival, known.workspace(), known.profile(), known.target(), now(), expected);
+        Exchange exchange = new Exchange(
+                arrival,
+                known.workspace(),
+                known.profile(),
+                known.target(),
+                now(),
+                expected,
+                AttemptHistory.of(options.attemptTerms(known.profile().idempotent())));
         exchanges.put(arrival.id(), exchange);
+        budget.request(known.profile().name().value(), now().toEpochMilli());
         choose(exchange);
     }
 
@@ -405,9 +418,9 @@
         boolean unfit = service && exchange.anythingDelivered();
         exchange.tried().add(exchange.server());
         exchange.attemptLost();
-        if (naive || unfit || exchange.timeLeft(now()).isNegative()) {
+        if (naive || unfit || !mayRepeat(exchange, true)) {
             refuse(exchange, Refusal.unknown(code, detail));
-        } else if (!budgets.take(exchange.profile().name())) {
+        } else if (!takeRetry(exchange)) {
             port.count("retry_refused_" + ResultCode.RETRY_BUDGET_SPENT.label());
             refuse(exchange, new Refusal(ResultCode.RETRY_BUDGET_SPENT, RunState.UNKNOWN, COME_BACK, detail));
         } else {
@@ -544,7 +557,6 @@
         exchanges.remove(exchange.id());
         byClaim.remove(exchange.claimSequence());
         doorkeeper.leave(exchange.workspace(), exchange.profile());
-        budgets.succeeded(exchange.profile().name());
         if (exchange.arrival().kind() == ServerKind.MODEL) {
             lengths.observed(exchange.profile().name(), exchange.workspace().id(), done.totalUnits());
         }
@@ -565,9 +577,9 @@
         exchange.returned(refusal);
         exchange.machine().fire(ExchangeEvent.RETURN);
         boolean naive = options.policy() instanceof RouterOptions.Policy.RoundRobin;
-        if (naive || exchange.returns() > options.mostReturns() || tooLate(exchange)) {
+        if (naive || !mayRepeat(exchange, false)) {
             refuse(exchange, partial(exchange, refusal));
-        } else if (costsBudget && !budgets.take(exchange.profile().name())) {
+        } else if (costsBudget && !takeRetry(exchange)) {
             port.count("retry_refused_" + ResultCode.RETRY_BUDGET_SPENT.label());
             refuse(exchange, partial(exchange, refusal));
         } else {
@@ -576,8 +588,14 @@
         }
     }
 
-    private boolean tooLate(Exchange exchange) {
-        return exchange.timeLeft(now()).isNegative();
+    private boolean mayRepeat(Exchange exchange, boolean newestMayHaveRun) {
+        return exchange.history()
+                .mayRepeat(newestMayHaveRun, exchange.timeLeft(now()).toMillis());
+    }
+
+    /** Takes one retry from the budget of the request's class. */
+    private boolean takeRetry(Exchange exchange) {
+        return budget.take(exchange.profile().name().value(), now().toEpochMilli());
     }
 
     /** An attempt that resumes an answer did not run, but earlier ones did. */
@@ -592,7 +610,7 @@
         exchange.settledAsNotRun();
         exchange.machine().fire(ExchangeEvent.SUBMIT);
         exchange.machine().fire(ExchangeEvent.RETURN);
-        if (tooLate(exchange)) {
+        if (!mayRepeat(exchange, false)) {
             refuse(exchange, refusal);
         } else {
             port.count("retry_settled_not_run");
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
@@ -1,14 +1,16 @@
 package org.tanagerhinge.core.router;
 
 import java.time.Duration;
+import org.tanagerhinge.core.attempt.AttemptTerms;
 import org.tanagerhinge.core.id.FailureDomain;
 
 /**
  * The settings that bound a router.
  *
  * @param linksPerTarget agents of one model or service that this router connects to at the most
- * @param retryRatio retries that a class earns with each whole answer
- * @param retryBurst retries that a class may save up
+ * @param retryRatio retries for each request of a class in the retry window
+ * @param retrySlack retries of a class in a window besides
+ * @param retryWindow window in which retries are counted
  * @param mostReturns how often a request that agents give back as not run is offered to another
  * @param claimPatience how long a keyed request waits for the platform's store
  * @param doubtPatience how long a non-idempotent request waits for the agent that had it
@@ -23,7 +25,8 @@
         FailureDomain failureDomain,
         int linksPerTarget,
         double retryRatio,
-        int retryBurst,
+        int retrySlack,
+        Duration retryWindow,
         int mostReturns,
         Duration claimPatience,
         Duration doubtPatience,
@@ -50,6 +53,7 @@
                 24,
                 0.2,
                 20,
+                Duration.ofSeconds(10),
                 3,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(5),
@@ -67,7 +71,8 @@
                 failureDomain,
                 linksPerTarget,
                 retryRatio,
-                retryBurst,
+                retrySlack,
+                retryWindow,
                 mostReturns,
                 claimPatience,
                 doubtPatience,
@@ -85,7 +90,8 @@
                 failureDomain,
                 next,
                 retryRatio,
-                retryBurst,
+                retrySlack,
+                retryWindow,
                 mostReturns,
                 claimPatience,
                 doubtPatience,
@@ -103,7 +109,8 @@
                 failureDomain,
                 linksPerTarget,
                 retryRatio,
-                retryBurst,
+                retrySlack,
+                retryWindow,
                 mostReturns,
                 claimPatience,
                 doubtPatience,
@@ -114,4 +121,9 @@
                 next,
                 policy);
     }
+
+    /** Returns how often one request may be sent: as often as the budget allows while servers may have run it. */
+    AttemptTerms attemptTerms(boolean idempotent) {
+        return new AttemptTerms(idempotent, Integer.MAX_VALUE, mostReturns, Integer.MAX_VALUE);
+    }
 }
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.tanagerhinge.core.attempt.AttemptEnd;
+import org.tanagerhinge.core.attempt.AttemptHistory;
+import org.tanagerhinge.core.attempt.RetryBudget;
 
 /** The relay's decisions, each by the load or fault that it answers. */
 class RelayDecisionsTest {
@@ -172,8 +175,13 @@
     })
     void aRequestIsRepeatedOnlyWhereItDoesNoHarm(
             RouteKind kind, boolean resumable, AttemptEnd end, int runs, int sends, boolean repeated) {
-        assertEquals(repeated, RetryRules.mayRepeat(route(kind, resumable, 2), end, runs, sends, 1_000));
-        assertFalse(RetryRules.mayRepeat(route(kind, resumable, 2), end, runs, sends, 5), "no time left");
+        AttemptHistory history = AttemptHistory.of(route(kind, resumable, 2).attemptTerms());
+        for (int i = 0; i < sends; i++) {
+            history.sent();
+            history.ended(i >= sends - runs);
+        }
+        assertEquals(repeated, history.mayRepeat(end.mayHaveRun(), 1_000));
+        assertFalse(history.mayRepeat(end.mayHaveRun(), 5), "no time left");
     }
 
     /** Load: every server fails and every request could be repeated; four nodes have one budget. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/AttemptListener.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/AttemptListener.java
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import org.tanagerhinge.core.relay.AttemptEnd;
+import org.tanagerhinge.core.attempt.AttemptEnd;
 
 /** Hears of one attempt at a backend server; after {@link #ended} or {@link #failed} nothing more is heard. */
 interface AttemptListener {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -17,7 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import org.tanagerhinge.core.relay.AttemptEnd;
+import org.tanagerhinge.core.attempt.AttemptEnd;
 import org.tanagerhinge.core.relay.RelayServer;
 
 /**
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -14,7 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import org.tanagerhinge.core.relay.AttemptEnd;
+import org.tanagerhinge.core.attempt.AttemptEnd;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.RankGate;
@@ -114,7 +114,7 @@
 
     /** The server has said nothing for so long that another one is the better choice. */
     private void tooSilent() {
-        if (!done && answer == null && exchange.payForRepeat(AttemptEnd.SILENT)) {
+        if (!done && answer == null && exchange.payForRepeat()) {
             paid = true;
             connection.abort();
             fail(AttemptEnd.SILENT, "no answer in time");
@@ -151,7 +151,7 @@
             fail(AttemptEnd.BROKEN, "answer without signature or with a coding");
         } else if (status >= 500 && progress.headPassed()) {
             leave(AttemptEnd.SERVER_ERROR, "server answered " + status);
-        } else if (status >= 500 && exchange.payForRepeat(AttemptEnd.SERVER_ERROR)) {
+        } else if (status >= 500 && exchange.payForRepeat()) {
             paid = true;
             leave(AttemptEnd.SERVER_ERROR, "server answered " + status);
         } else {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -14,12 +14,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.tanagerhinge.core.relay.AttemptEnd;
+import org.tanagerhinge.core.attempt.AttemptEnd;
+import org.tanagerhinge.core.attempt.AttemptHistory;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
-import org.tanagerhinge.core.relay.RetryRules;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.WorkspaceTerms;
 import org.tanagerhinge.core.result.ResultCode;
@@ -48,8 +48,7 @@
     private long giveUpAt;
     private Future<?> timer;
     private RelayAttempt attempt;
-    private int sends;
-    private int runs;
+    private AttemptHistory history;
     private boolean over;
 
     private RelayExchange(Gateway gateway, CallerConnection caller, HttpRequest head, ByteBuf body, long arrived) {
@@ -108,6 +107,7 @@
         long patience = Math.min(terms.patienceMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
         giveUpAt = arrived + patience;
         timer = gateway.schedule(this::giveUp, Math.max(1, leftMillis()));
+        history = AttemptHistory.of(route.attemptTerms());
         service = route.service(terms.attemptId().hashCode());
         gateway.budget().request(service, gateway.now());
         trail.routed(route, workspace, service, rank(), leftMillis());
@@ -124,12 +124,13 @@
             noServer();
             return;
         }
-        if (sends == 0 && gateway.ranks().yields(rank(), placed.get().server().id(), now)) {
+        if (history.sends() == 0
+                && gateway.ranks().yields(rank(), placed.get().server().id(), now)) {
             refuse(Refusal.notRun(ResultCode.QUEUE_FULL, gateway.comeBackMillis()));
             return;
         }
         tried.add(placed.get().server().id());
-        sends++;
+        history.sent();
         trail.sent(placed.get(), candidates.size());
         attempt = new RelayAttempt(gateway, this, request, placed.get());
         attempt.start();
@@ -138,7 +139,7 @@
     private void noServer() {
         if (progress.headPassed()) {
             cut("no server to go on at");
-        } else if (runs > 0) {
+        } else if (history.mayHaveRun()) {
             refuse(Refusal.of(502, ResultCode.CONNECTION_LOST));
         } else {
             refuse(Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
@@ -204,24 +205,18 @@
         return method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD) || method.equals(HttpMethod.DELETE);
     }
 
-    /**
-     * Returns whether the request may go to another server should its attempt end in a way, and takes that from the
-     * budget.
-     */
-    boolean payForRepeat(AttemptEnd end) {
-        return RetryRules.mayRepeat(route, end, runs + 1, sends, leftMillis())
-                && gateway.budget().take(service, gateway.now());
+    /** Returns whether the request may go to another server though its attempt has run, and takes that from the budget. */
+    boolean payForRepeat() {
+        return history.couldRepeatAfterRun(leftMillis()) && gateway.budget().take(service, gateway.now());
     }
 
     /** Its attempt has failed; {@code paid} says whether the budget was asked already. */
     void attemptFailed(RelayAttempt ended, AttemptEnd end, String why, boolean paid) {
-        if (end.mayHaveRun()) {
-            runs++;
-        }
+        history.ended(end.mayHaveRun());
         gateway.attemptFailed(ended.server(), end);
         trail.attemptFailed(end, why, ended.began(), progress);
         attempt = null;
-        boolean repeat = RetryRules.mayRepeat(route, end, runs, sends, leftMillis())
+        boolean repeat = history.mayRepeat(end.mayHaveRun(), leftMillis())
                 && (!progress.headPassed() || route.resumable())
                 && (paid || !end.arrived() || gateway.budget().take(service, gateway.now()));
         if (repeat) {
@@ -231,7 +226,7 @@
         }
         if (progress.headPassed()) {
             cut(why);
-        } else if (end == AttemptEnd.SERVER_ERROR || runs > 0) {
+        } else if (history.mayHaveRun()) {
             refuse(Refusal.of(502, ResultCode.CONNECTION_LOST));
         } else {
             refuse(Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
@@ -257,7 +252,7 @@
         dropAttempt();
         if (progress.headPassed()) {
             cut("time is up");
-        } else if (sent || runs > 0) {
+        } else if (sent || history.mayHaveRun()) {
             refuse(Refusal.of(504, ResultCode.ANSWER_TOO_LATE));
         } else {
             refuse(Refusal.notRun(ResultCode.EXPIRED_IN_QUEUE, gateway.comeBackMillis()));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
-import org.tanagerhinge.core.relay.AttemptEnd;
+import org.tanagerhinge.core.attempt.AttemptEnd;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.RelayServer;
 import org.tanagerhinge.core.relay.Route;
