--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -5,10 +5,7 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.EnumSet;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -23,8 +20,6 @@
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.invariant.InvariantMonitor;
 import org.tanagerhinge.core.invariant.Promise;
-import org.tanagerhinge.core.message.ClaimEntry;
-import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.Load;
 import org.tanagerhinge.core.result.Refusal;
@@ -38,8 +33,8 @@
  * daemon, in the random runs and in the benchmark.
  */
 public final class RouterCore {
-    private static final Duration ASK_AGAIN = Duration.ofMillis(200);
-    private static final Duration COME_BACK = Duration.ofSeconds(1);
+    static final Duration ASK_AGAIN = Duration.ofMillis(200);
+    static final Duration COME_BACK = Duration.ofSeconds(1);
     private static final long MODEL_CREDIT_WORTH = 64;
     private static final long SERVICE_CREDIT_WORTH = 64 * 1024;
     private static final long PROMPT_TOKENS_PER_UNIT = 16;
@@ -61,11 +56,10 @@
     private final LengthEstimator lengths = new LengthEstimator();
     private final Desk desk = new Desk();
     private final Doorkeeper doorkeeper = new Doorkeeper();
-    private final Map<RequestId, Exchange> exchanges = new LinkedHashMap<>();
-    private final Map<Long, Exchange> byAttempt = new HashMap<>();
-    private final Map<Long, Exchange> byClaim = new HashMap<>();
+    private final ExchangeBook book = new ExchangeBook();
+    private final KeyClaims claims;
+    private final AttemptWatch watch;
     private ClusterConfig config = ClusterConfig.EMPTY;
-    private long nextNumber = 1;
     private Instant lastJudged = Instant.MIN;
     private boolean stopping;
 
@@ -83,6 +77,8 @@
         this.monitor = monitor;
         this.servers = new ServerTable(self.name(), options.linksPerTarget());
         this.links = new AgentLinks(servers, port, options.heartbeat(), this::inUse, this::onLinkDown);
+        this.claims = new KeyClaims(this, book, links, port, options, clock);
+        this.watch = new AttemptWatch(this, claims, options);
         this.balancer = new Balancer(options.failureDomain(), random);
         this.budget = RetryBudget.of(
                 options.retryRatio(),
@@ -114,7 +110,7 @@
     }
 
     public int inProgress() {
-        return exchanges.size();
+        return book.size();
     }
 
     /** Returns the number of agents linked now. */
@@ -136,7 +132,7 @@
 
     /** Returns whether the router was told to stop and has no request in progress. */
     public boolean drained() {
-        return stopping && exchanges.isEmpty();
+        return stopping && book.size() == 0;
     }
 
     // ---- callers
@@ -154,7 +150,7 @@
             turnAway(arrival, Refusal.notRun(ResultCode.ROUTER_STOPPING, COME_BACK, "this router is stopping"));
             return;
         }
-        if (exchanges.size() >= options.mostExchanges()) {
+        if (book.size() >= options.mostExchanges()) {
             turnAway(arrival, Refusal.notRun(ResultCode.QUEUE_FULL, COME_BACK, "this router is at its bound"));
             return;
         }
@@ -180,7 +176,7 @@
                 now(),
                 expected,
                 AttemptHistory.of(options.attemptTerms(known.profile().idempotent())));
-        exchanges.put(arrival.id(), exchange);
+        book.add(exchange);
         budget.request(known.profile().name().value(), now().toEpochMilli());
         choose(exchange);
     }
@@ -193,7 +189,7 @@
 
     /** A caller has hung up. */
     public void onCallerGone(RequestId request) {
-        Exchange exchange = exchanges.get(request);
+        Exchange exchange = book.find(request);
         if (exchange != null) {
             letGo(exchange);
             end(exchange, Refusal.unknown(ResultCode.CALLER_GONE, "the caller hung up"));
@@ -202,7 +198,7 @@
 
     /** A caller has taken units of its answer. */
     public void onCallerTook(RequestId request, long units) {
-        Exchange exchange = exchanges.get(request);
+        Exchange exchange = book.find(request);
         if (exchange == null || exchange.server() == null) {
             return;
         }
@@ -215,7 +211,7 @@
 
     // ---- choosing an agent
 
-    private void choose(Exchange exchange) {
+    void choose(Exchange exchange) {
         List<ServerView> candidates = servers.accepting(exchange.arrival().kind(), exchange.target()).stream()
                 .filter(view -> !exchange.tried().contains(view.server().id()))
                 .toList();
@@ -229,7 +225,7 @@
         }
         exchange.chosen(chosen.get().server().id(), chosen.get().incarnation());
         if (exchange.keyed()) {
-            askForClaim(exchange);
+            claims.ask(exchange);
         } else {
             exchange.nextGeneration();
             submit(exchange);
@@ -241,14 +237,14 @@
                 ResultCode.NO_SERVER, COME_BACK, "no backend server for '" + exchange.target() + "' is reachable");
     }
 
-    private void submit(Exchange exchange) {
+    void submit(Exchange exchange) {
         monitor.check(
                 Promise.AT_MOST_ONCE,
                 exchange.idempotent() || !exchange.fateOpen(),
                 () -> exchange + " is sent again although an attempt's fate is unknown");
         ServerView view = servers.find(exchange.server()).orElseThrow();
         exchange.machine().fire(ExchangeEvent.SUBMIT);
-        newAttempt(exchange);
+        book.newAttempt(exchange, now());
         boolean resumes = exchange.idempotent() && exchange.deliveredUnits() > 0;
         long expected = exchange.expectedUnits();
         view.sent(expected + exchange.arrival().promptUnits() / PROMPT_TOKENS_PER_UNIT, now());
@@ -265,96 +261,9 @@
                         expected));
     }
 
-    private void newAttempt(Exchange exchange) {
-        byAttempt.remove(exchange.attempt());
-        exchange.attemptMade(nextNumber++, now());
-        byAttempt.put(exchange.attempt(), exchange);
-    }
-
-    // ---- claims of keys
-
-    private void askForClaim(Exchange exchange) {
-        exchange.machine().fire(ExchangeEvent.CLAIM);
-        Instant since = exchange.waitingSince(now());
-        if (!since.plus(options.claimPatience()).isAfter(now())) {
-            refuse(
-                    exchange,
-                    Refusal.notRun(
-                            ResultCode.CLAIMS_UNSETTLED,
-                            COME_BACK,
-                            "whether the key was used before cannot be told yet; this call ran nothing"));
-            return;
-        }
-        exchange.lastAsked(now());
-        byClaim.remove(exchange.claimSequence());
-        exchange.claimSequence(nextNumber++);
-        byClaim.put(exchange.claimSequence(), exchange);
-        ClaimEntry wanted = ClaimEntry.wanted(
-                exchange.digest(),
-                exchange.arrival().bodyDigest(),
-                exchange.server(),
-                exchange.serverIncarnation(),
-                exchange.id());
-        port.claim(exchange.claimSequence(), wanted, exchange.expectedGeneration());
-    }
-
     /** The platform's store has decided a claim, or did not answer. */
     public void onClaimDecided(long sequence, ClaimDecision decision) {
-        Exchange exchange = byClaim.get(sequence);
-        if (exchange == null || !exchange.in(ExchangeState.CLAIMING)) {
-            return;
-        }
-        switch (decision) {
-            case ClaimDecision.Granted granted -> granted(exchange, granted.entry());
-            case ClaimDecision.Held held -> follow(exchange, held.entry());
-            case ClaimDecision.Unsettled unsettled -> port.count("claim_unsettled");
-        }
-    }
-
-    private void granted(Exchange exchange, ClaimEntry entry) {
-        byClaim.remove(exchange.claimSequence());
-        exchange.claim(entry);
-        exchange.followed(null);
-        if (links.isLinked(exchange.server())) {
-            submit(exchange);
-        } else {
-            exchange.machine().fire(ExchangeEvent.RETURN);
-            choose(exchange);
-        }
-    }
-
-    /** Another call holds the key: whatever became of it is this caller's answer too. */
-    private void follow(Exchange exchange, ClaimEntry entry) {
-        byClaim.remove(exchange.claimSequence());
-        if (!entry.body().equals(exchange.arrival().bodyDigest())) {
-            refuse(exchange, Refusal.notRun(ResultCode.KEY_REUSED, "the key was used before with another body"));
-            return;
-        }
-        port.count("claim_followed");
-        exchange.followed(entry);
-        exchange.claim(null);
-        exchange.attached(false);
-        exchange.chosen(entry.executor(), entry.executorIncarnation());
-        exchange.machine().fire(ExchangeEvent.DOUBT);
-        attach(exchange);
-    }
-
-    /** Asks the agent that was given a non-idempotent request what became of it. */
-    private void attach(Exchange exchange) {
-        exchange.waitingSince(now());
-        exchange.lastAsked(now());
-        links.demand(exchange.server(), now());
-        if (exchange.attached() || !links.isLinked(exchange.server())) {
-            return;
-        }
-        Execution execution = exchange.followed()
-                .map(ClaimEntry::execution)
-                .orElseGet(() -> exchange.execution().orElseThrow());
-        Instant since = exchange.waitingSince(now());
-        newAttempt(exchange);
-        exchange.keepWaiting(since);
-        exchange.attached(true);
-        port.send(exchange.server(), new Frame.Attach(exchange.attempt(), execution, exchange.serverIncarnation()));
+        claims.decided(sequence, decision);
     }
 
     // ---- links
@@ -374,9 +283,9 @@
         view.machine().fire(ServerEvent.LINK);
         view.lastUsed(now());
         port.send(server, new Frame.Heartbeat(config.revision()));
-        List.copyOf(exchanges.values()).stream()
+        book.all().stream()
                 .filter(exchange -> exchange.in(ExchangeState.UNCERTAIN) && server.equals(exchange.server()))
-                .forEach(this::attach);
+                .forEach(claims::attach);
     }
 
     /** The connection to an agent is gone. */
@@ -387,10 +296,10 @@
         }
         found.get().machine().fire(ServerEvent.UNLINK);
         found.get().reset();
-        exchanges.values().stream()
+        book.all().stream()
                 .filter(exchange -> server.equals(exchange.server()))
                 .forEach(exchange -> exchange.attached(false));
-        List<Exchange> affected = exchanges.values().stream()
+        List<Exchange> affected = book.all().stream()
                 .filter(exchange -> server.equals(exchange.server()))
                 .filter(exchange -> exchange.in(ExchangeState.SUBMITTED) || exchange.in(ExchangeState.RUNNING))
                 .toList();
@@ -399,8 +308,8 @@
     }
 
     /** An attempt is out of reach and may have run. */
-    private void lost(Exchange exchange, ResultCode code, String detail) {
-        byAttempt.remove(exchange.attempt());
+    void lost(Exchange exchange, ResultCode code, String detail) {
+        book.forgetAttempt(exchange);
         port.attemptFailed(exchange.id(), exchange.server(), code, RunState.UNKNOWN, detail);
         if (exchange.idempotent()) {
             recover(exchange, code, detail);
@@ -469,12 +378,11 @@
     }
 
     private Optional<Exchange> attemptOf(long attempt, ServerId server) {
-        Exchange exchange = byAttempt.get(attempt);
-        if (exchange == null || !server.equals(exchange.server())) {
+        Optional<Exchange> found = book.ofAttempt(attempt, server);
+        if (found.isEmpty()) {
             port.count("late_message");
-            return Optional.empty();
         }
-        return Optional.of(exchange);
+        return found;
     }
 
     private void reported(ServerView view, Load load) {
@@ -536,7 +444,7 @@
     }
 
     private void broken(Exchange exchange, String detail) {
-        byAttempt.remove(exchange.attempt());
+        book.forgetAttempt(exchange);
         port.attemptFailed(exchange.id(), exchange.server(), ResultCode.ANSWER_CUT, RunState.UNKNOWN, detail);
         if (exchange.idempotent()) {
             recover(exchange, ResultCode.ANSWER_CUT, detail);
@@ -552,10 +460,8 @@
             return;
         }
         monitor.held(Promise.WHOLE_ANSWER);
-        byAttempt.remove(exchange.attempt());
         exchange.machine().fire(ExchangeEvent.FINISH);
-        exchanges.remove(exchange.id());
-        byClaim.remove(exchange.claimSequence());
+        book.remove(exchange);
         doorkeeper.leave(exchange.workspace(), exchange.profile());
         if (exchange.arrival().kind() == ServerKind.MODEL) {
             lengths.observed(exchange.profile().name(), exchange.workspace().id(), done.totalUnits());
@@ -565,7 +471,7 @@
     }
 
     private void onNotRun(Exchange exchange, Frame.NotRun notRun) {
-        byAttempt.remove(exchange.attempt());
+        book.forgetAttempt(exchange);
         Refusal refusal =
                 Refusal.notRun(notRun.code(), notRun.retryAfter(), notRun.code().meaning());
         port.attemptFailed(exchange.id(), exchange.server(), notRun.code(), RunState.NOT_RUN, refusal.detail());
@@ -619,7 +525,7 @@
     }
 
     private void onFailed(Exchange exchange, Frame.Failed failed) {
-        byAttempt.remove(exchange.attempt());
+        book.forgetAttempt(exchange);
         port.attemptFailed(exchange.id(), exchange.server(), failed.code(), RunState.UNKNOWN, failed.detail());
         if (exchange.idempotent()) {
             recover(exchange, failed.code(), failed.detail());
@@ -630,7 +536,7 @@
 
     // ---- ends
 
-    private void refuse(Exchange exchange, Refusal refusal) {
+    void refuse(Exchange exchange, Refusal refusal) {
         monitor.check(
                 Promise.NOT_RUN_IS_TRUE,
                 refusal.run() != RunState.NOT_RUN || provablyNotRun(exchange),
@@ -645,9 +551,7 @@
     }
 
     private void end(Exchange exchange, Refusal refusal) {
-        byAttempt.remove(exchange.attempt());
-        byClaim.remove(exchange.claimSequence());
-        exchanges.remove(exchange.id());
+        book.remove(exchange);
         doorkeeper.leave(exchange.workspace(), exchange.profile());
         if (!exchange.anythingDelivered() || !exchange.machine().tryFire(ExchangeEvent.CUT)) {
             exchange.machine().fire(ExchangeEvent.REFUSE);
@@ -660,7 +564,7 @@
     }
 
     /** Tells the agent that nobody waits; a keyed request runs on, so that a repeat of the key finds its result. */
-    private void letGo(Exchange exchange) {
+    void letGo(Exchange exchange) {
         boolean out = exchange.in(ExchangeState.SUBMITTED) || exchange.in(ExchangeState.RUNNING);
         if (out && links.isLinked(exchange.server())) {
             port.send(exchange.server(), new Frame.Cancel(exchange.attempt(), exchange.keyed()));
@@ -705,7 +609,7 @@
     }
 
     private boolean inUse(ServerId id) {
-        return exchanges.values().stream().anyMatch(exchange -> id.equals(exchange.server()));
+        return book.all().stream().anyMatch(exchange -> id.equals(exchange.server()));
     }
 
     /** Begins a planned stop: no new requests, those in progress are finished. */
@@ -716,66 +620,15 @@
     /** Time has passed; called several times a second. */
     public void onTick() {
         Instant now = now();
-        for (Exchange exchange : List.copyOf(exchanges.values())) {
-            if (exchanges.containsKey(exchange.id())) {
-                watch(exchange, now);
+        for (Exchange exchange : book.all()) {
+            if (book.holds(exchange)) {
+                watch.watch(exchange, now);
             }
         }
         judgeServers(now);
         links.tick(now);
     }
 
-    private void watch(Exchange exchange, Instant now) {
-        Duration timeLeft = exchange.timeLeft(now);
-        boolean overdue = timeLeft.plus(options.verdictGrace()).isNegative();
-        switch (exchange.machine().state()) {
-            case CLAIMING -> {
-                if (timeLeft.isNegative()) {
-                    refuse(
-                            exchange,
-                            Refusal.notRun(ResultCode.CLAIMS_UNSETTLED, COME_BACK, "the store did not decide in time"));
-                } else if (exchange.lastAsked().plus(ASK_AGAIN).isBefore(now)) {
-                    askForClaim(exchange);
-                }
-            }
-            case UNCERTAIN -> watchDoubt(exchange, now, overdue);
-            case SUBMITTED, RUNNING -> {
-                if (overdue) {
-                    letGo(exchange);
-                    refuse(exchange, Refusal.unknown(ResultCode.ANSWER_TOO_LATE, "its deadline has passed"));
-                } else {
-                    watchStall(exchange, now);
-                }
-            }
-            default -> {}
-        }
-    }
-
-    private void watchDoubt(Exchange exchange, Instant now, boolean overdue) {
-        Instant since = exchange.waitingSince(now);
-        if (overdue || since.plus(options.doubtPatience()).isBefore(now)) {
-            refuse(
-                    exchange,
-                    Refusal.unknown(
-                            exchange.followed().isPresent() ? ResultCode.OUTCOME_UNKNOWN : ResultCode.CONNECTION_LOST,
-                            "its agent is out of reach"));
-        } else if (exchange.lastAsked().plus(ASK_AGAIN.multipliedBy(5)).isBefore(now)) {
-            attach(exchange);
-        }
-    }
-
-    private void watchStall(Exchange exchange, Instant now) {
-        boolean naive = options.policy() instanceof RouterOptions.Policy.RoundRobin;
-        if (naive || !exchange.idempotent() || !exchange.in(ExchangeState.RUNNING)) {
-            return;
-        }
-        Duration patience = exchange.deliveredUnits() > 0 ? options.stallTimeout() : options.firstOutputTimeout();
-        if (exchange.lastProgress().plus(patience).isBefore(now)) {
-            letGo(exchange);
-            lost(exchange, ResultCode.STALLED, "its backend server stopped producing");
-        }
-    }
-
     private Instant now() {
         return clock.instant();
     }
