--- /dev/null
+++ b/router/src/main/java/org/tanagerhinge/router/CallerBook.java
@@ -0,0 +1,71 @@
+package org.tanagerhinge.router;
+
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.tanagerhinge.core.id.RequestId;
+import org.tanagerhinge.core.result.TanagerhingeException;
+
+/** The callers of requests in progress: their answers, and the connections that are watched for a hang-up. */
+final class CallerBook implements AutoCloseable {
+    private final HangupWatcher hangups;
+    private final Map<RequestId, CallerSession> sessions = new ConcurrentHashMap<>();
+    /** Requests whose answers are not written to the end; a planned stop waits for them too. */
+    private final Set<RequestId> unwritten = ConcurrentHashMap.newKeySet();
+
+    private final Map<RequestId, SocketChannel> watched = new ConcurrentHashMap<>();
+
+    private CallerBook(HangupWatcher hangups) {
+        this.hangups = hangups;
+    }
+
+    static CallerBook start() throws TanagerhingeException {
+        try {
+            return new CallerBook(HangupWatcher.start());
+        } catch (IOException e) {
+            throw new TanagerhingeException("no selector for watching callers", e);
+        }
+    }
+
+    /** Watches a caller's connection until its request is finished. */
+    void watch(RequestId id, SocketChannel channel, Runnable hungUp) {
+        watched.put(id, channel);
+        hangups.watch(channel, hungUp);
+    }
+
+    void arrived(RequestId id, CallerSession session) {
+        sessions.put(id, session);
+        unwritten.add(id);
+    }
+
+    Optional<CallerSession> session(RequestId id) {
+        return Optional.ofNullable(sessions.get(id));
+    }
+
+    /** Takes a request out whose answer is decided; it may still have to be written. */
+    Optional<CallerSession> finished(RequestId id) {
+        SocketChannel channel = watched.remove(id);
+        if (channel != null) {
+            hangups.forget(channel);
+        }
+        return Optional.ofNullable(sessions.remove(id));
+    }
+
+    /** Notes that a request's answer is written to the end. */
+    void written(RequestId id) {
+        unwritten.remove(id);
+    }
+
+    /** Returns the number of requests whose answers are not written to the end. */
+    int unwritten() {
+        return unwritten.size();
+    }
+
+    @Override
+    public void close() {
+        hangups.close();
+    }
+}
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -7,26 +7,20 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.io.IOException;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.config.BackendServer;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
@@ -60,7 +54,6 @@
 import org.tanagerhinge.node.platform.ClaimStore;
 import org.tanagerhinge.node.platform.ConfigPoller;
 import org.tanagerhinge.node.platform.ConfigStore;
-import org.tanagerhinge.node.platform.PlatformException;
 import org.tanagerhinge.node.platform.PlatformStore;
 import org.tanagerhinge.wire.Link;
 import org.tanagerhinge.wire.LinkClient;
@@ -70,12 +63,9 @@
 
 /** Joins the router's decisions to callers, agents and the platform. */
 public final class RouterDaemon implements Daemon {
-    private static final Logger LOG = System.getLogger(RouterDaemon.class.getName());
     private static final Duration TICK = Duration.ofMillis(50);
     private static final int NETWORK_THREADS = 2;
     private static final int TRAFFIC_THREADS = 4;
-    /** Claims that are with the platform's store at once: its answers take milliseconds, its rate is a few hundred. */
-    private static final int CLAIM_THREADS = 4;
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -97,19 +87,13 @@
     private final ControlLoop control;
     private final EventLoopGroup network;
     private final ExecutorService traffic;
-    private final ExecutorService claimCalls;
-    private final ClaimStore claims;
+    private final ClaimCalls claims;
     private final RouterCore core;
     private final AtomicLong requestNumbers = new AtomicLong();
-    private final Map<RequestId, CallerSession> sessions = new ConcurrentHashMap<>();
-    /** Requests whose answers are not written to the end; a planned stop waits for them too. */
-    private final Set<RequestId> unwritten = ConcurrentHashMap.newKeySet();
-
-    private final Map<RequestId, SocketChannel> watched = new ConcurrentHashMap<>();
     private final Map<ServerId, LinkClient> clients = new HashMap<>();
     private final Map<ServerId, Link> links = new ConcurrentHashMap<>();
     private volatile ClusterConfig config = ClusterConfig.EMPTY;
-    private HangupWatcher hangups;
+    private CallerBook callers;
     private HttpServer http;
     private ConfigPoller poller;
 
@@ -122,9 +106,7 @@
         this.traffic = Executors.newFixedThreadPool(
                 TRAFFIC_THREADS,
                 Thread.ofPlatform().name("traffic-", 0).daemon().factory());
-        this.claimCalls = Executors.newFixedThreadPool(
-                CLAIM_THREADS, Thread.ofPlatform().name("claims-", 0).daemon().factory());
-        this.claims = ClaimStore.in(parts.platform(), SteadyClock.create());
+        this.claims = new ClaimCalls(ClaimStore.in(parts.platform(), SteadyClock.create()), metrics);
         this.core = RouterCore.create(
                 self, parts.options(), SteadyClock.create(), RandomGenerator.getDefault(), new Port(), metrics);
     }
@@ -142,11 +124,7 @@
     }
 
     private void open() throws TanagerhingeException {
-        try {
-            hangups = HangupWatcher.start();
-        } catch (IOException e) {
-            throw new TanagerhingeException("no selector for watching callers", e);
-        }
+        callers = CallerBook.start();
         gauges();
         http = HttpServer.start(
                 parts.listen(),
@@ -205,7 +183,7 @@
 
     /** Returns the number of requests whose answers are not written to the end. */
     public int unwritten() {
-        return unwritten.size();
+        return callers.unwritten();
     }
 
     /** Returns the port that callers connect to. */
@@ -229,8 +207,8 @@
     }
 
     void watch(RequestId id, SocketChannel channel) {
-        watched.put(id, channel);
-        hangups.watch(
+        callers.watch(
+                id,
                 channel,
                 () -> control.post(() -> {
                     metrics.count("caller_hung_up");
@@ -239,8 +217,7 @@
     }
 
     void arrived(Arrival arrival, CallerSession session) {
-        sessions.put(arrival.id(), session);
-        unwritten.add(arrival.id());
+        callers.arrived(arrival.id(), session);
         control.post(() -> core.onArrival(arrival));
     }
 
@@ -281,18 +258,10 @@
 
         @Override
         public void ended(RequestId request) {
-            unwritten.remove(request);
+            callers.written(request);
         }
     }
 
-    private CallerSession finished(RequestId request) {
-        SocketChannel channel = watched.remove(request);
-        if (channel != null) {
-            hangups.forget(channel);
-        }
-        return sessions.remove(request);
-    }
-
     // ---- daemon
 
     @Override
@@ -302,7 +271,7 @@
 
     @Override
     public boolean drained() {
-        return control.ask(core::drained) && unwritten.isEmpty();
+        return control.ask(core::drained) && callers.unwritten() == 0;
     }
 
     @Override
@@ -320,10 +289,10 @@
         }
         clients.values().forEach(LinkClient::close);
         network.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
-        if (hangups != null) {
-            hangups.close();
+        if (callers != null) {
+            callers.close();
         }
-        claimCalls.shutdownNow();
+        claims.close();
         control.close();
         traffic.shutdown();
     }
@@ -348,32 +317,15 @@
 
         @Override
         public void claim(long sequence, ClaimEntry wanted, long expectedGeneration) {
-            onClaimThread(() -> {
-                metrics.count("platform_call");
-                ClaimDecision decision = claims.claim(wanted, expectedGeneration);
-                control.post(() -> core.onClaimDecided(sequence, decision));
-            });
+            claims.claim(
+                    wanted,
+                    expectedGeneration,
+                    decision -> control.post(() -> core.onClaimDecided(sequence, decision)));
         }
 
         @Override
         public void release(ClaimEntry claim) {
-            onClaimThread(() -> {
-                try {
-                    metrics.count("platform_call");
-                    claims.release(claim);
-                } catch (PlatformException e) {
-                    metrics.count("platform_call_failed");
-                    LOG.log(Level.INFO, "claim " + claim.digest() + " was not given back: " + e.getMessage());
-                }
-            });
-        }
-
-        private void onClaimThread(Runnable call) {
-            try {
-                claimCalls.execute(call);
-            } catch (RejectedExecutionException e) {
-                metrics.count("platform_call_after_stop");
-            }
+            claims.release(claim);
         }
 
         @Override
@@ -405,42 +357,27 @@
 
         @Override
         public void head(RequestId request, int status, String contentType) {
-            CallerSession session = sessions.get(request);
-            if (session != null) {
-                session.head(status, contentType);
-            }
+            callers.session(request).ifPresent(session -> session.head(status, contentType));
         }
 
         @Override
         public void chunk(RequestId request, long units, byte[] data) {
-            CallerSession session = sessions.get(request);
-            if (session != null) {
-                session.piece(units, data);
-            }
+            callers.session(request).ifPresent(session -> session.piece(units, data));
         }
 
         @Override
         public void complete(RequestId request, String finishReason, long units) {
-            CallerSession session = finished(request);
-            if (session != null) {
-                session.complete(finishReason, units);
-            }
+            callers.finished(request).ifPresent(session -> session.complete(finishReason, units));
         }
 
         @Override
         public void refuse(RequestId request, Refusal refusal) {
-            CallerSession session = finished(request);
-            if (session != null) {
-                session.refuse(refusal);
-            }
+            callers.finished(request).ifPresent(session -> session.refuse(refusal));
         }
 
         @Override
         public void ended(Outcome outcome) {
-            CallerSession left = finished(outcome.request());
-            if (left != null) {
-                left.abandon();
-            }
+            callers.finished(outcome.request()).ifPresent(CallerSession::abandon);
             metrics.result(outcome.profile().value(), outcome.code().number());
             if (outcome.code().number() == 0) {
                 Duration between = outcome.units() > 1
