Engines read what takes little time for its worth first, within each rank

Ruled out: placement (the eight engines were evenly loaded), pauses (questions beside them were on time).

The level of urgency that engines take has room within a rank. ReadingOrder gives a request one of five steps by the time its reading takes, as a share of its route's target, against what its size is worth; Urgency puts ranks first, and neighbours share a level where there are more ranks than levels. Ranks at a service are counted among the routes to that service. A token to be read weighs 8 at placement in place of 4, since small prompts wait less for large ones.

Tests: RelayDecisionsTest.whatTakesLittleReadingForItsSizeGoesFirst, .noStepOfARankGoesBehindALessUrgentRank.

--- a/core/src/main/java/org/tanagerhinge/core/relay/LeastInFlight.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/LeastInFlight.java
@@ -26,7 +26,7 @@
             }
         }
         return Optional.ofNullable(best)
-                .map(server -> new Placed(server, request.prompt().inputTokens(), false));
+                .map(server -> new Placed(server, request.prompt().inputTokens(), 0, false));
     }
 
     @Override
--- a/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
@@ -46,8 +46,9 @@
      * A choice.
      *
      * @param tokensToRead prompt tokens that the server doesn't hold yet
+     * @param step its place in the order in which the server should read prompts of one rank, 0 first
      * @param longPrompt whether the prompt counted as long when the choice was made; the bound moves with the measured
      *     speed, so it must not be judged anew when the request ends
      */
-    record Placed(RelayServer server, int tokensToRead, boolean longPrompt) {}
+    record Placed(RelayServer server, int tokensToRead, int step, boolean longPrompt) {}
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -18,14 +18,18 @@
     private static final long FIRST_PAUSE_MILLIS = 120;
     /** What a request in progress weighs, in prompt tokens: about one step of an engine. */
     private static final int RUNNING_TOKENS = 150;
-    /** What a prompt token to be read weighs against one that is read before it. */
-    private static final double READING_WEIGHT = 4;
+    /**
+     * What a prompt token to be read weighs against one that waits at the engine: it takes the engine's time from all who
+     * wait, and since those with little to read go first, they hardly wait for the others.
+     */
+    private static final double READING_WEIGHT = 8;
     /** A server of another failure domain has to be better by this many tokens or requests' worth. */
     private static final int OTHER_DOMAIN_TOKENS = 40;
 
     private final PrefixMemory memory = PrefixMemory.create();
     private final Map<String, DemandMeter> meters = new HashMap<>();
     private Map<String, LaneDemand> peers = Map.of();
+    private final ReadingOrder order = ReadingOrder.create();
     private final SpeedMeter speed = SpeedMeter.create(FIRST_SPEED);
     private long tightestPause = FIRST_PAUSE_MILLIS;
     private int turn;
@@ -91,11 +95,16 @@
             int toRead = Math.max(1, request.prompt().inputTokens() - memory.held(server.id(), request.prompt()));
             double cost = cost(request, server, toRead);
             if (best == null || cost < bestCost) {
-                best = new Placed(server, toRead, longPrompt);
+                best = new Placed(server, toRead, 0, longPrompt);
                 bestCost = cost;
             }
         }
-        return Optional.ofNullable(best);
+        return Optional.of(inOrder(request, best));
+    }
+
+    private Placed inOrder(PlacementRequest request, Placed placed) {
+        int step = order.step(request.route(), request.prompt(), placed.tokensToRead(), speed.tokensPerMilli());
+        return new Placed(placed.server(), placed.tokensToRead(), step, placed.longPrompt());
     }
 
     @Override
@@ -163,6 +172,6 @@
                 bestCost = cost;
             }
         }
-        return new Placed(best, 0, false);
+        return new Placed(best, 0, 0, false);
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -1,5 +1,6 @@
 package org.tanagerhinge.core.relay;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -16,6 +17,7 @@
     private final CallerLimits limits;
     private final List<Integer> workspaceRanks;
     private final List<Integer> routeRanks;
+    private final Map<String, List<Integer>> serviceRanks = new HashMap<>();
 
     private RelayConfig(
             long version,
@@ -37,6 +39,15 @@
                 .distinct()
                 .sorted()
                 .toList();
+        for (Route route : routes) {
+            for (ServiceShare share : route.shares()) {
+                serviceRanks
+                        .computeIfAbsent(share.service(), name -> new ArrayList<>())
+                        .add(route.priority());
+            }
+        }
+        serviceRanks.replaceAll(
+                (name, ranks) -> ranks.stream().distinct().sorted().toList());
         this.routeRanks =
                 routes.stream().map(Route::priority).distinct().sorted().toList();
     }
@@ -83,9 +94,24 @@
      * the route's. A workspace without a rank is taken for one of the middle.
      */
     public int rank(Optional<WorkspaceTerms> workspace, Route route) {
+        return rank(workspace, route, routeRanks);
+    }
+
+    /**
+     * Returns how urgent a request is at a backend server of a service, 0 for the most urgent.
+     *
+     * @param step its place among the requests of its rank
+     */
+    public int level(Optional<WorkspaceTerms> workspace, Route route, String service, int step) {
+        List<Integer> ranks = serviceRanks.getOrDefault(service, routeRanks);
+        int all = Math.max(1, workspaceRanks.size()) * Math.max(1, ranks.size());
+        return Urgency.level(rank(workspace, route, ranks), all, step);
+    }
+
+    private int rank(Optional<WorkspaceTerms> workspace, Route route, List<Integer> ranks) {
         OptionalInt own = workspace.map(WorkspaceTerms::priority).orElseGet(OptionalInt::empty);
         int of = own.isPresent() ? workspaceRanks.indexOf(own.getAsInt()) : workspaceRanks.size() / 2;
-        return of * routeRanks.size() + Math.max(0, routeRanks.indexOf(route.priority()));
+        return of * ranks.size() + Math.max(0, ranks.indexOf(route.priority()));
     }
 
     /** Returns whether callers need a key on routes that aren't open. */
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -271,6 +271,42 @@
         assertFalse(gate.yields(1, "e", 600), "the shortage is over");
     }
 
+    // ---- order of reading
+
+    /**
+     * Load: a burst of prompts whose reading takes from a hundredth of the target to half of it. Symptom: all of them were
+     * late. Cause: engines read them in the order of arrival, and the small ones waited for the large ones.
+     */
+    @Test
+    void whatTakesLittleReadingForItsSizeGoesFirst() {
+        ReadingOrder order = ReadingOrder.create();
+        Route plan = route(RouteKind.STREAM, true, 2);
+        Prompt usual = Prompt.of(9_000, 50, List.of());
+        assertEquals(ReadingOrder.STEPS - 1, order.step(plan, usual, 9_000, 45), "new, takes two thirds of the target");
+        assertEquals(0, order.step(plan, usual, 300, 45), "held but for a little");
+        int half = order.step(plan, usual, 2_000, 45);
+        assertTrue(half > 0 && half < ReadingOrder.STEPS - 1);
+        Prompt small = Prompt.of(2_000, 50, List.of());
+        assertTrue(order.step(plan, small, 2_000, 45) > half, "as much reading, less of an answer");
+        for (int held = 0, before = ReadingOrder.STEPS; held < 9_000; held += 500) {
+            int step = order.step(plan, usual, 9_000 - held, 45);
+            assertTrue(step <= before, "less to read never goes later");
+            before = step;
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1", "2", "3", "5", "6", "10", "18"})
+    void noStepOfARankGoesBehindALessUrgentRank(int ranks) {
+        for (int rank = 0; rank + 1 < ranks; rank++) {
+            int last = Urgency.level(rank, ranks, ReadingOrder.STEPS - 1);
+            int next = Urgency.level(rank + 1, ranks, 0);
+            assertTrue(ranks <= 10 ? last < next : last <= next, "rank " + rank + " of " + ranks);
+        }
+        assertEquals(0, Urgency.level(0, ranks, 0));
+        assertTrue(Urgency.level(ranks - 1, ranks, ReadingOrder.STEPS - 1) <= 9);
+    }
+
     // ---- placing
 
     @ParameterizedTest
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -106,7 +106,7 @@
         connection = ready;
         sent = true;
         connection.reading(caller.writable());
-        connection.send(exchange.requestTo(server), exchange.attemptId(), this);
+        connection.send(exchange.requestTo(placed), exchange.attemptId(), this);
         if (route.kind() == RouteKind.SAFE && route.targetMillis() > 0) {
             patience = gateway.schedule(this::tooSilent, PATIENCE * route.targetMillis());
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -173,18 +173,18 @@
         return giveUpAt - gateway.now();
     }
 
-    /** Returns the request as it is sent to a server; its body is shared with this one. */
-    FullHttpRequest requestTo(RelayServer server) {
+    /** Returns the request as it is sent to the server of a choice; its body is shared with this one. */
+    FullHttpRequest requestTo(Placement.Placed placed) {
         HttpHeaders headers = head.headers().copy();
         HopHeaders.remove(headers);
         gateway.dialect()
                 .prepare(
                         headers,
                         new SendTerms(
-                                server.id(),
+                                placed.server().id(),
                                 Math.max(1, leftMillis()),
                                 workspace.map(WorkspaceTerms::name),
-                                rank(),
+                                config.level(workspace, route, service, placed.step()),
                                 progress.resumeAfter(),
                                 progress.weightsVersion()));
         if (body.isReadable() || !bodiless(head.method())) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
@@ -65,6 +65,7 @@
                 .with(LogField.RUNNING, chosen.runningOfAll())
                 .with(LogField.READING, chosen.promptTokensOfAll())
                 .with(LogField.TO_READ, placed.tokensToRead())
+                .with(LogField.STEP, placed.step())
                 .with(LogField.PEERS, gateway.peersPresent())
                 .write();
     }
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -31,6 +31,8 @@
     READING,
     /** Prompt tokens of this request that the server was expected to read. */
     TO_READ,
+    /** Its place in the order in which prompts of its rank are read, 0 first. */
+    STEP,
     /** How an attempt ended, or with what outcome a request did. */
     END,
     WHY,
