Requests of a lane without a free place go to the other lane too

Beside long prompts a question pauses too long; behind a full engine it gets nothing.

Test: RelayDecisionsTest.requestsOfALaneWithoutAFreePlaceGoToTheOtherOne, red before.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -157,7 +157,22 @@
         if (shortEngines >= candidates.size()) {
             return candidates;
         }
-        return longPrompt ? candidates.subList(shortEngines, candidates.size()) : candidates.subList(0, shortEngines);
+        List<RelayServer> own =
+                longPrompt ? candidates.subList(shortEngines, candidates.size()) : candidates.subList(0, shortEngines);
+        return anyPlace(own) ? own : candidates;
+    }
+
+    /**
+     * Returns whether any engine has a free place. Where a lane has none, its requests go to the other one too: what waits
+     * for a place has no first output until another request ends, while beside long prompts it only pauses too long.
+     */
+    private static boolean anyPlace(List<RelayServer> lane) {
+        for (RelayServer server : lane) {
+            if (server.runningOfAll() < server.slots()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private Placed leastBusy(PlacementRequest request, List<RelayServer> candidates) {
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -394,6 +394,42 @@
         assertEquals(0, placement.demands(10).get("model").shortRunning());
     }
 
+    /**
+     * Symptom: 59 to 104 questions were at the one engine of the short lane, which runs 48, and were left by their callers
+     * after two seconds, while engines of the long lane had places. Events: half of the engines are lost in a burst of long
+     * prompts. Cause: a lane's requests never went to the other lane.
+     */
+    @Test
+    void requestsOfALaneWithoutAFreePlaceGoToTheOtherOne() {
+        PromptAware placement = PromptAware.create();
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 0);
+        PlacementRequest longs =
+                new PlacementRequest(route(RouteKind.STREAM, true, 2), ENGINES, prompt(9_000, "p"), "north");
+        PlacementRequest shorts =
+                new PlacementRequest(route(RouteKind.STREAM, false, 1), ENGINES, prompt(800, "q"), "north");
+        placement.sent(longs, placement.place(longs, directory.open("model"), 0).orElseThrow(), 0);
+        RelayServer first = placement
+                .place(shorts, directory.open("model"), 1)
+                .orElseThrow()
+                .server();
+        assertEquals(
+                first.id(),
+                placement
+                        .place(shorts, directory.open("model"), 2)
+                        .orElseThrow()
+                        .server()
+                        .id());
+        first.peers(48, 0);
+        assertNotEquals(
+                first.id(),
+                placement
+                        .place(shorts, directory.open("model"), 3)
+                        .orElseThrow()
+                        .server()
+                        .id());
+    }
+
     @Test
     void aPromptGoesWhereItsPartsAreHeldUnlessThatEngineHasMuchToRead() {
         PromptAware placement = PromptAware.create();
