--- a/cli/src/main/java/org/tanagerhinge/cli/trace/Sentence.java
+++ b/cli/src/main/java/org/tanagerhinge/cli/trace/Sentence.java
@@ -31,7 +31,7 @@
         String event = end.event();
         if (event.equals(LogEvent.REFUSED.label())) {
             return "was answered " + end.number(LogField.STATUS) + after + " (" + end.number(LogField.CODE) + ", "
-                    + meaning(end.number(LogField.CODE)) + "); " + ran(end);
+                    + meaning(end.number(LogField.CODE)) + "); " + ran(end) + reason(end);
         }
         if (event.equals(LogEvent.ENDED.label())) {
             return "got its whole answer with status " + end.number(LogField.STATUS) + after
@@ -66,6 +66,12 @@
         };
     }
 
+    private static String reason(LogRecord end) {
+        return end.text(LogField.WHY).isEmpty()
+                ? ""
+                : "; " + end.text(LogField.WHY) + ", at " + end.text(LogField.SERVER);
+    }
+
     private static String meaning(long code) {
         return ResultCode.ofNumber((int) code).map(ResultCode::meaning).orElse("unknown code");
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -124,12 +124,13 @@
             noServer();
             return;
         }
-        if (history.sends() == 0
-                && gateway.ranks().yields(rank(), placed.get().server().id(), now)) {
+        RelayServer chosen = placed.get().server();
+        if (history.sends() == 0 && gateway.ranks().yields(rank(), chosen.id(), now)) {
+            trail.yields(chosen, rank());
             refuse(Refusal.notRun(ResultCode.QUEUE_FULL, gateway.comeBackMillis()));
             return;
         }
-        tried.add(placed.get().server().id());
+        tried.add(chosen.id());
         history.sent();
         trail.sent(placed.get(), candidates.size());
         attempt = new RelayAttempt(gateway, this, request, placed.get());
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
@@ -22,6 +22,7 @@
     private Optional<Route> route = Optional.empty();
     private int attempts;
     private String server = "";
+    private String why = "";
 
     private RequestTrail(Gateway gateway, String id, long arrived) {
         this.gateway = gateway;
@@ -96,9 +97,17 @@
         line(LogEvent.GIVEN_UP, true).with(LogField.MS, gateway.now() - arrived).write();
     }
 
+    /** The request has to yield to more urgent ones at the server that was chosen for it. */
+    void yields(RelayServer chosen, int rank) {
+        server = chosen.id();
+        why = "requests more urgent than rank " + rank + " are overdue there";
+    }
+
     void refused(Refusal refusal) {
         line(LogEvent.REFUSED, true)
                 .with(LogField.ROUTE, route.map(Route::name).orElse(""))
+                .with(LogField.SERVER, server)
+                .with(LogField.WHY, why)
                 .with(LogField.STATUS, refusal.status())
                 .with(LogField.CODE, refusal.code().number())
                 .with(LogField.RUN, refusal.run())
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayTraceTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayTraceTest.java
@@ -88,6 +88,9 @@
         Trace trace = trace("plan-refused");
         assertEquals("refused", events(trace).get(events(trace).size() - 1));
         assertTrue(trace.sentence().contains("was answered 503"), trace.sentence());
+        LogRecord refused = trace.ofRequest().get(trace.ofRequest().size() - 1);
+        assertEquals("s-1", refused.text(LogField.SERVER), "where it would have gone");
+        assertTrue(refused.text(LogField.WHY).contains("overdue"), refused.text());
         assertTrue(trace.sentence().contains("it did not run, the caller may come back after"), trace.sentence());
     }
 
