--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -184,10 +184,7 @@
 
     /** Returns the version of the configuration in force, 0 if there is none. */
     public long configVersion() {
-        return loop.next()
-                .submit(() -> gateway.config().map(RelayConfig::version).orElse(0L))
-                .awaitUninterruptibly()
-                .getNow();
+        return loop.next().submit(gateway::configVersion).awaitUninterruptibly().getNow();
     }
 
     /** Returns where callers connect. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -132,6 +132,7 @@
 
     private void report() {
         table.trim(gateway.now());
+        tellPresence(gateway.now());
         takeSums();
         tellNow();
         gateway.schedule(this::report, intervalMillis());
@@ -179,7 +180,7 @@
                 ++sequence,
                 address(),
                 storeAnswers.getAsBoolean(),
-                gateway.config().map(RelayConfig::version).orElse(0L),
+                gateway.configVersion(),
                 gateway.directory().known() ? now - gateway.directory().lastList() : Integer.MAX_VALUE,
                 gateway.directory().digest(),
                 intervalMillis(),
@@ -199,7 +200,7 @@
             gateway.keeps(parts.server(), parts.parts());
         }
         takeSums();
-        if (report.configVersion() > gateway.config().map(RelayConfig::version).orElse(0L)) {
+        if (report.configVersion() > gateway.configVersion()) {
             askConfig(report);
         }
         long age = gateway.directory().known() ? now - gateway.directory().lastList() : Long.MAX_VALUE;
@@ -216,8 +217,7 @@
     /** Gives placement what the peers have in progress and what their callers ask. */
     private void takeSums() {
         long now = gateway.now();
-        tellPresence(now);
-        boolean heard = !present.isEmpty();
+        boolean heard = table.anyPresent(now);
         gateway.peersHeard(heard);
         if (!heard) {
             return;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Refusal.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Refusal.java
@@ -12,7 +12,7 @@
 record Refusal(int status, ResultCode code, long retryAfterMillis) {
     /** Returns what the caller may take for known of whether its request ran. */
     String run() {
-        return status == 503 || status == 429 || (status < 500 && status != 408) ? "not_run" : "unknown";
+        return status == 503 || status < 500 ? "not_run" : "unknown";
     }
 
     static Refusal of(int status, ResultCode code) {
