--- a/core/src/main/java/org/tanagerhinge/core/relay/LeastInFlight.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/LeastInFlight.java
@@ -35,7 +35,7 @@
     }
 
     @Override
-    public void read(int tokens, long millis) {
+    public void read(PlacementRequest request, Placed placed, long millis) {
         // The plain policy doesn't look at how fast servers read.
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/relay/Mechanism.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Mechanism.java
@@ -4,7 +4,7 @@
 public enum Mechanism {
     /** Short and long prompts go to engines of their own ({@link Lanes}). */
     LANES,
-    /** A lane without a free place, and a long prompt of which little is to be read, may use the other lane. */
+    /** Requests of a lane without a free place go to the other one too. */
     LANE_OVERFLOW,
     /** Engines read prompts of one rank in the order of {@link ReadingOrder}. */
     READING_ORDER,
--- a/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
@@ -20,7 +20,7 @@
     void sent(PlacementRequest request, Placed placed, long now);
 
     /** Notes that a server has read a prompt: its first output came some milliseconds after it was sent. */
-    void read(int tokens, long millis);
+    void read(PlacementRequest request, Placed placed, long millis);
 
     /** Notes that a request that was sent has ended, whichever way. */
     void ended(PlacementRequest request, Placed placed, long now);
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -106,13 +106,10 @@
         PrefixHomes homes = PrefixHomes.of(request.prompt(), lane);
         Placed best = null;
         double bestCost = 0;
-        for (int i = 0; i < candidates.size(); i++) {
-            RelayServer server = candidates.get(Math.floorMod(i + turn, candidates.size()));
+        for (int i = 0; i < lane.size(); i++) {
+            RelayServer server = lane.get(Math.floorMod(i + turn, lane.size()));
             int held = held(server, request.prompt());
             int toRead = Math.max(1, request.prompt().inputTokens() - held);
-            if (!lane.contains(server) && !mayLeaveItsLane(longPrompt, toRead)) {
-                continue;
-            }
             double cost =
                     cost(request, server, toRead) - (held > 0 ? 0 : preference(homes.rank(server), request.prompt()));
             if (best == null || cost < bestCost) {
@@ -127,14 +124,6 @@
         return off.contains(Mechanism.PREFIX_MEMORY) ? 0 : memory.held(server.life(), prompt);
     }
 
-    /**
-     * Returns whether a long prompt may go to an engine of the short lane: what the engine holds of it makes no stream pause,
-     * and its parts need not be read once more when the boundary between the lanes has moved.
-     */
-    private boolean mayLeaveItsLane(boolean longPrompt, int toRead) {
-        return longPrompt && !isLong(toRead) && !off.contains(Mechanism.LANE_OVERFLOW);
-    }
-
     /** Returns the tokens by which an engine costs less than others, since shared parts of a prompt belong there. */
     private double preference(int homeRank, Prompt prompt) {
         if (homeRank < 0 || off.contains(Mechanism.PREFIX_HOMES)) {
@@ -164,8 +153,11 @@
     }
 
     @Override
-    public void read(int tokens, long millis) {
-        speed.read(tokens, millis);
+    public void read(PlacementRequest request, Placed placed, long millis) {
+        // Shared parts may be held though nobody here knows of it, after a restart above all. Were they counted as
+        // read, an
+        // engine would seem many times as fast as it is, and large prompts would count as short ones.
+        speed.read(request.prompt().inputTokens() - request.prompt().sharedTokens(), millis);
     }
 
     @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -302,7 +302,7 @@
         if (reading) {
             reading = false;
             server.read(placed.tokensToRead());
-            gateway.placement().read(placed.tokensToRead(), gateway.now() - began);
+            gateway.placement().read(request, placed, gateway.now() - began);
         }
     }
 
