--- a/gateway/src/main/java/org/tanagerhinge/gateway/MeasuredStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MeasuredStore.java
@@ -31,13 +31,13 @@
     }
 
     @Override
-    public void servers(Consumer<Reply<Listing>> done) {
-        store.servers(timed("servers", done));
+    public void servers(long timeoutMillis, Consumer<Reply<Listing>> done) {
+        store.servers(timeoutMillis, timed("servers", done));
     }
 
     @Override
-    public void config(Consumer<Reply<StoredConfig>> done) {
-        store.config(timed("config", done));
+    public void config(long timeoutMillis, Consumer<Reply<StoredConfig>> done) {
+        store.config(timeoutMillis, timed("config", done));
     }
 
     @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -9,11 +9,11 @@
 
 /** The calls to the platform's store that a gateway makes; callbacks come on the event loop. */
 public interface MetadataStore {
-    /** Reads the servers' registrations. */
-    void servers(Consumer<Reply<Listing>> done);
+    /** Reads the servers' registrations; fails if a page has no answer within a time in milliseconds. */
+    void servers(long timeoutMillis, Consumer<Reply<Listing>> done);
 
-    /** Reads the newest configuration. */
-    void config(Consumer<Reply<StoredConfig>> done);
+    /** Reads the newest configuration; fails if there is no answer within a time in milliseconds. */
+    void config(long timeoutMillis, Consumer<Reply<StoredConfig>> done);
 
     /**
      * Waits for a configuration that is newer than a revision of the store.
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -31,8 +31,18 @@
     private static final long WATCH_MILLIS = 1_500;
     /** Pause before the next watch after a change, so that versions in quick succession are taken in together. */
     private static final int SETTLE_MILLIS = 150;
-    /** Pause after a failed call. */
+    /** How long a call may take, in milliseconds: five times as long as one to a store that is 75 times slower than usual. */
+    private static final long TIMEOUT_MILLIS = 1_500;
+    /**
+     * How long a call of a gateway that can serve nobody yet may take, in milliseconds: a store that returns from an outage
+     * doesn't answer the calls that were made during it, and each moment until the next one is time in which callers are
+     * refused. Three times what such a call takes on a host with a quarter of a core that has just started.
+     */
+    private static final long FIRST_TIMEOUT_MILLIS = 800;
+    /** Pause after a failed call, in milliseconds. */
     private static final int FAILED_MILLIS = 250;
+    /** The same of a gateway that can serve nobody yet. */
+    private static final int FIRST_FAILED_MILLIS = 100;
     /** How often a gateway that doesn't read looks whether it has to, in milliseconds. */
     private static final int IDLE_MILLIS = 200;
 
@@ -68,6 +78,14 @@
         return feed;
     }
 
+    private long timeoutMillis() {
+        return gateway.informed() ? TIMEOUT_MILLIS : FIRST_TIMEOUT_MILLIS;
+    }
+
+    private int failedMillis() {
+        return gateway.informed() ? FAILED_MILLIS : FIRST_FAILED_MILLIS;
+    }
+
     private boolean reads() {
         return peers.table().reads(storeAnswers, gateway.now());
     }
@@ -84,7 +102,7 @@
 
     private void readServers() {
         long asked = gateway.now();
-        store.servers(reply -> {
+        store.servers(timeoutMillis(), reply -> {
             if (reply instanceof MetadataStore.Answer<MetadataStore.Listing> answer) {
                 heard();
                 tellUnreadable(answer.value().unreadable());
@@ -96,7 +114,7 @@
                 return;
             }
             failedUnlessGone(reply);
-            later(this::servers, FAILED_MILLIS);
+            later(this::servers, failedMillis());
         });
     }
 
@@ -127,7 +145,7 @@
     }
 
     private void readConfig() {
-        store.config(this::takeConfig);
+        store.config(timeoutMillis(), this::takeConfig);
     }
 
     private void takeConfig(MetadataStore.Reply<MetadataStore.StoredConfig> reply) {
@@ -146,7 +164,7 @@
         }
         watching = false;
         if (failedUnlessGone(reply)) {
-            later(this::config, FAILED_MILLIS);
+            later(this::config, failedMillis());
         } else {
             config();
         }
