--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
@@ -29,7 +29,8 @@
  * daemon, in the random runs and in the benchmark.
  */
 public final class AgentCore {
-    private static final int NOTHING = 0;
+    /** Stands in a run's output until it is addressed to the attempt of a subscriber. */
+    private static final int NO_ATTEMPT = 0;
 
     private final ServerId self;
     private final long incarnation;
@@ -42,8 +43,8 @@
     private final RateMeter meter = new RateMeter();
     private final ExecutionTable executions;
     private final Map<Long, Run> running = new HashMap<>();
-    private final Map<RouterId, Map<Long, Run>> attempts = new HashMap<>();
-    private final Map<RouterId, Instant> lastSent = new HashMap<>();
+    private final RouterLinks links;
+    private final FlowControl flow;
     private ClusterConfig config = ClusterConfig.EMPTY;
     private long nextRunId = 1;
     private boolean stopping;
@@ -65,6 +66,8 @@
         this.queue = new ClassQueue(options.queueBound(), options.queueBytes(), monitor);
         this.limit = ConcurrencyLimit.of(options.concurrency());
         this.executions = new ExecutionTable(options, monitor);
+        this.links = new RouterLinks(port, clock);
+        this.flow = new FlowControl(port, options.creditUnits());
     }
 
     /**
@@ -112,7 +115,7 @@
 
     /** Returns the number of routers linked now. */
     public int routers() {
-        return attempts.size();
+        return links.count();
     }
 
     /** Returns whether the agent was told to stop and nothing is left in its hands. */
@@ -124,13 +127,9 @@
 
     /** A router has connected. */
     public void onRouterUp(RouterId router) {
-        attempts.keySet().stream()
-                .filter(other -> other.name().equals(router.name()))
-                .toList()
-                .forEach(this::onRouterDown);
-        attempts.put(router, new HashMap<>());
-        send(router, new Frame.Heartbeat(config.revision()));
-        send(router, new Frame.LoadReport(load()));
+        links.namesakes(router).forEach(this::onRouterDown);
+        links.connect(router);
+        greet(router);
     }
 
     /**
@@ -140,17 +139,15 @@
      * that has begun goes on, and its result is held for whoever asks with the same key.
      */
     public void onRouterDown(RouterId router) {
-        Map<Long, Run> lost = attempts.remove(router);
-        lastSent.remove(router);
-        if (lost == null) {
+        if (!links.connected(router)) {
             return;
         }
-        for (Run run : lost.values()) {
+        for (Run run : links.disconnect(router)) {
             run.subscribers().removeIf(subscriber -> subscriber.router().equals(router));
             if (run.subscribers().isEmpty()) {
                 abandon(run);
             } else {
-                adjustPause(run);
+                flow.adjust(run);
             }
         }
         dispatch();
@@ -162,25 +159,18 @@
             run.execution().ifPresent(execution -> executions.close(execution, now()));
         } else if (run.machine().in(RunState.RUNNING)) {
             if (run.execution().isPresent()) {
-                resumeReading(run);
+                flow.resume(run);
             } else {
                 abort(run, ResultCode.CALLER_GONE, "nobody waits for it");
             }
         }
     }
 
-    private void resumeReading(Run run) {
-        if (run.paused()) {
-            run.paused(false);
-            port.pause(run.id(), false);
-        }
-    }
-
     // ---- messages
 
     /** A router has sent a message. */
     public void onFrame(RouterId router, Frame.FromRouter frame) {
-        if (!attempts.containsKey(router)) {
+        if (!links.connected(router)) {
             return;
         }
         switch (frame) {
@@ -201,8 +191,7 @@
     }
 
     private void onSubmit(RouterId router, Frame.Submit submit) {
-        Map<Long, Run> own = attempts.get(router);
-        if (own.containsKey(submit.attempt())) {
+        if (links.run(router, submit.attempt()).isPresent()) {
             return;
         }
         if (submit.execution().isPresent()
@@ -222,7 +211,7 @@
             case ClassQueue.Offer.Queued queued -> {
                 queued.evicted().forEach(victim -> shed(victim, ResultCode.EVICTED));
                 run.subscribers().add(new Subscriber(router, submit.attempt()));
-                own.put(submit.attempt(), run);
+                links.attach(router, submit.attempt(), run);
                 run.execution().ifPresent(_ -> executions.queued(run, now()));
                 dispatch();
             }
@@ -258,7 +247,7 @@
     private void join(RouterId router, long attempt, Run run) {
         Subscriber subscriber = new Subscriber(router, attempt);
         run.subscribers().add(subscriber);
-        attempts.get(router).put(attempt, run);
+        links.attach(router, attempt, run);
         if (run.machine().in(RunState.RUNNING)) {
             send(router, new Frame.Started(attempt));
         } else {
@@ -270,7 +259,7 @@
             }
             send(router, readdress(frame, attempt));
         }
-        adjustPause(run);
+        flow.adjust(run);
     }
 
     private Frame.FromAgent readdress(Frame.FromAgent frame, long attempt) {
@@ -312,13 +301,14 @@
     }
 
     private void onCancel(RouterId router, long attempt, boolean runOn) {
-        Run run = attempts.get(router).remove(attempt);
-        if (run == null) {
+        Optional<Run> found = links.detach(router, attempt);
+        if (found.isEmpty()) {
             return;
         }
+        Run run = found.get();
         run.subscribers().removeIf(subscriber -> subscriber.router().equals(router) && subscriber.attempt() == attempt);
         if (run.subscribers().isEmpty() && runOn && run.execution().isPresent()) {
-            resumeReading(run);
+            flow.resume(run);
         } else if (run.subscribers().isEmpty()) {
             if (run.machine().in(RunState.RUNNING)) {
                 abort(run, ResultCode.CALLER_GONE, "its caller hung up");
@@ -328,38 +318,22 @@
             }
             dispatch();
         } else {
-            adjustPause(run);
+            flow.adjust(run);
         }
     }
 
     private void onCredit(RouterId router, Frame.Credit credit) {
-        Run run = attempts.get(router).get(credit.attempt());
-        if (run == null) {
+        Optional<Run> found = links.run(router, credit.attempt());
+        if (found.isEmpty()) {
             return;
         }
+        Run run = found.get();
         for (Subscriber subscriber : run.subscribers()) {
             if (subscriber.router().equals(router) && subscriber.attempt() == credit.attempt()) {
                 subscriber.credited(credit.units());
             }
         }
-        adjustPause(run);
-    }
-
-    /** Stops reading from the backend server while a caller is far behind, so that nothing piles up on the way. */
-    private void adjustPause(Run run) {
-        if (!run.machine().in(RunState.RUNNING)) {
-            return;
-        }
-        long behind = run.subscribers().stream()
-                .mapToLong(Subscriber::outstanding)
-                .max()
-                .orElse(NOTHING);
-        long bound = run.isService() ? options.creditUnits() * 1024 : options.creditUnits();
-        boolean pause = run.paused() ? behind > bound / 2 : behind > bound;
-        if (pause != run.paused()) {
-            run.paused(pause);
-            port.pause(run.id(), pause);
-        }
+        flow.adjust(run);
     }
 
     // ---- the backend server
@@ -368,7 +342,7 @@
     public void onHead(long runId, int status, String contentType) {
         Run run = running.get(runId);
         if (run != null) {
-            emit(run, new Frame.Head(NOTHING, status, contentType));
+            emit(run, new Frame.Head(NO_ATTEMPT, status, contentType));
         }
     }
 
@@ -393,8 +367,8 @@
                 meter.gap(gap, units);
             }
         });
-        emit(run, new Frame.Chunk(NOTHING, offset, units, data));
-        adjustPause(run);
+        emit(run, new Frame.Chunk(NO_ATTEMPT, offset, units, data));
+        flow.adjust(run);
     }
 
     /** The backend server has ended an answer as a whole one. */
@@ -409,10 +383,10 @@
             meter.gap(Duration.between(run.dispatched(), now()), 1);
         }
         run.machine().fire(RunEvent.FINISH);
-        Frame.Done done = new Frame.Done(NOTHING, run.producedUnits(), finishReason, load());
+        Frame.Done done = new Frame.Done(NO_ATTEMPT, run.producedUnits(), finishReason, load());
         run.subscribers().forEach(subscriber -> send(subscriber.router(), readdress(done, subscriber.attempt())));
         run.execution().ifPresent(_ -> executions.whole(run, done));
-        forgetAttempts(run);
+        links.forget(run);
         dispatch();
     }
 
@@ -434,7 +408,7 @@
             run.execution().ifPresent(execution -> executions.close(execution, now()));
             run.subscribers()
                     .forEach(subscriber -> refuse(subscriber.router(), subscriber.attempt(), code, Duration.ZERO));
-            forgetAttempts(run);
+            links.forget(run);
         }
         if (justDown) {
             port.count("backend_down");
@@ -453,7 +427,7 @@
     }
 
     private void reportLoad() {
-        List.copyOf(attempts.keySet()).forEach(router -> send(router, new Frame.LoadReport(load())));
+        links.routers().forEach(router -> send(router, new Frame.LoadReport(load())));
     }
 
     private void abort(Run run, ResultCode code, String detail) {
@@ -473,7 +447,7 @@
         run.subscribers()
                 .forEach(subscriber ->
                         send(subscriber.router(), new Frame.Failed(subscriber.attempt(), code, detail, load())));
-        forgetAttempts(run);
+        links.forget(run);
     }
 
     private void emit(Run run, Frame.FromAgent frame) {
@@ -486,16 +460,6 @@
         }
     }
 
-    private void forgetAttempts(Run run) {
-        for (Subscriber subscriber : run.subscribers()) {
-            Map<Long, Run> own = attempts.get(subscriber.router());
-            if (own != null) {
-                own.remove(subscriber.attempt());
-            }
-        }
-        run.subscribers().clear();
-    }
-
     // ---- order and limits
 
     private void dispatch() {
@@ -528,7 +492,7 @@
         run.execution().ifPresent(execution -> executions.close(execution, now()));
         Duration retryAfter = pace().drainTime(run.cost());
         run.subscribers().forEach(subscriber -> refuse(subscriber.router(), subscriber.attempt(), code, retryAfter));
-        forgetAttempts(run);
+        links.forget(run);
     }
 
     private Pace pace() {
@@ -592,7 +556,7 @@
             reportLoad();
         }
         Frame.Heartbeat news = new Frame.Heartbeat(config.revision());
-        List.copyOf(attempts.keySet()).forEach(router -> send(router, news));
+        links.routers().forEach(router -> send(router, news));
     }
 
     private Duration gapBound() {
@@ -632,7 +596,7 @@
             port.probe();
         }
         executions.trim(now);
-        heartbeats(now);
+        links.untold(options.heartbeat()).forEach(this::greet);
         dispatch();
     }
 
@@ -646,22 +610,13 @@
         overdue.forEach(run -> abort(run, ResultCode.ANSWER_TOO_LATE, "its deadline has passed"));
     }
 
-    private void heartbeats(Instant now) {
-        for (RouterId router : List.copyOf(attempts.keySet())) {
-            Instant last = lastSent.getOrDefault(router, Instant.MIN);
-            if (!last.equals(Instant.MIN) && last.plus(options.heartbeat()).isAfter(now)) {
-                continue;
-            }
-            send(router, new Frame.Heartbeat(config.revision()));
-            send(router, new Frame.LoadReport(load()));
-        }
+    private void greet(RouterId router) {
+        send(router, new Frame.Heartbeat(config.revision()));
+        send(router, new Frame.LoadReport(load()));
     }
 
     private void send(RouterId router, Frame.FromAgent frame) {
-        if (frame instanceof Frame.LoadReport) {
-            lastSent.put(router, now());
-        }
-        port.send(router, frame);
+        links.send(router, frame);
     }
 
     private Instant now() {
