Less urgent long prompts don't overflow into the short lane

Long prompts stay in their full lane where short ones are more urgent; the others may still overflow. Test that failed before: RelayDecisionsTest.longPromptsThatAreLessUrgentStayInTheirFullLane.

--- a/core/src/main/java/org/tanagerhinge/core/relay/DemandMeter.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/DemandMeter.java
@@ -10,6 +10,11 @@
     /** Weight of the newest short prompt in their mean size. */
     private static final double NEWEST = 0.02;
 
+    /** A rank of which no request came for this long doesn't count any more, in milliseconds. */
+    private static final long RANK_MILLIS = 5_000;
+
+    private int urgentShort = Integer.MAX_VALUE;
+    private long urgentShortAt = Long.MIN_VALUE / 2;
     private int shortRunning;
     private double shortTokens;
     private double longTokens;
@@ -37,6 +42,19 @@
         }
     }
 
+    /** Notes the rank of a short request that was sent, 0 is the most urgent. */
+    public void shortRank(int rank, long now) {
+        if (rank <= urgentShort || now - urgentShortAt > RANK_MILLIS) {
+            urgentShort = rank;
+            urgentShortAt = now;
+        }
+    }
+
+    /** Returns the most urgent rank of short requests that were sent of late; the least urgent one if there were none. */
+    public int urgentShort(long now) {
+        return now - urgentShortAt > RANK_MILLIS ? Integer.MAX_VALUE : urgentShort;
+    }
+
     /** Notes the end of a short request. */
     public void shortEnded() {
         shortRunning--;
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -149,7 +149,11 @@
                 placed.server().life(),
                 request.prompt().sharedParts(),
                 request.service().memoryTokens());
-        meter(request.service().name(), now).sent(placed.longPrompt(), placed.tokensToRead(), now);
+        DemandMeter meter = meter(request.service().name(), now);
+        meter.sent(placed.longPrompt(), placed.tokensToRead(), now);
+        if (!placed.longPrompt()) {
+            meter.shortRank(request.route().priority(), now);
+        }
     }
 
     @Override
@@ -198,12 +202,16 @@
         }
         List<RelayServer> own =
                 longPrompt ? candidates.subList(shortEngines, candidates.size()) : candidates.subList(0, shortEngines);
-        return anyPlace(own) || off.contains(Mechanism.LANE_OVERFLOW) ? own : candidates;
+        boolean mayOverflow =
+                !longPrompt || request.route().priority() <= meter(service, now).urgentShort(now);
+        return anyPlace(own) || !mayOverflow || off.contains(Mechanism.LANE_OVERFLOW) ? own : candidates;
     }
 
     /**
      * Returns whether any engine has a free place. Where a lane has none, its requests go to the other one too: what waits
-     * for a place has no first output until another request ends, while beside long prompts it only pauses too long.
+     * for a place has no first output until another request ends, while beside long prompts it only pauses too long. Long
+     * prompts that are less urgent than the short ones stay, though: in a long burst they fill the long lane and would then
+     * fill the short one, whose streams pause for each of them.
      */
     private static boolean anyPlace(List<RelayServer> lane) {
         for (RelayServer server : lane) {
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayDecisionsTest.java
@@ -454,6 +454,41 @@
                         .id());
     }
 
+    /**
+     * Symptom: in a long burst of long prompts of the last rank, 1,229 of 6,229 short requests of the first rank failed and
+     * 3,635 were late. Events: the burst fills all places of the long lane. Cause: the long prompts that found no place there
+     * went to the short lane and filled it too.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, false", "0, true", "1, true"})
+    void longPromptsThatAreLessUrgentStayInTheirFullLane(int longRank, boolean leaves) {
+        PromptAware placement = PromptAware.create();
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 0);
+        PlacementRequest longs = new PlacementRequest(ranked(longRank), ENGINES, prompt(9_000, "p"), "north");
+        PlacementRequest shorts = new PlacementRequest(ranked(1), ENGINES, prompt(800, "q"), "north");
+        Placement.Placed first =
+                placement.place(longs, directory.open("model"), 0).orElseThrow();
+        placement.sent(longs, first, 0);
+        Placement.Placed second =
+                placement.place(shorts, directory.open("model"), 1).orElseThrow();
+        placement.sent(shorts, second, 1);
+        RelayServer longLane =
+                placement.place(longs, directory.open("model"), 2).orElseThrow().server();
+        longLane.peers(60, 0);
+        PlacementRequest another = new PlacementRequest(ranked(longRank), ENGINES, prompt(9_000, "r"), "north");
+        RelayServer now = placement
+                .place(another, directory.open("model"), 3)
+                .orElseThrow()
+                .server();
+        assertEquals(leaves, now != longLane);
+    }
+
+    private static Route ranked(int priority) {
+        List<ServiceShare> shares = List.of(new ServiceShare("model", 1));
+        return new Route("r", "h", "/", RouteKind.STREAM, true, shares, 2, 5_000, 300, 120, priority, false, true);
+    }
+
     @Test
     void aPromptGoesWhereItsPartsAreHeldUnlessThatEngineHasMuchToRead() {
         PromptAware placement = PromptAware.create();
