--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -165,9 +165,13 @@
 
     /**
      * Returns the time until an engine has read a prompt. Engines read what takes little time first, so a prompt waits for
-     * the part of what is to be read there that is in smaller pieces: half of it for one of the usual size.
+     * the part of what is to be read there that is in smaller pieces: half of it for one of the usual size. 0 until engines'
+     * speed was measured: a node that has just started would turn callers away for a guess.
      */
     private double waitMillis(RelayServer server, int toRead) {
+        if (!speed.measured()) {
+            return 0;
+        }
         double ahead = server.promptTokensOfAll() * (toRead / (toRead + meanReading));
         return (ahead + toRead) / speed.tokensPerMilli();
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/SpeedMeter.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/SpeedMeter.java
@@ -13,7 +13,11 @@
     private static final double FASTER = 0.3;
     private static final double SLOWER = 0.01;
 
+    /** Readings before which the estimate is hardly more than the guess. */
+    private static final int FEW = 5;
+
     private double tokensPerMilli;
+    private int readings;
 
     private SpeedMeter(double first) {
         tokensPerMilli = first;
@@ -29,10 +33,16 @@
         if (tokens < LEAST_TOKENS || millis <= 0) {
             return;
         }
+        readings++;
         double sample = (double) tokens / millis;
         tokensPerMilli += (sample > tokensPerMilli ? FASTER : SLOWER) * (sample - tokensPerMilli);
     }
 
+    /** Returns whether the speed was measured, and is not just the guess. */
+    public boolean measured() {
+        return readings >= FEW;
+    }
+
     public double tokensPerMilli() {
         return tokensPerMilli;
     }
--- a/core/src/test/java/org/tanagerhinge/core/relay/AdmissionTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/AdmissionTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -72,6 +73,27 @@
         assertTrue(last > first || last >= left / 3, first + " to " + last);
     }
 
+    /**
+     * Symptom: gateways that had just started turned callers away though engines had nothing to do. Cause: they took engines
+     * for a third as fast as they are, having measured nothing yet.
+     */
+    @Test
+    void aNodeThatHasMeasuredNoSpeedExpectsNoWait() {
+        PromptAware placement = PromptAware.create();
+        RelayServer engine = RelayServer.of(
+                new Registration("a", 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
+        engine.peers(3, 100_000);
+        Prompt prompt = Prompt.of(9_000, 80, List.of(new PromptPart("own", 9_000)));
+        PlacementRequest request =
+                new PlacementRequest(route("r", 600, 1), ServiceTerms.of("model", 300, 48, 300_000), prompt, "north");
+        Placement.Placed first = placement.place(request, List.of(engine), 0).orElseThrow();
+        assertEquals(0, first.waitMillis());
+        for (int i = 0; i < 5; i++) {
+            placement.read(request, first, 200);
+        }
+        assertTrue(placement.place(request, List.of(engine), 0).orElseThrow().waitMillis() > 1_000);
+    }
+
     @ParameterizedTest
     @CsvSource({
         // priority of the route and of the workspace, whether nothing is less urgent
