--- a/cli/src/main/java/org/tanagerhinge/cli/InputFile.java
+++ b/cli/src/main/java/org/tanagerhinge/cli/InputFile.java
@@ -3,11 +3,20 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.tanagerhinge.cli.trace.LogFile;
 
 /** Reads the files that commands are given. */
 final class InputFile {
     private InputFile() {}
 
+    static LogFile log(String name) throws CommandFailedException {
+        try {
+            return LogFile.read(Path.of(name));
+        } catch (IOException e) {
+            throw new CommandFailedException(ExitCode.INVALID, "log '" + name + "' cannot be read: " + e.getMessage());
+        }
+    }
+
     static String read(String file) throws CommandFailedException {
         try {
             return Files.readString(Path.of(file));
--- a/cli/src/main/java/org/tanagerhinge/cli/Main.java
+++ b/cli/src/main/java/org/tanagerhinge/cli/Main.java
@@ -43,7 +43,8 @@
         CliBuilder<Object> builder = Cli.<Object>builder("tanagerhinge")
                 .withDescription("Edits profiles, marks backend servers and shows the state of the system")
                 .withDefaultCommand(Help.class)
-                .withCommands(Help.class, StatusCommand.class, ExplainCommand.class, TraceCommand.class);
+                .withCommands(
+                        Help.class, StatusCommand.class, ExplainCommand.class, TraceCommand.class, ReportCommand.class);
         builder.withGroup("profile")
                 .withDescription("Profiles: latency target, tier, idempotent or not")
                 .withDefaultCommand(ProfileCommands.ListProfiles.class)
--- a/cli/src/main/java/org/tanagerhinge/cli/TraceCommand.java
+++ b/cli/src/main/java/org/tanagerhinge/cli/TraceCommand.java
@@ -3,8 +3,6 @@
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import org.tanagerhinge.cli.trace.LogFile;
@@ -35,7 +33,7 @@
         String id = arguments.get(0);
         List<LogFile> files = new ArrayList<>();
         for (String name : arguments.subList(1, arguments.size())) {
-            files.add(read(name));
+            files.add(InputFile.log(name));
         }
         Trace trace = Trace.of(id, files);
         if (trace.isEmpty()) {
@@ -51,12 +49,4 @@
             out().println(trace.sentence());
         }
     }
-
-    private static LogFile read(String name) throws CommandFailedException {
-        try {
-            return LogFile.read(Path.of(name));
-        } catch (IOException e) {
-            throw new CommandFailedException(ExitCode.INVALID, "log '" + name + "' cannot be read: " + e.getMessage());
-        }
-    }
 }
