--- /dev/null
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
@@ -0,0 +1,60 @@
+package org.tanagerhinge.core.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which backend servers are believed in. */
+class ServerDirectoryTest {
+    private static Registration registration(String id, boolean draining) {
+        return new Registration(id, 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
+    }
+
+    @Test
+    void aServerThatIsMissingFromAListIsGone() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 1_000);
+        directory.apply(List.of(registration("a", false)), 1_800);
+        assertEquals(1, directory.open("model").size());
+    }
+
+    /**
+     * Symptom: no server was left to send to after the store's return. Events: the store is away, registrations lapse
+     * though their servers live, the store returns, the registrations come back within two seconds. Cause: a list with
+     * nothing in it was taken for the truth.
+     */
+    @Test
+    void registrationsThatLapsedWhileTheStoreWasAwayAreWaitedForAndThoseStillMissingAreGone() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 1_000);
+        directory.apply(List.of(), 9_000);
+        assertEquals(2, directory.open("model").size());
+        directory.apply(List.of(registration("a", false)), 9_800);
+        assertEquals(2, directory.open("model").size());
+        directory.apply(List.of(registration("a", false)), 11_300);
+        assertEquals(1, directory.open("model").size());
+    }
+
+    @Test
+    void aServerThatHasSaidThatItLeavesStaysLeaving() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", true)), 1_000);
+        directory.apply(List.of(registration("a", false)), 1_800);
+        assertTrue(directory.open("model").isEmpty());
+    }
+
+    @Test
+    void equalListsHaveEqualDigestsWhateverTheirOrder() {
+        ServerDirectory one = ServerDirectory.create();
+        ServerDirectory other = ServerDirectory.create();
+        one.apply(List.of(registration("a", false), registration("b", false)), 1);
+        other.apply(List.of(registration("b", false), registration("a", false)), 1);
+        assertEquals(one.digest(), other.digest());
+        other.apply(List.of(registration("b", true), registration("a", false)), 2);
+        assertNotEquals(one.digest(), other.digest());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ServerHealthTest.java
@@ -0,0 +1,38 @@
+package org.tanagerhinge.core.relay;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Which servers are left out for their answers. */
+class ServerHealthTest {
+    @Test
+    void aServerThatFailsInARowIsLeftOutAndComesBackByASingleProbe() {
+        ServerHealth health = ServerHealth.create();
+        for (int i = 0; i < 3; i++) {
+            assertTrue(health.usable(0));
+            health.failed(0);
+        }
+        assertFalse(health.usable(10));
+        assertFalse(health.probeDue(10));
+        assertTrue(health.probeDue(1_000));
+        health.probeSent(1_000);
+        assertFalse(health.probeDue(1_001), "one probe at a time");
+        health.succeeded();
+        assertTrue(health.usable(1_002));
+    }
+
+    @Test
+    void aServerThatAnswersWithAnErrorNowAndThenIsNotLeftOut() {
+        ServerHealth health = ServerHealth.create();
+        for (int i = 0; i < 1_000; i++) {
+            if (i % 7 == 0) {
+                health.failed(i);
+            } else {
+                health.succeeded();
+            }
+            assertTrue(health.usable(i));
+        }
+    }
+}
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -227,11 +227,17 @@
         for (KeptParts parts : told) {
             placement.kept(servers.get(parts.server()), service, parts.parts(), now);
         }
+        if (off.contains(Mechanism.PEER_LOAD)) {
+            return;
+        }
         before.forEach((life, use) -> servers.get(life).peersChanged(-use.running(), -use.promptTokens()));
         report.uses().forEach((life, use) -> servers.get(life).peersChanged(use.running(), use.promptTokens()));
     }
 
     private void takeSums() {
+        if (off.contains(Mechanism.PEER_LOAD)) {
+            return;
+        }
         long now = millis(fleet.now());
         Map<String, PeerReport.Use> uses = table.uses(now);
         PeerReport.Use none = new PeerReport.Use(0, 0);
