--- a/core/src/main/java/org/tanagerhinge/core/relay/Admission.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Admission.java
@@ -45,9 +45,6 @@
      * @return when to come back, in milliseconds; empty if it is taken
      */
     public static OptionalLong turnedAway(Route route, double waitMillis, long leftMillis, double draw) {
-        if (route.targetMillis() <= 0) {
-            return OptionalLong.empty();
-        }
         boolean cameBack = leftMillis < CAME_BACK_LEFT * route.timeoutMillis();
         double most = inTimeMillis(route) * (cameBack ? CAME_BACK : 1);
         if (waitMillis <= most) {
--- a/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Placement.java
@@ -59,12 +59,26 @@
             boolean longPrompt,
             double waitMillis,
             Optional<Fetch> fetch) {
-        /** Returns a choice of a server that has no prompt to read. */
+        /** Returns a choice that was made without regard to what is to be read before a request, and in which order. */
         static Placed plain(RelayServer server, int tokensToRead) {
             return new Placed(server, tokensToRead, 0, false, 0, Optional.empty());
         }
+
+        /** Returns the same choice with a place in the order of reading. */
+        Placed at(int newStep) {
+            return new Placed(server, tokensToRead, newStep, longPrompt, waitMillis, fetch);
+        }
+
+        /** Returns the same choice with a fetch, and what is still to be read then. */
+        Placed fetching(Fetch newFetch, int newTokensToRead) {
+            return new Placed(server, newTokensToRead, step, longPrompt, waitMillis, Optional.of(newFetch));
+        }
     }
 
-    /** Tokens at the start of a prompt that a server is sure to hold and that another one may take from it. */
+    /**
+     * What a server should take from another one.
+     *
+     * @param tokens prompt tokens that it lacks and the other one has read
+     */
     record Fetch(RelayServer from, int tokens) {}
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAware.java
@@ -181,10 +181,13 @@
      * leave the engines that hold its parts, since every copy takes memory from other parts.
      */
     private Placed withFetch(PlacementRequest request, Placed placed, List<RelayServer> candidates, long now) {
-        if (off.contains(Mechanism.FETCH) || request.prompt().parts().size() < 2) {
+        if (off.contains(Mechanism.FETCH)) {
             return placed;
         }
         int here = held(placed.server(), request.prompt());
+        if (request.prompt().sharedTokens() - here < LEAST_FETCH) {
+            return placed;
+        }
         int most = here + LEAST_FETCH - 1;
         RelayServer source = null;
         for (RelayServer server : candidates) {
@@ -203,13 +206,7 @@
             return placed;
         }
         int toRead = Math.max(1, placed.tokensToRead() - (int) ((1 - share) * tokens));
-        return new Placed(
-                placed.server(),
-                toRead,
-                placed.step(),
-                placed.longPrompt(),
-                placed.waitMillis(),
-                Optional.of(new Fetch(source, most)));
+        return placed.fetching(new Fetch(source, tokens), toRead);
     }
 
     private int held(RelayServer server, Prompt prompt) {
@@ -226,8 +223,7 @@
             return placed;
         }
         int step = order.step(request.route(), request.prompt(), placed.tokensToRead(), speed.tokensPerMilli());
-        return new Placed(
-                placed.server(), placed.tokensToRead(), step, placed.longPrompt(), placed.waitMillis(), placed.fetch());
+        return placed.at(step);
     }
 
     @Override
--- a/core/src/test/java/org/tanagerhinge/core/relay/AttemptsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/AttemptsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tanagerhinge.core.relay.RelayFixture.route;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -15,23 +16,6 @@
 
 /** Which requests are sent again, and how many of them. */
 class AttemptsTest {
-    private static Route route(RouteKind kind, boolean resumable, int attempts) {
-        return new Route(
-                "r",
-                "h",
-                "/",
-                kind,
-                resumable,
-                List.of(new ServiceShare("model", 1)),
-                attempts,
-                5000,
-                300,
-                120,
-                0,
-                false,
-                true);
-    }
-
     @ParameterizedTest
     @CsvSource({
         "SAFE,   false, BROKEN,       1, 1, true",
--- a/core/src/test/java/org/tanagerhinge/core/relay/HoldersTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/HoldersTest.java
@@ -122,6 +122,19 @@
         assertEquals(13_300, fetch.tokens());
     }
 
+    /**
+     * Symptom: log lines told of more fetched tokens than moved. Cause: what the chosen engine held itself was counted too.
+     */
+    @Test
+    void whatTheChosenEngineHoldsItselfIsNotFetched() {
+        List<RelayServer> engines = engines(6);
+        PromptAware placement = PromptAware.create();
+        engines.forEach(engine -> placement.kept(engine, LINKED, List.of(new PromptPart("all", 2_000)), 0));
+        Placement.Fetch fetch =
+                fetched(placement, LINKED, engines, engines.get(2), READ).orElseThrow();
+        assertEquals(11_300, fetch.tokens());
+    }
+
     @ParameterizedTest
     @CsvSource({
         // how long ago the holder was sent the prompt, whether the holder may be asked
--- a/core/src/test/java/org/tanagerhinge/core/relay/LanesTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/LanesTest.java
@@ -4,8 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tanagerhinge.core.relay.RelayFixture.registration;
+import static org.tanagerhinge.core.relay.RelayFixture.route;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,27 +19,6 @@
 class LanesTest {
     private static final ServiceTerms ENGINES = ServiceTerms.of("model", 300, 48, 300_000);
 
-    private static Registration registration(String id, boolean draining) {
-        return new Registration(id, 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
-    }
-
-    private static Route route(RouteKind kind, boolean resumable, int attempts) {
-        return new Route(
-                "r",
-                "h",
-                "/",
-                kind,
-                resumable,
-                List.of(new ServiceShare("model", 1)),
-                attempts,
-                5000,
-                300,
-                120,
-                0,
-                false,
-                true);
-    }
-
     @ParameterizedTest
     @CsvSource({
         // engines, short requests running, short and long tokens a second, expected
--- a/core/src/test/java/org/tanagerhinge/core/relay/RankOrderTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RankOrderTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tanagerhinge.core.relay.RelayFixture.route;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -11,23 +12,6 @@
 
 /** Who yields to whom, and which prompts an engine reads first. */
 class RankOrderTest {
-    private static Route route(RouteKind kind, boolean resumable, int attempts) {
-        return new Route(
-                "r",
-                "h",
-                "/",
-                kind,
-                resumable,
-                List.of(new ServiceShare("model", 1)),
-                attempts,
-                5000,
-                300,
-                120,
-                0,
-                false,
-                true);
-    }
-
     /**
      * Symptom: questions got nothing while cards of over twice their size began. Events: engines leave until one is left;
      * both kinds fill its places and its queue. Cause: whatever came was sent.
--- /dev/null
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayFixture.java
@@ -0,0 +1,30 @@
+package org.tanagerhinge.core.relay;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Routes and registrations that several tests begin with. */
+final class RelayFixture {
+    private RelayFixture() {}
+
+    static Registration registration(String id, boolean draining) {
+        return new Registration(id, 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
+    }
+
+    static Route route(RouteKind kind, boolean resumable, int attempts) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                kind,
+                resumable,
+                List.of(new ServiceShare("model", 1)),
+                attempts,
+                5000,
+                300,
+                120,
+                0,
+                false,
+                true);
+    }
+}
--- a/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
@@ -3,17 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tanagerhinge.core.relay.RelayFixture.registration;
 
-import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Which backend servers are believed in. */
 class ServerDirectoryTest {
-    private static Registration registration(String id, boolean draining) {
-        return new Registration(id, 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
-    }
-
     @Test
     void aServerThatIsMissingFromAListIsGone() {
         ServerDirectory directory = ServerDirectory.create();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -23,11 +23,13 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.tanagerhinge.core.relay.Mechanism;
+import org.tanagerhinge.core.relay.PeerLoad;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PeerTable;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.ReportPace;
 import org.tanagerhinge.node.daemon.Incarnation;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
@@ -39,17 +41,6 @@
  */
 final class Peers {
     private static final Logger LOG = System.getLogger(Peers.class.getName());
-    /** Time between two reports of a node whose load hardly changes: three must be lost before it counts as away. */
-    private static final long CALM_MILLIS = 250;
-    /** Least time between two reports of a node whose load changes: load that is older misplaces bursts. */
-    private static final long BUSY_MILLIS = 60;
-    /** Reports that a node sends a second at the most, to all peers together: bounds its share of processor and link. */
-    private static final int REPORTS_A_SECOND = 120;
-    /** Prompt tokens given to engines since the last report that make another one due: a few short prompts or one long. */
-    private static final long DUE_TOKENS = 4_000;
-    /** Parts of prompts told in one report at the most: a report must fit into a datagram. */
-    private static final int MOST_KEPT = 24;
-
     private static final long ASK_MILLIS = 700;
     /** A list that is this much newer than this gateway's own is worth asking for, in milliseconds. */
     private static final long NEWER_MILLIS = 50;
@@ -57,6 +48,7 @@
     private final Gateway gateway;
     private final EventLoopGroup loop;
     private final PeerTable table;
+    private final PeerLoad load;
     private final Function<byte[], RelayConfig> decoder;
     private final long incarnation = Incarnation.next();
     private final Set<InetSocketAddress> addresses = new HashSet<>();
@@ -74,6 +66,7 @@
         this.gateway = gateway;
         this.loop = loop;
         this.table = PeerTable.of(gateway.options().name());
+        this.load = PeerLoad.of(gateway.directory()::server);
         this.decoder = decoder;
     }
 
@@ -125,7 +118,7 @@
     /** Notes that a server was given a request: its prompt's parts are told with the next report. */
     void sent(RelayServer server, Prompt prompt) {
         tellIfDue(prompt.inputTokens());
-        if (kept.size() < MOST_KEPT && prompt.parts().size() > 1) {
+        if (kept.size() < ReportPace.MOST_KEPT && prompt.parts().size() > 1) {
             kept.add(new PeerCodec.Kept(server.life(), prompt.sharedParts()));
         }
     }
@@ -140,16 +133,13 @@
 
     /** Returns the time between two reports of a node whose load hardly changes; it grows with the number of peers. */
     long intervalMillis() {
-        return Math.max(CALM_MILLIS, leastMillis());
-    }
-
-    private long leastMillis() {
-        return Math.max(BUSY_MILLIS, 1000L * Math.max(1, addresses.size()) / REPORTS_A_SECOND);
+        return ReportPace.intervalMillis(addresses.size());
     }
 
     private void tellIfDue(int tokens) {
         tokensSince += tokens;
-        if (tokensSince >= DUE_TOKENS && gateway.now() - toldAt >= leastMillis()) {
+        if (tokensSince >= ReportPace.DUE_TOKENS
+                && gateway.now() - toldAt >= ReportPace.leastMillis(addresses.size())) {
             tellNow();
         }
     }
@@ -224,15 +214,7 @@
             return;
         }
         gateway.peersHeard(true);
-        before.forEach((life, use) -> change(life, -use.running(), -use.promptTokens()));
-        after.forEach((life, use) -> change(life, use.running(), use.promptTokens()));
-    }
-
-    private void change(String life, int running, long promptTokens) {
-        RelayServer server = gateway.directory().server(life);
-        if (server != null) {
-            server.peersChanged(running, promptTokens);
-        }
+        load.changed(before, after);
     }
 
     /** Gives placement what the peers have in progress and what their callers ask. */
@@ -243,12 +225,7 @@
         if (!heard) {
             return;
         }
-        Map<String, PeerReport.Use> uses = table.uses(now);
-        PeerReport.Use none = new PeerReport.Use(0, 0);
-        for (RelayServer server : gateway.directory().all()) {
-            PeerReport.Use use = uses.getOrDefault(server.life(), none);
-            server.peers(use.running(), use.promptTokens());
-        }
+        load.sums(gateway.directory().all(), table.uses(now));
         gateway.placement().peers(table.demands(now));
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -93,10 +93,11 @@
     private void servers() {
         long age = gateway.now() - gateway.directory().lastList();
         boolean old = !gateway.directory().known() || age > OLD_LIST_MILLIS + peers.intervalMillis();
-        if (old && !reads() && gateway.informed()) {
+        boolean reads = reads();
+        if (old && !reads && gateway.informed()) {
             catchUp();
         }
-        if (old || reads()) {
+        if (old || reads) {
             readServers();
         } else {
             later(this::servers, IDLE_MILLIS);
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.tanagerhinge.core.relay.Admission;
 import org.tanagerhinge.core.relay.Mechanism;
+import org.tanagerhinge.core.relay.PeerLoad;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PeerTable;
 import org.tanagerhinge.core.relay.Placement;
@@ -21,17 +22,11 @@
 import org.tanagerhinge.core.relay.RankGate;
 import org.tanagerhinge.core.relay.Registration;
 import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.ReportPace;
 import org.tanagerhinge.core.relay.ServiceTerms;
 
 /** One gateway: the real decision code, and reports of its peers that are as late as those of a deployed one. */
 final class ModelGateway {
-    /** As in the deployed gateway: reports a second to all peers together, and the least time between two. */
-    private static final int REPORTS_A_SECOND = 120;
-
-    private static final long CALM_MILLIS = 250;
-    private static final long BUSY_MILLIS = 60;
-    private static final long DUE_TOKENS = 4_000;
-    private static final int MOST_KEPT = 24;
     private static final int MOST_SENDS = 4;
     /** Time that a report takes to the other gateways, with what waits before it. */
     private static final double DELAY_MILLIS = 2;
@@ -45,6 +40,7 @@
     private final RankGate ranks = RankGate.create();
     private final PeerTable table;
     private final Map<String, RelayServer> servers = new LinkedHashMap<>();
+    private final PeerLoad load = PeerLoad.of(servers::get);
     private final List<KeptParts> kept = new ArrayList<>();
     private long reports;
     private long tokensSince;
@@ -155,17 +151,17 @@
     }
 
     private void noteKept(RelayServer server, ModelCall call) {
-        if (kept.size() < MOST_KEPT) {
+        if (kept.size() < ReportPace.MOST_KEPT) {
             kept.add(new KeptParts(server.life(), call.prompt.sharedParts()));
         }
         tokensSince += call.prompt.inputTokens();
-        if (tokensSince >= DUE_TOKENS && fleet.now() - toldAt >= leastMillis()) {
+        if (tokensSince >= ReportPace.DUE_TOKENS && fleet.now() - toldAt >= ReportPace.leastMillis(peers())) {
             tell();
         }
     }
 
-    private double leastMillis() {
-        return Math.max(BUSY_MILLIS, 1000.0 * (scene.gateways() - 1) / REPORTS_A_SECOND);
+    private int peers() {
+        return scene.gateways() - 1;
     }
 
     /** The first event of an answer has come. */
@@ -192,7 +188,7 @@
         table.trim(millis(fleet.now()));
         takeSums();
         tell();
-        fleet.at(fleet.now() + Math.max(CALM_MILLIS, leastMillis()), this::report);
+        fleet.at(fleet.now() + ReportPace.intervalMillis(peers()), this::report);
     }
 
     private void tell() {
@@ -202,7 +198,7 @@
                 uses.put(server.life(), new PeerReport.Use(server.running(), server.promptTokens()));
             }
         }
-        long interval = (long) Math.max(CALM_MILLIS, leastMillis());
+        long interval = ReportPace.intervalMillis(peers());
         PeerReport report = new PeerReport(
                 name, 1, ++reports, name, true, 1, 0, 0, interval, uses, placement.demands(millis(fleet.now())));
         List<KeptParts> told = List.copyOf(kept);
@@ -230,8 +226,7 @@
         if (off.contains(Mechanism.PEER_LOAD)) {
             return;
         }
-        before.forEach((life, use) -> servers.get(life).peersChanged(-use.running(), -use.promptTokens()));
-        report.uses().forEach((life, use) -> servers.get(life).peersChanged(use.running(), use.promptTokens()));
+        load.changed(before, report.uses());
     }
 
     private void takeSums() {
@@ -239,12 +234,7 @@
             return;
         }
         long now = millis(fleet.now());
-        Map<String, PeerReport.Use> uses = table.uses(now);
-        PeerReport.Use none = new PeerReport.Use(0, 0);
-        for (RelayServer server : servers.values()) {
-            PeerReport.Use use = uses.getOrDefault(server.life(), none);
-            server.peers(use.running(), use.promptTokens());
-        }
+        load.sums(servers.values(), table.uses(now));
         placement.peers(table.demands(now));
     }
 
