Ports for programs that are told where to listen are given out once

Four places drew free ports by opening and closing a socket at port 0; the kernel may give the same one again at once.

--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/LogCost.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/LogCost.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -25,6 +23,7 @@
 import org.tanagerhinge.node.log.RequestLines;
 import org.tanagerhinge.platform.PlatformGateway;
 import org.tanagerhinge.platform.PlatformNames;
+import org.tanagerhinge.standin.FreePorts;
 import org.tanagerhinge.standin.relay.PlatformScene;
 import org.tanagerhinge.standin.relay.ServerStandin;
 import org.tanagerhinge.standin.relay.StoreStandin;
@@ -91,15 +90,15 @@
             scene.workspace("coop", "key-1");
             scene.register(engine, "model", "ready");
             scene.publish();
-            InetSocketAddress door = free();
+            InetSocketAddress door = FreePorts.address();
             GatewayDaemon gateway = PlatformGateway.start(
                     new GatewayOptions(
                             "gateway-0",
                             "north",
                             door,
-                            free(),
+                            FreePorts.address(),
                             Optional.empty(),
-                            free(),
+                            FreePorts.address(),
                             new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10)),
                             Set.of()),
                     PromptAware.create(),
@@ -181,10 +180,4 @@
     private static List<Double> sorted(List<Double> values) {
         return values.stream().sorted().toList();
     }
-
-    private static InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-    }
 }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -1,9 +1,7 @@
 package org.tanagerhinge.bench.relay;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +12,7 @@
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.gateway.GatewayOptions;
 import org.tanagerhinge.platform.PlatformGateway;
+import org.tanagerhinge.standin.FreePorts;
 import org.tanagerhinge.standin.relay.PlatformScene;
 import org.tanagerhinge.standin.relay.ServerStandin;
 import org.tanagerhinge.standin.relay.StoreStandin;
@@ -47,10 +46,10 @@
         GatewayOptions options = new GatewayOptions(
                 name,
                 "north",
-                free(),
-                free(),
+                FreePorts.address(),
+                FreePorts.address(),
                 Optional.empty(),
-                free(),
+                FreePorts.address(),
                 new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10)),
                 Set.of());
         GatewayDaemon gateway = PlatformGateway.start(options, PromptAware.create(), storeAddress);
@@ -73,12 +72,6 @@
         }
     }
 
-    private static InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     @Override
     public void close() {
         gateways.forEach(GatewayDaemon::close);
--- a/standin/src/main/java/org/tanagerhinge/standin/StandinMain.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/StandinMain.java
@@ -6,10 +6,6 @@
 import com.github.rvesse.airline.builder.CliBuilder;
 import com.github.rvesse.airline.help.Help;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
-import java.util.List;
 
 /** Starts the stand-ins as processes of their own, and helps scripts with free ports and waiting. */
 public final class StandinMain {
@@ -100,14 +96,9 @@
 
         @Override
         public void run() {
-            List<ServerSocket> held = new ArrayList<>();
             try {
                 for (int i = 0; i < count; i++) {
-                    held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-                }
-                for (ServerSocket socket : held) {
-                    System.out.println(socket.getLocalPort());
-                    socket.close();
+                    System.out.println(FreePorts.next());
                 }
             } catch (IOException e) {
                 throw new IllegalStateException("no free ports", e);
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayScene.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayScene.java
@@ -1,8 +1,6 @@
 package org.tanagerhinge.standin.relay;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.tanagerhinge.platform.PlatformNames;
+import org.tanagerhinge.standin.FreePorts;
 
 /** A store and backend servers on loopback for gateways that run as processes of their own, and callers of these. */
 final class GatewayScene implements AutoCloseable {
@@ -57,7 +56,7 @@
 
     /** Writes the settings of one gateway. */
     Doors settings(Path file, String name) throws IOException {
-        Doors doors = new Doors(freePort(), freePort());
+        Doors doors = new Doors(FreePorts.next(), FreePorts.next());
         Files.writeString(file, """
                 [gateway]
                 name = %s
@@ -76,7 +75,7 @@
                         name,
                         doors.callers(),
                         doors.status(),
-                        freePort(),
+                        FreePorts.next(),
                         store.address().getPort()));
         return doors;
     }
@@ -126,12 +125,6 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        }
-    }
-
     @Override
     public void close() {
         servers.forEach(ServerStandin::close);
