Sight: the level that a server is told, and the ranks in force, are in the log lines

Whether a request that was put back had a level behind that of a less urgent one could not be told from logs: they gave rank and step, not the level, nor the ranks of the configuration of which it is made. No logic is changed.

--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -74,6 +74,11 @@
         return limits;
     }
 
+    /** Returns the ranks in force as text, of workspaces and of the routes of each service. */
+    public String ranks() {
+        return "workspaces " + workspaceRanks + ", routes " + serviceRanks;
+    }
+
     /** Returns how many routes there are. */
     public int routeCount() {
         return routes.values().stream().mapToInt(Map::size).sum();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -178,6 +178,7 @@
         LogLine.of(LogEvent.CONFIGURATION)
                 .with(LogField.CONFIG, newer.version())
                 .with(LogField.ROUTES, newer.routeCount())
+                .with(LogField.RANKS, newer.ranks())
                 .write();
         placement.tightestPause(newer.tightestPause());
         tellWaiting(wasInformed);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -140,7 +140,7 @@
         }
         tried.add(chosen.id());
         history.sent();
-        trail.sent(placed.get(), candidates.size());
+        trail.sent(placed.get(), candidates.size(), level(placed.get()));
         attempt = new RelayAttempt(gateway, this, request, placed.get());
         attempt.start();
     }
@@ -192,6 +192,10 @@
         return config.rank(workspace, route);
     }
 
+    private int level(Placement.Placed placed) {
+        return config.level(workspace, route, service, placed.step());
+    }
+
     /** Returns the time until the request is given up, in milliseconds. */
     long leftMillis() {
         return giveUpAt - gateway.now();
@@ -208,7 +212,7 @@
                                 placed.server().id(),
                                 Math.max(1, leftMillis()),
                                 workspace.map(WorkspaceTerms::name),
-                                config.level(workspace, route, service, placed.step()),
+                                level(placed),
                                 progress.resumeAfter(),
                                 placed.fetch().map(fetch -> fetch.from().address()),
                                 progress.weightsVersion()));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
@@ -55,7 +55,7 @@
     }
 
     /** Another attempt begins; the server's load is as it was when it was chosen. */
-    void sent(Placement.Placed placed, int candidates) {
+    void sent(Placement.Placed placed, int candidates, int level) {
         attempts++;
         RelayServer chosen = placed.server();
         server = chosen.id();
@@ -66,7 +66,8 @@
                 .with(LogField.RUNNING, chosen.runningOfAll())
                 .with(LogField.READING, chosen.promptTokensOfAll())
                 .with(LogField.TO_READ, placed.tokensToRead())
-                .with(LogField.STEP, placed.step());
+                .with(LogField.STEP, placed.step())
+                .with(LogField.LEVEL, level);
         placed.fetch().ifPresent(fetch -> {
             gateway.count("fetch");
             line.with(LogField.FETCH, fetch.tokens())
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -19,6 +19,10 @@
     /** Other nodes that were heard of late. */
     PEERS,
     RANK,
+    /** Ranks in force, of workspaces and of each service's routes: what levels are made of. */
+    RANKS,
+    /** How urgent the server was told the request is, 0 first. */
+    LEVEL,
     /** Time until the request is given up. */
     LEFT_MS,
     /** Number of the attempt, from 1; at the end how many there were. */
