Red: requests of an urgent kind are preempted while ones of a less urgent kind run on

Ruled out: levels that moved with a configuration (none in those seconds), gateways that disagree (one level for each kind and workspace), ranks that share a level (4 ranks).

The scenes of before play as they did: preemption for places is a property of the scene.

--- a/core/src/test/java/org/tanagerhinge/core/relay/RankOrderTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RankOrderTest.java
@@ -5,7 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.tanagerhinge.core.relay.RelayFixture.route;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -53,6 +58,77 @@
         }
     }
 
+    private static Route kind(int priority) {
+        return new Route(
+                "r" + priority,
+                "h",
+                "/" + priority + "/",
+                RouteKind.STREAM,
+                false,
+                List.of(new ServiceShare("model", 1)),
+                1,
+                5000,
+                300,
+                120,
+                priority,
+                false,
+                true);
+    }
+
+    private static RelayConfig config(int kinds, int... workspaceRanks) {
+        List<Route> routes = new ArrayList<>();
+        for (int priority = 0; priority < kinds; priority++) {
+            routes.add(kind(priority));
+        }
+        Map<String, WorkspaceTerms> workspaces = new HashMap<>();
+        for (int rank : workspaceRanks) {
+            workspaces.put("key" + rank, new WorkspaceTerms("w" + rank, OptionalInt.of(rank)));
+        }
+        return RelayConfig.of(1, routes, List.of(), workspaces, CallerLimits.DEFAULT);
+    }
+
+    /**
+     * Quotes and questions were put back in mid-stream at engines without a free place while plans and drafts, which are of
+     * less urgent kinds, ran on there. The rank of the workspace went before that of the kind, so that the plan of a
+     * workspace of rank 0 had rank 1 and level 3, and the question of one of rank 1 had rank 3 and level 4 or 5. Levels also
+     * moved as the only workspace of a rank came or lost its keys, so that those of requests in progress and of new ones
+     * were numbers of two orders: with workspaces [0, 1] a plan had level 2, with [1] a question had level 4.
+     */
+    @ParameterizedTest
+    @CsvSource({"2", "3", "5", "10"})
+    void noKindGoesBehindALessUrgentOneWhateverTheWorkspaceAndWhicheverRanksAreInForce(int kinds) {
+        List<RelayConfig> configs =
+                List.of(config(kinds), config(kinds, 1), config(kinds, 0, 1), config(kinds, 0, 1, 2, 5, 9, 12));
+        for (int kind = 0; kind + 1 < kinds; kind++) {
+            int most = 0;
+            int least = 9;
+            for (RelayConfig config : configs) {
+                for (int rank : new int[] {0, 1, 2, 5, 9, 12}) {
+                    Optional<WorkspaceTerms> workspace = config.workspace("key" + rank);
+                    for (int step = 0; step < ReadingOrder.STEPS; step++) {
+                        most = Math.max(most, config.level(workspace, kind(kind), "model", step));
+                        least = Math.min(least, config.level(workspace, kind(kind + 1), "model", step));
+                    }
+                }
+            }
+            assertTrue(most < least, "kind " + kind + " goes up to level " + most + ", the next one from " + least);
+        }
+    }
+
+    /** Where more urgent kinds are overdue a preferred workspace yields as well, as it would be put back there otherwise. */
+    @Test
+    void theRankThatYieldsIsThatOfTheKindFirst() {
+        RelayConfig config = config(3, 0, 1);
+        int before = -1;
+        for (int kind = 0; kind < 3; kind++) {
+            for (int rank = 0; rank < 2; rank++) {
+                int of = config.rank(config.workspace("key" + rank), kind(kind));
+                assertEquals(before + 1, of, "kind " + kind + " of a workspace of rank " + rank);
+                before = of;
+            }
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"1", "2", "3", "5", "6", "10", "18"})
     void noStepOfARankGoesBehindALessUrgentRank(int ranks) {
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/EngineModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/EngineModel.java
@@ -12,7 +12,8 @@
 
 /**
  * One model engine: requests in places and in a queue by urgency, prompts read in pieces between the tokens of the others,
- * memory of which the least recently used parts yield, and then the newest of the least urgent requests.
+ * memory of which the least recently used parts yield. Where places or memory run out, the newest of the least urgent
+ * requests is preempted.
  */
 final class EngineModel {
     private static final Comparator<ModelCall> URGENCY =
@@ -177,8 +178,11 @@
     }
 
     private void admit() {
-        while (!waiting.isEmpty() && running.size() < terms.slots()) {
+        while (!waiting.isEmpty()) {
             ModelCall call = waiting.get(0);
+            if (running.size() >= terms.slots() && !preemptFor(call)) {
+                return;
+            }
             long need = 0;
             for (PromptPart part : call.prompt.parts()) {
                 Kept held = memory.get(part.id());
@@ -333,15 +337,34 @@
         }
     }
 
+    /** Frees a place for a request by preempting a less urgent one; returns whether there was one. */
+    private boolean preemptFor(ModelCall call) {
+        ModelCall victim = running.stream().max(URGENCY).orElseThrow();
+        if (!fleet.placesPreempt() || victim.level <= call.level) {
+            return false;
+        }
+        preempt(victim);
+        waiting.add(victim);
+        waiting.sort(URGENCY);
+        return true;
+    }
+
+    private void preempt(ModelCall victim) {
+        running.remove(victim);
+        release(victim);
+        victim.started = false;
+        fleet.preempted++;
+        if (running.stream().anyMatch(other -> other.kind.rank() > victim.kind.rank())) {
+            fleet.preemptedBesideLessUrgent++;
+        }
+    }
+
     private void makeRoom() {
         evict();
         Set<ModelCall> out = new HashSet<>();
         while (kept + generated > terms.memoryTokens() && running.size() > 1) {
             ModelCall victim = running.stream().max(URGENCY).orElseThrow();
-            running.remove(victim);
-            release(victim);
-            victim.started = false;
-            fleet.preempted++;
+            preempt(victim);
             out.add(victim);
             evict();
         }
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -6,16 +6,20 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.PromptPart;
+import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.RouteKind;
 import org.tanagerhinge.core.relay.ServiceShare;
-import org.tanagerhinge.core.relay.Urgency;
+import org.tanagerhinge.core.relay.WorkspaceTerms;
 
 /** Plays a scene: the same events in the same order for the same seed. */
 public final class FleetModel {
@@ -25,6 +29,8 @@
     private static final double SKEW = 0.3;
 
     private static final double SAMPLE_MILLIS = 100;
+    private static final String PREFERRED = "preferred";
+    private static final String OTHERS = "others";
 
     private final FleetScene scene;
     private final Random random;
@@ -36,6 +42,7 @@
     private final Map<String, double[]> partWeights = new HashMap<>();
     private final Map<String, Double> lastUse = new HashMap<>();
     private final FleetResult result;
+    private final RelayConfig config;
     private double now;
     private long order;
     private long sequence;
@@ -43,6 +50,7 @@
     long tokensFetched;
     long fullEngines;
     long preempted;
+    long preemptedBesideLessUrgent;
 
     private FleetModel(FleetScene scene, long seed, Set<Mechanism> off) {
         this.scene = scene;
@@ -72,6 +80,12 @@
                 drawParts(kind.name() + i, kind.shared().get(i));
             }
         }
+        Map<String, WorkspaceTerms> workspaces = scene.preferred() <= 0
+                ? Map.of()
+                : Map.of(
+                        PREFERRED, new WorkspaceTerms(PREFERRED, OptionalInt.of(0)),
+                        OTHERS, new WorkspaceTerms(OTHERS, OptionalInt.of(1)));
+        this.config = RelayConfig.of(1, List.copyOf(routes.values()), List.of(), workspaces, CallerLimits.DEFAULT);
         for (int i = 0; i < scene.gateways(); i++) {
             gateways.add(new ModelGateway("g" + i, this, scene, off));
         }
@@ -128,11 +142,19 @@
         return sequence++;
     }
 
-    int level(PromptKind kind, int step) {
-        int ranks = (int)
-                scene.kinds().stream().mapToInt(PromptKind::rank).distinct().count();
-        int lowest = scene.kinds().stream().mapToInt(PromptKind::rank).min().orElse(0);
-        return Urgency.level(kind.rank() - lowest, ranks, step);
+    RelayConfig config() {
+        return config;
+    }
+
+    boolean placesPreempt() {
+        return scene.placesPreempt();
+    }
+
+    private Optional<WorkspaceTerms> drawWorkspace() {
+        if (scene.preferred() <= 0) {
+            return Optional.empty();
+        }
+        return config.workspace(random.nextDouble() < scene.preferred() ? PREFERRED : OTHERS);
     }
 
     private void run() {
@@ -152,7 +174,7 @@
             now = event.at();
             event.task().run();
         }
-        result.ended(tokensRead, tokensFetched, fullEngines, preempted);
+        result.ended(tokensRead, tokensFetched, fullEngines, preempted, preemptedBesideLessUrgent);
     }
 
     // ---- callers
@@ -194,7 +216,7 @@
                         .mapToInt(PromptKind.SharedPart::meanTokens)
                         .sum();
         Prompt prompt = Prompt.of(input, output, parts);
-        ModelCall call = new ModelCall(kind, prompt, output, now, input / (double) mean);
+        ModelCall call = new ModelCall(kind, drawWorkspace(), prompt, output, now, input / (double) mean);
         result.asked(call);
         at(call.deadline, () -> leave(call));
         watch(call);
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
@@ -21,6 +21,7 @@
     private long again;
     private long full;
     private long preempted;
+    private long preemptedBesideLessUrgent;
     private double loadSum;
     private int loads;
 
@@ -136,11 +137,22 @@
         loads++;
     }
 
-    void ended(long read, long moved, long fullEngines, long preemptions) {
+    void ended(long read, long moved, long fullEngines, long preemptions, long besideLessUrgent) {
         tokensRead = read;
         fetched = moved;
         full = fullEngines;
         preempted = preemptions;
+        preemptedBesideLessUrgent = besideLessUrgent;
+    }
+
+    /** Returns the requests that engines preempted, for want of a place or of memory. */
+    public long preempted() {
+        return preempted;
+    }
+
+    /** Returns those of them that were preempted while a request of a less urgent kind ran on at the engine. */
+    public long preemptedBesideLessUrgent() {
+        return preemptedBesideLessUrgent;
     }
 
     /** Returns the requests of a kind by how they ended. */
@@ -174,7 +186,7 @@
         StringBuilder text = new StringBuilder();
         text.append(String.format(
                 Locale.ROOT,
-                "credit %.3f  read %.1f M, first %.1f M, again %.1f M, fetched %.1f M  busiest/mean %.2f  full %d  preempted %d%n",
+                "credit %.3f  read %.1f M, first %.1f M, again %.1f M, fetched %.1f M  busiest/mean %.2f  full %d  preempted %d (%d beside less urgent)%n",
                 credit(),
                 tokensRead / 1e6,
                 firstRead / 1e6,
@@ -182,7 +194,8 @@
                 fetched / 1e6,
                 busiestToMean(),
                 full,
-                preempted));
+                preempted,
+                preemptedBesideLessUrgent));
         kinds.forEach((name, tally) -> text.append(String.format(
                 Locale.ROOT,
                 "  %-10s asked %5d  on time %5d  late %5d (%d paused)  left %5d  failed %5d  refusals %5d  credit %.3f%n",
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScene.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScene.java
@@ -11,6 +11,9 @@
  * @param bursts times in which a kind comes more often
  * @param losses times in which a share of the engines is gone
  * @param seconds length of the day
+ * @param preferred share of the requests that come from a workspace of a more urgent rank than all others; 0 if all
+ *     workspaces have the same
+ * @param placesPreempt whether engines preempt for a more urgent request that finds no free place, and not for memory alone
  */
 public record FleetScene(
         String name,
@@ -20,7 +23,9 @@
         List<PromptKind> kinds,
         List<Burst> bursts,
         List<Loss> losses,
-        int seconds) {
+        int seconds,
+        double preferred,
+        boolean placesPreempt) {
     /**
      * More of a kind than usual.
      *
@@ -43,12 +48,24 @@
                 kinds.stream().map(kind -> kind.smaller(factor)).toList();
         int nodes = (int) Math.max(2, Math.round(gateways / factor));
         int servers = (int) Math.max(2, Math.round(engines / factor));
-        return new FleetScene(name, nodes, servers, engine, fewer, bursts, losses, newSeconds);
+        return new FleetScene(
+                name, nodes, servers, engine, fewer, bursts, losses, newSeconds, preferred, placesPreempt);
     }
 
     /** Returns the same scene with other disturbances. */
     public FleetScene with(List<Burst> newBursts, List<Loss> newLosses) {
-        return new FleetScene(name, gateways, engines, engine, kinds, newBursts, newLosses, seconds);
+        return new FleetScene(
+                name, gateways, engines, engine, kinds, newBursts, newLosses, seconds, preferred, placesPreempt);
+    }
+
+    /** Returns the same scene with a share of the requests from a workspace of a more urgent rank. */
+    public FleetScene preferring(double share) {
+        return new FleetScene(name, gateways, engines, engine, kinds, bursts, losses, seconds, share, placesPreempt);
+    }
+
+    /** Returns the same scene with engines that preempt for a more urgent request that finds no free place. */
+    public FleetScene preemptingForPlaces() {
+        return new FleetScene(name, gateways, engines, engine, kinds, bursts, losses, seconds, preferred, true);
     }
 
     /** Returns long prompts of the last rank in a burst beside short ones, on engines with many places and much memory. */
@@ -114,7 +131,9 @@
                         new Burst("summary", 2.76, 11, 16),
                         new Burst("draft", 2.6, 17.5, 21)),
                 List.of(new Loss(0.25, 9.5, 11.5)),
-                26);
+                26,
+                0,
+                false);
     }
 
     /** Returns plans in a burst beside questions of the first rank, on engines with few places and little memory. */
@@ -161,6 +180,8 @@
                                 false)),
                 List.of(new Burst("plan", 2.4, 0.5, 9.5), new Burst("plan", 2.2, 17.5, 21)),
                 List.of(new Loss(0.25, 9.5, 11.5)),
-                26);
+                26,
+                0,
+                false);
     }
 }
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
@@ -2,14 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RankGate;
+import org.tanagerhinge.core.relay.WorkspaceTerms;
 
 /** One request of a caller, with its tries. */
 final class ModelCall {
     final PromptKind kind;
+    final Optional<WorkspaceTerms> workspace;
     final Prompt prompt;
     final int outputTokens;
     final double firstAsked;
@@ -38,8 +41,15 @@
     boolean paused;
     boolean over;
 
-    ModelCall(PromptKind kind, Prompt prompt, int outputTokens, double now, double size) {
+    ModelCall(
+            PromptKind kind,
+            Optional<WorkspaceTerms> workspace,
+            Prompt prompt,
+            int outputTokens,
+            double now,
+            double size) {
         this.kind = kind;
+        this.workspace = workspace;
         this.prompt = prompt;
         this.outputTokens = outputTokens;
         this.firstAsked = now;
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -85,6 +85,7 @@
         }
         List<RelayServer> candidates = candidates(tried, millis(now));
         PlacementRequest request = new PlacementRequest(fleet.route(call.kind), service, call.prompt, "d");
+        call.request = request;
         Optional<Placement.Placed> placed = placement.place(request, candidates, millis(now));
         if (placed.isEmpty() || call.sends >= MOST_SENDS) {
             fleet.refused(call, 300 + fleet.random().nextInt(300), "no_server");
@@ -93,12 +94,11 @@
         RelayServer chosen = placed.get().server();
         if (call.sends == 0
                 && !off.contains(Mechanism.RANK_GATE)
-                && ranks.yields(call.kind.rank(), chosen.life(), millis(now))) {
+                && ranks.yields(rank(call), chosen.life(), millis(now))) {
             fleet.refused(call, 300 + fleet.random().nextInt(300), "yields");
             return;
         }
-        boolean last = call.kind.rank()
-                == scene.kinds().stream().mapToInt(PromptKind::rank).max().orElse(0);
+        boolean last = fleet.config().leastUrgent(call.workspace, request.route(), service.name());
         if (call.sends == 0 && last && !off.contains(Mechanism.ADMISSION)) {
             OptionalLong comeBack = Admission.turnedAway(
                     request.route(),
@@ -112,14 +112,18 @@
         }
         call.sends++;
         call.gateway = this;
-        call.request = request;
         call.placed = placed.get();
         call.sentAt = now;
-        call.level = fleet.level(call.kind, placed.get().step());
+        call.level = fleet.config()
+                .level(
+                        call.workspace,
+                        request.route(),
+                        service.name(),
+                        placed.get().step());
         call.sequence = fleet.nextSequence();
         chosen.sent(placed.get().tokensToRead());
         placement.sent(request, placed.get(), millis(now));
-        call.waiting = RankGate.Waiting.of(chosen.life(), call.kind.rank(), millis(now) + call.kind.targetMillis());
+        call.waiting = RankGate.Waiting.of(chosen.life(), rank(call), millis(now) + call.kind.targetMillis());
         ranks.sent(call.waiting);
         noteKept(chosen, call);
         EngineModel engine = fleet.engine(chosen.id());
@@ -136,6 +140,10 @@
         }
     }
 
+    private int rank(ModelCall call) {
+        return fleet.config().rank(call.workspace, call.request.route());
+    }
+
     private List<RelayServer> candidates(Set<String> tried, long now) {
         List<RelayServer> usable = new ArrayList<>();
         for (RelayServer server : servers.values()) {
--- a/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
@@ -76,6 +76,36 @@
         assertTrue(meanCredit(result, 8) > 0.93, result.text());
     }
 
+    /**
+     * Questions, the most urgent kind, were put back in mid-stream by the dozen while plans ran on beside them. Half of the
+     * engines were gone, questions came five times as often, and no engine had a free place. One workspace had a more urgent
+     * rank than the others, and its rank went before that of the kind: the plans of that workspace were sent with level 3,
+     * the questions of all others with 4 and 5. Engines did as they were told. Each further request of the preferred
+     * workspace took the place of somebody's question, while its plans stayed to their end. Lines of one engine, in the order
+     * of the sends (ranks of the configuration: workspaces [0, 1], routes [0, 1]):
+     *
+     * <pre>
+     *   rank 4 level 6, a plan:      last event at 7.69 s
+     *   rank 3 level 5, 6 questions: last events at 7.73, 7.74, 7.74, 7.74, 7.79 and 7.81 s
+     *   rank 3 level 4, a question:  pause of 405 ms from 7.82 s
+     *   rank 1 level 3, a plan:      7.38 to 8.48 s, no pause over 110 ms
+     * </pre>
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void noRequestIsPreemptedWhileOneOfALessUrgentKindRunsOn(long seed) {
+        FleetScene scene = FleetScene.fewPlaces()
+                .smaller(3, 10)
+                .preferring(0.15)
+                .preemptingForPlaces()
+                .with(
+                        List.of(new FleetScene.Burst("plan", 3, 1, 8), new FleetScene.Burst("question", 5, 2, 8)),
+                        List.of(new FleetScene.Loss(0.5, 3, 8)));
+        FleetResult result = FleetModel.play(scene, seed, Set.of());
+        assertTrue(result.preempted() > 50, "engines are short of places\n" + result.text());
+        assertEquals(0, result.preemptedBesideLessUrgent(), result.text());
+    }
+
     @Test
     void gatewaysThatChooseAmongFewEnginesReadLessAgain() {
         long few = 0;
