The kind of a request goes before its workspace in ranks and levels; levels of a kind don't move with workspaces' ranks

Cause: a workspace's rank went before the route's, so that engines, which do as told, preempted questions and quotes of all others and let plans and drafts of a preferred workspace run on. The tier that is promised is the profile's, which is the route's. The same order decided who yields where others are overdue, and who is turned away. Besides, levels numbered the pairs of ranks in force: the last key of the only preferred workspace taken away moved every level, and engines compared requests by two numberings. Now each kind has its own levels whatever workspaces there are.

Ruled out: the engines' own order (they went by levels).

--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -95,11 +95,14 @@
     }
 
     /**
-     * Returns the rank of a request, 0 for the most urgent: the workspace's goes first, and among workspaces of one rank
-     * the route's. A workspace without a rank is taken for one of the middle.
+     * Returns the rank of a request, 0 for the most urgent: the route's goes first, and among requests of one kind the
+     * workspace's. A workspace without a rank is taken for one of the middle.
+     *
+     * <p>The route's is the tier that is promised. Were the workspace's first, a long request of a preferred workspace would
+     * run on where short, urgent ones of all others are preempted.
      */
     public int rank(Optional<WorkspaceTerms> workspace, Route route) {
-        return rank(workspace, route, routeRanks);
+        return kind(route, routeRanks) * workspaceCount() + standing(workspace);
     }
 
     /**
@@ -108,21 +111,27 @@
      * @param step its place among the requests of its rank
      */
     public int level(Optional<WorkspaceTerms> workspace, Route route, String service, int step) {
-        List<Integer> ranks = serviceRanks.getOrDefault(service, routeRanks);
-        int all = Math.max(1, workspaceRanks.size()) * Math.max(1, ranks.size());
-        return Urgency.level(rank(workspace, route, ranks), all, step);
+        List<Integer> kinds = serviceRanks.getOrDefault(service, routeRanks);
+        return Urgency.level(kind(route, kinds), kinds.size(), standing(workspace), workspaceCount(), step);
     }
 
     /** Returns whether no request for a service may have a less urgent rank than one of a workspace on a route. */
     public boolean leastUrgent(Optional<WorkspaceTerms> workspace, Route route, String service) {
-        List<Integer> ranks = serviceRanks.getOrDefault(service, routeRanks);
-        return rank(workspace, route, ranks) >= Math.max(1, workspaceRanks.size()) * Math.max(1, ranks.size()) - 1;
+        List<Integer> kinds = serviceRanks.getOrDefault(service, routeRanks);
+        return kind(route, kinds) >= kinds.size() - 1 && standing(workspace) >= workspaceCount() - 1;
+    }
+
+    private int workspaceCount() {
+        return Math.max(1, workspaceRanks.size());
     }
 
-    private int rank(Optional<WorkspaceTerms> workspace, Route route, List<Integer> ranks) {
+    private int standing(Optional<WorkspaceTerms> workspace) {
         OptionalInt own = workspace.map(WorkspaceTerms::priority).orElseGet(OptionalInt::empty);
-        int of = own.isPresent() ? workspaceRanks.indexOf(own.getAsInt()) : workspaceRanks.size() / 2;
-        return of * ranks.size() + Math.max(0, ranks.indexOf(route.priority()));
+        return own.isPresent() ? workspaceRanks.indexOf(own.getAsInt()) : workspaceRanks.size() / 2;
+    }
+
+    private static int kind(Route route, List<Integer> ranks) {
+        return Math.max(0, ranks.indexOf(route.priority()));
     }
 
     /** Returns whether callers need a key on routes that aren't open. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/Urgency.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Urgency.java
@@ -1,25 +1,31 @@
 package org.tanagerhinge.core.relay;
 
-/** How urgent a request is at a backend server, by its rank there and its step within the rank. */
-public final class Urgency {
+/** How urgent a request is at a backend server, by the rank of its kind, that of its workspace, and its step within both. */
+final class Urgency {
     /** Levels that backend servers tell apart, 0 first. */
     private static final int LEVELS = 10;
 
     private Urgency() {}
 
     /**
-     * Returns the level, 0 for the most urgent. No request of a rank goes behind one of a less urgent rank; where there
-     * are more ranks than levels, neighbours share one.
+     * Returns the level, 0 for the most urgent. No request goes behind one of a less urgent kind; where there are more kinds
+     * than levels, neighbours share one. Kinds have levels of their own, whichever ranks of workspaces are in force: servers
+     * compare requests in progress with those sent after a change of these. Within a kind no request goes behind one of a
+     * less urgent workspace, and steps share what levels there are.
      *
-     * @param rank among the ranks that requests for this service may have, 0 is the most urgent
-     * @param ranks how many such ranks there are
-     * @param step within the rank, from 0 to {@link ReadingOrder#STEPS} - 1
+     * @param kind rank among the kinds of requests that a service may get, 0 is the most urgent
+     * @param kinds how many such ranks there are
+     * @param workspace rank among those of workspaces, 0 is the most urgent
+     * @param workspaces how many such ranks there are
+     * @param step within both, from 0 to {@link ReadingOrder#STEPS} - 1
      */
-    public static int level(int rank, int ranks, int step) {
-        if (ranks >= LEVELS) {
-            return rank * LEVELS / ranks;
+    static int level(int kind, int kinds, int workspace, int workspaces, int step) {
+        if (kinds >= LEVELS) {
+            return kind * LEVELS / kinds;
         }
-        int ofRank = LEVELS / Math.max(1, ranks);
-        return rank * ofRank + step * Math.min(ofRank, ReadingOrder.STEPS) / ReadingOrder.STEPS;
+        int ofKind = LEVELS / Math.max(1, kinds);
+        int first = workspace * ofKind / workspaces;
+        int own = (workspace + 1) * ofKind / workspaces - first;
+        return kind * ofKind + first + step * Math.min(own, ReadingOrder.STEPS) / ReadingOrder.STEPS;
     }
 }
--- a/core/src/test/java/org/tanagerhinge/core/relay/RankOrderTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RankOrderTest.java
@@ -130,14 +130,25 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"1", "2", "3", "5", "6", "10", "18"})
-    void noStepOfARankGoesBehindALessUrgentRank(int ranks) {
-        for (int rank = 0; rank + 1 < ranks; rank++) {
-            int last = Urgency.level(rank, ranks, ReadingOrder.STEPS - 1);
-            int next = Urgency.level(rank + 1, ranks, 0);
-            assertTrue(ranks <= 10 ? last < next : last <= next, "rank " + rank + " of " + ranks);
+    @CsvSource({
+        "1, 1", "2, 1", "3, 1", "5, 1", "6, 1", "10, 1", "18, 1", "1, 2", "2, 2", "3, 2", "3, 6", "6, 3", "1, 24"
+    })
+    void noStepGoesBehindALessUrgentRank(int kinds, int workspaces) {
+        for (int kind = 0; kind < kinds; kind++) {
+            for (int workspace = 0; workspace < workspaces; workspace++) {
+                String of = "kind " + kind + " of " + kinds + ", workspace " + workspace + " of " + workspaces;
+                int last = Urgency.level(kind, kinds, workspace, workspaces, ReadingOrder.STEPS - 1);
+                if (workspace + 1 < workspaces) {
+                    int next = Urgency.level(kind, kinds, workspace + 1, workspaces, 0);
+                    assertTrue(kinds * workspaces <= 10 ? last < next : last <= next, of);
+                }
+                if (kind + 1 < kinds) {
+                    int next = Urgency.level(kind + 1, kinds, 0, workspaces, 0);
+                    assertTrue(kinds <= 10 ? last < next : last <= next, of);
+                }
+            }
         }
-        assertEquals(0, Urgency.level(0, ranks, 0));
-        assertTrue(Urgency.level(ranks - 1, ranks, ReadingOrder.STEPS - 1) <= 9);
+        assertEquals(0, Urgency.level(0, kinds, 0, workspaces, 0));
+        assertTrue(Urgency.level(kinds - 1, kinds, workspaces - 1, workspaces, ReadingOrder.STEPS - 1) <= 9);
     }
 }
