Red: a gateway that becomes the reader while it asks for the configuration never watches it again; failed tasks have a line

No gateway took in versions 12 to 51.

The event loop keeps what a scheduled task throws to itself, so nothing was logged: task_failed, in lines and counters.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -155,7 +155,18 @@
     }
 
     Future<?> schedule(Runnable task, long millis) {
-        return loop.next().schedule(task, millis, TimeUnit.MILLISECONDS);
+        return loop.next().schedule(() -> run(task), millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task of the event loop, which keeps what it throws to itself: a loop that ended so would go unnoticed. */
+    private void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            count("task_failed");
+            LogLine.failure(LogEvent.TASK_FAILED).with(LogField.WHY, String.valueOf(e)).write();
+            throw e;
+        }
     }
 
     void count(String reason) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
@@ -148,6 +148,38 @@
         RelayScene.await(() -> reader.configVersion() == version && next.configVersion() == version);
     }
 
+    /**
+     * No gateway took in a version for six seconds, until all were started again; keys that 42 versions had added were refused.
+     * The store had turned gateways away and come back. One gateway had asked for the configuration beside the one that reads
+     * for all, as that one seemed to fail it, and became the reader itself before it had an answer. Its loop that watches the
+     * configuration then made a second call on the same connection, which may be used by one call at a time: the loop ended
+     * with "a call is in progress", which nobody saw, while its reading of servers went on and told all others that it reads.
+     * The last lines of the four gateways until they were stopped:
+     *
+     * <pre>
+     *   19.834 b-1, 20.550 a-1 and 26.409 c-1 task_failed why="java.lang.IllegalStateException: a call is in progress"
+     *   27.681 d-1 configuration config=9      27.732 b-1 configuration config=9
+     *   30.118 d-1 store_back                  31.647 a-1 stopping     (versions 12 to 51 written from 28.456 to 30.168)
+     * </pre>
+     */
+    @Test
+    void whoBecomesTheReaderWhileItAsksForTheConfigurationWatchesIt() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
+        GatewayDaemon reader = scene.start("gateway-0", scene.store.sideAddress());
+        RelayScene.await(reader::ready);
+        GatewayDaemon next = scene.start("gateway-1", scene.store.sideAddress());
+        RelayScene.await(next::ready);
+        long known = scene.platform.publish();
+        RelayScene.await(() -> next.configVersion() == known);
+        String failures = "tanagerhinge_decisions_total{reason=\"store_call_failed\"}";
+        scene.store.sideMood(StoreStandin.Mood.SILENT);
+        RelayScene.await(() -> next.metrics().text().contains(failures));
+        scene.store.sideMood(StoreStandin.Mood.SERVES);
+        reader.close();
+        long version = scene.platform.publish();
+        RelayScene.await(() -> next.configVersion() == version);
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = StoreStandin.Mood.class,
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -33,6 +33,7 @@
     STOPPED(Subject.PROCESS),
     SETTINGS_READ(Subject.PROCESS),
     SETTINGS_REFUSED(Subject.PROCESS),
+    TASK_FAILED(Subject.PROCESS),
     LOG_DROPPED(Subject.PROCESS);
 
     /** Whom a line concerns; each has a logger of its own, by the name in lower case. */
