--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -164,7 +164,9 @@
             task.run();
         } catch (RuntimeException e) {
             count("task_failed");
-            LogLine.failure(LogEvent.TASK_FAILED).with(LogField.WHY, String.valueOf(e)).write();
+            LogLine.failure(LogEvent.TASK_FAILED)
+                    .with(LogField.WHY, String.valueOf(e))
+                    .write();
             throw e;
         }
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
@@ -20,11 +20,14 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * Makes calls with JSON bodies to one address, one at a time, on a connection that is kept.
+ * Makes calls with JSON bodies to one address, one at a time and in their order, on a connection that is kept.
  *
  * <p>Each call ends within its time: a connection may fall silent for good, and an answer that was lost takes its
  * connection with it, so a call without an answer closes the connection and the next one opens another.
@@ -35,9 +38,9 @@
 
     private final EventLoopGroup loop;
     private final InetSocketAddress address;
+    private final Deque<Call> queued = new ArrayDeque<>();
     private Channel channel;
-    private Consumer<Answer> waiting;
-    private Future<?> timer;
+    private Call current;
 
     private JsonCaller(EventLoopGroup loop, InetSocketAddress address) {
         this.loop = loop;
@@ -66,20 +69,49 @@
         }
     }
 
+    private static final class Call {
+        private final HttpMethod method;
+        private final String path;
+        private final String body;
+        private final Consumer<Answer> done;
+        private Future<?> timer;
+
+        Call(HttpMethod method, String path, String body, Consumer<Answer> done) {
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.done = done;
+        }
+    }
+
     /**
-     * Calls; {@code done} hears exactly once, on the event loop.
+     * Calls; {@code done} hears exactly once, on the event loop. A call that is made while another one is in progress is sent
+     * after it; its time runs all the same.
      *
      * @param body JSON text, or empty for none
-     * @throws IllegalStateException if a call is in progress
      */
     public void call(HttpMethod method, String path, String body, long timeoutMillis, Consumer<Answer> done) {
-        if (waiting != null) {
-            throw new IllegalStateException("a call is in progress");
+        Call call = new Call(method, path, body, done);
+        call.timer = loop.next().schedule(() -> expired(call), timeoutMillis, TimeUnit.MILLISECONDS);
+        if (current == null) {
+            begin(call);
+        } else {
+            queued.add(call);
         }
-        waiting = done;
-        timer = loop.next().schedule(() -> fail("no answer in time"), timeoutMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void expired(Call call) {
+        if (call == current) {
+            fail("no answer in time");
+        } else if (queued.remove(call)) {
+            call.done.accept(Answer.failed("no answer in time"));
+        }
+    }
+
+    private void begin(Call call) {
+        current = call;
         if (channel != null && channel.isActive()) {
-            send(method, path, body);
+            send(call);
             return;
         }
         new Bootstrap()
@@ -99,20 +131,26 @@
                 })
                 .connect(address)
                 .addListener((io.netty.channel.ChannelFutureListener) future -> {
-                    if (waiting != done) {
+                    if (current != call) {
                         future.channel().close();
                     } else if (future.isSuccess()) {
                         channel = future.channel();
-                        send(method, path, body);
+                        send(call);
                     } else {
                         fail("no connection");
                     }
                 });
     }
 
-    /** Closes the connection; a call in progress fails. */
+    /** Closes the connection; calls in progress and those that wait for their turn fail. */
     public void close() {
-        if (waiting != null) {
+        List<Call> never = List.copyOf(queued);
+        queued.clear();
+        for (Call call : never) {
+            call.timer.cancel(false);
+            call.done.accept(Answer.failed("closed"));
+        }
+        if (current != null) {
             fail("closed");
         } else if (channel != null) {
             channel.close();
@@ -120,11 +158,11 @@
         }
     }
 
-    private void send(HttpMethod method, String path, String body) {
+    private void send(Call call) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, method, path, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+                HttpVersion.HTTP_1_1, call.method, call.path, Unpooled.copiedBuffer(call.body, StandardCharsets.UTF_8));
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-        if (!body.isEmpty() || method.equals(HttpMethod.POST)) {
+        if (!call.body.isEmpty() || call.method.equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             request.headers()
                     .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
@@ -133,7 +171,7 @@
     }
 
     private void fail(String why) {
-        if (waiting == null) {
+        if (current == null) {
             return;
         }
         if (channel != null) {
@@ -144,17 +182,20 @@
     }
 
     private void finish(Answer answer) {
-        Consumer<Answer> done = waiting;
-        waiting = null;
-        timer.cancel(false);
-        done.accept(answer);
+        Call ended = current;
+        current = null;
+        ended.timer.cancel(false);
+        if (!queued.isEmpty()) {
+            begin(queued.poll());
+        }
+        ended.done.accept(answer);
     }
 
     /** Takes the answers of one connection. */
     private final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (context.channel() != channel || waiting == null) {
+            if (context.channel() != channel || current == null) {
                 context.close();
                 return;
             }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
@@ -175,7 +175,7 @@
         scene.store.sideMood(StoreStandin.Mood.SILENT);
         RelayScene.await(() -> next.metrics().text().contains(failures));
         scene.store.sideMood(StoreStandin.Mood.SERVES);
-        reader.close();
+        scene.stop(reader);
         long version = scene.platform.publish();
         RelayScene.await(() -> next.configVersion() == version);
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -57,6 +57,12 @@
         return gateway;
     }
 
+    /** Ends a gateway. */
+    void stop(GatewayDaemon gateway) {
+        gateways.remove(gateway);
+        gateway.close();
+    }
+
     /** Waits until something holds; fails if it never does. */
     static void await(BooleanSupplier condition) {
         long until = System.nanoTime() + PATIENCE.toNanos();
