--- a/core/src/main/java/org/tanagerhinge/core/attempt/AttemptEnd.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/AttemptEnd.java
@@ -25,6 +25,11 @@
         };
     }
 
+    /** Returns whether the connection broke under the request, as it does when the server ends. */
+    public boolean broken() {
+        return this == BROKEN || this == CUT;
+    }
+
     /** Returns whether the server has seen the request, so that sending it again is a repeat there. */
     public boolean arrived() {
         return this != NOT_SENT;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -23,6 +23,7 @@
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.WorkspaceTerms;
 import org.tanagerhinge.core.result.ResultCode;
@@ -52,6 +53,7 @@
     private Future<?> timer;
     private RelayAttempt attempt;
     private AttemptHistory history;
+    private RequestFingerprint fingerprint;
     private boolean over;
 
     private RelayExchange(Gateway gateway, CallerConnection caller, HttpRequest head, ByteBuf body, long arrived) {
@@ -188,6 +190,19 @@
         return head.method();
     }
 
+    /** Returns what is equal for the same request under another id. */
+    RequestFingerprint fingerprint() {
+        if (fingerprint == null) {
+            fingerprint = RequestFingerprint.of(
+                    workspace.map(WorkspaceTerms::name).orElse(""),
+                    head.method().name(),
+                    head.headers().get(HttpHeaderNames.HOST, ""),
+                    head.uri(),
+                    body.nioBuffer());
+        }
+        return fingerprint;
+    }
+
     int rank() {
         return config.rank(workspace, route);
     }
@@ -245,7 +260,8 @@
     void attemptFailed(RelayAttempt ended, AttemptEnd end, String why, boolean paid) {
         history.ended(end.mayHaveRun());
         gateway.attemptFailed(ended.server(), end);
-        trail.attemptFailed(end, why, ended.began(), progress);
+        trail.attemptFailed(
+                end, why, ended.began(), progress, end.broken() ? Optional.of(fingerprint()) : Optional.empty());
         attempt = null;
         boolean repeat = history.mayRepeat(end.mayHaveRun(), leftMillis())
                 && (!end.mayHaveRun() || gateway.uses(Mechanism.RETRIES))
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
@@ -6,6 +6,7 @@
 import org.tanagerhinge.core.attempt.AttemptEnd;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.RouteKind;
 import org.tanagerhinge.core.relay.WorkspaceTerms;
@@ -76,16 +77,19 @@
         line.with(LogField.PEERS, gateway.peersPresent()).write();
     }
 
-    void attemptFailed(AttemptEnd end, String why, long began, AnswerProgress progress) {
-        line(LogEvent.ATTEMPT_FAILED, true)
+    /** An attempt has failed; {@code broken} holds the request's fingerprint if its connection broke. */
+    void attemptFailed(
+            AttemptEnd end, String why, long began, AnswerProgress progress, Optional<RequestFingerprint> broken) {
+        LogLine line = line(LogEvent.ATTEMPT_FAILED, true)
                 .with(LogField.SERVER, server)
                 .with(LogField.ATTEMPT, attempts)
                 .with(LogField.END, end.name().toLowerCase(Locale.ROOT))
                 .with(LogField.WHY, why)
                 .with(LogField.RUN, end.mayHaveRun() ? "unknown" : "not_run")
                 .with(LogField.EVENT_ID, progress.lastEvent())
-                .with(LogField.MS, gateway.now() - began)
-                .write();
+                .with(LogField.MS, gateway.now() - began);
+        broken.ifPresent(fingerprint -> line.with(LogField.FINGERPRINT, fingerprint.toString()));
+        line.write();
     }
 
     /** The request goes to another server. */
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -6,6 +6,8 @@
 public enum LogField {
     /** Id of the caller's request. */
     ID,
+    /** Equal for the same request under another id. */
+    FINGERPRINT,
     ROUTE,
     WORKSPACE,
     PROFILE,
