--- a/core/src/main/java/org/tanagerhinge/core/relay/RequestFingerprint.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RequestFingerprint.java
@@ -32,6 +32,19 @@
         }
     }
 
+    /**
+     * Returns the fingerprint that a text names.
+     *
+     * @throws IllegalArgumentException if it isn't 16 hexadecimal digits; names the text
+     */
+    public static RequestFingerprint parse(String text) {
+        try {
+            return new RequestFingerprint(HexFormat.fromHexDigitsToLong(text));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("'" + text + "' is no fingerprint, expected 16 hexadecimal digits", e);
+        }
+    }
+
     /** Returns it as 16 hexadecimal digits. */
     @Override
     public String toString() {
--- a/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
+++ b/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
@@ -34,6 +34,7 @@
     NO_SERVER(2008, 503, "no backend server for the request is reachable"),
     RETRY_BUDGET_SPENT(2009, 503, "the class has no retries left for now"),
     SERVER_DOWN(2010, 503, "the backend server does not answer its agent"),
+    REQUEST_HELD(2011, 503, "backend servers ended under this request; it is not sent for now"),
     CONNECTION_LOST(3001, 502, "the connection to the agent was lost while the request may have been running"),
     ENGINE_FAILED(3002, 502, "the backend server failed while it ran the request"),
     ANSWER_CUT(3003, 502, "the answer ended before it was whole"),
@@ -97,6 +98,7 @@
                     NO_SERVER,
                     RETRY_BUDGET_SPENT,
                     SERVER_DOWN,
+                    REQUEST_HELD,
                     IN_PROGRESS,
                     CLAIMS_UNSETTLED,
                     NOT_READY -> true;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -91,10 +91,14 @@
         channel.close();
     }
 
-    /** Lets the server finish what it was sent, though nobody waits for the answer any more. */
-    void detach() {
+    /**
+     * Lets the server finish what it was sent, though nobody waits for the answer any more.
+     *
+     * @param broken runs if the connection breaks before the answer has ended
+     */
+    void detach(Runnable broken) {
         if (attempt != null) {
-            attempt = Discarding.INSTANCE;
+            attempt = new Discarding(broken);
         }
     }
 
@@ -248,9 +252,7 @@
     }
 
     /** Takes an answer that nobody waits for. */
-    private enum Discarding implements AttemptListener {
-        INSTANCE;
-
+    private record Discarding(Runnable broken) implements AttemptListener {
         @Override
         public void head(HttpResponse response, AnswerTerms terms) {}
 
@@ -261,6 +263,8 @@
         public void ended() {}
 
         @Override
-        public void failed(AttemptEnd end, String why) {}
+        public void failed(AttemptEnd end, String why) {
+            broken.run();
+        }
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/EndedServers.java
@@ -0,0 +1,64 @@
+package org.tanagerhinge.gateway;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.RequestFingerprint;
+
+/**
+ * Tells servers that have ended from connections that merely broke, and holds an end against what was in progress there.
+ *
+ * <p>A connection also breaks where a server loses an answer, spoils one or closes while it is idle: requests that had to do with
+ * that are not suspected. So the server is asked for a new connection, which a server that has ended doesn't take; one that is
+ * made is kept for the next request.
+ */
+final class EndedServers {
+    /** Requests that are held responsible for one end at the most: as many as a large server runs at once. */
+    private static final int MOST_UNDER = 128;
+    /** Ended servers that are remembered: their other connections break within moments of the first one. */
+    private static final int MOST_ENDED = 64;
+
+    private final Gateway gateway;
+    private final Map<String, Set<RequestFingerprint>> asked = new HashMap<>();
+    private final Set<String> ended = Collections.newSetFromMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_ENDED;
+        }
+    });
+
+    EndedServers(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    /** Notes that the connection on which a request was in progress has broken. */
+    void brokeUnder(RelayServer server, RequestFingerprint request) {
+        if (ended.contains(server.life())) {
+            gateway.endedUnder(server, Set.of(request));
+            return;
+        }
+        Set<RequestFingerprint> under = asked.get(server.life());
+        if (under != null) {
+            if (under.size() < MOST_UNDER) {
+                under.add(request);
+            }
+            return;
+        }
+        asked.put(server.life(), new LinkedHashSet<>(Set.of(request)));
+        gateway.pool().connect(server, fresh -> answered(server, fresh));
+    }
+
+    private void answered(RelayServer server, BackendConnection fresh) {
+        Set<RequestFingerprint> under = asked.remove(server.life());
+        if (fresh != null) {
+            gateway.pool().idle(fresh);
+            return;
+        }
+        ended.add(server.life());
+        gateway.endedUnder(server, under);
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.tanagerhinge.core.attempt.AttemptEnd;
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.relay.CallerLimits;
@@ -19,10 +20,12 @@
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.PromptPart;
+import org.tanagerhinge.core.relay.Quarantine;
 import org.tanagerhinge.core.relay.RankGate;
 import org.tanagerhinge.core.relay.Registration;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.core.relay.ServerChange;
 import org.tanagerhinge.core.relay.ServerDirectory;
 import org.tanagerhinge.node.log.LogEvent;
@@ -52,6 +55,8 @@
     private final Placement placement;
     private final RetryBudget budget;
     private final RankGate ranks = RankGate.create();
+    private final Quarantine quarantine = Quarantine.create();
+    private final EndedServers endedServers = new EndedServers(this);
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private Optional<RelayConfig> config = Optional.empty();
@@ -60,6 +65,8 @@
     private int peersPresent;
     private long lastSweep;
     private BiConsumer<RelayServer, Prompt> sentListener = (server, prompt) -> {};
+    private Consumer<RequestFingerprint> heldListener = request -> {};
+    private Runnable suspicionListener = () -> {};
     private volatile boolean draining;
     private volatile int inProgress;
 
@@ -113,6 +120,57 @@
         return ranks;
     }
 
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
+    EndedServers endedServers() {
+        return endedServers;
+    }
+
+    /** Tells {@code listener} of each request that this node has found to end servers. */
+    void onHeld(Consumer<RequestFingerprint> listener) {
+        heldListener = listener;
+    }
+
+    /** Runs {@code listener} whenever there is news of suspected requests. */
+    void onSuspicion(Runnable listener) {
+        suspicionListener = listener;
+    }
+
+    /** A server has ended while requests were in progress there. */
+    void endedUnder(RelayServer server, Set<RequestFingerprint> requests) {
+        for (RequestFingerprint request : requests) {
+            if (quarantine.ended(request, server.life(), now())) {
+                tellHeld(request, "servers ended under it, " + server.id() + " the last");
+                heldListener.accept(request);
+            }
+        }
+        suspicionListener.run();
+    }
+
+    /** Takes what a peer tells of a request. */
+    void heard(Quarantine.Suspicion suspicion) {
+        if (quarantine.hear(suspicion, now())) {
+            tellHeld(suspicion.request(), "told by a peer");
+        }
+    }
+
+    /** Takes a quarantine from the platform's store. */
+    void held(RequestFingerprint request) {
+        if (quarantine.hold(request, now())) {
+            tellHeld(request, "told by the store");
+        }
+    }
+
+    private void tellHeld(RequestFingerprint request, String why) {
+        count("request_held");
+        LogLine.failure(LogEvent.REQUEST_HELD)
+                .with(LogField.FINGERPRINT, request.toString())
+                .with(LogField.WHY, why)
+                .write();
+    }
+
     String domain() {
         return options.domain();
     }
@@ -419,5 +477,6 @@
         }
         Set.copyOf(callers).forEach(caller -> caller.sweep(now));
         pool.sweep();
+        quarantine.trim(now);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MeasuredStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MeasuredStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** Measures how long each call of the platform's store takes, and how it ends. */
@@ -64,4 +65,14 @@
     public void gateways(Consumer<Reply<List<String>>> done) {
         store.gateways(timed("gateways", done));
     }
+
+    @Override
+    public void hold(RequestFingerprint request, Duration time, Consumer<Reply<Long>> done) {
+        store.hold(request, time, timed("hold", done));
+    }
+
+    @Override
+    public void held(Consumer<Reply<List<RequestFingerprint>>> done) {
+        store.held(timed("held", done));
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.tanagerhinge.core.relay.Registration;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 
 /** The calls to the platform's store that a gateway makes; callbacks come on the event loop. */
 public interface MetadataStore {
@@ -40,6 +41,12 @@
     /** Reads where the gateways answer each other, IP:PORT each. */
     void gateways(Consumer<Reply<List<String>>> done);
 
+    /** Keeps a request in quarantine for a time, also for gateways that start later. */
+    void hold(RequestFingerprint request, Duration time, Consumer<Reply<Long>> done);
+
+    /** Reads which requests are in quarantine. */
+    void held(Consumer<Reply<List<RequestFingerprint>>> done);
+
     /**
      * The servers' registrations as the store holds them.
      *
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -6,17 +6,22 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.tanagerhinge.core.relay.LaneDemand;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PromptPart;
+import org.tanagerhinge.core.relay.Quarantine;
 import org.tanagerhinge.core.relay.Registration;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.wire.peer.KeptParts;
 import org.tanagerhinge.wire.peer.Part;
 import org.tanagerhinge.wire.peer.PeerState;
+import org.tanagerhinge.wire.peer.ServerEnd;
 import org.tanagerhinge.wire.peer.ServerEntry;
 import org.tanagerhinge.wire.peer.ServerList;
 import org.tanagerhinge.wire.peer.ServerUse;
 import org.tanagerhinge.wire.peer.ServiceDemand;
+import org.tanagerhinge.wire.peer.SuspectedRequest;
 
 /** Translates between what gateways tell each other and the messages that carry it. */
 final class PeerCodec {
@@ -25,8 +30,8 @@
     /** Parts of prompts that a node gave a backend server to read. */
     record Kept(String server, List<PromptPart> parts) {}
 
-    /** A report with the parts that were given out since the last one. */
-    record Told(PeerReport report, List<Kept> kept) {}
+    /** A report with the parts that were given out since the last one, and requests under which servers have ended. */
+    record Told(PeerReport report, List<Kept> kept, List<Quarantine.Suspicion> suspicions) {}
 
     /** A server list with its age in milliseconds. */
     record Servers(List<Registration> list, long ageMillis) {}
@@ -61,6 +66,7 @@
                             parts.addParts(Part.newBuilder().setId(part.id()).setTokens(part.tokens())));
             state.addKept(parts);
         }
+        told.suspicions().forEach(suspicion -> state.addSuspected(suspected(suspicion)));
         return state.build().toByteArray();
     }
 
@@ -96,7 +102,31 @@
                 state.getIntervalMillis(),
                 uses,
                 demands);
-        return new Told(report, kept);
+        List<Quarantine.Suspicion> suspicions =
+                state.getSuspectedList().stream().map(PeerCodec::suspicion).toList();
+        return new Told(report, kept, suspicions);
+    }
+
+    private static SuspectedRequest suspected(Quarantine.Suspicion suspicion) {
+        SuspectedRequest.Builder suspected = SuspectedRequest.newBuilder()
+                .setFingerprint(suspicion.request().bits())
+                .setHeldMillis((int) suspicion.heldMillis());
+        suspicion.clearedMillis().ifPresent(age -> suspected.setClearedMillis((int) (age + 1)));
+        suspicion
+                .ends()
+                .forEach(end -> suspected.addEnds(
+                        ServerEnd.newBuilder().setServer(end.server()).setAgeMillis((int) end.ageMillis())));
+        return suspected.build();
+    }
+
+    private static Quarantine.Suspicion suspicion(SuspectedRequest suspected) {
+        return new Quarantine.Suspicion(
+                new RequestFingerprint(suspected.getFingerprint()),
+                suspected.getEndsList().stream()
+                        .map(end -> new Quarantine.End(end.getServer(), end.getAgeMillis()))
+                        .toList(),
+                suspected.getClearedMillis() == 0 ? Optional.empty() : Optional.of(suspected.getClearedMillis() - 1L),
+                suspected.getHeldMillis());
     }
 
     static byte[] servers(Servers servers) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -27,6 +27,7 @@
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PeerTable;
 import org.tanagerhinge.core.relay.Prompt;
+import org.tanagerhinge.core.relay.Quarantine;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RelayServer;
 import org.tanagerhinge.core.relay.ReportPace;
@@ -80,6 +81,7 @@
                 .bind(gateway.options().peers())
                 .syncUninterruptibly()
                 .channel();
+        gateway.onSuspicion(peers::tellNow);
         loop.next().execute(peers::report);
         return peers;
     }
@@ -127,7 +129,7 @@
         table.trim(gateway.now());
         tellPresence(gateway.now());
         takeSums();
-        tellNow();
+        tell(gateway.quarantine().standing(gateway.now()));
         gateway.schedule(this::report, intervalMillis());
     }
 
@@ -146,7 +148,14 @@
 
     /** Sends this gateway's state to all peers now. */
     void tellNow() {
-        byte[] bytes = PeerCodec.state(new PeerCodec.Told(state(), List.copyOf(kept)));
+        tell(List.of());
+    }
+
+    private void tell(List<Quarantine.Suspicion> standing) {
+        List<Quarantine.Suspicion> suspicions =
+                new ArrayList<>(gateway.quarantine().news(gateway.now()));
+        suspicions.addAll(standing);
+        byte[] bytes = PeerCodec.state(new PeerCodec.Told(state(), List.copyOf(kept), suspicions));
         kept.clear();
         tokensSince = 0;
         toldAt = gateway.now();
@@ -190,6 +199,7 @@
         for (PeerCodec.Kept parts : told.kept()) {
             gateway.keeps(parts.server(), parts.parts());
         }
+        told.suspicions().forEach(gateway::heard);
         takeChange(before, report.uses());
         if (report.configVersion() > gateway.configVersion()) {
             askConfig(report);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -19,6 +19,7 @@
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.RankGate;
 import org.tanagerhinge.core.relay.RelayServer;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.RouteKind;
 
@@ -265,7 +266,7 @@
 
     /** Leaves the rest of an answer that isn't wanted to the connection, which stays of use. */
     private void leave(AttemptEnd end, String why) {
-        connection.detach();
+        connection.detach(() -> {});
         fail(end, why);
     }
 
@@ -286,7 +287,8 @@
             return;
         }
         if (route.kind() == RouteKind.UNSAFE) {
-            connection.detach();
+            RequestFingerprint fingerprint = exchange.fingerprint();
+            connection.detach(() -> gateway.endedServers().brokeUnder(server, fingerprint));
             connection.reading(true);
         } else {
             connection.abort();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -121,6 +121,12 @@
 
     private void send() {
         long now = gateway.now();
+        OptionalLong held = heldMillis(now);
+        if (held.isPresent()) {
+            trail.held(fingerprint());
+            endUnserved("servers end under it", Refusal.notRun(ResultCode.REQUEST_HELD, held.getAsLong()));
+            return;
+        }
         List<RelayServer> candidates = gateway.candidates(service, tried, now);
         PlacementRequest request =
                 new PlacementRequest(route, config.service(service), terms.prompt(), gateway.domain());
@@ -162,13 +168,24 @@
         return comeBack.isPresent();
     }
 
+    private OptionalLong heldMillis(long now) {
+        return gateway.quarantine().empty()
+                ? OptionalLong.empty()
+                : gateway.quarantine().heldMillis(fingerprint(), now);
+    }
+
     private void noServer() {
+        endUnserved("no server to go on at", Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
+    }
+
+    /** Ends the exchange without an answer of a server: {@code notRun} is told only if no server may have run it. */
+    private void endUnserved(String why, Refusal notRun) {
         if (progress.headPassed()) {
-            cut("no server to go on at");
+            cut(why);
         } else if (history.mayHaveRun()) {
             refuse(Refusal.of(502, ResultCode.CONNECTION_LOST));
         } else {
-            refuse(Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
+            refuse(notRun);
         }
     }
 
@@ -263,6 +280,9 @@
         trail.attemptFailed(
                 end, why, ended.began(), progress, end.broken() ? Optional.of(fingerprint()) : Optional.empty());
         attempt = null;
+        if (end.broken()) {
+            gateway.endedServers().brokeUnder(ended.server(), fingerprint());
+        }
         boolean repeat = history.mayRepeat(end.mayHaveRun(), leftMillis())
                 && (!end.mayHaveRun() || gateway.uses(Mechanism.RETRIES))
                 && (!progress.headPassed() || mayResume())
@@ -272,13 +292,7 @@
             send();
             return;
         }
-        if (progress.headPassed()) {
-            cut(why);
-        } else if (history.mayHaveRun()) {
-            refuse(Refusal.of(502, ResultCode.CONNECTION_LOST));
-        } else {
-            refuse(Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
-        }
+        endUnserved(why, Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
     }
 
     private boolean mayResume() {
@@ -289,6 +303,9 @@
     void answered(int status, RelayServer server) {
         attempt = null;
         gateway.answered(server, status);
+        if (!gateway.quarantine().empty()) {
+            gateway.quarantine().served(fingerprint(), gateway.now());
+        }
         trail.ended(status, progress);
         end();
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTrail.java
@@ -119,6 +119,12 @@
         why = "reading takes " + Math.round(placed.waitMillis()) + " ms there";
     }
 
+    /** The request is sent no more, since servers ended under it. */
+    void held(RequestFingerprint fingerprint) {
+        server = "";
+        why = "servers ended under " + fingerprint;
+    }
+
     void refused(Refusal refusal) {
         line(LogEvent.REFUSED, true)
                 .with(LogField.ROUTE, route.map(Route::name).orElse(""))
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import org.tanagerhinge.core.relay.Quarantine;
+import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
@@ -75,6 +77,8 @@
         feed.readConfig();
         feed.join();
         feed.readServers();
+        feed.readHeld();
+        gateway.onHeld(feed::hold);
         return feed;
     }
 
@@ -247,6 +251,31 @@
         });
     }
 
+    /** Requests that end servers outlast the gateways that found them: all may lose power together. */
+    private void readHeld() {
+        store.held(reply -> {
+            if (reply instanceof MetadataStore.Answer<List<RequestFingerprint>> answer) {
+                heard();
+                answer.value().forEach(gateway::held);
+            } else {
+                later(this::readHeld, FAILED_MILLIS * 2);
+            }
+        });
+    }
+
+    private void hold(RequestFingerprint request) {
+        if (gateway.quarantine().heldMillis(request, gateway.now()).isEmpty()) {
+            return;
+        }
+        store.hold(request, Duration.ofMillis(Quarantine.HOLD_MILLIS), reply -> {
+            if (reply instanceof MetadataStore.Answer<Long>) {
+                heard();
+            } else {
+                later(() -> hold(request), FAILED_MILLIS * 4);
+            }
+        });
+    }
+
     private void readGateways() {
         store.gateways(reply -> {
             if (reply instanceof MetadataStore.Answer<List<String>> answer) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
@@ -115,8 +115,10 @@
             ask(before, "/ask/x", POISON);
             Thread.sleep(PACE_MILLIS);
         }
+        RelayScene.await(() -> !scene.store.keys("held/").isEmpty());
         scene.stop(before);
         GatewayDaemon after = scene.gateway();
+        RelayScene.await(() -> after.metrics().text().contains("reason=\"request_held\""));
         long known = ends();
         again(List.of(after), "/ask/x");
         assertEquals(known, ends(), "servers that ended before and after the start");
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -21,6 +21,7 @@
     SERVER_REPLACED(Subject.BELIEF),
     SERVER_EJECTED(Subject.BELIEF),
     SERVER_BACK(Subject.BELIEF),
+    REQUEST_HELD(Subject.BELIEF),
     ENTRY_UNREADABLE(Subject.BELIEF),
     CONFIGURATION(Subject.BELIEF),
     STORE_LOST(Subject.BELIEF),
