--- a/core/src/main/java/org/tanagerhinge/core/relay/RequestFingerprint.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RequestFingerprint.java
@@ -2,52 +2,59 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.zip.CRC32;
+import java.util.zip.CRC32C;
 
 /**
  * Equal for requests that ask the same of a server: workspace, method, host, path with query, and body. Each try of a caller
  * has an id of its own, so ids can't tell that a request comes again.
  *
- * @param bits the first 64 bits of a SHA-256
+ * <p>The workspace stands by itself: checksums are quick on large bodies, but a caller could make a body that has the checksum
+ * of another's, and what is held against one workspace must not fall on another.
+ *
+ * @param workspace hash of the name of the caller's workspace
+ * @param content two checksums of all the rest
  */
-public record RequestFingerprint(long bits) {
+public record RequestFingerprint(int workspace, long content) {
+    private static final int WORKSPACE_DIGITS = 8;
+    private static final int DIGITS = 24;
+
     /**
      * Returns the fingerprint of a request.
      *
      * @param workspace name of the caller's workspace, empty if it has none
      * @param target path and query as the caller wrote them
-     * @param body the whole body; its position is left at its end
+     * @param body the whole body; its position stays where it is
      */
     public static RequestFingerprint of(String workspace, String method, String host, String target, ByteBuffer body) {
-        try {
-            MessageDigest sha = MessageDigest.getInstance("SHA-256");
-            String head = String.join("\n", workspace, method, host, target, "");
-            sha.update(head.getBytes(StandardCharsets.UTF_8));
-            sha.update(body);
-            return new RequestFingerprint(ByteBuffer.wrap(sha.digest()).getLong());
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every JDK has SHA-256", e);
-        }
+        byte[] head = String.join("\n", method, host, target, "").getBytes(StandardCharsets.UTF_8);
+        CRC32 high = new CRC32();
+        high.update(head);
+        high.update(body.duplicate());
+        CRC32C low = new CRC32C();
+        low.update(head);
+        low.update(body.duplicate());
+        return new RequestFingerprint(workspace.hashCode(), high.getValue() << Integer.SIZE | low.getValue());
     }
 
     /**
      * Returns the fingerprint that a text names.
      *
-     * @throws IllegalArgumentException if it isn't 16 hexadecimal digits; names the text
+     * @throws IllegalArgumentException if it isn't 24 hexadecimal digits; names the text
      */
     public static RequestFingerprint parse(String text) {
-        try {
-            return new RequestFingerprint(HexFormat.fromHexDigitsToLong(text));
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("'" + text + "' is no fingerprint, expected 16 hexadecimal digits", e);
+        if (text.length() != DIGITS || !text.chars().allMatch(HexFormat::isHexDigit)) {
+            throw new IllegalArgumentException("'" + text + "' is no fingerprint, expected 24 hexadecimal digits");
         }
+        return new RequestFingerprint(
+                HexFormat.fromHexDigits(text, 0, WORKSPACE_DIGITS),
+                HexFormat.fromHexDigitsToLong(text, WORKSPACE_DIGITS, DIGITS));
     }
 
-    /** Returns it as 16 hexadecimal digits. */
+    /** Returns it as 24 hexadecimal digits. */
     @Override
     public String toString() {
-        return HexFormat.of().toHexDigits(bits);
+        return HexFormat.of().toHexDigits(workspace) + HexFormat.of().toHexDigits(content);
     }
 }
--- a/core/src/test/java/org/tanagerhinge/core/relay/QuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/QuarantineTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
@@ -11,12 +12,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Which requests are sent no more, as one node sees it and as nodes tell each other. */
 class QuarantineTest {
     private static final long AN_HOUR = 3_600_000;
 
-    private final RequestFingerprint request = new RequestFingerprint(7);
+    private final RequestFingerprint request = new RequestFingerprint(1, 7);
     private final Quarantine quarantine = Quarantine.create();
 
     private boolean held(Quarantine at, long now) {
@@ -31,7 +33,7 @@
         assertTrue(quarantine.ended(request, "c@1", 2_000), "from now on");
         assertTrue(held(quarantine, 2_000));
         assertFalse(quarantine.ended(request, "d@1", 2_001), "it was before");
-        assertTrue(quarantine.heldMillis(new RequestFingerprint(8), 2_001).isEmpty());
+        assertTrue(quarantine.heldMillis(new RequestFingerprint(1, 8), 2_001).isEmpty());
     }
 
     /** Two connections of a request and its repeat break as one server ends: that is one end. */
@@ -67,7 +69,7 @@
     @Test
     void allIsForgottenInTime() {
         quarantine.ended(request, "a@1", 0);
-        quarantine.hold(new RequestFingerprint(8), 0);
+        quarantine.hold(new RequestFingerprint(1, 8), 0);
         quarantine.served(request, 1);
         quarantine.trim(AN_HOUR);
         assertTrue(quarantine.empty());
@@ -78,7 +80,7 @@
         quarantine.ended(request, "a@1", 0);
         quarantine.ended(request, "b@1", 0);
         for (int i = 0; i < 10 * Quarantine.MOST_SUSPECTED; i++) {
-            quarantine.ended(new RequestFingerprint(100 + i), "c@1", i);
+            quarantine.ended(new RequestFingerprint(1, 100 + i), "c@1", i);
         }
         assertEquals(Quarantine.MOST_SUSPECTED, quarantine.size());
         List<Quarantine.Suspicion> news = quarantine.news(AN_HOUR / 60);
@@ -160,6 +162,14 @@
         assertEquals(of, RequestFingerprint.parse(of.toString()));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"", "12", "00000001000000000000000g", "0000000100000000000000070"})
+    void aTextThatIsNoFingerprintIsNamed(String text) {
+        IllegalArgumentException thrown =
+                assertThrows(IllegalArgumentException.class, () -> RequestFingerprint.parse(text));
+        assertTrue(thrown.getMessage().contains("'" + text + "'"));
+    }
+
     private static RequestFingerprint fingerprint(
             String workspace, String method, String host, String target, String body) {
         return RequestFingerprint.of(
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -109,7 +109,8 @@
 
     private static SuspectedRequest suspected(Quarantine.Suspicion suspicion) {
         SuspectedRequest.Builder suspected = SuspectedRequest.newBuilder()
-                .setFingerprint(suspicion.request().bits())
+                .setWorkspace(suspicion.request().workspace())
+                .setContent(suspicion.request().content())
                 .setHeldMillis((int) suspicion.heldMillis());
         suspicion.clearedMillis().ifPresent(age -> suspected.setClearedMillis((int) (age + 1)));
         suspicion
@@ -121,7 +122,7 @@
 
     private static Quarantine.Suspicion suspicion(SuspectedRequest suspected) {
         return new Quarantine.Suspicion(
-                new RequestFingerprint(suspected.getFingerprint()),
+                new RequestFingerprint(suspected.getWorkspace(), suspected.getContent()),
                 suspected.getEndsList().stream()
                         .map(end -> new Quarantine.End(end.getServer(), end.getAgeMillis()))
                         .toList(),
