--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -56,11 +56,13 @@
     private final List<PeerCodec.Kept> kept = new ArrayList<>();
     private Set<String> present = Set.of();
     private BooleanSupplier storeAnswers = () -> true;
+    private Runnable behindListener = () -> {};
     private long sequence;
     private long tokensSince;
     private long toldAt;
     private Channel channel;
     private boolean askingConfig;
+    private long toldBehind;
     private boolean askingServers;
 
     private Peers(Gateway gateway, EventLoopGroup loop, Function<byte[], RelayConfig> decoder) {
@@ -99,6 +101,11 @@
         storeAnswers = supplier;
     }
 
+    /** Runs {@code listener} whenever a peer that has a newer configuration didn't give it. */
+    void onBehind(Runnable listener) {
+        behindListener = listener;
+    }
+
     /** Takes the addresses at which gateways answer, from the platform's store. */
     void addresses(List<String> texts) {
         for (String text : texts) {
@@ -280,9 +287,28 @@
                     LOG.log(Level.ERROR, "configuration of peer " + ahead.name() + ": " + e.getMessage());
                 }
             }
+            if (gateway.configVersion() < ahead.configVersion()) {
+                tellBehind(ahead);
+            }
         });
     }
 
+    /**
+     * Datagrams come from a peer that can't be asked: packets get through one way only, or it takes no connection. Its reports
+     * alone keep this gateway from reading the store, so for as long as that lasts it would stay behind without an end.
+     */
+    private void tellBehind(PeerReport ahead) {
+        gateway.count("peer_ask_failed");
+        if (toldBehind != ahead.configVersion()) {
+            toldBehind = ahead.configVersion();
+            LogLine.failure(LogEvent.PEER_ASK_FAILED)
+                    .with(LogField.SERVER, ahead.name())
+                    .with(LogField.CONFIG, ahead.configVersion())
+                    .write();
+        }
+        behindListener.run();
+    }
+
     private void askServers(PeerReport ahead) {
         if (askingServers) {
             return;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -45,6 +45,8 @@
     private static final int FAILED_MILLIS = 250;
     /** The same of a gateway that can serve nobody yet. */
     private static final int FIRST_FAILED_MILLIS = 100;
+    /** Least time between two such calls of a gateway that its peers fail: many reports may tell it of the same version. */
+    private static final long CATCH_UP_MILLIS = 400;
     /** How often a gateway that doesn't read looks whether it has to, in milliseconds. */
     private static final int IDLE_MILLIS = 200;
 
@@ -61,6 +63,7 @@
     private long revision = -1;
     private boolean watching;
     private long lease;
+    private long nextCatchUp = Long.MIN_VALUE;
     private boolean storeAnswers = true;
     private List<MetadataStore.UnreadableEntry> unreadable = List.of();
 
@@ -74,6 +77,7 @@
     static StoreFeed start(Gateway gateway, MetadataStore store, Peers peers) {
         StoreFeed feed = new StoreFeed(gateway, store, peers);
         peers.storeAnswers(() -> feed.storeAnswers);
+        peers.onBehind(feed::catchUp);
         feed.readConfig();
         feed.join();
         feed.readServers();
@@ -111,9 +115,15 @@
     /**
      * Asks for the configuration once, since the gateway that reads for all seems to fail this one. What goes wrong without it:
      * the store turns some gateways away, that one and the next ones among them. Each finds that out only when its calls have
-     * had no answer in time, one after the other, while a version is written that has to be in force before they have.
+     * had no answer in time, one after the other, while a version is written that has to be in force before they have. Or peers
+     * tell of a version and can't be asked for it.
      */
     private void catchUp() {
+        long now = gateway.now();
+        if (now < nextCatchUp) {
+            return;
+        }
+        nextCatchUp = now + CATCH_UP_MILLIS;
         store.config(timeoutMillis(), reply -> {
             if (reply instanceof MetadataStore.Answer<MetadataStore.StoredConfig> answer) {
                 heard();
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -28,6 +28,7 @@
     STORE_BACK(Subject.BELIEF),
     PEER_LOST(Subject.BELIEF),
     PEER_BACK(Subject.BELIEF),
+    PEER_ASK_FAILED(Subject.BELIEF),
 
     STARTED(Subject.PROCESS),
     STOPPING(Subject.PROCESS),
