--- a/gateway/src/main/java/org/tanagerhinge/gateway/AnswerTerms.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/AnswerTerms.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * What the head of a backend server's answer tells besides its HTTP framing.
@@ -10,9 +11,17 @@
  * @param notRun whether it states that the request did not run and won't
  * @param load what the server runs, if it tells
  * @param weightsVersion version of the model's weights, if it tells
+ * @param leaving whether the server says that it leaves
+ * @param retryAfterMillis for how long the server wants nothing, if it tells
  */
 public record AnswerTerms(
-        String attemptId, boolean sealed, boolean notRun, Optional<ServerLoad> load, Optional<String> weightsVersion) {
+        String attemptId,
+        boolean sealed,
+        boolean notRun,
+        Optional<ServerLoad> load,
+        Optional<String> weightsVersion,
+        boolean leaving,
+        OptionalLong retryAfterMillis) {
     /** Requests that a server runs, that wait there, and that it can run at once. */
     public record ServerLoad(int running, int waiting, int slots) {}
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -30,6 +30,8 @@
     private static final int INITIAL_LINE = 4096;
     private static final int HEADERS = 65_536;
     private static final int CHUNK = 16_384;
+    /** Another server answers at the address: what it says of itself isn't about this one. */
+    private static final int ANOTHER_SERVER = 421;
     /** Idle time after which a server is taken to close if it doesn't say, in milliseconds. */
     private static final long IDLE_DEFAULT_MILLIS = 4_000;
     /** Share of a server's idle time up to which a connection is used: its close must not cross a request. */
@@ -139,12 +141,15 @@
             return;
         }
         AnswerTerms terms = pool.dialect().answerTerms(response);
+        if (response.status().code() != ANOTHER_SERVER) {
+            pool.heard(server, response.status().code(), terms);
+        }
         if (!terms.attemptId().isEmpty() && !terms.attemptId().equals(attemptId)) {
             pool.count("answer_of_another_request");
             skipping = true;
             return;
         }
-        boolean refusal = terms.notRun() || response.status().code() == 421;
+        boolean refusal = terms.notRun() || response.status().code() == ANOTHER_SERVER;
         if (terms.attemptId().isEmpty() && !refusal) {
             fail(AttemptEnd.BROKEN, "answer names no request");
             return;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendPool.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import jdk.net.ExtendedSocketOptions;
 import org.tanagerhinge.core.relay.RelayServer;
 
@@ -33,14 +34,26 @@
     private final Dialect dialect;
     private final LongSupplier clock;
     private final Consumer<String> counter;
+    private final AnswerHearer hearer;
     private final Map<String, Deque<BackendConnection>> idle = new HashMap<>();
     private final Map<String, Set<BackendConnection>> all = new HashMap<>();
 
-    BackendPool(EventLoopGroup loop, Dialect dialect, LongSupplier clock, Consumer<String> counter) {
+    BackendPool(
+            EventLoopGroup loop, Dialect dialect, LongSupplier clock, Consumer<String> counter, AnswerHearer hearer) {
         this.loop = loop;
         this.dialect = dialect;
         this.clock = clock;
         this.counter = counter;
+        this.hearer = hearer;
+    }
+
+    /** Hears what each answer says of its server, whoever the answer is for. */
+    interface AnswerHearer {
+        void heard(RelayServer server, int status, AnswerTerms terms);
+    }
+
+    void heard(RelayServer server, int status, AnswerTerms terms) {
+        hearer.heard(server, status, terms);
     }
 
     Dialect dialect() {
@@ -129,11 +142,15 @@
         }
     }
 
-    /** Closes idle connections to servers that take no new work, and those that were idle for long. */
-    void sweep() {
+    /**
+     * Closes idle connections to servers that take no new work, and those that were idle for long.
+     *
+     * @param leaves whether a server has said that it leaves
+     */
+    void sweep(Predicate<RelayServer> leaves) {
         for (Deque<BackendConnection> connections : Set.copyOf(idle.values())) {
             for (BackendConnection connection : Set.copyOf(connections)) {
-                boolean leaving = !connection.server().open();
+                boolean leaving = !connection.server().open() || leaves.test(connection.server());
                 if (leaving || !connection.usable(now(), LONGEST_IDLE_MILLIS)) {
                     connections.remove(connection);
                     connection.channel().close();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.core.relay.ServerChange;
 import org.tanagerhinge.core.relay.ServerDirectory;
+import org.tanagerhinge.core.relay.ServerWords;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
@@ -55,6 +56,7 @@
     private final Placement placement;
     private final RetryBudget budget;
     private final RankGate ranks = RankGate.create();
+    private final ServerWords words = ServerWords.create();
     private final Quarantine quarantine = Quarantine.create();
     private final EndedServers endedServers = new EndedServers(this);
     private final Set<CallerConnection> callers = new HashSet<>();
@@ -77,7 +79,7 @@
         this.options = options;
         this.metrics = metrics;
         this.placement = placement;
-        this.pool = new BackendPool(loop, dialect, this::now, this::count);
+        this.pool = new BackendPool(loop, dialect, this::now, this::count, this::answered);
         GatewayOptions.Bounds bounds = options.bounds();
         this.budget = RetryBudget.of(
                 bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindow().toMillis());
@@ -120,6 +122,34 @@
         return ranks;
     }
 
+    ServerWords words() {
+        return words;
+    }
+
+    /** Takes what a server says of itself in an answer. */
+    private void answered(RelayServer server, int status, AnswerTerms terms) {
+        long now = now();
+        if (terms.leaving() && words.leaves(server.life(), now)) {
+            tellLeaving(server.id(), "said so in an answer");
+            count("server_leaving_said");
+        }
+    }
+
+    /** A peer was told by a server that it leaves. */
+    void heardThatLeaves(String life) {
+        if (words.heardThatLeaves(life, now())) {
+            tellLeaving(life, "told by a peer");
+            count("server_leaving_heard");
+        }
+    }
+
+    private static void tellLeaving(String server, String why) {
+        LogLine.of(LogEvent.SERVER_LEAVING)
+                .with(LogField.SERVER, server)
+                .with(LogField.WHY, why)
+                .write();
+    }
+
     Quarantine quarantine() {
         return quarantine;
     }
@@ -301,12 +331,14 @@
     }
 
     /**
-     * Returns the servers of a service that a request may be sent to. Ejected ones are left out as long as half of the
+     * Returns the servers of a service that a request may be sent to: none that leaves. Ejected ones are left out as long as half of the
      * servers are left: when most seem to fail, the cause is hardly theirs, and leaving them out would only crowd the
      * rest.
      */
     List<RelayServer> candidates(String service, Set<String> tried, long now) {
-        List<RelayServer> open = directory.open(service);
+        List<RelayServer> open = directory.open(service).stream()
+                .filter(server -> !words.leaving(server.life(), now))
+                .toList();
         List<RelayServer> usable = new ArrayList<>();
         List<RelayServer> untried = new ArrayList<>();
         int sound = 0;
@@ -476,7 +508,8 @@
             Set.copyOf(exchanges).forEach(exchange -> exchange.leaveSilentServer(LEAVE_MILLIS));
         }
         Set.copyOf(callers).forEach(caller -> caller.sweep(now));
-        pool.sweep();
+        pool.sweep(server -> words.leaving(server.life(), now));
         quarantine.trim(now);
+        words.trim(now);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -30,8 +30,14 @@
     /** Parts of prompts that a node gave a backend server to read. */
     record Kept(String server, List<PromptPart> parts) {}
 
-    /** A report with the parts that were given out since the last one, and requests under which servers have ended. */
-    record Told(PeerReport report, List<Kept> kept, List<Quarantine.Suspicion> suspicions) {}
+    /**
+     * A report with what isn't told in each of them.
+     *
+     * @param kept parts of prompts that were given out since the last one
+     * @param suspicions requests under which servers have ended
+     * @param leaving lives of servers that have said that they leave
+     */
+    record Told(PeerReport report, List<Kept> kept, List<Quarantine.Suspicion> suspicions, List<String> leaving) {}
 
     /** A server list with its age in milliseconds. */
     record Servers(List<Registration> list, long ageMillis) {}
@@ -67,6 +73,7 @@
             state.addKept(parts);
         }
         told.suspicions().forEach(suspicion -> state.addSuspected(suspected(suspicion)));
+        state.addAllLeaving(told.leaving());
         return state.build().toByteArray();
     }
 
@@ -104,7 +111,7 @@
                 demands);
         List<Quarantine.Suspicion> suspicions =
                 state.getSuspectedList().stream().map(PeerCodec::suspicion).toList();
-        return new Told(report, kept, suspicions);
+        return new Told(report, kept, suspicions, List.copyOf(state.getLeavingList()));
     }
 
     private static SuspectedRequest suspected(Quarantine.Suspicion suspicion) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -162,7 +162,8 @@
         List<Quarantine.Suspicion> suspicions =
                 new ArrayList<>(gateway.quarantine().news(gateway.now()));
         suspicions.addAll(standing);
-        byte[] bytes = PeerCodec.state(new PeerCodec.Told(state(), List.copyOf(kept), suspicions));
+        byte[] bytes = PeerCodec.state(new PeerCodec.Told(
+                state(), List.copyOf(kept), suspicions, gateway.words().news()));
         kept.clear();
         tokensSince = 0;
         toldAt = gateway.now();
@@ -207,6 +208,7 @@
             gateway.keeps(parts.server(), parts.parts());
         }
         told.suspicions().forEach(gateway::heard);
+        told.leaving().forEach(gateway::heardThatLeaves);
         takeChange(before, report.uses());
         if (report.configVersion() > gateway.configVersion()) {
             askConfig(report);
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/ServersWordTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/ServersWordTest.java
@@ -120,10 +120,10 @@
         assertEquals(before, leaving.seen().size());
     }
 
-    /** Waits until the gateway has asked for the servers often enough to have seen a change. */
+    /** Waits until the gateway has asked for the servers twice; once in the meantime it may have asked for its peers. */
     private void awaitServersRead() {
         int calls = scene.store.calls(PlatformNames.RANGE_CALL);
-        RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_CALL) > calls + 1);
+        RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_CALL) > calls + 2);
     }
 
     @Test
