--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -133,6 +134,16 @@
             tellLeaving(server.id(), "said so in an answer");
             count("server_leaving_said");
         }
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                && terms.retryAfterMillis().isPresent()) {
+            long millis = terms.retryAfterMillis().getAsLong();
+            words.wantsNothing(server.life(), now + millis);
+            count("server_wants_nothing");
+            LogLine.of(LogEvent.SERVER_WANTS_NOTHING)
+                    .with(LogField.SERVER, server.id())
+                    .with(LogField.RETRY_AFTER_MS, millis)
+                    .write();
+        }
     }
 
     /** A peer was told by a server that it leaves. */
@@ -331,13 +342,13 @@
     }
 
     /**
-     * Returns the servers of a service that a request may be sent to: none that leaves. Ejected ones are left out as long as half of the
+     * Returns the servers of a service that a request may be sent to: none that leaves or wants nothing for now. Ejected ones are left out as long as half of the
      * servers are left: when most seem to fail, the cause is hardly theirs, and leaving them out would only crowd the
      * rest.
      */
     List<RelayServer> candidates(String service, Set<String> tried, long now) {
         List<RelayServer> open = directory.open(service).stream()
-                .filter(server -> !words.leaving(server.life(), now))
+                .filter(server -> !words.leaving(server.life(), now) && words.nothingMillis(server.life(), now) == 0)
                 .toList();
         List<RelayServer> usable = new ArrayList<>();
         List<RelayServer> untried = new ArrayList<>();
@@ -440,6 +451,19 @@
         return COME_BACK_MILLIS + ThreadLocalRandom.current().nextInt(COME_BACK_MILLIS);
     }
 
+    /** Returns how long a caller for whom there is no server should wait: until the first one takes requests again. */
+    long comeBackMillis(String service) {
+        long now = now();
+        long first = directory.open(service).stream()
+                .filter(server -> !words.leaving(server.life(), now))
+                .mapToLong(server -> words.nothingMillis(server.life(), now))
+                .min()
+                .orElse(0);
+        return first == 0
+                ? comeBackMillis()
+                : first + ThreadLocalRandom.current().nextInt(COME_BACK_MILLIS);
+    }
+
     void opened(CallerConnection caller) {
         callers.add(caller);
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -175,7 +175,7 @@
     }
 
     private void noServer() {
-        endUnserved("no server to go on at", Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
+        endUnserved("no server to go on at", Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis(service)));
     }
 
     /** Ends the exchange without an answer of a server: {@code notRun} is told only if no server may have run it. */
@@ -292,7 +292,7 @@
             send();
             return;
         }
-        endUnserved(why, Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis()));
+        endUnserved(why, Refusal.notRun(ResultCode.NO_SERVER, gateway.comeBackMillis(service)));
     }
 
     private boolean mayResume() {
