--- /dev/null
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/LoopsTest.java
@@ -0,0 +1,183 @@
+package org.tanagerhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.tanagerhinge.core.relay.CallerLimits;
+import org.tanagerhinge.core.relay.LeastInFlight;
+import org.tanagerhinge.core.relay.Prompt;
+import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.relay.RequestFingerprint;
+
+/**
+ * After the store had been silent for 13 seconds no gateway took in a version any more, and requests for routes that had been
+ * taken away were served. The loop that watches the configuration had ended at the gateway that reads for all, since one of its
+ * steps threw; its other loop went on reading the servers, so that no other gateway took over. What threw then is mended; that a
+ * loop ends with whatever one of its steps throws, unseen, was not. The lines of an own day on the code of that time:
+ *
+ * <pre>
+ *   2.981 a-1 store_lost             3.849 a-1 task_failed why="java.lang.IllegalStateException: a call is in progress"
+ *   14.116 a-1 store_back            16 to 28: four versions are written, and no gateway has a configuration line after 0.598
+ * </pre>
+ */
+class LoopsTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+    /** What a store's caller can't take: the answer to a call holds nothing, or the call throws. */
+    enum Fault {
+        EMPTY_ANSWER,
+        THROWN
+    }
+
+    /** A store that serves, but for one call of one kind. */
+    private static final class FaultyStore implements MetadataStore {
+        private final Map<String, AtomicInteger> calls = new ConcurrentHashMap<>();
+        private final String faulty;
+        private final Fault fault;
+
+        FaultyStore(String faulty, Fault fault) {
+            this.faulty = faulty;
+            this.fault = fault;
+        }
+
+        int calls(String kind) {
+            return calls.computeIfAbsent(kind, name -> new AtomicInteger()).get();
+        }
+
+        /** The second call of the faulty kind fails. */
+        private <T> void answer(String kind, T value, Consumer<Reply<T>> done) {
+            int count = calls.computeIfAbsent(kind, name -> new AtomicInteger()).incrementAndGet();
+            if (count == 2 && kind.equals(faulty)) {
+                if (fault == Fault.THROWN) {
+                    throw new IllegalStateException("deliberate");
+                }
+                done.accept(new Answer<>(null));
+                return;
+            }
+            done.accept(new Answer<>(value));
+        }
+
+        @Override
+        public void servers(long timeoutMillis, Consumer<Reply<Listing>> done) {
+            answer("servers", new Listing(List.of(), List.of()), done);
+        }
+
+        @Override
+        public void config(long timeoutMillis, Consumer<Reply<StoredConfig>> done) {
+            answer("config", new StoredConfig(1, new byte[0]), done);
+        }
+
+        @Override
+        public void configAfter(long revision, long waitMillis, Consumer<Reply<StoredConfig>> done) {
+            answer("watch", new StoredConfig(revision, new byte[0]), done);
+        }
+
+        @Override
+        public RelayConfig decode(byte[] document) {
+            return RelayConfig.of(1, List.of(), List.of(), Map.of(), CallerLimits.DEFAULT);
+        }
+
+        @Override
+        public void join(String name, String address, Duration lease, Consumer<Reply<Long>> done) {
+            answer("join", 7L, done);
+        }
+
+        @Override
+        public void keep(long lease, Consumer<Reply<Boolean>> done) {
+            answer("keep", false, done);
+        }
+
+        @Override
+        public void gateways(Consumer<Reply<List<String>>> done) {
+            answer("gateways", List.of(), done);
+        }
+
+        @Override
+        public void hold(RequestFingerprint request, Duration time, Consumer<Reply<Long>> done) {
+            answer("hold", 7L, done);
+        }
+
+        @Override
+        public void held(Consumer<Reply<List<RequestFingerprint>>> done) {
+            answer("held", List.of(), done);
+        }
+    }
+
+    /** Reads and writes nothing. */
+    private static final class NoDialect implements Dialect {
+        @Override
+        public CallerTerms callerTerms(HttpRequest request) {
+            return new CallerTerms("", OptionalLong.empty(), Optional.empty(), Prompt.NONE, 0);
+        }
+
+        @Override
+        public void prepare(HttpHeaders headers, SendTerms terms) {}
+
+        @Override
+        public AnswerTerms answerTerms(HttpResponse response) {
+            return new AnswerTerms("", false, false, Optional.empty(), Optional.empty(), false, OptionalLong.empty());
+        }
+
+        @Override
+        public String readinessPath() {
+            return "/ready";
+        }
+    }
+
+    private static GatewayDaemon start(MetadataStore store) {
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        GatewayOptions options = new GatewayOptions(
+                "gateway-0",
+                "north",
+                any,
+                any,
+                Optional.empty(),
+                any,
+                new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
+                Set.of());
+        return GatewayDaemon.start(options, new NoDialect(), LeastInFlight.create(), loop -> store, Optional.empty());
+    }
+
+    private static boolean comesToHold(BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean() && System.nanoTime() - until < 0) {
+            Thread.sleep(10);
+        }
+        return condition.getAsBoolean();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "servers, EMPTY_ANSWER",
+        "servers, THROWN",
+        "watch, EMPTY_ANSWER",
+        "watch, THROWN",
+        "keep, THROWN",
+        "join, THROWN"
+    })
+    void aLoopGoesOnAfterAStepThatThrew(String kind, Fault fault) throws InterruptedException {
+        FaultyStore store = new FaultyStore(kind, fault);
+        GatewayDaemon gateway = start(store);
+        try {
+            assertTrue(comesToHold(() -> store.calls(kind) > 3), "calls: " + store.calls(kind));
+            assertTrue(gateway.metrics().text().contains("reason=\"task_failed\""), "and is told of");
+        } finally {
+            gateway.close();
+        }
+    }
+}
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
@@ -187,17 +187,10 @@
     }
 
     /**
-     * A gateway served two routes six seconds after a version that took them away, and one second after the next one; the others had
-     * both within 0.2 s. The store answered all the while, no gateway had ended, and this one isn't the reader. What brings that
-     * about: it hears its peers, whose datagrams name the newer version, and can't ask them for it, as packets get through one way
-     * only. Each report made it ask a peer again and nobody else: it didn't read the store since its peers do, and the same
-     * datagrams confirmed its list of servers, whose age would have made it ask for both. What of it is shown: this test; that the
-     * one seen had this cause is inferred, as no play has shown it again.
-     *
-     * <pre>
-     *   27.040 version 21 acknowledged     32.040 version 25 acknowledged
-     *   32.961 and 33.961 c-1 sends requests for routes of version 19 on
-     * </pre>
+     * A gateway that hears its peers and can't ask them stays behind: packets get through one way only, or a peer's port takes no
+     * connection. Their datagrams name the newer version, each made the gateway ask a peer again and nobody else; it didn't read
+     * the store since its peers do, and the same datagrams confirmed its list of servers, whose age would have made it ask for
+     * both. Found by reading, while a day was looked into on which versions weren't taken in; that day had another cause.
      */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
