--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.tanagerhinge.core.attempt.AttemptEnd;
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.relay.CallerLimits;
@@ -90,7 +91,7 @@
     public static Gateway create(
             EventLoopGroup loop, Dialect dialect, GatewayOptions options, NodeMetrics metrics, Placement placement) {
         Gateway gateway = new Gateway(loop, dialect, options, metrics, placement);
-        loop.next().scheduleWithFixedDelay(gateway::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        gateway.schedule(() -> gateway.repeat(gateway::sweep, () -> SWEEP_MILLIS), SWEEP_MILLIS);
         return gateway;
     }
 
@@ -254,19 +255,29 @@
     }
 
     Future<?> schedule(Runnable task, long millis) {
-        return loop.next().schedule(() -> run(task), millis, TimeUnit.MILLISECONDS);
+        return loop.next().schedule(() -> survives(task), millis, TimeUnit.MILLISECONDS);
     }
 
-    /** Runs a task of the event loop, which keeps what it throws to itself: a loop that ended so would go unnoticed. */
-    private void run(Runnable task) {
+    /** Runs a step now and again after each pause, also after one that threw. */
+    void repeat(Runnable step, LongSupplier pauseMillis) {
+        survives(step);
+        schedule(() -> repeat(step, pauseMillis), pauseMillis.getAsLong());
+    }
+
+    /**
+     * Runs a task of the event loop, which keeps what it throws to itself; returns whether it threw nothing. What goes wrong
+     * without it: a loop ends unseen with the first step that throws, and what it kept up to date stays as it is.
+     */
+    boolean survives(Runnable task) {
         try {
             task.run();
+            return true;
         } catch (RuntimeException e) {
             count("task_failed");
             LogLine.failure(LogEvent.TASK_FAILED)
                     .with(LogField.WHY, String.valueOf(e))
                     .write();
-            throw e;
+            return false;
         }
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -84,7 +84,7 @@
                 .syncUninterruptibly()
                 .channel();
         gateway.onSuspicion(peers::tellNow);
-        loop.next().execute(peers::report);
+        loop.next().execute(() -> gateway.repeat(peers::report, peers::intervalMillis));
         return peers;
     }
 
@@ -137,7 +137,6 @@
         tellPresence(gateway.now());
         takeSums();
         tell(gateway.quarantine().standing(gateway.now()));
-        gateway.schedule(this::report, intervalMillis());
     }
 
     /** Returns the time between two reports of a node whose load hardly changes; it grows with the number of peers. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreFeed.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.tanagerhinge.core.relay.Quarantine;
 import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.node.log.LogEvent;
@@ -78,10 +79,10 @@
         StoreFeed feed = new StoreFeed(gateway, store, peers);
         peers.storeAnswers(() -> feed.storeAnswers);
         peers.onBehind(feed::catchUp);
-        feed.readConfig();
-        feed.join();
-        feed.readServers();
-        feed.readHeld();
+        feed.step(feed::readConfig);
+        feed.step(feed::join);
+        feed.step(feed::readServers);
+        feed.step(feed::readHeld);
         gateway.onHeld(feed::hold);
         return feed;
     }
@@ -138,7 +139,7 @@
 
     private void readServers() {
         long asked = gateway.now();
-        store.servers(timeoutMillis(), reply -> {
+        store.servers(timeoutMillis(), taking(this::servers, reply -> {
             if (reply instanceof MetadataStore.Answer<MetadataStore.Listing> answer) {
                 heard();
                 tellUnreadable(answer.value().unreadable());
@@ -151,7 +152,7 @@
             }
             failedUnlessGone(reply);
             later(this::servers, failedMillis());
-        });
+        }));
     }
 
     /** Tells of each entry that can't be read once, for as long as it stays as it is. */
@@ -174,14 +175,14 @@
             watching = false;
             later(this::config, IDLE_MILLIS);
         } else if (watching) {
-            store.configAfter(revision, WATCH_MILLIS, this::takeConfig);
+            store.configAfter(revision, WATCH_MILLIS, taking(this::config, this::takeConfig));
         } else {
             readConfig();
         }
     }
 
     private void readConfig() {
-        store.config(timeoutMillis(), this::takeConfig);
+        store.config(timeoutMillis(), taking(this::config, this::takeConfig));
     }
 
     private void takeConfig(MetadataStore.Reply<MetadataStore.StoredConfig> reply) {
@@ -229,7 +230,7 @@
     }
 
     private void join() {
-        store.join(gateway.options().name(), peers.address(), LEASE, reply -> {
+        store.join(gateway.options().name(), peers.address(), LEASE, taking(this::join, reply -> {
             if (reply instanceof MetadataStore.Answer<Long> answer) {
                 heard();
                 lease = answer.value();
@@ -239,11 +240,11 @@
                 failed("could not join");
                 later(this::join, FAILED_MILLIS * 2);
             }
-        });
+        }));
     }
 
     private void keep() {
-        store.keep(lease, reply -> {
+        store.keep(lease, taking(this::keep, reply -> {
             if (reply instanceof MetadataStore.Answer<Boolean> answer) {
                 heard();
                 if (answer.value()) {
@@ -258,19 +259,19 @@
                 failed("lease could not be kept");
                 later(this::keep, FAILED_MILLIS * 4);
             }
-        });
+        }));
     }
 
     /** Requests that end servers outlast the gateways that found them: all may lose power together. */
     private void readHeld() {
-        store.held(reply -> {
+        store.held(taking(this::readHeld, reply -> {
             if (reply instanceof MetadataStore.Answer<List<RequestFingerprint>> answer) {
                 heard();
                 answer.value().forEach(gateway::held);
             } else {
                 later(this::readHeld, FAILED_MILLIS * 2);
             }
-        });
+        }));
     }
 
     private void hold(RequestFingerprint request) {
@@ -311,7 +312,23 @@
         }
     }
 
+    /** Returns what takes a reply of the store; if it throws, its loop goes on with a step after a pause. */
+    private <T> Consumer<MetadataStore.Reply<T>> taking(Runnable step, Consumer<MetadataStore.Reply<T>> taker) {
+        return reply -> {
+            if (!gateway.survives(() -> taker.accept(reply))) {
+                later(step, failedMillis());
+            }
+        };
+    }
+
+    /** Runs a step of a loop; if it throws, it is tried again after a pause. */
+    private void step(Runnable task) {
+        if (!gateway.survives(task)) {
+            later(task, failedMillis());
+        }
+    }
+
     private void later(Runnable task, int millis) {
-        gateway.schedule(task, millis + ThreadLocalRandom.current().nextInt(millis / 5 + 1));
+        gateway.schedule(() -> step(task), millis + ThreadLocalRandom.current().nextInt(millis / 5 + 1));
     }
 }
--- a/gateway/src/test/java/org/tanagerhinge/gateway/LoopsTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/LoopsTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,9 +16,11 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.tanagerhinge.core.relay.CallerLimits;
@@ -23,6 +28,7 @@
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.RequestFingerprint;
+import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /**
  * After the store had been silent for 13 seconds no gateway took in a version any more, and requests for routes that had been
@@ -180,4 +186,37 @@
             gateway.close();
         }
     }
+
+    /** Reports to peers and the sweep of connections are loops as well. */
+    @Test
+    void reportsAndTheSweepGoOnAfterAnythingThrew() throws InterruptedException {
+        EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            Gateway gateway = Gateway.create(
+                    loop,
+                    new NoDialect(),
+                    new GatewayOptions(
+                            "gateway-0",
+                            "north",
+                            new InetSocketAddress(0),
+                            new InetSocketAddress(0),
+                            Optional.empty(),
+                            new InetSocketAddress(0),
+                            new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
+                            Set.of()),
+                    NodeMetrics.create(),
+                    LeastInFlight.create());
+            AtomicInteger steps = new AtomicInteger();
+            gateway.repeat(
+                    () -> {
+                        if (steps.incrementAndGet() == 2) {
+                            throw new IllegalStateException("deliberate");
+                        }
+                    },
+                    () -> 5L);
+            assertTrue(comesToHold(() -> steps.get() > 4));
+        } finally {
+            loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
 }
