--- a/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
@@ -142,6 +142,14 @@
                 });
     }
 
+    /** Closes the connection that is kept, unless a call is in progress on it: the next call opens another one. */
+    public void renew() {
+        if (current == null && channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
     /** Closes the connection; calls in progress and those that wait for their turn fail. */
     public void close() {
         List<Call> never = List.copyOf(queued);
