--- a/core/src/main/java/org/tanagerhinge/core/relay/RequestFingerprint.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RequestFingerprint.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
+import java.util.Optional;
 import java.util.zip.CRC32;
 import java.util.zip.CRC32C;
 
@@ -38,18 +39,14 @@
         return new RequestFingerprint(workspace.hashCode(), high.getValue() << Integer.SIZE | low.getValue());
     }
 
-    /**
-     * Returns the fingerprint that a text names.
-     *
-     * @throws IllegalArgumentException if it isn't 24 hexadecimal digits; names the text
-     */
-    public static RequestFingerprint parse(String text) {
+    /** Returns the fingerprint that a text of 24 hexadecimal digits names; nothing for any other text. */
+    public static Optional<RequestFingerprint> find(String text) {
         if (text.length() != DIGITS || !text.chars().allMatch(HexFormat::isHexDigit)) {
-            throw new IllegalArgumentException("'" + text + "' is no fingerprint, expected 24 hexadecimal digits");
+            return Optional.empty();
         }
-        return new RequestFingerprint(
+        return Optional.of(new RequestFingerprint(
                 HexFormat.fromHexDigits(text, 0, WORKSPACE_DIGITS),
-                HexFormat.fromHexDigitsToLong(text, WORKSPACE_DIGITS, DIGITS));
+                HexFormat.fromHexDigitsToLong(text, WORKSPACE_DIGITS, DIGITS)));
     }
 
     /** Returns it as 24 hexadecimal digits. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerWords.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerWords.java
@@ -88,6 +88,12 @@
         return word == null || now >= word.nothingUntil ? 0 : word.nothingUntil - now;
     }
 
+    /** Returns whether a server may be sent requests, by all that it has said. */
+    public boolean takesRequests(String life, long now) {
+        Word word = words.get(life);
+        return word == null || word.over(now);
+    }
+
     /** Returns the lives of servers that have said since the last report that they leave, to be told now. */
     public List<String> news() {
         List<String> news = new ArrayList<>();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -359,7 +359,7 @@
      */
     List<RelayServer> candidates(String service, Set<String> tried, long now) {
         List<RelayServer> open = directory.open(service).stream()
-                .filter(server -> !words.leaving(server.life(), now) && words.nothingMillis(server.life(), now) == 0)
+                .filter(server -> words.takesRequests(server.life(), now))
                 .toList();
         List<RelayServer> usable = new ArrayList<>();
         List<RelayServer> untried = new ArrayList<>();
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
@@ -116,6 +116,7 @@
             Thread.sleep(PACE_MILLIS);
         }
         RelayScene.await(() -> !scene.store.keys("held/").isEmpty());
+        scene.store.put("held/another writer's", "");
         scene.stop(before);
         GatewayDaemon after = scene.gateway();
         RelayScene.await(() -> after.metrics().text().contains("reason=\"request_held\""));
