--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -63,6 +63,7 @@
     private Channel channel;
     private boolean askingConfig;
     private long toldBehind;
+    private int turn;
     private boolean askingServers;
 
     private Peers(Gateway gateway, EventLoopGroup loop, Function<byte[], RelayConfig> decoder) {
@@ -157,17 +158,31 @@
         tell(List.of());
     }
 
+    /**
+     * Sends this gateway's state to all peers, and to the one whose turn it is what stands of suspected requests as well: a peer
+     * that was cut off hears of it from one of the others soon, however many there are, and no node sends it to all.
+     */
     private void tell(List<Quarantine.Suspicion> standing) {
-        List<Quarantine.Suspicion> suspicions =
-                new ArrayList<>(gateway.quarantine().news(gateway.now()));
-        suspicions.addAll(standing);
-        byte[] bytes = PeerCodec.state(new PeerCodec.Told(
-                state(), List.copyOf(kept), suspicions, gateway.words().news()));
+        PeerReport state = state();
+        List<Quarantine.Suspicion> news = gateway.quarantine().news(gateway.now());
+        List<String> leaving = gateway.words().news();
+        byte[] bytes = PeerCodec.state(new PeerCodec.Told(state, List.copyOf(kept), news, leaving));
+        byte[] more = bytes;
+        int chosen = -1;
+        if (!standing.isEmpty() && !addresses.isEmpty()) {
+            List<Quarantine.Suspicion> all = new ArrayList<>(news);
+            all.addAll(standing);
+            more = PeerCodec.state(new PeerCodec.Told(state, List.copyOf(kept), all, leaving));
+            turn = (turn + 1) % addresses.size();
+            chosen = turn;
+        }
         kept.clear();
         tokensSince = 0;
         toldAt = gateway.now();
+        int index = 0;
         for (InetSocketAddress address : addresses) {
-            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(index == chosen ? more : bytes), address));
+            index++;
         }
         channel.flush();
     }
--- /dev/null
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -0,0 +1,59 @@
+package org.tanagerhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.tanagerhinge.core.relay.PeerReport;
+import org.tanagerhinge.core.relay.Quarantine;
+import org.tanagerhinge.core.relay.RequestFingerprint;
+import org.tanagerhinge.core.relay.ServerWords;
+
+/** What gateways tell each other, as it goes over the wire. */
+class PeerCodecTest {
+    /** What a node may spend on control a second at the target, in bytes; news goes to each of 409 peers three times. */
+    private static final int CONTROL_BYTES_A_SECOND = 21_000;
+
+    private static final PeerReport REPORT =
+            new PeerReport("gateway-0", 1, 2, "127.0.0.1:7200", true, 3, 4, 5, 250, Map.of(), Map.of());
+
+    private static PeerCodec.Told told(List<Quarantine.Suspicion> suspicions, List<String> leaving) {
+        return new PeerCodec.Told(REPORT, List.of(), suspicions, leaving);
+    }
+
+    @Test
+    void suspicionsAndServersThatLeaveComeAsTheyWent() throws InvalidProtocolBufferException {
+        List<Quarantine.Suspicion> suspicions = List.of(
+                new Quarantine.Suspicion(
+                        new RequestFingerprint(-1, Long.MIN_VALUE),
+                        List.of(new Quarantine.End(-7, 0), new Quarantine.End(7, Quarantine.HOLD_MILLIS)),
+                        Optional.empty(),
+                        Quarantine.HOLD_MILLIS),
+                new Quarantine.Suspicion(new RequestFingerprint(0, 0), List.of(), Optional.of(0L), 0));
+        PeerCodec.Told sent = told(suspicions, List.of("i-1@2", "i-2"));
+        assertEquals(sent, PeerCodec.state(PeerCodec.state(sent)));
+    }
+
+    /** All that was in progress at an engine of 128 places is news for one report after the other, beside servers that leave. */
+    @Test
+    void theMostThatOneReportTellsOfServersAndRequestsIsWellUnderASecondsShare() {
+        Quarantine quarantine = Quarantine.create();
+        ServerWords words = ServerWords.create();
+        for (int i = 0; i < 128; i++) {
+            for (String life : List.of("i-1@1700000000000", "i-2@1700000000000", "i-3@1700000000000")) {
+                quarantine.ended(new RequestFingerprint(i, i), life, 0);
+            }
+            words.leaves("i-0123456789" + i + "@1700000000000", 0);
+        }
+        List<Quarantine.Suspicion> all = new ArrayList<>(quarantine.news(1_000_000));
+        all.addAll(quarantine.standing(1_000_000));
+        int bytes =
+                PeerCodec.state(told(all, words.news())).length - PeerCodec.state(told(List.of(), List.of())).length;
+        assertTrue(bytes < CONTROL_BYTES_A_SECOND / 4, bytes + " bytes");
+    }
+}
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
@@ -124,4 +124,22 @@
         again(List.of(after), "/ask/x");
         assertEquals(known, ends(), "servers that ended before and after the start");
     }
+
+    /** What stands is told to one peer at a time; each has its turn. */
+    @Test
+    void gatewaysThatComeLaterLearnOfItFromTheOthers() throws Exception {
+        GatewayDaemon first = scene.gateway();
+        for (int i = 0; i < 4; i++) {
+            ask(first, "/ask/x", POISON);
+            Thread.sleep(PACE_MILLIS);
+        }
+        RelayScene.await(() -> !scene.store.keys("held/").isEmpty());
+        scene.store.keys("held/").forEach(scene.store::remove);
+        List<GatewayDaemon> later = List.of(scene.gateway(), scene.gateway(), scene.gateway());
+        RelayScene.await(() ->
+                later.stream().allMatch(gateway -> gateway.metrics().text().contains("reason=\"request_held\"")));
+        long known = ends();
+        again(later, "/ask/x");
+        assertEquals(known, ends());
+    }
 }
