--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
@@ -36,6 +36,9 @@
     /** The same request comes at this pace: long enough that gateways could have told each other. */
     private static final long PACE_MILLIS = 100;
 
+    /** After so long an end is no news any more that is told to all. */
+    private static final long NEWS_MILLIS = 1_500;
+
     private final List<ServerStandin> servers = new ArrayList<>();
     private RelayScene scene;
     private int sent;
@@ -135,6 +138,7 @@
         }
         RelayScene.await(() -> !scene.store.keys("held/").isEmpty());
         scene.store.keys("held/").forEach(scene.store::remove);
+        Thread.sleep(NEWS_MILLIS);
         List<GatewayDaemon> later = List.of(scene.gateway(), scene.gateway(), scene.gateway());
         RelayScene.await(() ->
                 later.stream().allMatch(gateway -> gateway.metrics().text().contains("reason=\"request_held\"")));
