--- a/gateway/src/main/java/org/tanagerhinge/gateway/EndedServers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/EndedServers.java
@@ -1,6 +1,5 @@
 package org.tanagerhinge.gateway;
 
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -19,17 +18,19 @@
 final class EndedServers {
     /** Requests that are held responsible for one end at the most: as many as a large server runs at once. */
     private static final int MOST_UNDER = 128;
-    /** Ended servers that are remembered: their other connections break within moments of the first one. */
+    /** Other connections to a server that has ended break within this time of the first one, in milliseconds. */
+    private static final long MOMENT_MILLIS = 1_000;
+    /** Ended servers that are remembered for that. */
     private static final int MOST_ENDED = 64;
 
     private final Gateway gateway;
     private final Map<String, Set<RequestFingerprint>> asked = new HashMap<>();
-    private final Set<String> ended = Collections.newSetFromMap(new LinkedHashMap<>() {
+    private final Map<String, Long> endedAt = new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
             return size() > MOST_ENDED;
         }
-    });
+    };
 
     EndedServers(Gateway gateway) {
         this.gateway = gateway;
@@ -37,7 +38,7 @@
 
     /** Notes that the connection on which a request was in progress has broken. */
     void brokeUnder(RelayServer server, RequestFingerprint request) {
-        if (ended.contains(server.life())) {
+        if (endedJustNow(server)) {
             gateway.endedUnder(server, Set.of(request));
             return;
         }
@@ -52,13 +53,18 @@
         gateway.pool().connect(server, fresh -> answered(server, fresh));
     }
 
+    private boolean endedJustNow(RelayServer server) {
+        Long at = endedAt.get(server.life());
+        return at != null && gateway.now() - at < MOMENT_MILLIS;
+    }
+
     private void answered(RelayServer server, BackendConnection fresh) {
         Set<RequestFingerprint> under = asked.remove(server.life());
         if (fresh != null) {
             gateway.pool().idle(fresh);
             return;
         }
-        ended.add(server.life());
+        endedAt.put(server.life(), gateway.now());
         gateway.endedUnder(server, under);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -353,9 +353,9 @@
     }
 
     /**
-     * Returns the servers of a service that a request may be sent to: none that leaves or wants nothing for now. Ejected ones are left out as long as half of the
-     * servers are left: when most seem to fail, the cause is hardly theirs, and leaving them out would only crowd the
-     * rest.
+     * Returns the servers of a service that a request may be sent to: none that leaves or wants nothing for now. Ejected
+     * ones are left out as long as half of the servers are left: when most seem to fail, the cause is hardly theirs, and
+     * leaving them out would only crowd the rest.
      */
     List<RelayServer> candidates(String service, Set<String> tried, long now) {
         List<RelayServer> open = directory.open(service).stream()
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -43,6 +43,8 @@
 final class Peers {
     private static final Logger LOG = System.getLogger(Peers.class.getName());
     private static final long ASK_MILLIS = 700;
+    /** Connections to a server that has ended break within this time, in milliseconds. */
+    private static final long GATHER_MILLIS = 20;
     /** A list that is this much newer than this gateway's own is worth asking for, in milliseconds. */
     private static final long NEWER_MILLIS = 50;
 
@@ -64,6 +66,7 @@
     private boolean askingConfig;
     private long toldBehind;
     private int turn;
+    private boolean tellingSoon;
     private boolean askingServers;
 
     private Peers(Gateway gateway, EventLoopGroup loop, Function<byte[], RelayConfig> decoder) {
@@ -84,7 +87,7 @@
                 .bind(gateway.options().peers())
                 .syncUninterruptibly()
                 .channel();
-        gateway.onSuspicion(peers::tellNow);
+        gateway.onSuspicion(peers::tellSoon);
         loop.next().execute(() -> gateway.repeat(peers::report, peers::intervalMillis));
         return peers;
     }
@@ -153,6 +156,19 @@
         }
     }
 
+    /** Tells peers of what happens in these moments in one report: a server that ends breaks many connections. */
+    private void tellSoon() {
+        if (!tellingSoon) {
+            tellingSoon = true;
+            gateway.schedule(
+                    () -> {
+                        tellingSoon = false;
+                        tellNow();
+                    },
+                    GATHER_MILLIS);
+        }
+    }
+
     /** Sends this gateway's state to all peers now. */
     void tellNow() {
         tell(List.of());
