--- a/core/src/test/java/org/tanagerhinge/core/relay/QuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/QuarantineTest.java
@@ -43,6 +43,17 @@
         }
     }
 
+    /** It is back under its id, and its new life is known by its name only once the next list of servers has come. */
+    @Test
+    void aServerThatEndsAgainWasStartedInBetween() {
+        Quarantine other = Quarantine.create();
+        assertFalse(quarantine.ended(request, "a", 0));
+        assertFalse(quarantine.ended(request, "a", 10_000));
+        quarantine.news(10_000).forEach(told -> assertFalse(other.hear(told, 10_000)));
+        other.news(10_000).forEach(told -> assertFalse(quarantine.hear(told, 10_000)));
+        assertTrue(quarantine.ended(request, "a", 20_000));
+    }
+
     /** Fetches of one workspace are all alike: some are in progress wherever a server ends, and most are served. */
     @Test
     void aRequestThatAServerRanToItsEndIsNotTheCause() {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -146,4 +147,24 @@
         again(later, "/ask/x");
         assertEquals(known, ends());
     }
+
+    /** Servers that fail part of their requests, without running them, answer this one with an error now and then. */
+    @Test
+    void anErrorOfAServerClearsNobody() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        for (ServerStandin server : servers) {
+            server.script((of, request, connection) -> {
+                if (calls.getAndIncrement() % 2 == 0) {
+                    ServerStandin.plain(500, "no").answer(of, request, connection);
+                } else {
+                    run(of, request, connection);
+                }
+            });
+        }
+        List<GatewayDaemon> gateways = List.of(scene.gateway(), scene.gateway());
+        again(gateways, "/ask/x");
+        again(gateways, "/ask/x");
+        long down = servers.stream().filter(ServerStandin::closed).count();
+        assertTrue(down <= MOST_ENDS, down + " servers ended");
+    }
 }
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
@@ -21,6 +21,7 @@
     private final AtomicReference<Script> script;
     private final List<RawServer.Request> seen = new CopyOnWriteArrayList<>();
     private final AtomicInteger broken = new AtomicInteger();
+    private volatile boolean closed;
 
     private ServerStandin(int port, String id, Script script) {
         this.id = id;
@@ -141,8 +142,14 @@
         return last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
     }
 
+    /** Returns whether it has ended. */
+    public boolean closed() {
+        return closed;
+    }
+
     @Override
     public void close() {
+        closed = true;
         server.close();
     }
 }
