--- a/core/src/main/java/org/tanagerhinge/core/relay/Quarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Quarantine.java
@@ -30,6 +30,8 @@
     static final long REMEMBER_MILLIS = 2 * HOLD_MILLIS;
     /** How long it is remembered that a request was cleared: longer than a suspicion is under way, in milliseconds. */
     private static final long CLEARED_MILLIS = 30_000;
+    /** Nodes see one end of a server within this time of each other, in milliseconds: less than a start takes. */
+    private static final long MOMENT_MILLIS = 2_000;
     /** Requests that are suspected at the most; the least suspected ones make room. */
     static final int MOST_SUSPECTED = 512;
     /** How often news is told: datagrams are lost. */
@@ -72,40 +74,41 @@
     public record Suspicion(
             RequestFingerprint request, List<End> ends, Optional<Long> clearedMillis, long heldMillis) {}
 
+    /** A server's end at a time of this node's clock. */
+    private record Ended(int server, long at) {
+        /** A server doesn't end twice in a moment; one that ends again later was started in between. */
+        private boolean same(int other, long otherAt) {
+            return server == other && Math.abs(at - otherAt) <= MOMENT_MILLIS;
+        }
+    }
+
     private static final class Entry {
-        /** When servers ended, by the hash of the name of their life. */
-        private final Map<Integer, Long> ends = new HashMap<>();
+        private final List<Ended> ends = new ArrayList<>();
 
         private long clearedAt = Long.MIN_VALUE;
         private long heldUntil = Long.MIN_VALUE;
         private int tellings;
 
         private void end(int server, long at) {
-            if (at > clearedAt) {
-                ends.merge(server, at, Math::max);
+            if (at > clearedAt && ends.stream().noneMatch(known -> known.same(server, at))) {
+                ends.add(new Ended(server, at));
+                ends.sort(Comparator.comparingLong(Ended::at));
             }
             if (ends.size() > ENDS) {
-                ends.remove(oldest());
+                ends.remove(0);
             }
             if (ends.size() >= ENDS) {
                 heldUntil = Math.max(heldUntil, newest() + HOLD_MILLIS);
             }
         }
 
-        private Integer oldest() {
-            return ends.entrySet().stream()
-                    .min(Map.Entry.comparingByValue())
-                    .orElseThrow()
-                    .getKey();
-        }
-
         private long newest() {
-            return ends.values().stream().max(Comparator.naturalOrder()).orElse(Long.MIN_VALUE);
+            return ends.isEmpty() ? Long.MIN_VALUE : ends.get(ends.size() - 1).at();
         }
 
         private void clear(long at) {
             clearedAt = Math.max(clearedAt, at);
-            ends.values().removeIf(end -> end <= clearedAt);
+            ends.removeIf(end -> end.at() <= clearedAt);
             if (ends.size() < ENDS) {
                 heldUntil = Long.MIN_VALUE;
             }
@@ -122,16 +125,16 @@
         }
 
         private boolean over(long now) {
-            ends.values().removeIf(end -> now - end > REMEMBER_MILLIS);
+            ends.removeIf(end -> now - end.at() > REMEMBER_MILLIS);
             return ends.isEmpty() && !held(now) && (clearedAt == Long.MIN_VALUE || now - clearedAt > CLEARED_MILLIS);
         }
 
         private Suspicion told(RequestFingerprint request, long now) {
-            List<End> told = new ArrayList<>();
-            ends.forEach((server, at) -> told.add(new End(server, now - at)));
             return new Suspicion(
                     request,
-                    told,
+                    ends.stream()
+                            .map(end -> new End(end.server(), now - end.at()))
+                            .toList(),
                     clearedAt == Long.MIN_VALUE ? Optional.empty() : Optional.of(now - clearedAt),
                     held(now) ? heldUntil - now : 0);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -35,6 +35,8 @@
      * second, and a caller that is sent away comes back later than that.
      */
     private static final long START_MILLIS = 400;
+    /** Servers that fail requests answer with such a status without running them. */
+    private static final int FIRST_ERROR = 400;
 
     private final Gateway gateway;
     private final CallerConnection caller;
@@ -303,7 +305,7 @@
     void answered(int status, RelayServer server) {
         attempt = null;
         gateway.answered(server, status);
-        if (!gateway.quarantine().empty()) {
+        if (status < FIRST_ERROR && !gateway.quarantine().empty()) {
             gateway.quarantine().served(fingerprint(), gateway.now());
         }
         trail.ended(status, progress);
