--- a/standin/src/main/java/org/tanagerhinge/standin/EngineStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/EngineStandin.java
@@ -44,6 +44,8 @@
     private volatile double slowdown = 1;
     private volatile boolean stalled;
     private volatile long crashedUntil;
+    private volatile String fatalMark = "";
+    private volatile long fatalMillis;
     private volatile boolean closed;
     private volatile String laggedReport = "{}";
 
@@ -85,6 +87,12 @@
         stalled = next;
     }
 
+    /** Crashes for a while whenever the message with a mark begins. */
+    public void fatal(String mark, long millis) {
+        fatalMillis = millis;
+        fatalMark = mark;
+    }
+
     /** Breaks all answers off and takes nothing for a while. */
     public void crash(long millis) {
         crashedUntil = System.nanoTime() + millis * 1_000_000;
@@ -186,6 +194,10 @@
                 runs.merge(first.mark(), 1, Integer::sum);
             }
             batch.add(first);
+            if (first.mark().equals(fatalMark)) {
+                crash(fatalMillis);
+                return;
+            }
         }
     }
 
