--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
@@ -411,18 +411,26 @@
             links.forget(run);
         }
         if (justDown) {
-            port.count("backend_down");
-            giveBackQueue(ResultCode.SERVER_DOWN);
-            reportLoad();
+            noteDown();
         }
         dispatch();
     }
 
+    private void noteDown() {
+        port.count("backend_down");
+        giveBackQueue(ResultCode.SERVER_DOWN);
+        reportLoad();
+    }
+
     /** The backend server was probed. */
     public void onProbed(boolean answered) {
-        if (health.probed(answered)) {
-            port.count("backend_up");
-            reportLoad();
+        switch (health.probed(answered)) {
+            case NOTHING -> {}
+            case UP -> {
+                port.count("backend_up");
+                reportLoad();
+            }
+            case DOWN -> noteDown();
         }
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/agent/BackendHealth.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/BackendHealth.java
@@ -22,6 +22,7 @@
     private final Machine<BackendState, BackendEvent> machine = CHART.start();
     private int failures;
     private Instant lastProbe = Instant.MIN;
+    private boolean inDoubt;
 
     boolean down() {
         return machine.in(BackendState.DOWN);
@@ -30,6 +31,7 @@
     /** Notes output of any run. */
     void answered() {
         failures = 0;
+        inDoubt = false;
     }
 
     /**
@@ -39,6 +41,7 @@
      */
     boolean failed(boolean reached) {
         failures++;
+        inDoubt = true;
         boolean before = down();
         if (!reached || failures >= MOST_FAILURES) {
             machine.fire(BackendEvent.FAIL);
@@ -46,9 +49,9 @@
         return !before && down();
     }
 
-    /** Returns whether a probe should be sent now. */
+    /** Returns whether a probe should be sent now: to a server that is down, and to one that has just failed a run. */
     boolean probeDue(Instant now) {
-        boolean due = down()
+        boolean due = (down() || inDoubt)
                 && (lastProbe.equals(Instant.MIN)
                         || !lastProbe.plus(PROBE_EVERY).isAfter(now));
         if (due) {
@@ -57,13 +60,21 @@
         return due;
     }
 
-    /** Notes the answer to a probe; returns whether the server is taken for healthy again. */
-    boolean probed(boolean answered) {
-        if (!answered || !down()) {
-            return false;
+    /** Notes the answer to a probe; returns what it changed. */
+    Probed probed(boolean answered) {
+        inDoubt = false;
+        if (answered == !down()) {
+            return Probed.NOTHING;
         }
         failures = 0;
-        machine.fire(BackendEvent.ANSWER);
-        return true;
+        machine.fire(answered ? BackendEvent.ANSWER : BackendEvent.FAIL);
+        return answered ? Probed.UP : Probed.DOWN;
+    }
+
+    /** What a probe changed. */
+    enum Probed {
+        NOTHING,
+        UP,
+        DOWN
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/RequestFingerprint.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RequestFingerprint.java
@@ -1,4 +1,4 @@
-package org.tanagerhinge.core.relay;
+package org.tanagerhinge.core.attempt;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.core.router;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -10,16 +12,19 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.tanagerhinge.core.attempt.AttemptHistory;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
 import org.tanagerhinge.core.config.ServerKind;
+import org.tanagerhinge.core.config.Workspace;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.RouterId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.invariant.InvariantMonitor;
 import org.tanagerhinge.core.invariant.Promise;
+import org.tanagerhinge.core.message.Call;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.Load;
 import org.tanagerhinge.core.result.Refusal;
@@ -57,6 +62,7 @@
     private final Desk desk = new Desk();
     private final Doorkeeper doorkeeper = new Doorkeeper();
     private final ExchangeBook book = new ExchangeBook();
+    private final FatalCalls fatalCalls = new FatalCalls();
     private final KeyClaims claims;
     private final AttemptWatch watch;
     private ClusterConfig config = ClusterConfig.EMPTY;
@@ -154,6 +160,11 @@
             turnAway(arrival, Refusal.notRun(ResultCode.QUEUE_FULL, COME_BACK, "this router is at its bound"));
             return;
         }
+        Optional<Duration> held = fatalCalls.held(fingerprint(arrival, known.workspace()), now());
+        if (held.isPresent()) {
+            turnAway(arrival, heldRefusal(held.get()));
+            return;
+        }
         Optional<Duration> wait = doorkeeper.enter(known.workspace(), known.profile(), now());
         if (wait.isPresent()) {
             turnAway(
@@ -181,6 +192,25 @@
         choose(exchange);
     }
 
+    /** Equal for the same call under another id. */
+    private static RequestFingerprint fingerprint(Arrival arrival, Workspace workspace) {
+        String path = arrival.call() instanceof Call.ServiceCall call ? call.method() + " " + call.path() : "";
+        return RequestFingerprint.of(
+                workspace.id().value(),
+                arrival.kind().name(),
+                arrival.target(),
+                path,
+                ByteBuffer.wrap(arrival.bodyDigest().getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static RequestFingerprint fingerprint(Exchange exchange) {
+        return fingerprint(exchange.arrival(), exchange.workspace());
+    }
+
+    private static Refusal heldRefusal(Duration wait) {
+        return Refusal.notRun(ResultCode.REQUEST_HELD, wait, ResultCode.REQUEST_HELD.meaning());
+    }
+
     /** Refuses a request that never became an exchange. */
     private void turnAway(Arrival arrival, Refusal refusal) {
         port.count("refused_" + refusal.code().label());
@@ -212,6 +242,11 @@
     // ---- choosing an agent
 
     void choose(Exchange exchange) {
+        Optional<Duration> held = fatalCalls.held(fingerprint(exchange), now());
+        if (held.isPresent()) {
+            refuse(exchange, partial(exchange, heldRefusal(held.get())));
+            return;
+        }
         List<ServerView> candidates = servers.accepting(exchange.arrival().kind(), exchange.target()).stream()
                 .filter(view -> !exchange.tried().contains(view.server().id()))
                 .toList();
@@ -387,6 +422,14 @@
 
     private void reported(ServerView view, Load load) {
         view.reported(load, now());
+        noteIfDown(view);
+    }
+
+    /** A server that takes no work right after it failed runs has ended under them. */
+    private void noteIfDown(ServerView view) {
+        if (!view.load().accepting() && fatalCalls.down(view.server().id(), now()) > 0) {
+            port.count("request_held");
+        }
     }
 
     /**
@@ -460,6 +503,7 @@
             return;
         }
         monitor.held(Promise.WHOLE_ANSWER);
+        fatalCalls.served(fingerprint(exchange), now());
         exchange.machine().fire(ExchangeEvent.FINISH);
         book.remove(exchange);
         doorkeeper.leave(exchange.workspace(), exchange.profile());
@@ -526,6 +570,8 @@
 
     private void onFailed(Exchange exchange, Frame.Failed failed) {
         book.forgetAttempt(exchange);
+        fatalCalls.failed(exchange.server(), fingerprint(exchange), now());
+        servers.find(exchange.server()).ifPresent(this::noteIfDown);
         port.attemptFailed(exchange.id(), exchange.server(), failed.code(), RunState.UNKNOWN, failed.detail());
         if (exchange.idempotent()) {
             recover(exchange, failed.code(), failed.detail());
@@ -627,6 +673,7 @@
         }
         judgeServers(now);
         links.tick(now);
+        fatalCalls.trim(now);
     }
 
     private Instant now() {
--- a/core/src/test/java/org/tanagerhinge/core/relay/QuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/QuarantineTest.java
@@ -1,4 +1,4 @@
-package org.tanagerhinge.core.relay;
+package org.tanagerhinge.core.attempt;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/EndedServers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/EndedServers.java
@@ -5,8 +5,8 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.RelayServer;
-import org.tanagerhinge.core.relay.RequestFingerprint;
 
 /**
  * Tells servers that have ended from connections that merely broke, and holds an end against what was in progress there.
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MeasuredStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MeasuredStore.java
@@ -4,8 +4,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.RelayConfig;
-import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** Measures how long each call of the platform's store takes, and how it ends. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -4,9 +4,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.Registration;
 import org.tanagerhinge.core.relay.RelayConfig;
-import org.tanagerhinge.core.relay.RequestFingerprint;
 
 /** The calls to the platform's store that a gateway makes; callbacks come on the event loop. */
 public interface MetadataStore {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -15,11 +15,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import org.tanagerhinge.core.attempt.AttemptEnd;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.RankGate;
 import org.tanagerhinge.core.relay.RelayServer;
-import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.RouteKind;
 
--- a/gateway/src/test/java/org/tanagerhinge/gateway/LoopsTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/LoopsTest.java
@@ -23,11 +23,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.LeastInFlight;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RelayConfig;
-import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /**
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -9,9 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.tanagerhinge.core.attempt.Quarantine;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.PeerReport;
-import org.tanagerhinge.core.relay.Quarantine;
-import org.tanagerhinge.core.relay.RequestFingerprint;
 import org.tanagerhinge.core.relay.ServerWords;
 
 /** What gateways tell each other, as it goes over the wire. */
