--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
@@ -94,6 +94,15 @@
         return last;
     }
 
+    /** Asks until the store holds the request. */
+    private void untilHeld(GatewayDaemon gateway) throws Exception {
+        for (int i = 0; i < 4; i++) {
+            ask(gateway, "/ask/x", POISON);
+            Thread.sleep(PACE_MILLIS);
+        }
+        RelayScene.await(() -> !scene.store.keys("held/").isEmpty());
+    }
+
     @Test
     void aRequestUnderWhichThreeServersEndedIsSentNoMoreByAnyGateway() throws Exception {
         List<GatewayDaemon> gateways = List.of(scene.gateway(), scene.gateway());
@@ -115,11 +124,7 @@
     @Test
     void gatewaysThatStartAnewKnowOfIt() throws Exception {
         GatewayDaemon before = scene.gateway();
-        for (int i = 0; i < 4; i++) {
-            ask(before, "/ask/x", POISON);
-            Thread.sleep(PACE_MILLIS);
-        }
-        RelayScene.await(() -> !scene.store.keys("held/").isEmpty());
+        untilHeld(before);
         scene.store.put("held/another writer's", "");
         scene.stop(before);
         GatewayDaemon after = scene.gateway();
@@ -133,11 +138,7 @@
     @Test
     void gatewaysThatComeLaterLearnOfItFromTheOthers() throws Exception {
         GatewayDaemon first = scene.gateway();
-        for (int i = 0; i < 4; i++) {
-            ask(first, "/ask/x", POISON);
-            Thread.sleep(PACE_MILLIS);
-        }
-        RelayScene.await(() -> !scene.store.keys("held/").isEmpty());
+        untilHeld(first);
         scene.store.keys("held/").forEach(scene.store::remove);
         Thread.sleep(NEWS_MILLIS);
         List<GatewayDaemon> later = List.of(scene.gateway(), scene.gateway(), scene.gateway());
