Decisions of duties that one node does for all, usage reports among them

Who holds: one node, by a key of the platform's store that lives as long as its writer's lease; the revision of that write is the fencing token. A holder proves its lease from the sending of the newest renewal that was answered, and looks again after its host seems to have been suspended. What is counted: each request once, when a server may have begun it. What is sent: counts that were fixed in the store before, under the condition that nobody fixed them and that the holding stands. When: windows of true time, the median of the clocks that are heard.

Weighed and left: reports by whoever holds without fixing counts first, where a successor would have to leave out each window that the one before it may have reported; counts in the report that goes to all nodes, which grows with the square of them.

--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyEvent.java
@@ -0,0 +1,11 @@
+package org.tanagerhinge.core.duty;
+
+/** What moves a node from one {@link DutyState} to the next. */
+enum DutyEvent {
+    ASK,
+    GRANTED,
+    ASKED,
+    CLAIMED,
+    LOSE,
+    STOP
+}
--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyTerms.java
@@ -0,0 +1,61 @@
+package org.tanagerhinge.core.duty;
+
+import java.time.Duration;
+
+/**
+ * How duties are done.
+ *
+ * @param node name of this node
+ * @param lease how long a holder that renews nothing holds a duty
+ * @param rest for how long a node that lost a duty, or has just started, leaves it alone
+ * @param fenced whether the platform refuses calls with an older fencing token
+ * @param lateCalls how long after it was sent a call without an answer may still be carried out
+ * @param window length of a usage window
+ * @param lateAfter when the report of a window is late, from the window's end
+ */
+public record DutyTerms(
+        String node,
+        Duration lease,
+        Duration rest,
+        boolean fenced,
+        Duration lateCalls,
+        Duration window,
+        Duration lateAfter) {
+    /** Windows that are kept in the store after they were reported: longer than any of them may still be reported. */
+    private static final Duration KEPT = Duration.ofMinutes(1);
+
+    long leaseMillis() {
+        return lease.toMillis();
+    }
+
+    long restMillis() {
+        return rest.toMillis();
+    }
+
+    long lateCallsMillis() {
+        return lateCalls.toMillis();
+    }
+
+    long windowMillis() {
+        return window.toMillis();
+    }
+
+    long lateMillis() {
+        return lateAfter.toMillis();
+    }
+
+    /** Returns the number of the window in which a moment of true time lies. */
+    long windowAt(long trueMillis) {
+        return Math.floorDiv(trueMillis, windowMillis());
+    }
+
+    /** Returns the moment of true time at which a window ends. */
+    long endOf(long window) {
+        return (window + 1) * windowMillis();
+    }
+
+    /** Returns how many windows stay in the store behind the newest one. */
+    long windowsKept() {
+        return (KEPT.toMillis() + lateMillis()) / windowMillis() + 2;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tanagerhinge/core/duty/TrueTimeTest.java
@@ -0,0 +1,55 @@
+package org.tanagerhinge.core.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a node takes for true time while clocks of some hosts are wrong. */
+class TrueTimeTest {
+    private static final long TRUE = 1_700_000_000_000L;
+
+    private static final class Clock implements DutyClock {
+        private long steady = 5_000;
+        private long timeOfDay = TRUE;
+
+        @Override
+        public long steadyMillis() {
+            return steady;
+        }
+
+        @Override
+        public long timeOfDayMillis() {
+            return timeOfDay;
+        }
+    }
+
+    /** Counts move into another window because this host's clock, or a few peers' ones, were stepped. */
+    @ParameterizedTest
+    @CsvSource({"2000, 0", "-2000, 0", "0, 2000", "2000, 2000", "-2000, 2000"})
+    void clocksThatAreSteppedAreOutvoted(long ownStep, long peersStep) {
+        Clock clock = new Clock();
+        clock.timeOfDay = TRUE + ownStep;
+        TrueTime time = TrueTime.of(clock);
+        time.heard("a", TRUE + peersStep);
+        time.heard("b", TRUE);
+        time.heard("c", TRUE);
+        time.heard("d", TRUE);
+        assertEquals(TRUE, time.millis());
+        clock.steady += 700;
+        clock.timeOfDay += 700;
+        assertEquals(TRUE + 700, time.millis());
+    }
+
+    @Test
+    void aNodeAloneGoesByItsOwnClock() {
+        Clock clock = new Clock();
+        TrueTime time = TrueTime.of(clock);
+        time.heard("a", TRUE + 9_000);
+        time.heard("b", TRUE + 9_000);
+        time.retain(Set.of());
+        assertEquals(TRUE, time.millis());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tanagerhinge/core/duty/UsageTallyTest.java
@@ -0,0 +1,66 @@
+package org.tanagerhinge.core.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What the holder makes of reports that come twice, late, out of order or from processes that have ended. */
+class UsageTallyTest {
+    private static UsageReport report(String node, long incarnation, long asOf, boolean last, long window, long count) {
+        SortedMap<Long, SortedMap<String, Long>> windows = new TreeMap<>();
+        windows.put(window, new TreeMap<>(Map.of("coop", count)));
+        return new UsageReport(node, incarnation, 0, asOf, last, windows);
+    }
+
+    /** A report that was told again, or came after a newer one, is counted twice or takes counts back. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void theOrderInWhichReportsComeDoesNotMatter(long seed) {
+        List<UsageReport> reports = new ArrayList<>();
+        for (long count = 1; count <= 5; count++) {
+            reports.add(report("a", 1, 1_000 * count, false, 7, count));
+            reports.add(report("b", 1, 1_000 * count, false, 7, 10 * count));
+        }
+        reports.add(report("a", 2, 9_000, false, 7, 100));
+        reports.addAll(List.copyOf(reports));
+        Collections.shuffle(reports, new Random(seed));
+        UsageTally tally = UsageTally.create();
+        tally.takeAll(reports);
+        assertEquals(Map.of("coop", 155L), tally.counts(7).byWorkspace());
+    }
+
+    @Test
+    void whatWasSavedGivesTheSameCounts() {
+        UsageTally tally = UsageTally.create();
+        tally.take(report("a", 1, 4_000, true, 7, 3));
+        tally.take(report("b", 4, 4_000, false, 8, 2));
+        UsageTally successor = UsageTally.create();
+        successor.takeAll(tally.saved());
+        assertEquals(tally.counts(7), successor.counts(7));
+        assertEquals(tally.counts(8), successor.counts(8));
+        assertTrue(successor.complete("a", 1, 99_000), "a process that has ended tells no more");
+        assertFalse(successor.complete("b", 4, 99_000));
+    }
+
+    /** A report that comes after its window was fixed brings the window back. */
+    @Test
+    void aFixedWindowTakesNoMoreCounts() {
+        UsageTally tally = UsageTally.create();
+        tally.take(report("a", 1, 4_000, false, 7, 3));
+        tally.fixed(7);
+        tally.take(report("a", 1, 5_000, false, 7, 9));
+        assertEquals(Map.of(), tally.counts(7).byWorkspace());
+        assertEquals(7, tally.fixedThrough());
+    }
+}
