--- /dev/null
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyNode.java
@@ -0,0 +1,424 @@
+package org.tanagerhinge.bench.duty;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.tanagerhinge.core.duty.DutyClock;
+import org.tanagerhinge.core.duty.DutyListener;
+import org.tanagerhinge.core.duty.DutyPeer;
+import org.tanagerhinge.core.duty.DutyPort;
+import org.tanagerhinge.core.duty.DutyReply;
+import org.tanagerhinge.core.duty.DutyTerms;
+import org.tanagerhinge.core.duty.DutyWord;
+import org.tanagerhinge.core.duty.TrueTime;
+import org.tanagerhinge.core.duty.UsageCounter;
+import org.tanagerhinge.core.duty.UsageCounts;
+import org.tanagerhinge.core.duty.UsageDuty;
+import org.tanagerhinge.core.duty.UsageRecord;
+import org.tanagerhinge.core.duty.UsageReport;
+import org.tanagerhinge.core.duty.UsageTeller;
+
+/** A host with the real decision code of duties, its clocks, and its links to the store, the platform and its peers. */
+final class DutyNode {
+    private static final long STEP_MILLIS = 150;
+    private static final long REPORT_MILLIS = 250;
+    private static final long PRESENT_MILLIS = 700;
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final long LAST_WORD_MILLIS = 400;
+    private static final Duration LATE_CALLS = Duration.ofSeconds(13);
+
+    private final DutyRun run;
+    final String name;
+    private final int power;
+    private final Map<String, Heard> peers = new HashMap<>();
+    final Set<String> cutFrom = new HashSet<>();
+    /** True counts by window and workspace, as servers see them. */
+    private final TreeMap<Long, Map<String, Long>> truth;
+
+    private long incarnation;
+    private boolean alive;
+    private boolean frozen;
+    private boolean stopping;
+    private boolean ending;
+    private long frozenTotal;
+    private long frozenAt;
+    long clockStep;
+    private final List<Runnable> onThaw = new ArrayList<>();
+
+    private TrueTime time;
+    private UsageCounter counter;
+    private UsageDuty duty;
+    private UsageTeller teller;
+
+    private record Heard(long incarnation, DutyWord word, long at) {}
+
+    DutyNode(DutyRun run, String name, int power, TreeMap<Long, Map<String, Long>> truth) {
+        this.run = run;
+        this.name = name;
+        this.power = power;
+        this.truth = truth;
+    }
+
+    private final DutyClock clock = new DutyClock() {
+        @Override
+        public long steadyMillis() {
+            return run.bug == DeliberateBug.LEASE_BY_TIME_OF_DAY
+                    ? run.now() + clockStep
+                    : run.now() - frozenTotal - (frozen ? run.now() - frozenAt : 0);
+        }
+
+        @Override
+        public long timeOfDayMillis() {
+            return run.bug == DeliberateBug.BLIND_TO_SUSPENSION
+                    ? DutyRun.EPOCH + steadyMillis()
+                    : run.trueMillis() + clockStep;
+        }
+    };
+
+    // ---- life
+
+    void start() {
+        alive = true;
+        frozen = false;
+        stopping = false;
+        ending = false;
+        incarnation = run.random.nextLong();
+        peers.clear();
+        Duration lease = Duration.ofMillis(DutyRun.LEASE_MILLIS);
+        boolean noRest = run.bug == DeliberateBug.RETAKE_AT_ONCE;
+        boolean noWait = run.bug == DeliberateBug.NO_WAIT_WITHOUT_FENCE;
+        DutyTerms terms = new DutyTerms(
+                name,
+                lease,
+                noRest ? Duration.ZERO : lease,
+                run.fenced,
+                noRest || noWait ? Duration.ZERO : LATE_CALLS,
+                Duration.ofMillis(DutyRun.WINDOW_MILLIS),
+                Duration.ofMillis(DutyRun.LATE_MILLIS));
+        time = TrueTime.of(clock);
+        counter = UsageCounter.of(terms, time, incarnation);
+        duty = UsageDuty.of(terms, clock, time, new Port(), run.random, new Notes(), counter, incarnation);
+        teller = UsageTeller.of(terms, clock, time, run.random, counter);
+        repeat(incarnation, STEP_MILLIS, this::step);
+        repeat(incarnation, REPORT_MILLIS, this::tellPeers);
+        repeat(incarnation, 40, this::serve);
+    }
+
+    private void repeat(long life, long millis, Runnable task) {
+        run.after(
+                millis - run.between(0, 10),
+                () -> whenAwake(life, () -> {
+                    task.run();
+                    repeat(life, millis, task);
+                }));
+    }
+
+    /** Runs a task of one run of the process: now, after the host has woken, or never. */
+    private void whenAwake(long life, Runnable task) {
+        if (!alive || life != incarnation) {
+            return;
+        }
+        if (frozen) {
+            onThaw.add(() -> whenAwake(life, task));
+        } else {
+            task.run();
+        }
+    }
+
+    void kill() {
+        alive = false;
+        frozen = false;
+        onThaw.clear();
+    }
+
+    boolean running() {
+        return alive && !frozen;
+    }
+
+    boolean up() {
+        return alive;
+    }
+
+    void freeze() {
+        if (running()) {
+            frozen = true;
+            frozenAt = run.now();
+        }
+    }
+
+    void thaw() {
+        if (frozen) {
+            frozen = false;
+            frozenTotal += run.now() - frozenAt;
+            List<Runnable> waiting = List.copyOf(onThaw);
+            onThaw.clear();
+            waiting.forEach(Runnable::run);
+        }
+    }
+
+    /** A planned stop: gives the duty back, goes on serving for a while, tells its last counts, ends. */
+    void stop(long afterMillis) {
+        if (!running()) {
+            return;
+        }
+        stopping = true;
+        duty.stop();
+        long life = incarnation;
+        run.after(afterMillis, () -> whenAwake(life, () -> ending = true));
+        run.after(afterMillis + LAST_WORD_MILLIS, () -> whenAwake(life, this::kill));
+    }
+
+    boolean holds() {
+        return alive && duty != null && duty.token() > 0;
+    }
+
+    // ---- what it does
+
+    private void serve() {
+        if (!ending && run.chance(0.5)) {
+            String workspace = "w" + run.between(0, 4);
+            counter.began(workspace);
+            truth.computeIfAbsent(Math.floorDiv(run.trueMillis(), DutyRun.WINDOW_MILLIS), window -> new TreeMap<>())
+                    .merge(workspace, 1L, Long::sum);
+        }
+    }
+
+    private List<DutyPeer> others() {
+        List<DutyPeer> others = new ArrayList<>();
+        peers.forEach((peer, last) -> others.add(new DutyPeer(
+                peer, last.incarnation(), clock.steadyMillis() - last.at() <= PRESENT_MILLIS, last.word())));
+        return others;
+    }
+
+    private void step() {
+        peers.values().removeIf(last -> clock.steadyMillis() - last.at() > 30_000);
+        List<DutyPeer> others = others();
+        duty.step(others, stopping ? 0 : power);
+        UsageTeller.holder(others).ifPresent(holder -> {
+            long counted = teller.counted();
+            if (duty.token() == 0) {
+                teller.due(holder, others.size() + 1, ending).ifPresent(report -> tell(holder, report, counted));
+            }
+        });
+    }
+
+    private void tell(DutyPeer holder, UsageReport report, long counted) {
+        long life = incarnation;
+        DutyNode to = run.nodes.stream()
+                .filter(node -> node.name.equals(holder.name()))
+                .findFirst()
+                .orElseThrow();
+        OptionalLong[] answer = {OptionalLong.empty()};
+        run.after(run.between(1, 8), () -> {
+            if (reaches(to) && to.running()) {
+                answer[0] = to.duty.take(report);
+            }
+        });
+        run.after(
+                20,
+                () -> whenAwake(life, () -> {
+                    if (answer[0].isPresent() && to.reaches(this)) {
+                        teller.taken(holder.word().token(), report, counted, answer[0].getAsLong());
+                    } else {
+                        teller.failed();
+                    }
+                }));
+    }
+
+    private boolean reaches(DutyNode to) {
+        return !cutFrom.contains(to.name) && !to.cutFrom.contains(name);
+    }
+
+    private void tellPeers() {
+        DutyWord word = new DutyWord(
+                clock.timeOfDayMillis(), duty.preference(stopping || turnedAway() ? 0 : power), duty.token());
+        for (DutyNode peer : run.nodes) {
+            if (peer != this && peer.alive && reaches(peer) && !run.chance(0.01)) {
+                long told = incarnation;
+                long life = peer.incarnation;
+                run.after(
+                        run.between(1, 10),
+                        () -> peer.whenAwake(life, () -> {
+                            peer.peers.put(name, new Heard(told, word, peer.clock.steadyMillis()));
+                            peer.time.heard(name, word.timeOfDayMillis());
+                        }));
+            }
+        }
+    }
+
+    private boolean turnedAway() {
+        return run.store.turnedAway.contains(name);
+    }
+
+    // ---- its calls
+
+    private final class Port implements DutyPort {
+        /** Makes a call of the store: it may be lost on either way, or be carried out late. */
+        private <T> void call(Supplier<T> work, Consumer<DutyReply<T>> done) {
+            long life = incarnation;
+            boolean[] over = {false};
+            Consumer<DutyReply<T>> once = reply -> whenAwake(life, () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    done.accept(reply);
+                }
+            });
+            run.after(TIMEOUT_MILLIS, () -> once.accept(new DutyReply.Unknown<>("no answer in time")));
+            DutyStoreModel store = run.store;
+            if (store.down || turnedAway()) {
+                return;
+            }
+            long there = run.between(1, 6) + store.slowMillis;
+            boolean late = run.chance(store.lateShare);
+            boolean lost = late || run.chance(store.lostShare);
+            run.after(late ? run.between(1_000, 6_000) : there, () -> {
+                if (store.down) {
+                    return;
+                }
+                T result = work.get();
+                if (!lost) {
+                    run.after(run.between(1, 6), () -> once.accept(new DutyReply.Answered<>(result)));
+                }
+            });
+        }
+
+        @Override
+        public void lease(long timeMillis, Consumer<DutyReply<Long>> done) {
+            call(() -> run.store.lease(timeMillis), done);
+        }
+
+        @Override
+        public void claim(String claim, long lease, List<String> holders, Consumer<DutyReply<Boolean>> done) {
+            call(() -> run.store.claim(claim, lease, holders), done);
+        }
+
+        @Override
+        public void renew(long lease, Consumer<DutyReply<Boolean>> done) {
+            call(() -> run.store.renew(lease, DutyRun.LEASE_MILLIS), done);
+        }
+
+        @Override
+        public void endLease(long lease) {
+            call(
+                    () -> {
+                        run.store.endLease(lease);
+                        return true;
+                    },
+                    reply -> {});
+        }
+
+        @Override
+        public void read(Consumer<DutyReply<UsageRecord>> done) {
+            call(run.store::read, done);
+        }
+
+        @Override
+        public void fix(long token, UsageCounts counts, long forget, Consumer<DutyReply<Fixed>> done) {
+            if (run.bug == DeliberateBug.NO_FREEZE_OF_COUNTS) {
+                call(Fixed.Now::new, done);
+                return;
+            }
+            Function<UsageCounts, Fixed> before = Fixed.Before::new;
+            call(
+                    () -> run.store.stands(token)
+                            ? run.store.fix(counts, forget).map(before).orElseGet(Fixed.Now::new)
+                            : new Fixed.NotHolder(),
+                    done);
+        }
+
+        @Override
+        public void save(long token, List<UsageReport> tally, Consumer<DutyReply<Boolean>> done) {
+            call(
+                    () -> {
+                        boolean stands = run.store.stands(token);
+                        if (stands) {
+                            run.store.save(tally);
+                        }
+                        return stands;
+                    },
+                    done);
+        }
+
+        @Override
+        public void release(long token, List<UsageReport> tally, Runnable done) {
+            call(
+                    () -> {
+                        if (run.store.stands(token)) {
+                            run.store.save(tally);
+                            run.store.release();
+                        }
+                        return true;
+                    },
+                    reply -> done.run());
+        }
+
+        @Override
+        public void report(long token, UsageCounts counts, Consumer<DutyReply<Reported>> done) {
+            long life = incarnation;
+            long sent = run.bug == DeliberateBug.NO_FENCE ? 1 : token;
+            if (!run.store.stands(token)) {
+                run.fail(name + " reports with token " + token + " though its lease has ended");
+            }
+            boolean[] over = {false};
+            Consumer<DutyReply<Reported>> once = reply -> whenAwake(life, () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    done.accept(reply);
+                }
+            });
+            run.after(TIMEOUT_MILLIS, () -> once.accept(new DutyReply.Unknown<>("no answer in time")));
+            UsageAddressModel address = run.address;
+            if (address.down || address.cutOff.contains(name)) {
+                return;
+            }
+            if (run.chance(address.lateShare)) {
+                run.after(run.between(2_000, 12_000), () -> address.report(name, sent, counts));
+                return;
+            }
+            boolean lost = run.chance(address.unansweredShare);
+            run.after(run.between(1, 10), () -> {
+                Reported reported = address.report(name, sent, counts);
+                if (!lost) {
+                    run.after(run.between(1, 10), () -> once.accept(new DutyReply.Answered<>(reported)));
+                }
+            });
+        }
+    }
+
+    /** What happens to the duty, in the run's log. */
+    private final class Notes implements DutyListener {
+        @Override
+        public void held(long token) {
+            run.note(name + " holds with token " + token);
+        }
+
+        @Override
+        public void lost(long token, String why) {
+            run.note(name + " lost token " + token + ": " + why);
+        }
+
+        @Override
+        public void fixed(long token, UsageCounts counts, int heard, int known) {
+            run.note(name + " fixed " + counts + ", heard " + heard + " of " + known);
+        }
+
+        @Override
+        public void reported(long token, UsageCounts counts, String outcome, long leaseLeftMillis) {
+            run.note(name + " reported window " + counts.window() + " with token " + token + ": " + outcome);
+        }
+
+        @Override
+        public void missed(long window, String why) {
+            run.note(name + " missed window " + window + ": " + why);
+        }
+    }
+}
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -7,9 +7,12 @@
 import com.github.rvesse.airline.annotations.Option;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import org.tanagerhinge.bench.duty.DeliberateBug;
+import org.tanagerhinge.bench.duty.DutySoak;
 import org.tanagerhinge.core.invariant.Promise;
 
 /** The command line of the random runs. */
@@ -42,6 +45,16 @@
             description = "How many seeds run at a time; 6 if not given")
     private int threads = 6;
 
+    @Option(
+            name = {"--duties"},
+            description = "Run the duties that one node does for all, not requests")
+    private boolean duties;
+
+    @Option(
+            name = {"--bug"},
+            description = "Put a bug into the runs of duties, to see that they find it: its name in lower case")
+    private String bug = DeliberateBug.NONE.name();
+
     /** Starts the program. */
     public static void main(String[] args) {
         System.exit(SingleCommand.singleCommand(SoakMain.class).parse(args).call());
@@ -52,6 +65,9 @@
         if (help != null && help.showHelpIfRequested()) {
             return 0;
         }
+        if (duties) {
+            return runDuties();
+        }
         if (explain != null) {
             Soak.explain(explain).forEach(System.out::println);
             return 0;
@@ -60,6 +76,27 @@
         return report(results);
     }
 
+    private int runDuties() {
+        DeliberateBug chosen = DeliberateBug.valueOf(bug.toUpperCase(Locale.ROOT));
+        if (explain != null) {
+            DutySoak.explain(explain, chosen).forEach(System.out::println);
+            return 0;
+        }
+        List<DutySoak.Result> results = DutySoak.runAll(first, seeds, chosen);
+        results.stream()
+                .filter(result -> !result.passed())
+                .limit(MOST_SHOWN)
+                .forEach(result -> System.out.println("seed " + result.seed() + " FAILED: " + result.failure()));
+        long failed = results.stream().filter(result -> !result.passed()).count();
+        int faults = results.stream().mapToInt(DutySoak.Result::faults).sum();
+        int calls = results.stream().mapToInt(DutySoak.Result::calls).sum();
+        int windows = results.stream().mapToInt(DutySoak.Result::windows).sum();
+        int right = results.stream().mapToInt(DutySoak.Result::right).sum();
+        System.out.println(seeds + " seeds, " + faults + " faults, " + calls + " reports arrived, " + right + " of "
+                + windows + " windows right and in time, " + failed + " seeds failed");
+        return failed == 0 ? 0 : 1;
+    }
+
     private static int report(List<Soak.Result> results) {
         Map<Promise, Long> checks = new EnumMap<>(Promise.class);
         Map<String, Long> counts = new TreeMap<>();
