Gateways count what servers begin, tell the holder, and report usage to the platform

A gateway tells the holder soon after each window's end and about each second before, addressed and acknowledged; the reports to all carry the time of day, how well the sender could hold a duty, and its token. A holder that stops hands over what it has heard.

--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Duties.java
@@ -0,0 +1,273 @@
+package org.tanagerhinge.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+import org.tanagerhinge.core.duty.DutyClock;
+import org.tanagerhinge.core.duty.DutyPeer;
+import org.tanagerhinge.core.duty.DutyPort;
+import org.tanagerhinge.core.duty.DutyTerms;
+import org.tanagerhinge.core.duty.DutyWord;
+import org.tanagerhinge.core.duty.TrueTime;
+import org.tanagerhinge.core.duty.UsageCounter;
+import org.tanagerhinge.core.duty.UsageDuty;
+import org.tanagerhinge.core.duty.UsageReport;
+import org.tanagerhinge.core.duty.UsageTeller;
+import org.tanagerhinge.core.relay.PeerTable;
+
+/** A gateway's part in the duties that one gateway does for all: counts, tells the holder, holds. On the event loop. */
+final class Duties {
+    private static final Logger LOG = System.getLogger(Duties.class.getName());
+    /** How often it is looked what is due, in milliseconds. */
+    private static final long STEP_MILLIS = 150;
+    /** A node that has just started serves callers first and looks after duties then, in milliseconds. */
+    private static final long START_MILLIS = 1_200;
+
+    private static final long TELL_MILLIS = 700;
+    /** A process that stops looks for a holder to tell its last counts for so long, in milliseconds. */
+    private static final long LAST_WORD_MILLIS = 1_500;
+
+    private static final Map<String, String> PROTOBUF =
+            Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "application/x-protobuf");
+
+    private final Gateway gateway;
+    private final EventLoopGroup loop;
+    private final Peers peers;
+    private final DutyPort port;
+    private final GatewayOptions.Duties options;
+    private final DutyClock clock;
+    private final TrueTime time;
+    private final DutyLog log;
+    private final UsageCounter counter;
+    private final UsageTeller teller;
+    private final Map<String, DutyWord> words = new HashMap<>();
+    private UsageDuty duty;
+    private JsonCaller caller;
+    private String calling = "";
+    private boolean doorClosed;
+    private long drainedAt = Long.MAX_VALUE;
+    private volatile boolean settled;
+
+    private Duties(
+            Gateway gateway,
+            EventLoopGroup loop,
+            Peers peers,
+            DutyPort port,
+            GatewayOptions.Duties options,
+            InstantSource wallClock) {
+        this.gateway = gateway;
+        this.loop = loop;
+        this.peers = peers;
+        this.port = port;
+        this.options = options;
+        this.clock = new HostClock(gateway, wallClock);
+        this.time = TrueTime.of(clock);
+        this.log = new DutyLog(gateway);
+        this.counter = UsageCounter.of(options.terms(), time, peers.incarnation());
+        this.teller = UsageTeller.of(options.terms(), clock, time, ThreadLocalRandom.current(), counter);
+    }
+
+    /** The clocks of this host. */
+    private record HostClock(Gateway gateway, InstantSource wallClock) implements DutyClock {
+        @Override
+        public long steadyMillis() {
+            return gateway.now();
+        }
+
+        @Override
+        public long timeOfDayMillis() {
+            return wallClock.millis();
+        }
+    }
+
+    /** Begins to count at once, and to look after duties a little later. */
+    static Duties start(
+            Gateway gateway,
+            EventLoopGroup loop,
+            Peers peers,
+            DutyPort port,
+            GatewayOptions.Duties options,
+            InstantSource wallClock) {
+        Duties duties = new Duties(gateway, loop, peers, port, options, wallClock);
+        gateway.onBegan(duties.counter::began);
+        peers.duties(duties::word, duties::heard);
+        gateway.schedule(() -> gateway.repeat(duties::step, () -> STEP_MILLIS), START_MILLIS);
+        return duties;
+    }
+
+    double coverage() {
+        return log.coverage();
+    }
+
+    private DutyWord word() {
+        return new DutyWord(clock.timeOfDayMillis(), duty == null ? 0 : duty.preference(hostPower()), token());
+    }
+
+    private int hostPower() {
+        return gateway.draining() || !peers.storeAnswers() ? 0 : options.power();
+    }
+
+    private long token() {
+        return duty == null ? 0 : duty.token();
+    }
+
+    private void heard(String peer, DutyWord word) {
+        words.put(peer, word);
+        if (word.timeOfDayMillis() > 0) {
+            time.heard(peer, word.timeOfDayMillis());
+        }
+    }
+
+    private List<DutyPeer> others() {
+        long now = gateway.now();
+        List<DutyPeer> others = new ArrayList<>();
+        for (PeerTable.Peer peer : peers.table().all()) {
+            String name = peer.report().name();
+            others.add(new DutyPeer(
+                    name,
+                    peer.report().incarnation(),
+                    PeerTable.present(peer, now),
+                    words.getOrDefault(name, DutyWord.NONE)));
+        }
+        return others;
+    }
+
+    private void step() {
+        List<DutyPeer> others = others();
+        if (words.size() > others.size()) {
+            words.keySet().retainAll(others.stream().map(DutyPeer::name).toList());
+            time.retain(words.keySet());
+        }
+        if (duty == null) {
+            duty = duty();
+        }
+        long before = duty.token();
+        duty.step(others, hostPower());
+        if (duty.token() != before) {
+            peers.tellNow();
+        }
+        if (gateway.draining()) {
+            lastWord(others);
+        }
+        tell(others);
+    }
+
+    private UsageDuty duty() {
+        DutyTerms terms = options.terms();
+        RandomGenerator random = ThreadLocalRandom.current();
+        return UsageDuty.of(terms, clock, time, port, random, log, counter, peers.incarnation());
+    }
+
+    // ---- telling the holder
+
+    private void tell(List<DutyPeer> others) {
+        if (token() > 0) {
+            return;
+        }
+        Optional<DutyPeer> holder = UsageTeller.holder(others);
+        if (holder.isEmpty()) {
+            return;
+        }
+        long counted = teller.counted();
+        teller.due(holder.get(), others.size() + 1, done()).ifPresent(report -> send(holder.get(), report, counted));
+    }
+
+    private void send(DutyPeer holder, UsageReport report, long counted) {
+        Optional<String> address = peers.table().all().stream()
+                .filter(peer -> peer.report().name().equals(holder.name()))
+                .map(peer -> peer.report().address())
+                .findFirst();
+        if (address.isEmpty() || !callerOf(address.get())) {
+            teller.failed();
+            return;
+        }
+        byte[] body = UsageCodec.reports(List.of(report));
+        caller.call(HttpMethod.POST, PeerDoor.USAGE, PROTOBUF, body, TELL_MILLIS, answer -> {
+            if (answer.status() != 200) {
+                gateway.count("usage_not_told");
+                teller.failed();
+                return;
+            }
+            try {
+                long fixedThrough = UsageCodec.fixedThrough(answer.body());
+                teller.taken(holder.word().token(), report, counted, fixedThrough);
+            } catch (InvalidProtocolBufferException e) {
+                LOG.log(Level.ERROR, "answer of peer " + holder.name() + ": " + e.getMessage());
+                teller.failed();
+            }
+        });
+    }
+
+    private boolean callerOf(String address) {
+        if (calling.equals(address)) {
+            return true;
+        }
+        if (caller != null) {
+            caller.close();
+        }
+        try {
+            caller = JsonCaller.to(loop, PeerCodec.address(address));
+            calling = address;
+            return true;
+        } catch (InvalidProtocolBufferException e) {
+            LOG.log(Level.WARNING, "address of a peer: " + e.getMessage());
+            return false;
+        }
+    }
+
+    /** Takes what peers have counted; returns the answer, or nothing if this node isn't the holder. */
+    Optional<byte[]> told(byte[] body) throws InvalidProtocolBufferException {
+        if (duty == null) {
+            return Optional.empty();
+        }
+        OptionalLong fixedThrough = OptionalLong.empty();
+        for (UsageReport report : UsageCodec.reports(body)) {
+            fixedThrough = duty.take(report);
+        }
+        return fixedThrough.isPresent() ? Optional.of(UsageCodec.taken(fixedThrough.getAsLong())) : Optional.empty();
+    }
+
+    // ---- the end of the process
+
+    /** A planned stop has begun: another node is to hold the duty. */
+    void beginStop() {
+        if (duty != null) {
+            duty.stop();
+        }
+        peers.tellNow();
+    }
+
+    /** No more requests are taken. */
+    void doorClosed() {
+        doorClosed = true;
+    }
+
+    private boolean done() {
+        return doorClosed && gateway.inProgress() == 0;
+    }
+
+    private void lastWord(List<DutyPeer> others) {
+        long now = gateway.now();
+        drainedAt = done() ? Math.min(drainedAt, now) : Long.MAX_VALUE;
+        boolean alone = others.stream().noneMatch(DutyPeer::present);
+        boolean patienceEnds = drainedAt != Long.MAX_VALUE && now - drainedAt >= LAST_WORD_MILLIS;
+        settled = alone || teller.toldLast() || patienceEnds;
+    }
+
+    /** Returns whether the process may end: the holder has its last counts, or there is none to be found. From any thread. */
+    boolean settled() {
+        return settled;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/DutyLog.java
@@ -0,0 +1,73 @@
+package org.tanagerhinge.gateway;
+
+import org.tanagerhinge.core.duty.DutyListener;
+import org.tanagerhinge.core.duty.DutyPort;
+import org.tanagerhinge.core.duty.UsageCounts;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
+
+/** Tells of duties in log lines and counters. */
+final class DutyLog implements DutyListener {
+    private final Gateway gateway;
+    private double coverage = Double.NaN;
+
+    DutyLog(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    /** Returns the part of the known nodes whose counts the newest window held; not a number on a node that fixed none. */
+    double coverage() {
+        return coverage;
+    }
+
+    @Override
+    public void held(long token) {
+        gateway.count("duty_held");
+        LogLine.of(LogEvent.DUTY_HELD).with(LogField.TOKEN, token).write();
+    }
+
+    @Override
+    public void lost(long token, String why) {
+        gateway.count("duty_lost");
+        LogLine.failure(LogEvent.DUTY_LOST)
+                .with(LogField.TOKEN, token)
+                .with(LogField.WHY, why)
+                .write();
+    }
+
+    @Override
+    public void fixed(long token, UsageCounts counts, int heard, int known) {
+        coverage = (double) heard / known;
+        gateway.count(heard < known ? "usage_fixed_without_all" : "usage_fixed");
+        LogLine.of(LogEvent.USAGE_FIXED, heard < known)
+                .with(LogField.WINDOW, counts.window())
+                .with(LogField.COUNT, counts.total())
+                .with(LogField.TOKEN, token)
+                .with(LogField.HEARD, heard)
+                .with(LogField.KNOWN, known)
+                .write();
+    }
+
+    @Override
+    public void reported(long token, UsageCounts counts, String outcome, long leaseLeftMillis) {
+        boolean accepted = outcome.equals(DutyPort.Reported.ACCEPTED.name());
+        gateway.count(accepted ? "usage_reported" : "usage_report_failed");
+        LogLine.of(LogEvent.USAGE_REPORTED, !accepted)
+                .with(LogField.WINDOW, counts.window())
+                .with(LogField.COUNT, counts.total())
+                .with(LogField.TOKEN, token)
+                .with(LogField.LEASE_LEFT_MS, leaseLeftMillis)
+                .with(LogField.END, outcome)
+                .write();
+    }
+
+    @Override
+    public void missed(long window, String why) {
+        gateway.count("usage_missed");
+        LogLine.failure(LogEvent.USAGE_MISSED)
+                .with(LogField.WINDOW, window)
+                .with(LogField.WHY, why)
+                .write();
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -71,6 +71,7 @@
     private BiConsumer<RelayServer, Prompt> sentListener = (server, prompt) -> {};
     private Consumer<RequestFingerprint> heldListener = request -> {};
     private Runnable suspicionListener = () -> {};
+    private Consumer<String> begunListener = workspace -> {};
     private volatile boolean draining;
     private volatile int inProgress;
 
@@ -180,6 +181,15 @@
         suspicionListener = listener;
     }
 
+    /** Tells {@code listener} the workspace of each request that a server begins. */
+    void onBegan(Consumer<String> listener) {
+        begunListener = listener;
+    }
+
+    void serverBegan(String workspace) {
+        begunListener.accept(workspace);
+    }
+
     /** A server has ended while requests were in progress there. */
     void endedUnder(RelayServer server, Set<RequestFingerprint> requests) {
         for (RequestFingerprint request : requests) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -19,9 +19,11 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.tanagerhinge.core.duty.DutyPort;
 import org.tanagerhinge.core.relay.Placement;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.node.daemon.Daemon;
@@ -38,6 +40,8 @@
     private static final int INITIAL_LINE = 8192;
     private static final int HEADERS = 32_768;
     private static final int CHUNK = 16_384;
+    /** Largest message of a peer, in bytes: the counts of thousands of workspaces. */
+    private static final int PEER_MESSAGE = 1 << 20;
     /** The platform sends connections until it has missed readiness twice, a second apart; some slack. */
     private static final Duration UNNOTICED = Duration.ofMillis(2_600);
     /** What is kept of the time for a planned stop to end what is left, and to exit. */
@@ -48,6 +52,7 @@
     private final NodeMetrics metrics;
     private final GatewayOptions options;
     private volatile Duration stopTimeout;
+    private Optional<Duties> duties = Optional.empty();
     private Channel door;
     private volatile boolean idleClosed;
 
@@ -63,6 +68,7 @@
      * Starts a gateway.
      *
      * @param store makes the client of the platform's store on the gateway's event loop
+     * @param dutyCalls makes what the calls of duties go through, if there are any
      * @param early the socket for callers, if it was opened already
      */
     public static GatewayDaemon start(
@@ -70,15 +76,19 @@
             Dialect dialect,
             Placement placement,
             Function<EventLoopGroup, MetadataStore> store,
+            Function<EventLoopGroup, DutyPort> dutyCalls,
             Optional<ServerSocketChannel> early) {
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         NodeMetrics metrics = NodeMetrics.create();
         Gateway gateway = Gateway.create(loop, dialect, options, metrics, placement);
         GatewayDaemon daemon = new GatewayDaemon(loop, gateway, metrics, options);
-        daemon.open(early);
+        daemon.openDoors(early);
         MetadataStore client = MeasuredStore.of(store.apply(loop), metrics);
         Peers peers = Peers.open(gateway, loop, document -> decode(client, document));
         gateway.onSent(peers::sent);
+        daemon.duties = options.duties()
+                .map(terms -> Duties.start(gateway, loop, peers, dutyCalls.apply(loop), terms, InstantSource.system()));
+        daemon.openToPeers();
         daemon.showBeliefs(peers);
         loop.next().execute(() -> StoreFeed.start(gateway, client, peers));
         return daemon;
@@ -91,6 +101,8 @@
         metrics.gauge("servers_age_seconds", "Age of the list of servers", gateway::serversAgeSeconds);
         metrics.gauge("peers_present", "Peers heard of late", gateway::peersPresent);
         metrics.gauge("peers_age_seconds", "Age of the oldest report of a present peer", peers::oldestReportSeconds);
+        duties.ifPresent(held -> metrics.gauge(
+                "usage_coverage", "Part of the known nodes whose counts the newest window held", held::coverage));
         metrics.gauge("log_lines_dropped", "Log lines dropped since the start", LogSetup::dropped);
     }
 
@@ -102,7 +114,7 @@
         }
     }
 
-    private void open(Optional<ServerSocketChannel> early) {
+    private void openDoors(Optional<ServerSocketChannel> early) {
         ChannelHandler status = new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -115,13 +127,6 @@
         };
         listen(options.status(), status);
         options.metrics().ifPresent(address -> tryToListen(address, status));
-        listen(options.peers(), new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline()
-                        .addLast(new HttpServerCodec(), new HttpObjectAggregator(HEADERS), new PeerDoor(gateway));
-            }
-        });
         ChannelHandler callers = new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -139,6 +144,19 @@
                 .write();
     }
 
+    private void openToPeers() {
+        listen(options.peers(), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new HttpServerCodec(),
+                                new HttpObjectAggregator(PEER_MESSAGE),
+                                new PeerDoor(gateway, duties));
+            }
+        });
+    }
+
     private Channel takeOver(ServerSocketChannel socket, ChannelHandler handler) {
         return new ServerBootstrap()
                 .group(loop)
@@ -201,18 +219,22 @@
     @Override
     public void beginStop() {
         gateway.beginStop();
+        duties.ifPresent(held -> loop.next().execute(held::beginStop));
         loop.next().schedule(this::closeIdle, UNNOTICED.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void closeIdle() {
         door.close();
         gateway.closeIdleCallers();
+        duties.ifPresent(Duties::doorClosed);
         idleClosed = true;
     }
 
     @Override
     public boolean drained() {
-        return idleClosed && gateway.inProgress() == 0;
+        return idleClosed
+                && gateway.inProgress() == 0
+                && duties.map(Duties::settled).orElse(true);
     }
 
     @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import org.tanagerhinge.core.duty.DutyTerms;
 import org.tanagerhinge.core.relay.Mechanism;
 
 /**
@@ -15,6 +16,7 @@
  * @param metrics where metrics are shown besides, if anywhere: a platform may fetch them at one port on all hosts
  * @param peers where other gateways send what they know, over UDP, and ask for more, over TCP
  * @param bounds the platform's bounds
+ * @param duties how duties are done, if the platform asks for any
  * @param off mechanisms that an experiment switches off; none otherwise
  */
 public record GatewayOptions(
@@ -25,13 +27,21 @@
         Optional<InetSocketAddress> metrics,
         InetSocketAddress peers,
         Bounds bounds,
+        Optional<Duties> duties,
         Set<Mechanism> off) {
     /** Returns these options with no budget for repeats: the plain baseline that the product is compared with. */
     public GatewayOptions withoutRetries() {
         Bounds none = new Bounds(bounds.stopTimeout(), 0, 0, bounds.retryWindow());
-        return new GatewayOptions(name, domain, listen, status, metrics, peers, none, off);
+        return new GatewayOptions(name, domain, listen, status, metrics, peers, none, duties, off);
     }
 
+    /**
+     * Duties that one node does for all.
+     *
+     * @param power how well this node could bear one, greater is better
+     */
+    public record Duties(DutyTerms terms, int power) {}
+
     /**
      * Bounds within which the platform wants things done.
      *
--- a/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/JsonCaller.java
@@ -23,6 +23,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -35,6 +36,8 @@
 public final class JsonCaller {
     private static final int CONNECT_MILLIS = 700;
     private static final int LARGEST_ANSWER = 8 << 20;
+    /** Headers of a call with a JSON body. */
+    public static final Map<String, String> JSON = Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "application/json");
 
     private final EventLoopGroup loop;
     private final InetSocketAddress address;
@@ -72,13 +75,15 @@
     private static final class Call {
         private final HttpMethod method;
         private final String path;
-        private final String body;
+        private final Map<String, String> headers;
+        private final byte[] body;
         private final Consumer<Answer> done;
         private Future<?> timer;
 
-        Call(HttpMethod method, String path, String body, Consumer<Answer> done) {
+        Call(HttpMethod method, String path, Map<String, String> headers, byte[] body, Consumer<Answer> done) {
             this.method = method;
             this.path = path;
+            this.headers = headers;
             this.body = body;
             this.done = done;
         }
@@ -91,7 +96,20 @@
      * @param body JSON text, or empty for none
      */
     public void call(HttpMethod method, String path, String body, long timeoutMillis, Consumer<Answer> done) {
-        Call call = new Call(method, path, body, done);
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        boolean json = bytes.length > 0 || method.equals(HttpMethod.POST);
+        call(method, path, json ? JSON : Map.of(), bytes, timeoutMillis, done);
+    }
+
+    /** Calls with headers and a body of any type; otherwise as the call with a JSON body. */
+    public void call(
+            HttpMethod method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMillis,
+            Consumer<Answer> done) {
+        Call call = new Call(method, path, headers, body, done);
         call.timer = loop.next().schedule(() -> expired(call), timeoutMillis, TimeUnit.MILLISECONDS);
         if (current == null) {
             begin(call);
@@ -168,12 +186,11 @@
 
     private void send(Call call) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, call.method, call.path, Unpooled.copiedBuffer(call.body, StandardCharsets.UTF_8));
+                HttpVersion.HTTP_1_1, call.method, call.path, Unpooled.wrappedBuffer(call.body));
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-        if (!call.body.isEmpty() || call.method.equals(HttpMethod.POST)) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-            request.headers()
-                    .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        call.headers.forEach((name, value) -> request.headers().set(name, value));
+        if (call.body.length > 0 || call.method.equals(HttpMethod.POST)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
         }
         channel.writeAndFlush(request);
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.tanagerhinge.core.attempt.Quarantine;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.duty.DutyWord;
 import org.tanagerhinge.core.relay.LaneDemand;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PromptPart;
@@ -36,8 +37,14 @@
      * @param kept parts of prompts that were given out since the last one
      * @param suspicions requests under which servers have ended
      * @param leaving lives of servers that have said that they leave
+     * @param duty what the node tells of duties
      */
-    record Told(PeerReport report, List<Kept> kept, List<Quarantine.Suspicion> suspicions, List<String> leaving) {}
+    record Told(
+            PeerReport report,
+            List<Kept> kept,
+            List<Quarantine.Suspicion> suspicions,
+            List<String> leaving,
+            DutyWord duty) {}
 
     /** A server list with its age in milliseconds. */
     record Servers(List<Registration> list, long ageMillis) {}
@@ -74,6 +81,9 @@
         }
         told.suspicions().forEach(suspicion -> state.addSuspected(suspected(suspicion)));
         state.addAllLeaving(told.leaving());
+        state.setTimeOfDayMillis(told.duty().timeOfDayMillis())
+                .setPower(told.duty().power())
+                .setUsageToken(told.duty().token());
         return state.build().toByteArray();
     }
 
@@ -111,7 +121,8 @@
                 demands);
         List<Quarantine.Suspicion> suspicions =
                 state.getSuspectedList().stream().map(PeerCodec::suspicion).toList();
-        return new Told(report, kept, suspicions, List.copyOf(state.getLeavingList()));
+        DutyWord duty = new DutyWord(state.getTimeOfDayMillis(), state.getPower(), state.getUsageToken());
+        return new Told(report, kept, suspicions, List.copyOf(state.getLeavingList()), duty);
     }
 
     private static SuspectedRequest suspected(Quarantine.Suspicion suspicion) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerDoor.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerDoor.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.gateway;
 
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -12,15 +14,19 @@
 import java.util.Optional;
 import org.tanagerhinge.core.relay.RelayServer;
 
-/** Answers peers that are behind with this gateway's configuration and server list. */
+/** Answers peers that are behind with this gateway's configuration and server list, and hears what they have counted. */
 final class PeerDoor extends SimpleChannelInboundHandler<FullHttpRequest> {
     static final String CONFIG = "/configuration";
     static final String SERVERS = "/servers";
+    static final String USAGE = "/usage";
 
     private final Gateway gateway;
 
-    PeerDoor(Gateway gateway) {
+    private final Optional<Duties> duties;
+
+    PeerDoor(Gateway gateway, Optional<Duties> duties) {
         this.gateway = gateway;
+        this.duties = duties;
     }
 
     @Override
@@ -28,6 +34,7 @@
         Optional<byte[]> body = switch (request.uri()) {
             case CONFIG -> gateway.configDocument();
             case SERVERS -> Optional.of(servers());
+            case USAGE -> usage(request);
             default -> Optional.empty();
         };
         FullHttpResponse response = new DefaultFullHttpResponse(
@@ -39,6 +46,16 @@
         context.writeAndFlush(response);
     }
 
+    private Optional<byte[]> usage(FullHttpRequest request) {
+        byte[] body = ByteBufUtil.getBytes(request.content());
+        try {
+            return duties.isPresent() ? duties.get().told(body) : Optional.empty();
+        } catch (InvalidProtocolBufferException e) {
+            gateway.count("peer_report_unreadable");
+            return Optional.empty();
+        }
+    }
+
     private byte[] servers() {
         return PeerCodec.servers(new PeerCodec.Servers(
                 gateway.directory().all().stream()
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Peers.java
@@ -20,9 +20,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.tanagerhinge.core.attempt.Quarantine;
+import org.tanagerhinge.core.duty.DutyWord;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.PeerLoad;
 import org.tanagerhinge.core.relay.PeerReport;
@@ -59,6 +62,8 @@
     private Set<String> present = Set.of();
     private BooleanSupplier storeAnswers = () -> true;
     private Runnable behindListener = () -> {};
+    private Supplier<DutyWord> dutyWord = () -> DutyWord.NONE;
+    private BiConsumer<String, DutyWord> dutyListener = (peer, word) -> {};
     private long sequence;
     private long tokensSince;
     private long toldAt;
@@ -110,6 +115,20 @@
         behindListener = listener;
     }
 
+    /** Tells {@code word} of duties with each report, and {@code listener} what each peer tells of them. */
+    void duties(Supplier<DutyWord> word, BiConsumer<String, DutyWord> listener) {
+        dutyWord = word;
+        dutyListener = listener;
+    }
+
+    boolean storeAnswers() {
+        return storeAnswers.getAsBoolean();
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
     /** Takes the addresses at which gateways answer, from the platform's store. */
     void addresses(List<String> texts) {
         for (String text : texts) {
@@ -182,13 +201,13 @@
         PeerReport state = state();
         List<Quarantine.Suspicion> news = gateway.quarantine().news(gateway.now());
         List<String> leaving = gateway.words().news();
-        byte[] bytes = PeerCodec.state(new PeerCodec.Told(state, List.copyOf(kept), news, leaving));
+        byte[] bytes = PeerCodec.state(new PeerCodec.Told(state, List.copyOf(kept), news, leaving, dutyWord.get()));
         byte[] more = bytes;
         int chosen = -1;
         if (!standing.isEmpty() && !addresses.isEmpty()) {
             List<Quarantine.Suspicion> all = new ArrayList<>(news);
             all.addAll(standing);
-            more = PeerCodec.state(new PeerCodec.Told(state, List.copyOf(kept), all, leaving));
+            more = PeerCodec.state(new PeerCodec.Told(state, List.copyOf(kept), all, leaving, dutyWord.get()));
             turn = (turn + 1) % addresses.size();
             chosen = turn;
         }
@@ -233,6 +252,7 @@
             return;
         }
         add(report.address());
+        dutyListener.accept(report.name(), told.duty());
         gateway.budget().nodes(table.nodes());
         for (PeerCodec.Kept parts : told.kept()) {
             gateway.keeps(parts.server(), parts.parts());
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import org.tanagerhinge.core.attempt.AttemptEnd;
@@ -147,7 +148,17 @@
             leave(AttemptEnd.WRONG_SERVER, "another server has the address");
         } else if (answerTerms.notRun()) {
             leave(AttemptEnd.NOT_RUN, "server refused with " + status);
-        } else if (!usable(response, answerTerms)) {
+        } else {
+            answered(response, answerTerms);
+        }
+    }
+
+    private void answered(HttpResponse response, AnswerTerms answerTerms) {
+        int status = response.status().code();
+        if (route.kind() != RouteKind.STREAM || status != HttpResponseStatus.OK.code()) {
+            exchange.serverBegan();
+        }
+        if (!usable(response, answerTerms)) {
             connection.abort();
             fail(AttemptEnd.BROKEN, "answer without signature or with a coding");
         } else if (status >= 500 && progress.headPassed()) {
@@ -298,6 +309,7 @@
     private void noteRead() {
         if (!streaming) {
             streaming = true;
+            exchange.serverBegan();
             server.streamBegan();
             gateway.ranks().settled(waiting);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -56,6 +56,7 @@
     private RelayAttempt attempt;
     private AttemptHistory history;
     private RequestFingerprint fingerprint;
+    private boolean begun;
     private boolean over;
 
     private RelayExchange(Gateway gateway, CallerConnection caller, HttpRequest head, ByteBuf body, long arrived) {
@@ -278,6 +279,9 @@
     /** Its attempt has failed; {@code paid} says whether the budget was asked already. */
     void attemptFailed(RelayAttempt ended, AttemptEnd end, String why, boolean paid) {
         history.ended(end.mayHaveRun());
+        if (end.mayHaveRun()) {
+            serverBegan();
+        }
         gateway.attemptFailed(ended.server(), end);
         trail.attemptFailed(
                 end, why, ended.began(), progress, end.broken() ? Optional.of(fingerprint()) : Optional.empty());
@@ -301,6 +305,14 @@
         return route.resumable() && gateway.uses(Mechanism.RESUME);
     }
 
+    /** A server has begun to run it, as far as can be known: it has answered, or its connection broke under the request. */
+    void serverBegan() {
+        if (!begun) {
+            begun = true;
+            workspace.ifPresent(terms -> gateway.serverBegan(terms.name()));
+        }
+    }
+
     /** Its attempt has brought a whole answer, which is about to be written to the end. */
     void answered(int status, RelayServer server) {
         attempt = null;
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/UsageCodec.java
@@ -0,0 +1,86 @@
+package org.tanagerhinge.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.tanagerhinge.core.duty.UsageCounts;
+import org.tanagerhinge.core.duty.UsageReport;
+import org.tanagerhinge.wire.peer.UsageSource;
+import org.tanagerhinge.wire.peer.UsageTaken;
+import org.tanagerhinge.wire.peer.UsageTold;
+import org.tanagerhinge.wire.peer.UsageWindow;
+import org.tanagerhinge.wire.peer.WorkspaceCount;
+
+/** Translates usage counts to the messages that carry them between nodes and keep them in the store. */
+public final class UsageCodec {
+    private UsageCodec() {}
+
+    /** Returns the message that holds reports. */
+    public static byte[] reports(List<UsageReport> reports) {
+        UsageTold.Builder told = UsageTold.newBuilder();
+        for (UsageReport report : reports) {
+            UsageSource.Builder source = UsageSource.newBuilder()
+                    .setNode(report.node())
+                    .setIncarnation(report.incarnation())
+                    .setSinceMillis(report.sinceMillis())
+                    .setAsOfMillis(report.asOfMillis())
+                    .setLast(report.last());
+            report.windows().forEach((window, counts) -> source.addWindows(window(window, counts)));
+            told.addSources(source);
+        }
+        return told.build().toByteArray();
+    }
+
+    /** Returns the reports that a message holds. */
+    public static List<UsageReport> reports(byte[] message) throws InvalidProtocolBufferException {
+        return UsageTold.parseFrom(message).getSourcesList().stream()
+                .map(UsageCodec::report)
+                .toList();
+    }
+
+    private static UsageReport report(UsageSource source) {
+        SortedMap<Long, SortedMap<String, Long>> windows = new TreeMap<>();
+        source.getWindowsList().forEach(window -> windows.put(window.getWindow(), counts(window)));
+        return new UsageReport(
+                source.getNode(),
+                source.getIncarnation(),
+                source.getSinceMillis(),
+                source.getAsOfMillis(),
+                source.getLast(),
+                windows);
+    }
+
+    private static UsageWindow.Builder window(long number, Map<String, Long> counts) {
+        UsageWindow.Builder window = UsageWindow.newBuilder().setWindow(number);
+        counts.forEach((workspace, count) -> window.addCounts(
+                WorkspaceCount.newBuilder().setWorkspace(workspace).setCount(count)));
+        return window;
+    }
+
+    private static SortedMap<String, Long> counts(UsageWindow window) {
+        SortedMap<String, Long> counts = new TreeMap<>();
+        window.getCountsList().forEach(count -> counts.put(count.getWorkspace(), count.getCount()));
+        return counts;
+    }
+
+    /** Returns the message that holds the counts of one window. */
+    public static byte[] counts(UsageCounts counts) {
+        return window(counts.window(), counts.byWorkspace()).build().toByteArray();
+    }
+
+    /** Returns the counts that a message holds. */
+    public static UsageCounts counts(byte[] message) throws InvalidProtocolBufferException {
+        UsageWindow window = UsageWindow.parseFrom(message);
+        return new UsageCounts(window.getWindow(), counts(window));
+    }
+
+    static byte[] taken(long fixedThrough) {
+        return UsageTaken.newBuilder().setFixedThrough(fixedThrough).build().toByteArray();
+    }
+
+    static long fixedThrough(byte[] message) throws InvalidProtocolBufferException {
+        return UsageTaken.parseFrom(message).getFixedThrough();
+    }
+}
--- a/gateway/src/test/java/org/tanagerhinge/gateway/LoopsTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/LoopsTest.java
@@ -20,10 +20,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.duty.DutyPort;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.LeastInFlight;
 import org.tanagerhinge.core.relay.Prompt;
@@ -155,8 +157,13 @@
                 Optional.empty(),
                 any,
                 new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
+                Optional.empty(),
                 Set.of());
-        return GatewayDaemon.start(options, new NoDialect(), LeastInFlight.create(), loop -> store, Optional.empty());
+        Function<EventLoopGroup, DutyPort> noDuties = loop -> {
+            throw new IllegalStateException("no duties");
+        };
+        return GatewayDaemon.start(
+                options, new NoDialect(), LeastInFlight.create(), loop -> store, noDuties, Optional.empty());
     }
 
     private static boolean comesToHold(BooleanSupplier condition) throws InterruptedException {
@@ -203,6 +210,7 @@
                             Optional.empty(),
                             new InetSocketAddress(0),
                             new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
+                            Optional.empty(),
                             Set.of()),
                     NodeMetrics.create(),
                     LeastInFlight.create());
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -10,11 +10,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.tanagerhinge.core.duty.DutyTerms;
 import org.tanagerhinge.core.relay.PromptAware;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.gateway.GatewayOptions;
 import org.tanagerhinge.platform.PlatformGateway;
 import org.tanagerhinge.standin.FreePorts;
+import org.tanagerhinge.standin.relay.DutyStandin;
 import org.tanagerhinge.standin.relay.PlatformScene;
 import org.tanagerhinge.standin.relay.ServerStandin;
 import org.tanagerhinge.standin.relay.StoreStandin;
@@ -25,6 +27,7 @@
 
     final StoreStandin store = StoreStandin.start(0);
     final PlatformScene platform = PlatformScene.in(store);
+    final DutyStandin duties = DutyStandin.start();
     private final List<ServerStandin> servers = new ArrayList<>();
     private final List<GatewayDaemon> gateways = new ArrayList<>();
     private final Map<GatewayDaemon, InetSocketAddress> peerAddresses = new HashMap<>();
@@ -46,6 +49,21 @@
 
     /** Starts a gateway that may never become ready, at a store of its own choice. */
     GatewayDaemon start(String name, InetSocketAddress storeAddress) throws IOException {
+        return start(name, storeAddress, Optional.empty());
+    }
+
+    /** Starts a gateway that takes part in duties, and waits until it is ready. */
+    GatewayDaemon gatewayWithDuties(String name, Duration lease, Duration window) throws IOException {
+        DutyTerms terms =
+                new DutyTerms(name, lease, lease, true, Duration.ofSeconds(13), window, window.multipliedBy(4));
+        GatewayDaemon gateway = start(name, store.address(), Optional.of(new GatewayOptions.Duties(terms, 100)));
+        await(gateway::ready);
+        return gateway;
+    }
+
+    private GatewayDaemon start(
+            String name, InetSocketAddress storeAddress, Optional<GatewayOptions.Duties> dutyOptions)
+            throws IOException {
         GatewayOptions options = new GatewayOptions(
                 name,
                 "north",
@@ -54,8 +72,12 @@
                 Optional.empty(),
                 FreePorts.address(),
                 new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10)),
+                dutyOptions,
                 Set.of());
-        GatewayDaemon gateway = PlatformGateway.start(options, PromptAware.create(), storeAddress);
+        GatewayDaemon gateway = PlatformGateway.start(
+                options,
+                PromptAware.create(),
+                new PlatformGateway.Addresses(storeAddress, Optional.of(duties.address())));
         gateways.add(gateway);
         peerAddresses.put(gateway, options.peers());
         return gateway;
@@ -92,5 +114,6 @@
         gateways.forEach(GatewayDaemon::close);
         servers.forEach(ServerStandin::close);
         store.close();
+        duties.close();
     }
 }
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -31,6 +31,11 @@
     PEER_LOST(Subject.BELIEF),
     PEER_BACK(Subject.BELIEF),
     PEER_ASK_FAILED(Subject.BELIEF),
+    DUTY_HELD(Subject.BELIEF),
+    DUTY_LOST(Subject.BELIEF),
+    USAGE_FIXED(Subject.BELIEF),
+    USAGE_REPORTED(Subject.BELIEF),
+    USAGE_MISSED(Subject.BELIEF),
 
     STARTED(Subject.PROCESS),
     STOPPING(Subject.PROCESS),
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -63,6 +63,15 @@
     LATE,
     /** Key of the platform's store. */
     KEY,
+    /** Fencing token of the holding of a duty. */
+    TOKEN,
+    /** Number of a usage window. */
+    WINDOW,
+    /** Nodes whose counts of the window are complete, and nodes that were known. */
+    HEARD,
+    KNOWN,
+    /** Time for which the lease of the duty is proven to run on. */
+    LEASE_LEFT_MS,
     UNITS,
     ROUTES,
     COUNT;
--- a/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
+++ b/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
@@ -1,5 +1,6 @@
 package org.tanagerhinge.node.settings;
 
+import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Arrays;
@@ -26,7 +27,7 @@
         Function<String, T> parser,
         Optional<String> absent,
         String help) {
-    private static final Pattern DURATION = Pattern.compile("([0-9]+) ?(ms|s|m|h)");
+    private static final Pattern DURATION = Pattern.compile("([0-9]{1,15}(?:\\.[0-9]{1,9})?) ?(ms|s|m|h)");
     private static final Pattern ADDRESS = Pattern.compile("\\[?([0-9a-fA-F:.]+)]?:([0-9]{1,5})");
     private static final int MOST_PORT = 65_535;
 
@@ -111,6 +112,16 @@
                 help);
     }
 
+    /** Returns a setting that is {@code true} or {@code false}. */
+    public static Setting<Boolean> flag(String section, String name, boolean absent, String help) {
+        Function<String, Boolean> parser = text -> switch (text) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> throw new IllegalArgumentException("neither true nor false");
+        };
+        return new Setting<>(section, name, "true or false", parser, Optional.of(Boolean.toString(absent)), help);
+    }
+
     /** Returns a setting that is one of the constants of an enum, in lower case. */
     public static <T extends Enum<T>> Setting<T> word(
             String section, String name, Class<T> type, T absent, String help) {
@@ -161,12 +172,13 @@
         if (!matcher.matches()) {
             throw new IllegalArgumentException("not a length of time");
         }
-        long number = Long.parseLong(matcher.group(1));
-        return switch (matcher.group(2)) {
-            case "ms" -> Duration.ofMillis(number);
-            case "s" -> Duration.ofSeconds(number);
-            case "m" -> Duration.ofMinutes(number);
-            default -> Duration.ofHours(number);
+        Duration unit = switch (matcher.group(2)) {
+            case "ms" -> Duration.ofMillis(1);
+            case "s" -> Duration.ofSeconds(1);
+            case "m" -> Duration.ofMinutes(1);
+            default -> Duration.ofHours(1);
         };
+        BigDecimal nanos = new BigDecimal(matcher.group(1)).multiply(BigDecimal.valueOf(unit.toNanos()));
+        return Duration.ofNanos(nanos.longValue());
     }
 }
--- /dev/null
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/DutyStandin.java
@@ -0,0 +1,99 @@
+package org.tanagerhinge.standin.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.tanagerhinge.platform.PlatformNames;
+
+/** The platform's address that takes usage reports and checks fencing tokens. */
+public final class DutyStandin implements AutoCloseable {
+    /** What it does to callers. */
+    public enum Mood {
+        /** It serves. */
+        SERVES,
+        /** It answers 503. */
+        BUSY,
+        /** It never answers. */
+        SILENT
+    }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final RawServer server;
+    private final List<Report> reports = new ArrayList<>();
+    private long highest;
+    private Mood mood = Mood.SERVES;
+
+    /** A report that was accepted. */
+    public record Report(String holder, long token, long window, Map<String, Long> counts) {}
+
+    private DutyStandin() {
+        server = RawServer.start(0, this::answer);
+    }
+
+    /** Starts it on a free port. */
+    public static DutyStandin start() {
+        return new DutyStandin();
+    }
+
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Sets what it does to callers from now on. */
+    public synchronized void mood(Mood newMood) {
+        mood = newMood;
+    }
+
+    /** Returns the reports that were accepted, in their order. */
+    public synchronized List<Report> reports() {
+        return List.copyOf(reports);
+    }
+
+    private void answer(RawServer.Request request, RawServer.Connection connection)
+            throws IOException, InterruptedException {
+        Mood now;
+        int status;
+        synchronized (this) {
+            now = mood;
+            status = now == Mood.SERVES ? take(request) : 503;
+        }
+        if (now == Mood.SILENT) {
+            Thread.sleep(TimeUnit.HOURS.toMillis(1));
+        }
+        connection.answer(status, "Content-Type: application/json\r\n", "{}");
+    }
+
+    private int take(RawServer.Request request) throws IOException {
+        if (!request.path().equals(PlatformNames.USAGE_CALL)) {
+            return 404;
+        }
+        long token = Long.parseLong(request.header(PlatformNames.FENCING_TOKEN));
+        if (token < highest) {
+            return 409;
+        }
+        highest = token;
+        JsonNode body = JSON.readTree(request.body());
+        Map<String, Long> counts = new TreeMap<>();
+        body.path(PlatformNames.COUNTS)
+                .properties()
+                .forEach(count -> counts.put(count.getKey(), count.getValue().asLong()));
+        reports.add(new Report(
+                request.header(PlatformNames.DUTY_HOLDER),
+                token,
+                body.path(PlatformNames.WINDOW).asLong(),
+                counts));
+        return 200;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -41,6 +41,7 @@
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
     private final Map<Long, Long> leases = new HashMap<>();
+    private final Map<Long, Long> leaseMillis = new HashMap<>();
     private final Map<String, Integer> calls = new TreeMap<>();
     private final Map<String, Integer> lost = new TreeMap<>();
     private Set<Socket> silenced = Set.of();
@@ -190,6 +191,11 @@
     private Reply reply(RawServer.Request request) throws IOException, InterruptedException {
         expire();
         String path = request.path();
+        if (path.startsWith(PlatformNames.END_LEASE_CALL)) {
+            leases.put(Long.parseLong(path.substring(PlatformNames.END_LEASE_CALL.length())), System.nanoTime() - 1);
+            expire();
+            return new Reply(200, "{}");
+        }
         if (path.startsWith(PlatformNames.KEEP_CALL)) {
             return keep(Long.parseLong(path.substring(PlatformNames.KEEP_CALL.length())));
         }
@@ -289,6 +295,7 @@
     private Reply lease(JsonNode call) {
         long ttl = call.path(PlatformNames.TIME_TO_LIVE).asLong();
         leases.put(++nextLease, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttl));
+        leaseMillis.put(nextLease, ttl);
         ObjectNode body = JSON.createObjectNode().put("lease", nextLease).put(PlatformNames.TIME_TO_LIVE, ttl);
         return new Reply(200, body.toString());
     }
@@ -297,7 +304,7 @@
         if (!leases.containsKey(lease)) {
             return new Reply(404, "{}");
         }
-        leases.put(lease, System.nanoTime() + TimeUnit.SECONDS.toNanos(12));
+        leases.put(lease, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(leaseMillis.get(lease)));
         return new Reply(200, "{}");
     }
 
