--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RequestThatEndsServersTest.java
@@ -37,6 +37,9 @@
     /** The same request comes at this pace: long enough that gateways could have told each other. */
     private static final long PACE_MILLIS = 100;
 
+    /** Keys that the store gives in more than one page. */
+    private static final int MORE_THAN_A_PAGE = 60;
+
     /** After so long an end is no news any more that is told to all. */
     private static final long NEWS_MILLIS = 1_500;
 
@@ -120,12 +123,14 @@
         assertTrue(ends() <= MOST_ENDS, ends() + " servers ended");
     }
 
-    /** Power is lost everywhere: what gateways told each other is gone with them. */
+    /** Power is lost everywhere, and only the first page of what is held is read: what gateways told each other is gone. */
     @Test
     void gatewaysThatStartAnewKnowOfIt() throws Exception {
         GatewayDaemon before = scene.gateway();
         untilHeld(before);
-        scene.store.put("held/another writer's", "");
+        for (int i = 0; i < MORE_THAN_A_PAGE; i++) {
+            scene.store.put("held/!another writer's " + i, "");
+        }
         scene.stop(before);
         GatewayDaemon after = scene.gateway();
         RelayScene.await(() -> after.metrics().text().contains("reason=\"request_held\""));
