--- a/core/src/main/java/org/tanagerhinge/core/router/FatalCalls.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/FatalCalls.java
@@ -29,6 +29,11 @@
     private final Quarantine quarantine = Quarantine.create();
     private final Map<ServerId, Deque<Failure>> inDoubt = new HashMap<>();
 
+    /** Returns whether no call is suspected. */
+    boolean empty() {
+        return quarantine.empty();
+    }
+
     /** Returns for how long a call is to be sent no more; nothing if it may be sent. */
     Optional<Duration> held(RequestFingerprint call, Instant now) {
         OptionalLong millis = quarantine.heldMillis(call, now.toEpochMilli());
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -160,7 +160,7 @@
             turnAway(arrival, Refusal.notRun(ResultCode.QUEUE_FULL, COME_BACK, "this router is at its bound"));
             return;
         }
-        Optional<Duration> held = fatalCalls.held(fingerprint(arrival, known.workspace()), now());
+        Optional<Duration> held = held(arrival, known.workspace());
         if (held.isPresent()) {
             turnAway(arrival, heldRefusal(held.get()));
             return;
@@ -207,6 +207,11 @@
         return fingerprint(exchange.arrival(), exchange.workspace());
     }
 
+    /** Returns for how long a call is to be sent no more; a fingerprint is only made where some call is suspected. */
+    private Optional<Duration> held(Arrival arrival, Workspace workspace) {
+        return fatalCalls.empty() ? Optional.empty() : fatalCalls.held(fingerprint(arrival, workspace), now());
+    }
+
     private static Refusal heldRefusal(Duration wait) {
         return Refusal.notRun(ResultCode.REQUEST_HELD, wait, ResultCode.REQUEST_HELD.meaning());
     }
@@ -242,7 +247,7 @@
     // ---- choosing an agent
 
     void choose(Exchange exchange) {
-        Optional<Duration> held = fatalCalls.held(fingerprint(exchange), now());
+        Optional<Duration> held = held(exchange.arrival(), exchange.workspace());
         if (held.isPresent()) {
             refuse(exchange, partial(exchange, heldRefusal(held.get())));
             return;
@@ -503,7 +508,9 @@
             return;
         }
         monitor.held(Promise.WHOLE_ANSWER);
-        fatalCalls.served(fingerprint(exchange), now());
+        if (!fatalCalls.empty()) {
+            fatalCalls.served(fingerprint(exchange), now());
+        }
         exchange.machine().fire(ExchangeEvent.FINISH);
         book.remove(exchange);
         doorkeeper.leave(exchange.workspace(), exchange.profile());
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
@@ -38,7 +39,7 @@
             for (String pair :
                     query < 0 ? new String[0] : target.substring(query + 1).split("&", -1)) {
                 if (pair.startsWith(name + "=")) {
-                    return pair.substring(name.length() + 1);
+                    return URLDecoder.decode(pair.substring(name.length() + 1), StandardCharsets.UTF_8);
                 }
             }
             return "";
