--- a/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
@@ -75,10 +75,14 @@
 
     private static final int BACKLOG = 256;
 
+    /** How long the thread that accepts connections may take to end, in milliseconds. */
+    private static final long END_MILLIS = 2_000;
+
     private final ServerSocket door;
     private final Answerer answerer;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final AtomicInteger connections = new AtomicInteger();
+    private Thread acceptor;
 
     private RawServer(ServerSocket door, Answerer answerer) {
         this.door = door;
@@ -90,7 +94,7 @@
         try {
             ServerSocket door = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
             RawServer server = new RawServer(door, answerer);
-            Thread.ofVirtual().start(server::accept);
+            server.acceptor = Thread.ofVirtual().start(server::accept);
             return server;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -179,11 +183,15 @@
     public void close() {
         try {
             door.close();
+            // The socket takes connections until the thread that waits at it has left.
+            acceptor.join(END_MILLIS);
             for (Socket socket : open) {
                 socket.close();
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 }
