A platform thread accepts a stand-in server's connections

RawServerTest failed once beside load: after close() and the end of the accepting thread a connection was still made. In a loop of 30,000 servers that were opened and closed it was so 4 times with a virtual thread at accept, each for good (a second connection was made too), and never with a platform thread: a close that meets a virtual thread just as it begins to wait leaves the socket listening. Ruled out: another process that took the port (nothing answered), a connection to itself (the ports differ).

--- a/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/RawServer.java
@@ -94,7 +94,7 @@
         try {
             ServerSocket door = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
             RawServer server = new RawServer(door, answerer);
-            server.acceptor = Thread.ofVirtual().start(server::accept);
+            server.acceptor = Thread.ofPlatform().daemon().name("accept").start(server::accept);
             return server;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
