Duties are in the class archive, begin after a cold start, and a holder that is refused ends its lease

Classes of duties were loaded from the jar, 1.2 s after the start of a process, while it works off what callers sent meanwhile. The scene that records the archive lets both gateways hold the duty now, and duties begin 3 s after the start, when a new process may claim one at the earliest anyway. In that scene the other gateway never got the duty: a holder that was refused kept its lease to the end, rested as long, and was first again.

--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyHolding.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyHolding.java
@@ -306,7 +306,10 @@
         unansweredAt = Math.max(unansweredAt, sentAt);
     }
 
-    /** Ends the holding, or the try to hold; a node that held the duty leaves it alone for a while. */
+    /**
+     * Ends the holding, or the try to hold. A node that held the duty leaves it alone for a while, and ends what is left of
+     * its lease, so that another one needn't wait for that.
+     */
     void lose(String why) {
         boolean held = holds();
         if (stopped() || machine.in(DutyState.IDLE)) {
@@ -324,6 +327,7 @@
             if (unansweredAt > now - terms.lateCallsMillis()) {
                 notBefore += unansweredAt + terms.lateCallsMillis() - now;
             }
+            port.endLease(lease);
             lost.run();
             listener.lost(token, why);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Duties.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Duties.java
@@ -33,7 +33,7 @@
     /** How often it is looked what is due, in milliseconds. */
     private static final long STEP_MILLIS = 150;
     /** A node that has just started serves callers first and looks after duties then, in milliseconds. */
-    private static final long START_MILLIS = 1_200;
+    private static final long START_MILLIS = 3_000;
 
     private static final long TELL_MILLIS = 700;
     /** A process that stops looks for a holder to tell its last counts for so long, in milliseconds. */
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/DutyStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/DutyStandin.java
@@ -29,6 +29,7 @@
     private final List<Report> reports = new ArrayList<>();
     private long highest;
     private Mood mood = Mood.SERVES;
+    private String fenced = "";
 
     /** A report that was accepted. */
     public record Report(String holder, long token, long window, Map<String, Long> counts) {}
@@ -51,6 +52,11 @@
         mood = newMood;
     }
 
+    /** Refuses the reports of a holder from now on, as if another one had sent a higher fencing token. */
+    public synchronized void fence(String holder) {
+        fenced = holder;
+    }
+
     /** Returns the reports that were accepted, in their order. */
     public synchronized List<Report> reports() {
         return List.copyOf(reports);
@@ -75,7 +81,7 @@
             return 404;
         }
         long token = Long.parseLong(request.header(PlatformNames.FENCING_TOKEN));
-        if (token < highest) {
+        if (token < highest || request.header(PlatformNames.DUTY_HOLDER).equals(fenced)) {
             return 409;
         }
         highest = token;
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayScene.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayScene.java
@@ -20,6 +20,7 @@
 
     private final StoreStandin store = StoreStandin.start(0);
     private final PlatformScene platform = PlatformScene.in(store);
+    private final DutyStandin duties = DutyStandin.start();
     private final List<ServerStandin> servers = new ArrayList<>();
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -71,15 +72,26 @@
                 retry_ratio = 0.2
                 retry_slack = 50
                 retry_window = 10s
+                [duties]
+                address = 127.0.0.1:%d
+                lease = 1s
+                usage_window = 1s
+                usage_late = 6s
                 """.formatted(
                         name,
                         doors.callers(),
                         doors.status(),
                         FreePorts.next(),
-                        store.address().getPort()));
+                        store.address().getPort(),
+                        duties.address().getPort()));
         return doors;
     }
 
+    /** Refuses the usage reports of a gateway from now on, so that another one takes the duty. */
+    void fence(String name) {
+        duties.fence(name);
+    }
+
     /** Waits until a gateway is ready; fails if it doesn't become so. */
     void awaitReady(Doors doors) throws IOException, InterruptedException {
         URI readiness = URI.create("http://127.0.0.1:" + doors.status() + PlatformNames.READINESS);
@@ -129,5 +141,6 @@
     public void close() {
         servers.forEach(ServerStandin::close);
         store.close();
+        duties.close();
     }
 }
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StartupTraining.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StartupTraining.java
@@ -9,13 +9,18 @@
 
 /**
  * Plays a short scene for a gateway process that records which classes it needs: writes its settings and those of a peer,
- * waits until both are ready, sends requests of each kind, changes the configuration and the servers, and ends.
+ * waits until both are ready, sends requests of each kind, changes the configuration and the servers, lets the peer and then
+ * the gateway report usage, and ends.
  */
 @Command(name = "training", description = "Plays a scene for a gateway that records its start-up")
 public final class StartupTraining implements Runnable {
     private static final int REQUESTS = 12;
     /** Time in which the peer has told of a change. */
     private static final long CHANGE_MILLIS = 1_500;
+    /** Time in which the peer takes the duty of usage reports, or the gateway does in its place. */
+    private static final long DUTY_MILLIS = 4_000;
+
+    private static final String PEER = "a-peer";
 
     @Option(name = "--settings", description = "Settings file to write for the gateway")
     @Required
@@ -35,7 +40,7 @@
             scene.server("e-1", "model", ServerStandin.events(5, 2));
             scene.server("e-2", "model", ServerStandin.cutWithin(3));
             scene.publish();
-            GatewayScene.Doors peer = scene.settings(Path.of(peerSettings), "a-peer");
+            GatewayScene.Doors peer = scene.settings(Path.of(peerSettings), PEER);
             scene.awaitReady(peer);
             GatewayScene.Doors gateway = scene.settings(Path.of(settings), "training");
             scene.awaitReady(gateway);
@@ -45,6 +50,11 @@
             send(scene, peer, "peer");
             Thread.sleep(CHANGE_MILLIS);
             send(scene, gateway, "after");
+            Thread.sleep(DUTY_MILLIS);
+            scene.fence(PEER);
+            Thread.sleep(DUTY_MILLIS);
+            send(scene, gateway, "last");
+            Thread.sleep(CHANGE_MILLIS);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
