Logs and metrics tell the store's era, where a watch continues and how a version came

Refused watches were counted, but nothing told from which revision a watch continued, why a read was made, whether the store had been restored, or by which way and at what age a version reached a gateway.

- store_restored: the era of the store has risen, and who stated it (the store, or a peer's report).
- config_read: why the configuration was read, and era and revision of the answer.
- config_watch: era and revision from which the watch continues after a read.
- configuration: source (store_read, store_watch, peer and its name) and age_ms since the first gateway got it.
- gauges store_era and config_watch_revision; counter store_restored.

Reports to peers carry the era and the age of the configuration; a report without them means unknown and 0. What a gateway does is as before.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -10,6 +10,8 @@
  * @param sequence increases with each report of an incarnation
  * @param address where the node serves its peers, IP:PORT
  * @param storeReachable whether the platform's store answered the node's latest calls
+ * @param storeEra latest era of the platform's store that the node knows
+ * @param configAgeMillis time since the first node received the configuration from the store
  * @param serverListAgeMillis time since the node's server list was requested
  * @param serverListDigest equal for equal server lists
  * @param reportIntervalMillis longest time until the node's next report
@@ -22,7 +24,9 @@
         long sequence,
         String address,
         boolean storeReachable,
+        long storeEra,
         long configVersion,
+        long configAgeMillis,
         long serverListAgeMillis,
         long serverListDigest,
         long reportIntervalMillis,
--- a/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
@@ -21,9 +21,11 @@
                 sequence,
                 "1.2.3.4:5",
                 storeReachable,
+                0,
                 1,
                 0,
                 0,
+                0,
                 intervalMillis,
                 Map.of("a", new PeerReport.InstanceLoad(2, 100)),
                 Map.of("model", new LaneDemand(1, 2, 3)));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.tanagerhinge.core.relay.ServerDirectory;
 import org.tanagerhinge.core.relay.ServerInstance;
 import org.tanagerhinge.core.relay.ServerRegistration;
+import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
@@ -63,6 +64,7 @@
     private final ServerDirectory directory = ServerDirectory.create();
     private final PlacementPolicy placement;
     private final RetryBudget budget;
+    private final StoreEra storeEra = StoreEra.create();
     private final RankGate rankGate = RankGate.create();
     private final ServerAnnouncements serverAnnouncements = ServerAnnouncements.create();
     private final RequestQuarantine quarantine = RequestQuarantine.create();
@@ -71,6 +73,7 @@
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private Optional<RelayConfig> config = Optional.empty();
     private byte[] configDocument;
+    private long configReceivedMillis;
     private boolean peerLoadAvailable;
     private int peersPresent;
     private long lastSweepMillis;
@@ -266,6 +269,16 @@
         return config.map(RelayConfig::version).orElse(0L);
     }
 
+    /** Returns the time since the first gateway received the active configuration from the store, 0 without one. */
+    long configAgeMillis() {
+        return config.isPresent() ? nowMillis() - configReceivedMillis : 0;
+    }
+
+    /** Returns the tracker of the platform store's era. */
+    StoreEra storeEra() {
+        return storeEra;
+    }
+
     /** Returns the age of the server list in seconds, or NaN if there is none. */
     double serversAgeSeconds() {
         return directory.hasList() ? (nowMillis() - directory.newestListMillis()) / 1000.0 : Double.NaN;
@@ -316,18 +329,24 @@
     }
 
     /** Activates a configuration unless the active one is as new; returns whether it did. */
-    boolean apply(RelayConfig newer, byte[] document) {
+    boolean apply(RelayConfig newer, byte[] document, ConfigSource source) {
         if (config.isPresent() && config.get().version() >= newer.version()) {
             return false;
         }
         boolean wasInitialized = initialized();
         config = Optional.of(newer);
         configDocument = document;
-        LogLine.of(LogEvent.CONFIGURATION)
+        configReceivedMillis = nowMillis() - source.ageMillis();
+        LogLine line = LogLine.of(LogEvent.CONFIGURATION)
                 .with(LogField.CONFIG, newer.version())
+                .with(LogField.SOURCE, source.label())
+                .with(LogField.AGE_MS, source.ageMillis())
                 .with(LogField.ROUTES, newer.routeCount())
-                .with(LogField.RANKS, newer.rankSummary())
-                .write();
+                .with(LogField.RANKS, newer.rankSummary());
+        if (!source.peer().isEmpty()) {
+            line.with(LogField.SERVER, source.peer());
+        }
+        line.write();
         placement.updateMinEventGap(newer.minEventGapMillis());
         notifyInitialized(wasInitialized);
         return true;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -22,10 +22,12 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.tanagerhinge.core.duty.DutyClient;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.node.daemon.Daemon;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
@@ -69,7 +71,8 @@
     /**
      * Starts a gateway.
      *
-     * @param storeFactory creates the client of the platform's store on the gateway's event loop
+     * @param storeFactory creates the client of the platform's store on the gateway's event loop; it records the era of
+     *     each response
      * @param dutyClientFactory creates the client for duty calls; not used without duties
      * @param earlySocket the listening socket for callers, if it is open already
      */
@@ -77,7 +80,7 @@
             GatewayOptions options,
             Dialect dialect,
             PlacementPolicy placement,
-            Function<EventLoopGroup, MetadataStore> storeFactory,
+            BiFunction<EventLoopGroup, StoreEra, MetadataStore> storeFactory,
             Function<EventLoopGroup, DutyClient> dutyClientFactory,
             Optional<ServerSocketChannel> earlySocket) {
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -85,7 +88,7 @@
         Gateway gateway = Gateway.create(loop, dialect, options, metrics, placement);
         GatewayDaemon daemon = new GatewayDaemon(loop, gateway, metrics, options);
         daemon.openListeners(earlySocket);
-        MetadataStore client = InstrumentedStore.of(storeFactory.apply(loop), metrics);
+        MetadataStore client = InstrumentedStore.of(storeFactory.apply(loop, gateway.storeEra()), metrics);
         PeerSynchronizer peers = PeerSynchronizer.open(gateway, loop, document -> decode(client, document));
         gateway.onSent(peers::promptSent);
         daemon.duties = options.duties()
@@ -101,6 +104,10 @@
     private void registerGauges(PeerSynchronizer peers) {
         metrics.registerGauge("requests_in_progress", "Requests in flight", gateway::inFlight);
         metrics.registerGauge("config_version", "Version of the active configuration", gateway::configVersion);
+        metrics.registerGauge(
+                "store_era",
+                "Latest known era of the platform's store",
+                () -> gateway.storeEra().current());
         metrics.registerGauge("servers_age_seconds", "Age of the server list", gateway::serversAgeSeconds);
         metrics.registerGauge("peers_present", "Peers that reported recently", gateway::peersPresent);
         metrics.registerGauge(
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -57,7 +57,9 @@
                 .setSequence(report.sequence())
                 .setAddress(report.address())
                 .setStoreAnswers(report.storeReachable())
+                .setStoreEra(report.storeEra())
                 .setConfigVersion(report.configVersion())
+                .setConfigAgeMillis((int) Math.min(Integer.MAX_VALUE, report.configAgeMillis()))
                 .setServersAgeMillis((int) Math.min(Integer.MAX_VALUE, report.serverListAgeMillis()))
                 .setServersDigest(report.serverListDigest())
                 .setIntervalMillis((int) report.reportIntervalMillis());
@@ -114,7 +116,9 @@
                 state.getSequence(),
                 state.getAddress(),
                 state.getStoreAnswers(),
+                state.getStoreEra(),
                 state.getConfigVersion(),
+                state.getConfigAgeMillis(),
                 state.getServersAgeMillis(),
                 state.getServersDigest(),
                 state.getIntervalMillis(),
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -242,7 +242,9 @@
                 ++sequence,
                 address(),
                 storeReachable.getAsBoolean(),
+                gateway.storeEra().current(),
                 gateway.configVersion(),
+                gateway.configAgeMillis(),
                 gateway.directory().hasList() ? nowMillis - gateway.directory().newestListMillis() : Integer.MAX_VALUE,
                 gateway.directory().digest(),
                 intervalMillis(),
@@ -258,6 +260,7 @@
             return;
         }
         addPeerAddress(report.address());
+        gateway.storeEra().observe(report.storeEra(), "peer " + report.name());
         dutyListener.accept(report.name(), message.dutyStatus());
         gateway.budget().nodeCount(table.nodeCount());
         for (PeerCodec.CachedPrefix parts : message.cachedPrefixes()) {
@@ -338,11 +341,13 @@
             return;
         }
         configRequestInFlight = true;
+        long requestedAtMillis = gateway.nowMillis();
         request(aheadPeer, PeerRequestHandler.CONFIG_PATH, body -> {
             configRequestInFlight = false;
             if (body != null) {
                 try {
-                    gateway.apply(decoder.apply(body), body);
+                    long ageMillis = aheadPeer.configAgeMillis() + gateway.nowMillis() - requestedAtMillis;
+                    gateway.apply(decoder.apply(body), body, ConfigSource.peer(aheadPeer.name(), ageMillis));
                 } catch (IllegalArgumentException e) {
                     LOG.log(
                             Level.ERROR,
--- a/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
@@ -10,9 +10,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -60,11 +62,13 @@
      * Holds a response.
      *
      * @param status HTTP status, or 0 if the call failed
+     * @param headers headers of the response, empty if the call failed
      * @param body the response body, or the reason of the failure as text
      */
-    public record Response(int status, byte[] body) {
-        static Response failed(String reason) {
-            return new Response(0, reason.getBytes(StandardCharsets.UTF_8));
+    public record Response(int status, HttpHeaders headers, byte[] body) {
+        /** Returns the response of a call that failed. */
+        public static Response failed(String reason) {
+            return new Response(0, EmptyHttpHeaders.INSTANCE, reason.getBytes(StandardCharsets.UTF_8));
         }
 
         /** Returns the body as text. */
@@ -235,7 +239,7 @@
                 channel = null;
                 context.close();
             }
-            finish(new Response(response.status().code(), body));
+            finish(new Response(response.status().code(), response.headers(), body));
         }
 
         @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -62,6 +62,9 @@
     private final PeerSynchronizer peers;
     private long revision = -1;
     private boolean watching;
+    /** Reason of the latest read, for the log. */
+    private String readReason = "started";
+
     private long leaseId;
     private long nextCatchUpMillis = Long.MIN_VALUE;
     private boolean storeReachable = true;
@@ -77,7 +80,13 @@
     static StoreSynchronizer start(Gateway gateway, MetadataStore store, PeerSynchronizer peers) {
         StoreSynchronizer synchronizer = new StoreSynchronizer(gateway, store, peers);
         peers.storeReachable(() -> synchronizer.storeReachable);
-        peers.onConfigFetchFailed(synchronizer::catchUp);
+        peers.onConfigFetchFailed(() -> synchronizer.catchUp("a peer announced a newer version"));
+        gateway.storeEra().onRestored(synchronizer::storeRestored);
+        gateway.metrics()
+                .registerGauge(
+                        "config_watch_revision",
+                        "Store revision from which the configuration is watched; NaN if it is not",
+                        () -> synchronizer.watching ? synchronizer.revision : Double.NaN);
         synchronizer.runGuarded(synchronizer::readConfig);
         synchronizer.runGuarded(synchronizer::register);
         synchronizer.runGuarded(synchronizer::readServers);
@@ -86,6 +95,14 @@
         return synchronizer;
     }
 
+    private void storeRestored(long era, String source) {
+        gateway.count("store_restored");
+        LogLine.of(LogEvent.STORE_RESTORED)
+                .with(LogField.ERA, era)
+                .with(LogField.WHY, "stated by " + source)
+                .write();
+    }
+
     private long timeoutMillis() {
         return gateway.initialized() ? TIMEOUT_MILLIS : INITIAL_TIMEOUT_MILLIS;
     }
@@ -103,7 +120,7 @@
         boolean stale = !gateway.directory().hasList() || ageMillis > STALE_LIST_MILLIS + peers.intervalMillis();
         boolean reads = isReader();
         if (stale && !reads && gateway.initialized()) {
-            catchUp();
+            catchUp("peers delivered no server list");
         }
         if (stale || reads) {
             readServers();
@@ -117,7 +134,7 @@
      * this, a new version arrives too late if the store rejects the reader and its successors, which time out one after
      * the other, or if peers announce a version but cannot be queried.
      */
-    private void catchUp() {
+    private void catchUp(String reason) {
         long nowMillis = gateway.nowMillis();
         if (nowMillis < nextCatchUpMillis) {
             return;
@@ -126,8 +143,9 @@
         store.readConfig(timeoutMillis(), reply -> {
             if (reply instanceof MetadataStore.Success<MetadataStore.StoredConfig> success) {
                 markReachable();
+                logRead(reason, success.value());
                 if (success.value().document() != null) {
-                    apply(success.value().document());
+                    apply(success.value().document(), ConfigSource.STORE_READ);
                 }
             } else {
                 recordFailure(reply);
@@ -169,36 +187,57 @@
         loggedUnreadable = logged;
     }
 
+    private void logRead(String reason, MetadataStore.StoredConfig stored) {
+        LogLine.of(LogEvent.CONFIG_READ)
+                .with(LogField.WHY, reason)
+                .with(LogField.ERA, gateway.storeEra().current())
+                .with(LogField.REVISION, stored.revision())
+                .write();
+    }
+
     private void watchConfig() {
         if (gateway.config().isPresent() && !isReader()) {
             watching = false;
+            readReason = "became the reader";
             schedule(this::watchConfig, STANDBY_CHECK_MILLIS);
         } else if (watching) {
-            store.watchConfig(revision, WATCH_WAIT_MILLIS, guarded(this::watchConfig, this::handleConfig));
+            store.watchConfig(
+                    revision,
+                    WATCH_WAIT_MILLIS,
+                    guarded(this::watchConfig, reply -> handleConfig(reply, ConfigSource.STORE_WATCH)));
         } else {
             readConfig();
         }
     }
 
     private void readConfig() {
-        store.readConfig(timeoutMillis(), guarded(this::watchConfig, this::handleConfig));
+        store.readConfig(
+                timeoutMillis(), guarded(this::watchConfig, reply -> handleConfig(reply, ConfigSource.STORE_READ)));
     }
 
-    private void handleConfig(MetadataStore.Reply<MetadataStore.StoredConfig> reply) {
+    private void handleConfig(MetadataStore.Reply<MetadataStore.StoredConfig> reply, ConfigSource source) {
         if (reply instanceof MetadataStore.Success<MetadataStore.StoredConfig> success) {
             markReachable();
             MetadataStore.StoredConfig stored = success.value();
             revision = Math.max(revision, stored.revision());
+            boolean watched = watching;
             watching = gateway.config().isPresent() || stored.document() != null;
+            if (!watched) {
+                logRead(readReason, stored);
+                logWatch();
+            }
             if (stored.document() == null) {
                 schedule(this::watchConfig, watching ? 1 : RETRY_MILLIS);
             } else {
-                apply(stored.document());
+                apply(stored.document(), source);
                 schedule(this::watchConfig, CHANGE_BATCH_MILLIS);
             }
             return;
         }
         watching = false;
+        readReason = reply instanceof MetadataStore.Failure<?> failure
+                ? "call failed: " + failure.reason()
+                : "the store's history does not have revision " + revision;
         if (recordFailure(reply)) {
             schedule(this::watchConfig, retryMillis());
         } else {
@@ -206,6 +245,15 @@
         }
     }
 
+    private void logWatch() {
+        if (watching) {
+            LogLine.of(LogEvent.CONFIG_WATCH)
+                    .with(LogField.ERA, gateway.storeEra().current())
+                    .with(LogField.REVISION, revision)
+                    .write();
+        }
+    }
+
     /**
      * Records a failed call and returns true; returns false for compacted history. Uses instanceof because a pattern
      * switch is slower at startup.
@@ -218,9 +266,9 @@
         return false;
     }
 
-    private void apply(byte[] document) {
+    private void apply(byte[] document, ConfigSource source) {
         try {
-            if (gateway.apply(store.decodeConfig(document), document)) {
+            if (gateway.apply(store.decodeConfig(document), document, source)) {
                 peers.reportNow();
             }
         } catch (IOException e) {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -156,7 +156,12 @@
             throw new IllegalStateException("no duties");
         };
         return GatewayDaemon.start(
-                options, new NoDialect(), LeastInFlightPlacement.create(), loop -> store, noDuties, Optional.empty());
+                options,
+                new NoDialect(),
+                LeastInFlightPlacement.create(),
+                (loop, era) -> store,
+                noDuties,
+                Optional.empty());
     }
 
     private static boolean becomesTrue(BooleanSupplier condition) throws InterruptedException {
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -219,9 +219,11 @@
                 ++reportCount,
                 name,
                 true,
+                0,
                 1,
                 0,
                 0,
+                0,
                 intervalMillis,
                 loads,
                 placement.localDemands(floorMillis(fleet.nowMillis())));
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -63,6 +63,14 @@
     LATE,
     /** Key of the platform's store. */
     KEY,
+    /** Era of the platform's store; rises each time the store is restored from an older copy. */
+    ERA,
+    /** Revision of the platform's store. */
+    REVISION,
+    /** How a configuration was received: by a read or a watch of the store, or from a peer. */
+    SOURCE,
+    /** Time since the first gateway received the configuration from the store. */
+    AGE_MS,
     /** Fencing token of the duty's holder. */
     TOKEN,
     /** Number of a usage window. */
