Red: a version written to a restored store is not applied

What callers see: a route that was acknowledged is answered 404 by every gateway until the next version is written.

The store stand-in can be restored from a copy: revisions and lease ids are assigned again, a watch from a revision that it does not have gets 410, waiting calls are reset, and Store-Era rises in all responses. The test restores it while a gateway watches from a later revision, and writes a version and enough other keys between that gateway's next read and its next watch.

--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -45,8 +45,12 @@
     private final Map<String, Integer> calls = new TreeMap<>();
     private final Map<String, Integer> unansweredCalls = new TreeMap<>();
     private Set<Socket> silenced = Set.of();
+    private long era = 1;
     private long revision;
     private long compactedRevision;
+    private long lastWatchedRevision;
+    private String awaitedPath = "";
+    private Runnable onAwaitedCall = () -> {};
     private long nextLease = 100;
     private FaultMode faultMode = FaultMode.SERVES;
     private FaultMode sideFaultMode = FaultMode.SERVES;
@@ -57,6 +61,28 @@
 
     private record Change(String key, Item item, long revision) {}
 
+    /** Holds a copy of the store's data, from which {@link #restore} continues. */
+    public static final class Snapshot {
+        private final TreeMap<String, Item> items;
+        private final List<Change> history;
+        private final Map<Long, Long> leases;
+        private final long revision;
+        private final long lastLease;
+
+        private Snapshot(
+                TreeMap<String, Item> items,
+                List<Change> history,
+                Map<Long, Long> leases,
+                long revision,
+                long lastLease) {
+            this.items = items;
+            this.history = history;
+            this.leases = leases;
+            this.revision = revision;
+            this.lastLease = lastLease;
+        }
+    }
+
     private StoreStandin(int port) {
         server = RawServer.start(port, (request, connection) -> handle(request, connection, () -> faultMode));
     }
@@ -120,6 +146,64 @@
         notifyAll();
     }
 
+    /** Returns a copy of the store's data. */
+    public synchronized Snapshot snapshot() {
+        expireLeases();
+        return new Snapshot(new TreeMap<>(items), new ArrayList<>(history), new HashMap<>(leases), revision, nextLease);
+    }
+
+    /**
+     * Continues from an earlier copy, in the next era: later writes and leases are lost, and their revisions and ids are
+     * given out again. Waiting watches are reset.
+     *
+     * @return the lost values of the operator and the servers, by key, for {@link #putAll}
+     */
+    public synchronized Map<String, String> restore(Snapshot copy) {
+        Map<String, String> lost = new TreeMap<>();
+        items.forEach((key, item) -> {
+            if (item.lease() == 0 && !item.equals(copy.items.get(key)) && writtenByPlatform(key)) {
+                lost.put(key, new String(Base64.getDecoder().decode(item.value()), StandardCharsets.UTF_8));
+            }
+        });
+        items.clear();
+        items.putAll(copy.items);
+        history.clear();
+        history.addAll(copy.history);
+        leases.clear();
+        leases.putAll(copy.leases);
+        revision = copy.revision;
+        nextLease = copy.lastLease;
+        compactedRevision = Math.min(compactedRevision, revision);
+        era++;
+        notifyAll();
+        return lost;
+    }
+
+    private static boolean writtenByPlatform(String key) {
+        return key.startsWith("op/") || key.startsWith(PlatformNames.SERVERS_PREFIX);
+    }
+
+    /** Writes texts under their keys. */
+    public synchronized void putAll(Map<String, String> texts) {
+        texts.forEach(this::put);
+    }
+
+    /** Returns the store's revision. */
+    public synchronized long revision() {
+        return revision;
+    }
+
+    /** Returns the revision from which the latest watch continued. */
+    public synchronized long lastWatchedRevision() {
+        return lastWatchedRevision;
+    }
+
+    /** Runs an action once, after the next call to a path has taken effect and before any other call does. */
+    public synchronized void afterNextCall(String path, Runnable action) {
+        awaitedPath = path;
+        onAwaitedCall = action;
+    }
+
     /** Returns the keys with a prefix. */
     public synchronized List<String> keys(String prefix) {
         expireLeases();
@@ -169,7 +253,9 @@
             throws IOException, InterruptedException {
         Reply reply;
         FaultMode mode;
+        long answeredInEra;
         synchronized (this) {
+            long receivedInEra = era;
             calls.merge(request.path(), 1, Integer::sum);
             if (silenced.contains(connection.socket())) {
                 unansweredCalls.merge(request.path(), 1, Integer::sum);
@@ -178,9 +264,19 @@
             reply = mode == FaultMode.SERVES || mode == FaultMode.LOSES_ANSWERS ? serve(request) : new Reply(503, "{}");
             mode = currentMode.get() == FaultMode.SERVES ? mode : currentMode.get();
             mode = silenced.contains(connection.socket()) ? FaultMode.SILENT : mode;
+            mode = era == receivedInEra ? mode : FaultMode.RESETS;
+            answeredInEra = era;
+            if (request.path().equals(awaitedPath)) {
+                awaitedPath = "";
+                onAwaitedCall.run();
+            }
         }
         switch (mode) {
-            case SERVES, BUSY -> connection.answer(reply.status(), "Content-Type: application/json\r\n", reply.body());
+            case SERVES, BUSY ->
+                connection.answer(
+                        reply.status(),
+                        "Content-Type: application/json\r\n" + PlatformNames.STORE_ERA + ": " + answeredInEra + "\r\n",
+                        reply.body());
             case RESETS -> connection.reset();
             case SILENT, LOSES_ANSWERS -> Thread.sleep(TimeUnit.HOURS.toMillis(1));
         }
@@ -239,11 +335,13 @@
 
     private Reply watch(RawServer.Request request) throws InterruptedException {
         long after = Long.parseLong(request.parameter("after"));
+        lastWatchedRevision = after;
         long deadlineNanos = System.nanoTime()
                 + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(request.parameter(PlatformNames.WAIT_MILLIS)));
         FaultMode initialMode = faultMode;
-        while (faultMode == initialMode) {
-            if (after < compactedRevision) {
+        long initialEra = era;
+        while (faultMode == initialMode && era == initialEra) {
+            if (after < compactedRevision || after > revision) {
                 return new Reply(410, "{}");
             }
             ObjectNode body = JSON.createObjectNode();
