A watch continues from a position in the store's history, not from the greatest revision seen

Cause: the store had come back from an older copy. StoreSynchronizer kept Math.max of the revisions it had seen, and went on watching from a revision of the data before. The store refused that watch, each refusal led to a read, and the next watch asked from the old revision again, five times a second, until the store had counted up to it. What was written at or below it after the last read was delivered to nobody. Class: an identifier that is unique within one life of its issuer, compared across two.

Now a position is an era and a revision (StorePosition). A read or watch sets the position to what the store answered, also to a smaller one.

Ruled out: the reader of the store being wrong (the versions before the lost one arrived), and an older answer arriving late (all gateways missed the same version).

--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/store/StorePosition.java
@@ -0,0 +1,29 @@
+package org.tanagerhinge.core.store;
+
+/**
+ * Identifies a point in the history of the metadata store: a revision is unique within an era only.
+ *
+ * @param era era of the store, {@link StoreEra#UNKNOWN} if it states none
+ * @param revision revision of the store in that era
+ */
+public record StorePosition(long era, long revision) implements Comparable<StorePosition> {
+    /** The point before any write. */
+    public static final StorePosition NONE = new StorePosition(StoreEra.UNKNOWN, 0);
+
+    /** Returns the point at a revision of an era. */
+    public static StorePosition of(long era, long revision) {
+        return new StorePosition(era, revision);
+    }
+
+    /** Orders by era, then by revision. */
+    @Override
+    public int compareTo(StorePosition other) {
+        int byEra = Long.compare(era, other.era);
+        return byEra != 0 ? byEra : Long.compare(revision, other.revision);
+    }
+
+    @Override
+    public String toString() {
+        return era + "/" + revision;
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** Measures duration and outcome of each call to the platform's store. */
@@ -42,8 +43,8 @@
     }
 
     @Override
-    public void watchConfig(long revision, long waitMillis, Consumer<Reply<StoredConfig>> onReply) {
-        store.watchConfig(revision, waitMillis, timed("config_watch", onReply));
+    public void watchConfig(StorePosition after, long waitMillis, Consumer<Reply<StoredConfig>> onReply) {
+        store.watchConfig(after, waitMillis, timed("config_watch", onReply));
     }
 
     @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -7,6 +7,7 @@
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.ServerRegistration;
+import org.tanagerhinge.core.store.StorePosition;
 
 /** Defines the calls of a gateway to the platform's store; callbacks run on the event loop. */
 public interface MetadataStore {
@@ -17,12 +18,14 @@
     void readConfig(long timeoutMillis, Consumer<Reply<StoredConfig>> onReply);
 
     /**
-     * Waits for a configuration that is newer than a revision of the store.
+     * Waits for a configuration that is newer than a position in the store's history. The reply is {@link
+     * HistoryCompacted} if that position is not part of the history, also because the store was restored from an older
+     * copy.
      *
      * @param waitMillis how long the store may wait, in milliseconds
      * @param onReply receives the newest configuration, or one without a document if nothing changed
      */
-    void watchConfig(long revision, long waitMillis, Consumer<Reply<StoredConfig>> onReply);
+    void watchConfig(StorePosition after, long waitMillis, Consumer<Reply<StoredConfig>> onReply);
 
     /** Decodes a configuration document. */
     RelayConfig decodeConfig(byte[] document) throws IOException;
@@ -60,10 +63,10 @@
     /**
      * Holds a configuration from the store.
      *
-     * @param revision the store revision up to which changes are included
+     * @param position the point in the store's history up to which changes are included
      * @param document null if nothing has changed
      */
-    record StoredConfig(long revision, byte[] document) {}
+    record StoredConfig(StorePosition position, byte[] document) {}
 
     /** Represents the outcome of a call. */
     sealed interface Reply<T> {
@@ -79,7 +82,7 @@
         }
     }
 
-    /** Reports that the requested revision has been compacted. */
+    /** Reports that the history from the requested position on is not available. */
     record HistoryCompacted<T>() implements Reply<T> {
         @Override
         public String result() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
@@ -60,7 +61,9 @@
     private final Gateway gateway;
     private final MetadataStore store;
     private final PeerSynchronizer peers;
-    private long revision = -1;
+    /** Point in the store's history up to which this gateway has received changes of the configuration. */
+    private StorePosition position = StorePosition.NONE;
+
     private boolean watching;
     /** Reason of the latest read, for the log. */
     private String readReason = "started";
@@ -86,7 +89,7 @@
                 .registerGauge(
                         "config_watch_revision",
                         "Store revision from which the configuration is watched; NaN if it is not",
-                        () -> synchronizer.watching ? synchronizer.revision : Double.NaN);
+                        () -> synchronizer.watching ? synchronizer.position.revision() : Double.NaN);
         synchronizer.runGuarded(synchronizer::readConfig);
         synchronizer.runGuarded(synchronizer::register);
         synchronizer.runGuarded(synchronizer::readServers);
@@ -190,8 +193,8 @@
     private void logRead(String reason, MetadataStore.StoredConfig stored) {
         LogLine.of(LogEvent.CONFIG_READ)
                 .with(LogField.WHY, reason)
-                .with(LogField.ERA, gateway.storeEra().current())
-                .with(LogField.REVISION, stored.revision())
+                .with(LogField.ERA, stored.position().era())
+                .with(LogField.REVISION, stored.position().revision())
                 .write();
     }
 
@@ -202,7 +205,7 @@
             schedule(this::watchConfig, STANDBY_CHECK_MILLIS);
         } else if (watching) {
             store.watchConfig(
-                    revision,
+                    position,
                     WATCH_WAIT_MILLIS,
                     guarded(this::watchConfig, reply -> handleConfig(reply, ConfigSource.STORE_WATCH)));
         } else {
@@ -219,7 +222,7 @@
         if (reply instanceof MetadataStore.Success<MetadataStore.StoredConfig> success) {
             markReachable();
             MetadataStore.StoredConfig stored = success.value();
-            revision = Math.max(revision, stored.revision());
+            position = stored.position();
             boolean watched = watching;
             watching = gateway.config().isPresent() || stored.document() != null;
             if (!watched) {
@@ -237,7 +240,7 @@
         watching = false;
         readReason = reply instanceof MetadataStore.Failure<?> failure
                 ? "call failed: " + failure.reason()
-                : "the store's history does not have revision " + revision;
+                : "the store's history does not have " + position;
         if (recordFailure(reply)) {
             schedule(this::watchConfig, retryMillis());
         } else {
@@ -248,8 +251,8 @@
     private void logWatch() {
         if (watching) {
             LogLine.of(LogEvent.CONFIG_WATCH)
-                    .with(LogField.ERA, gateway.storeEra().current())
-                    .with(LogField.REVISION, revision)
+                    .with(LogField.ERA, position.era())
+                    .with(LogField.REVISION, position.revision())
                     .write();
         }
     }
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -30,6 +30,7 @@
 import org.tanagerhinge.core.relay.LeastInFlightPlacement;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /**
@@ -79,12 +80,12 @@
 
         @Override
         public void readConfig(long timeoutMillis, Consumer<Reply<StoredConfig>> onReply) {
-            reply("config", new StoredConfig(1, new byte[0]), onReply);
+            reply("config", new StoredConfig(StorePosition.of(1, 1), new byte[0]), onReply);
         }
 
         @Override
-        public void watchConfig(long revision, long waitMillis, Consumer<Reply<StoredConfig>> onReply) {
-            reply("watch", new StoredConfig(revision, new byte[0]), onReply);
+        public void watchConfig(StorePosition after, long waitMillis, Consumer<Reply<StoredConfig>> onReply) {
+            reply("watch", new StoredConfig(after, new byte[0]), onReply);
         }
 
         @Override
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -51,7 +51,7 @@
         StoreStandin.Snapshot copy = scene.store.snapshot();
         writeOften(LOST_WRITES);
         awaitWatchOfAllWrites();
-        scene.store.restore(copy);
+        scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
         long[] version = new long[1];
         scene.store.afterNextCall(PlatformNames.KEY_PATH, () -> {
             version[0] = scene.platform.publish();
@@ -59,4 +59,23 @@
         });
         RelayScene.await(() -> version[0] > 0 && gateway.configVersion() == version[0]);
     }
+
+    /**
+     * Guards against a watch that outlasts a restore and is answered from the new data, without the versions that were
+     * written at or below the revision it had asked for.
+     */
+    @Test
+    void watchThatOutlastsARestoreMissesNoVersion() throws IOException {
+        GatewayDaemon gateway = scene.gateway();
+        StoreStandin.Snapshot copy = scene.store.snapshot();
+        writeOften(LOST_WRITES);
+        awaitWatchOfAllWrites();
+        long[] version = new long[1];
+        scene.store.afterNextCall(PlatformNames.RANGE_PATH, () -> {
+            scene.store.restore(copy, StoreStandin.WaitingCalls.CONTINUE);
+            version[0] = scene.platform.publish();
+            writeOften(2 * LOST_WRITES);
+        });
+        RelayScene.await(() -> version[0] > 0 && gateway.configVersion() == version[0]);
+    }
 }
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -35,6 +35,14 @@
         LOSES_ANSWERS
     }
 
+    /** How calls that wait while the store is restored are answered. */
+    public enum WaitingCalls {
+        /** Their connections are reset. */
+        RESET,
+        /** They are answered from the restored data. */
+        CONTINUE
+    }
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int PAGE_SIZE = 50;
 
@@ -46,6 +54,7 @@
     private final Map<String, Integer> unansweredCalls = new TreeMap<>();
     private Set<Socket> silenced = Set.of();
     private long era = 1;
+    private WaitingCalls callsOfEarlierEras = WaitingCalls.RESET;
     private long revision;
     private long compactedRevision;
     private long lastWatchedRevision;
@@ -154,11 +163,12 @@
 
     /**
      * Continues from an earlier copy, in the next era: later writes and leases are lost, and their revisions and ids are
-     * given out again. Waiting watches are reset.
+     * given out again.
      *
+     * @param waitingCalls how calls that arrived before are answered
      * @return the lost values of the operator and the servers, by key, for {@link #putAll}
      */
-    public synchronized Map<String, String> restore(Snapshot copy) {
+    public synchronized Map<String, String> restore(Snapshot copy, WaitingCalls waitingCalls) {
         Map<String, String> lost = new TreeMap<>();
         items.forEach((key, item) -> {
             if (item.lease() == 0 && !item.equals(copy.items.get(key)) && writtenByPlatform(key)) {
@@ -175,6 +185,7 @@
         nextLease = copy.lastLease;
         compactedRevision = Math.min(compactedRevision, revision);
         era++;
+        callsOfEarlierEras = waitingCalls;
         notifyAll();
         return lost;
     }
@@ -264,7 +275,8 @@
             reply = mode == FaultMode.SERVES || mode == FaultMode.LOSES_ANSWERS ? serve(request) : new Reply(503, "{}");
             mode = currentMode.get() == FaultMode.SERVES ? mode : currentMode.get();
             mode = silenced.contains(connection.socket()) ? FaultMode.SILENT : mode;
-            mode = era == receivedInEra ? mode : FaultMode.RESETS;
+            boolean reset = era != receivedInEra && callsOfEarlierEras == WaitingCalls.RESET;
+            mode = reset ? FaultMode.RESETS : mode;
             answeredInEra = era;
             if (request.path().equals(awaitedPath)) {
                 awaitedPath = "";
@@ -340,7 +352,7 @@
                 + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(request.parameter(PlatformNames.WAIT_MILLIS)));
         FaultMode initialMode = faultMode;
         long initialEra = era;
-        while (faultMode == initialMode && era == initialEra) {
+        while (faultMode == initialMode && (era == initialEra || callsOfEarlierEras == WaitingCalls.CONTINUE)) {
             if (after < compactedRevision || after > revision) {
                 return new Reply(410, "{}");
             }
