A restored store removes no running servers and brings back none that left

What callers would see: 503 for seconds where the servers of a service had registered after the copy was taken, since the first list after the restore lacks them; requests to servers that had left since, whose registration is in the copy; and an earlier instance of a restarted server in place of the current one.

Cause: the directory believed each newer list. The exception for lapsed registrations begins after two seconds without a list, and a restored store may be away for less.

Now a restore counts as the end of an outage: missing servers are kept until they can have registered again. An instance that departed in the minute before is not added from a list that was requested within five seconds of the restore; a server that runs still stands there afterwards. Gateways that get the list from a peer know of the restore by the era in that peer's reports.

RestoredStoreTest.serverThatRegisteredAfterTheCopyIsUsedUntilItRegistersAgain failed before (503) and passes; three tests in ServerDirectoryTest.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -11,9 +11,12 @@
  * Tracks the backend servers that this node knows.
  *
  * <p>Membership follows the registrations in the platform's store: a server that is missing from a list is removed,
- * except right after an outage of the store. Registrations lapse during an outage although the servers run, and come
- * back within about two seconds of its end. Without the exception an outage would leave no server to send to; without
- * its limit a crashed server would get requests forever.
+ * except right after an outage of the store or its restore from an older copy. Registrations lapse during an outage,
+ * and are missing in a copy, although the servers run; they come back within about two seconds. Without the exception an
+ * outage would leave no server to send to; without its limit a crashed server would get requests forever.
+ *
+ * <p>A copy also contains registrations of servers that have left since. Such a server isn't added again until its
+ * registration would have lapsed if it didn't run.
  */
 public final class ServerDirectory {
     /**
@@ -24,10 +27,18 @@
     /** Time after an outage of the store, in milliseconds, for which missing servers are kept. */
     private static final long REGISTRATION_RECOVERY_MILLIS = 2_200;
 
+    /** Time after a restore, in milliseconds, within which the registration of a server that doesn't run lapses. */
+    private static final long STALE_REGISTRATION_MILLIS = 5_000;
+    /** Time for which the departure of a server is remembered, in milliseconds: the greatest age of a copy. */
+    private static final long MAX_COPY_AGE_MILLIS = 60_000;
+
     private final Map<String, ServerInstance> instanceByServerId = new LinkedHashMap<>();
     private final Map<String, List<ServerInstance>> instancesByService = new HashMap<>();
     private long newestListMillis = Long.MIN_VALUE;
     private long keepMissingUntilMillis = Long.MIN_VALUE;
+    private long ignoreDepartedUntilMillis = Long.MIN_VALUE;
+    /** When instances departed, by instance id, in the order of their departure. */
+    private final Map<String, Long> departedAtMillis = new LinkedHashMap<>();
 
     private ServerDirectory() {}
 
@@ -55,6 +66,10 @@
         Map<String, ServerRegistration> listed = new HashMap<>();
         for (ServerRegistration registration : registrations) {
             listed.put(registration.id(), registration);
+            if (requestedAtMillis < ignoreDepartedUntilMillis
+                    && departedAtMillis.containsKey(registration.instanceId())) {
+                continue;
+            }
             ServerInstance current = instanceByServerId.get(registration.id());
             boolean sameInstance =
                     current == null || current.registration().startedAtMillis() == registration.startedAtMillis();
@@ -62,13 +77,14 @@
                 continue;
             }
             if (!sameInstance) {
-                current.markRemoved();
+                depart(current, requestedAtMillis);
                 changes.add(ServerChange.of(current, ServerChange.Kind.REMOVED));
                 current = null;
             }
             if (current == null) {
                 ServerInstance added = ServerInstance.of(registration);
                 instanceByServerId.put(registration.id(), added);
+                departedAtMillis.remove(added.instanceId());
                 changes.add(ServerChange.of(added, ServerChange.Kind.ADDED));
                 continue;
             }
@@ -82,7 +98,7 @@
                 if (listed.containsKey(server.id())) {
                     return false;
                 }
-                server.markRemoved();
+                depart(server, requestedAtMillis);
                 changes.add(ServerChange.of(server, ServerChange.Kind.REMOVED));
                 return true;
             });
@@ -93,9 +109,21 @@
         return changes;
     }
 
-    /** Removes a server at whose address another instance answered. */
-    public void removeReplaced(ServerInstance server) {
+    private void depart(ServerInstance server, long nowMillis) {
         server.markRemoved();
+        departedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > MAX_COPY_AGE_MILLIS);
+        departedAtMillis.put(server.instanceId(), nowMillis);
+    }
+
+    /** Records that the platform's store was restored from an older copy, at a time in milliseconds. */
+    public void storeRestored(long nowMillis) {
+        keepMissingUntilMillis = Math.max(keepMissingUntilMillis, nowMillis + REGISTRATION_RECOVERY_MILLIS);
+        ignoreDepartedUntilMillis = nowMillis + STALE_REGISTRATION_MILLIS;
+    }
+
+    /** Removes a server at whose address another instance answered, at a time in milliseconds. */
+    public void removeReplaced(ServerInstance server, long nowMillis) {
+        depart(server, nowMillis);
         instanceByServerId.remove(server.id(), server);
         indexByService();
     }
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayFixture.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayFixture.java
@@ -11,6 +11,11 @@
         return new ServerRegistration(id, 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
     }
 
+    static ServerRegistration registration(String id, long startedAtMillis) {
+        return new ServerRegistration(
+                id, startedAtMillis, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false);
+    }
+
     static Route route(RouteKind kind, boolean resumable, int attempts) {
         return new Route(
                 "r",
--- a/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
@@ -34,6 +34,43 @@
         assertEquals(1, directory.available("model").size());
     }
 
+    /** Guards against losing servers that registered after the copy from which the store was restored. */
+    @Test
+    void serversMissingAfterARestoreAreKeptUntilTheyCanHaveRegisteredAgain() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 1_000);
+        directory.storeRestored(1_700);
+        directory.apply(List.of(registration("a", false)), 1_800);
+        directory.apply(List.of(registration("a", false)), 2_600);
+        assertEquals(2, directory.available("model").size());
+        directory.apply(List.of(registration("a", false)), 4_000);
+        assertEquals(1, directory.available("model").size());
+    }
+
+    /** Guards against requests to a server that had left, whose registration is in the copy. */
+    @Test
+    void serverThatLeftBeforeARestoreIsNotUsedUntilItsRegistrationOutlastsItsLapse() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 1_000);
+        directory.apply(List.of(registration("a", false)), 1_800);
+        directory.storeRestored(2_500);
+        directory.apply(List.of(registration("a", false), registration("b", false)), 2_600);
+        assertEquals(1, directory.available("model").size());
+        directory.apply(List.of(registration("a", false), registration("b", false)), 7_600);
+        assertEquals(2, directory.available("model").size(), "still registered, so it runs");
+    }
+
+    /** Guards against replacing a restarted server by its earlier instance, whose registration is in the copy. */
+    @Test
+    void earlierInstanceInARestoredListDoesNotReplaceTheCurrentOne() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", 10)), 1_000);
+        directory.apply(List.of(registration("a", 20)), 1_800);
+        directory.storeRestored(2_500);
+        directory.apply(List.of(registration("a", 10)), 2_600);
+        assertEquals("a@20", directory.available("model").get(0).instanceId());
+    }
+
     @Test
     void drainingServerStaysDraining() {
         ServerDirectory directory = ServerDirectory.create();
--- a/core/src/test/java/org/tanagerhinge/core/relay/ServerRestartTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ServerRestartTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tanagerhinge.core.relay.RelayFixture.registration;
 
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -20,11 +20,6 @@
 class ServerRestartTest {
     private static final ServiceConfig ENGINES = ServiceConfig.of("model", 300, 48, 300_000);
 
-    private static ServerRegistration registration(String id, long startedAtMillis) {
-        return new ServerRegistration(
-                id, startedAtMillis, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false);
-    }
-
     private static List<ServerChange.Kind> kinds(List<ServerChange> changes) {
         return changes.stream().map(ServerChange::kind).toList();
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -493,7 +493,7 @@
                 .with(LogField.SERVER, server.id())
                 .with(LogField.SERVICE, server.service())
                 .write();
-        directory.removeReplaced(server);
+        directory.removeReplaced(server, nowMillis());
         placement.forgetInstance(server.instanceId());
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -100,6 +100,7 @@
 
     private void storeRestored(long era, String source) {
         gateway.count("store_restored");
+        gateway.directory().storeRestored(gateway.nowMillis());
         LogLine.of(LogEvent.STORE_RESTORED)
                 .with(LogField.ERA, era)
                 .with(LogField.WHY, "stated by " + source)
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -1,6 +1,9 @@
 package org.tanagerhinge.bench.relay;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.io.IOException;
+import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,7 +22,9 @@
     void setUp() {
         scene = new RelayScene();
         scene.platform.service("plain", 0);
+        scene.platform.service("late", 0);
         scene.platform.route("/safe/", "safe", "plain");
+        scene.platform.route("/late/", "safe", "late");
         scene.platform.workspace("coop", "key-1");
         scene.platform.publish();
         scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
@@ -36,6 +41,14 @@
         }
     }
 
+    private static int status(GatewayDaemon gateway, String path) {
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            return caller.exchange(RawCaller.request("GET", path, "a", "", "")).status();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Waits until the configuration is watched from the store's current revision. */
     private void awaitWatchOfAllWrites() {
         RelayScene.await(() -> scene.store.lastWatchedRevision() == scene.store.revision());
@@ -60,6 +73,28 @@
         RelayScene.await(() -> version[0] > 0 && gateway.configVersion() == version[0]);
     }
 
+    /** Guards against refusing requests while the only server, which registered after the copy, registers again. */
+    @Test
+    void serverThatRegisteredAfterTheCopyIsUsedUntilItRegistersAgain() throws IOException {
+        GatewayDaemon reader = scene.gateway();
+        GatewayDaemon other = scene.gateway();
+        StoreStandin.Snapshot copy = scene.store.snapshot();
+        scene.server("late-1", "late", ServerStandin.plain(200, "x"));
+        RelayScene.await(() -> status(reader, "/late/x") == 200 && status(other, "/late/x") == 200);
+        Map<String, String> lost = scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
+        boolean[] registered = new boolean[1];
+        scene.store.afterNextCall(PlatformNames.RANGE_PATH, () -> {
+            scene.store.putAll(lost);
+            registered[0] = true;
+        });
+        RelayScene.await(() -> registered[0]);
+        int listings = scene.store.calls(PlatformNames.RANGE_PATH);
+        while (scene.store.calls(PlatformNames.RANGE_PATH) < listings + 2) {
+            assertEquals(200, status(reader, "/late/x"));
+            assertEquals(200, status(other, "/late/x"));
+        }
+    }
+
     /**
      * Guards against a watch that outlasts a restore and is answered from the new data, without the versions that were
      * written at or below the revision it had asked for.
