--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -23,7 +23,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
-import java.util.function.Function;
 import org.tanagerhinge.core.duty.DutyClient;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.RelayConfig;
@@ -81,7 +80,7 @@
             Dialect dialect,
             PlacementPolicy placement,
             BiFunction<EventLoopGroup, StoreEra, MetadataStore> storeFactory,
-            Function<EventLoopGroup, DutyClient> dutyClientFactory,
+            BiFunction<EventLoopGroup, StoreEra, DutyClient> dutyClientFactory,
             Optional<ServerSocketChannel> earlySocket) {
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         NodeMetrics metrics = NodeMetrics.create();
@@ -93,7 +92,12 @@
         gateway.onSent(peers::promptSent);
         daemon.duties = options.duties()
                 .map(dutyOptions -> DutyParticipant.start(
-                        gateway, loop, peers, dutyClientFactory.apply(loop), dutyOptions, InstantSource.system()));
+                        gateway,
+                        loop,
+                        peers,
+                        dutyClientFactory.apply(loop, gateway.storeEra()),
+                        dutyOptions,
+                        InstantSource.system()));
         daemon.openPeerListener();
         daemon.registerGauges(peers);
         loop.next().execute(() -> StoreSynchronizer.start(gateway, client, peers));
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -18,9 +18,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -30,6 +30,7 @@
 import org.tanagerhinge.core.relay.LeastInFlightPlacement;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
@@ -153,7 +154,7 @@
                 new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
                 Optional.empty(),
                 Set.of());
-        Function<EventLoopGroup, DutyClient> noDuties = loop -> {
+        BiFunction<EventLoopGroup, StoreEra, DutyClient> noDuties = (loop, era) -> {
             throw new IllegalStateException("no duties");
         };
         return GatewayDaemon.start(
