--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutyFaultScript.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyFaultScript.java
@@ -100,6 +100,23 @@
         return this;
     }
 
+    /**
+     * Restores the store from a copy; it is down before that for a moment.
+     *
+     * @param leasesPause whether leases of the copy have the time left that they had when it was taken
+     */
+    public DutyFaultScript storeRestored(long atMillis, long ageMillis, long downMillis, boolean leasesPause) {
+        DutyStoreModel.Snapshot[] copy = new DutyStoreModel.Snapshot[1];
+        simulation.schedule(atMillis - ageMillis, () -> copy[0] = simulation.store.snapshot());
+        simulation.schedule(atMillis - downMillis, () -> simulation.store.down = true);
+        simulation.schedule(atMillis, () -> {
+            simulation.store.down = false;
+            simulation.logEvent("store restored from a copy " + ageMillis + " old");
+            simulation.store.restore(copy[0], leasesPause);
+        });
+        return this;
+    }
+
     /** Makes the store execute a share of its calls late and leave them unanswered. */
     public DutyFaultScript storeLate(long atMillis, long durationMillis, double share) {
         simulation.schedule(atMillis, () -> simulation.store.lateShare = share);
--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutyStoreModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyStoreModel.java
@@ -23,6 +23,10 @@
     private List<UsageReport> savedReports = List.of();
     private long revision = 400;
     private long lastLease = 7_000;
+    private long era = 1;
+    private long restoredAtMillis = Long.MIN_VALUE;
+    /** Tokens of claims that a restore discarded. */
+    private final Set<Long> discardedTokens = new HashSet<>();
 
     boolean down;
     boolean leasesPause;
@@ -42,6 +46,68 @@
         }
     }
 
+    /** Holds a copy of the data, from which {@link #restore} continues. */
+    record Snapshot(
+            long atMillis,
+            Map<Long, Long> expiryMillisByLease,
+            TreeMap<Long, UsageCounts> committedByWindow,
+            Optional<DutyRecord.Ownership> ownership,
+            long ownershipLease,
+            List<String> recentHolders,
+            List<UsageReport> savedReports,
+            long revision,
+            long lastLease) {}
+
+    Snapshot snapshot() {
+        expire();
+        return new Snapshot(
+                simulation.nowMillis(),
+                new HashMap<>(expiryMillisByLease),
+                new TreeMap<>(committedByWindow),
+                ownership,
+                ownershipLease,
+                recentHolders,
+                savedReports,
+                revision,
+                lastLease);
+    }
+
+    /**
+     * Continues from an earlier copy in the next era: later writes and leases are lost, and their revisions and lease ids
+     * are assigned again. Leases of the copy either have the time left that they had then, or go on to expire.
+     */
+    void restore(Snapshot copy, boolean leasesPaused) {
+        expire();
+        long pausedMillis = leasesPaused ? simulation.nowMillis() - copy.atMillis() : 0;
+        ownership
+                .filter(lost -> !copy.ownership().equals(Optional.of(lost)))
+                .ifPresent(lost -> discardedTokens.add(lost.fencingToken()));
+        expiryMillisByLease.clear();
+        copy.expiryMillisByLease()
+                .forEach((lease, expiryMillis) -> expiryMillisByLease.put(lease, expiryMillis + pausedMillis));
+        committedByWindow.clear();
+        committedByWindow.putAll(copy.committedByWindow());
+        ownership = copy.ownership();
+        ownershipLease = copy.ownershipLease();
+        recentHolders = copy.recentHolders();
+        savedReports = copy.savedReports();
+        revision = copy.revision();
+        lastLease = copy.lastLease();
+        era++;
+        restoredAtMillis = simulation.nowMillis();
+    }
+
+    /** Returns the era, which rises with each restore and is part of every response. */
+    long era() {
+        return era;
+    }
+
+    /** Returns whether the claim with a token was discarded by a restore, and its holder may not know of it yet. */
+    boolean discardedWithinLease(long token) {
+        return discardedTokens.contains(token)
+                && simulation.nowMillis() - restoredAtMillis < DutySimulation.LEASE_MILLIS;
+    }
+
     private void expire() {
         if (down && leasesPause) {
             return;
