A restore of the store ends the usage duty's claims, and its tokens and commits are not used twice

What the platform saw: a fencing token of one holder came from another one as well; a window was reported twice with different counts; and reports stopped, since tokens lower than one it had seen were fenced (in UsageReportsTest for as long as it ran, at each attempt).

Cause: as with watches, what is unique within one era was used across two: the revision of the claim as fencing token, the lease id, and the list of committed windows as the record of what was ever reported.

- Fencing tokens are positions: the era above the revision (StorePosition.toFencingToken).
Conditions in the store use the revision, as before.
- Each node that sees a new era, by any response of the store or by a peer's report, gives up its claim or attempt without revoking the lease, whose id may be another node's now, and stands again after a whole lease: by then no holder that has not heard of the restore trusts its own.
Responses of an earlier era are unknown outcomes.
- Nodes remember the newest committed window and announce it, a holder before it reports the counts.
A former holder commits again what the store has lost, with the same counts; another node leaves those windows out (usage_skipped).
- The tally that a holder saves names the era of which it knows all commits.
Where the store's tally is of an earlier era, a new holder waits for the former holder's first report in the new era, which is its last word on commits, and leaves out windows that ended before if it does not come in time.

UsageReportsTest.reportsGoOnAfterTheStoreWasRestored fails on the code before and passes.

--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyClient.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyClient.java
@@ -8,6 +8,12 @@
  * runs exactly once, on the caller's thread, after the method has returned.
  */
 public interface DutyClient {
+    /**
+     * Returns the latest era of the store that this node knows; it is updated before each callback. Outcomes of an
+     * earlier era are unknown ones.
+     */
+    long storeEra();
+
     /** Requests a lease from the store; {@code callback} receives the lease id. */
     void grantLease(long ttlMillis, Consumer<CallOutcome<Long>> callback);
 
@@ -38,13 +44,13 @@
             long fencingToken, UsageCounts counts, long pruneThrough, Consumer<CallOutcome<CommitResult>> callback);
 
     /**
-     * Saves the reports on uncommitted windows, on condition that the fencing token is still current;
-     * {@code callback} receives whether it is.
+     * Saves what a successor needs, on condition that the fencing token is still current; {@code callback} receives
+     * whether it is.
      */
-    void saveReports(long fencingToken, List<UsageReport> reports, Consumer<CallOutcome<Boolean>> callback);
+    void saveTally(long fencingToken, UsageTally tally, Consumer<CallOutcome<Boolean>> callback);
 
-    /** Saves the reports and gives up ownership; {@code callback} runs when the call has succeeded or failed. */
-    void release(long fencingToken, List<UsageReport> reports, Runnable callback);
+    /** Saves what a successor needs and gives up ownership; {@code callback} runs when the call has succeeded or failed. */
+    void release(long fencingToken, UsageTally tally, Runnable callback);
 
     /** Reports the counts of a window to the platform. */
     void reportUsage(long fencingToken, UsageCounts counts, Consumer<CallOutcome<ReportResult>> callback);
--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyElection.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyElection.java
@@ -13,9 +13,10 @@
  * valid.
  *
  * <p>The holder is the node that wrote the duty's key. The key is attached to the writer's lease and disappears with
- * it. The store revision of that write is the fencing token, so each claim has a unique token. The validity of a
- * lease is counted from the time its last successful renewal was sent, and a renewal sent before the host was
- * suspended is not trusted. Candidates stand in order of preference: the most preferred one tries at once, each
+ * it. The position of that write in the store's history is the fencing token, so each claim has a unique token. The
+ * validity of a lease is counted from the time its last successful renewal was sent, and a renewal sent before the host
+ * was suspended is not trusted. A restore of the store from an older copy ends all claims and attempts, since the store
+ * may have lost them; no node stands again before a lease that was valid until then has expired. Candidates stand in order of preference: the most preferred one tries at once, each
  * further one after an additional delay.
  */
 final class DutyElection {
@@ -55,6 +56,9 @@
     private long nextAttemptMillis;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private long vacantSinceMillis;
+    /** Era of the store in which the current lease was granted. */
+    private long era;
+
     private long leaseId;
     private long fencingToken;
     private long leaseValidUntilMillis;
@@ -84,6 +88,7 @@
         this.startedAtMillis = clock.steadyMillis();
         this.cooldownEndMillis = clock.steadyMillis() + settings.cooldownMillis();
         this.vacantSinceMillis = clock.steadyMillis();
+        this.era = client.storeEra();
     }
 
     boolean isHolder() {
@@ -101,7 +106,7 @@
 
     /** Returns how long the lease is certain to be valid, in milliseconds; 0 if it may have expired. */
     long remainingLeaseMillis() {
-        return clock.steadyMillis() < leaseValidUntilMillis && !clocksDiverged()
+        return clock.steadyMillis() < leaseValidUntilMillis && !clocksDiverged() && era == client.storeEra()
                 ? leaseValidUntilMillis - clock.steadyMillis()
                 : 0;
     }
@@ -118,6 +123,7 @@
      * @param preference rank of this node as a candidate, 0 if it is no candidate
      */
     void tick(List<DutyPeer> peers, int preference) {
+        observeEra();
         long nowMillis = clock.steadyMillis();
         long peerToken = highestToken(peers);
         if (peerToken > 0) {
@@ -144,6 +150,18 @@
         }
     }
 
+    /**
+     * Gives up what an earlier era of the store granted. Its lease id may be another node's now, so it is not revoked.
+     */
+    void observeEra() {
+        if (era == client.storeEra()) {
+            return;
+        }
+        era = client.storeEra();
+        relinquish("the store was restored from an older copy", false);
+        cooldownEndMillis = Math.max(cooldownEndMillis, clock.steadyMillis() + settings.leaseMillis());
+    }
+
     private static long highestToken(List<DutyPeer> peers) {
         return peers.stream()
                 .filter(DutyPeer::alive)
@@ -202,6 +220,7 @@
         long sentClockOffsetMillis = clockOffsetMillis();
         long callEpoch = epoch;
         client.grantLease(settings.leaseMillis(), outcome -> {
+            observeEra();
             if (outcome instanceof CallOutcome.Completed<Long>(Long grantedLeaseId)) {
                 if (callEpoch != epoch) {
                     client.revokeLease(grantedLeaseId);
@@ -220,14 +239,18 @@
     private void writeClaim(List<String> recentHolders) {
         String claim = claimPrefix + "/" + ++claimCount;
         long claimLeaseId = leaseId;
+        long claimEra = era;
         long callEpoch = epoch;
         List<String> holders = new ArrayList<>(recentHolders);
         holders.add(settings.node());
         List<String> newestHolders =
                 List.copyOf(holders.subList(Math.max(0, holders.size() - MAX_RECENT_HOLDERS), holders.size()));
         client.claim(claim, claimLeaseId, newestHolders, outcome -> {
+            observeEra();
             if (callEpoch != epoch) {
-                client.revokeLease(claimLeaseId);
+                if (claimEra == era) {
+                    client.revokeLease(claimLeaseId);
+                }
                 return;
             }
             if (outcome instanceof CallOutcome.Completed<Boolean>(Boolean written) && !written) {
@@ -322,6 +345,10 @@
      * not wait for the lease to expire, and observes a cooldown.
      */
     void relinquish(String reason) {
+        relinquish(reason, true);
+    }
+
+    private void relinquish(String reason, boolean revoke) {
         boolean wasHolder = isHolder();
         if (isStopped() || machine.isIn(DutyState.IDLE)) {
             return;
@@ -338,14 +365,16 @@
             if (lastUnansweredCallMillis > nowMillis - settings.maxCallDelayMillis()) {
                 cooldownEndMillis += lastUnansweredCallMillis + settings.maxCallDelayMillis() - nowMillis;
             }
-            client.revokeLease(leaseId);
+            if (revoke) {
+                client.revokeLease(leaseId);
+            }
             onLost.run();
             listener.dutyLost(fencingToken, reason);
         }
     }
 
     /** Gives up ownership for good because the process shuts down. */
-    void stop(List<UsageReport> reports) {
+    void stop(UsageTally tally) {
         if (isStopped()) {
             return;
         }
@@ -354,7 +383,7 @@
         epoch++;
         if (wasHolder) {
             listener.dutyLost(fencingToken, "stops");
-            client.release(fencingToken, reports, () -> client.revokeLease(leaseId));
+            client.release(fencingToken, tally, () -> client.revokeLease(leaseId));
         }
     }
 
@@ -362,6 +391,7 @@
     private <T> Consumer<CallOutcome<T>> inCurrentEpoch(Consumer<CallOutcome<T>> callback) {
         long callEpoch = epoch;
         return outcome -> {
+            observeEra();
             if (callEpoch == epoch) {
                 callback.accept(outcome);
             }
--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyListener.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyListener.java
@@ -9,7 +9,7 @@
     void dutyLost(long fencingToken, String reason);
 
     /**
-     * Called when the counts of a window have been committed to the store.
+     * Called when the counts of a window have been committed to the store, before they are reported.
      *
      * @param completeNodes number of nodes whose counts of the window are complete
      * @param knownNodes number of nodes that are known, this one included
@@ -19,6 +19,9 @@
     /** Called when the report of a window was answered or has failed; {@code outcome} is the answer or the failure. */
     void usageReported(long fencingToken, UsageCounts counts, String outcome, long remainingLeaseMillis);
 
+    /** Called when this node leaves out a window because another node may have reported it. */
+    void windowSkipped(long window, String reason);
+
     /** Called when a window will not be reported. */
     void windowMissed(long window, String reason);
 }
--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -1,9 +1,11 @@
 package org.tanagerhinge.core.duty;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import org.tanagerhinge.core.store.StoreEra;
 
 /**
  * Reports the number of started requests to the platform, once for each usage window, while this node holds the duty.
@@ -11,6 +13,11 @@
  * <p>Two different reports for one window must not occur. Counts are therefore committed to the store before they are
  * first sent, on condition that they were not committed before and that this node is still the holder. A successor
  * sends exactly the committed counts. While the store is unreachable, no new window is reported.
+ *
+ * <p>A store that is restored from an older copy may have lost commits. Each node therefore remembers the newest
+ * committed window it knows of, and a former holder the counts. After a restore, a new holder commits windows that ended
+ * before it only once it has heard the former holder's final state, and leaves out those that were committed with
+ * unknown counts.
  */
 public final class UsageDuty {
     /** Wait after the end of a window until the clocks of all nodes have reached it. */
@@ -40,7 +47,19 @@
     private final UsageCounter counter;
     private final DutyElection election;
     private final long startedAtMillis;
+    private final Holder self;
+    private final CommittedWindows committedWindows = CommittedWindows.create();
     private UsageAggregator aggregator = UsageAggregator.create();
+    private Optional<Holder> latestHolder = Optional.empty();
+    /** Latest era of the store that the latest holder has announced; from then on it commits nothing in earlier ones. */
+    private long latestHolderEra = StoreEra.UNKNOWN;
+    /** Windows up to this one may have been committed by {@link #unsettledHolder} before the store was restored. */
+    private long unsettledThrough = Long.MIN_VALUE;
+
+    private Optional<Holder> unsettledHolder = Optional.empty();
+    /** Era of the tally while there are unsettled windows. */
+    private long settledEra = StoreEra.UNKNOWN;
+
     /** Counts whose commit was requested but not confirmed; a retry must send the same counts. */
     private UsageCounts pendingCommit;
 
@@ -57,6 +76,9 @@
     /** Increases whenever the duty is lost, so that callbacks of earlier calls are ignored. */
     private long epoch;
 
+    /** Identifies the process that holds or held the duty. */
+    private record Holder(String node, long incarnation) {}
+
     /** Number of nodes whose counts of a window are complete, out of the number of known nodes. */
     private record Coverage(int completeNodes, int knownNodes) {}
 
@@ -77,6 +99,7 @@
         this.listener = listener;
         this.counter = counter;
         this.startedAtMillis = clock.steadyMillis();
+        this.self = new Holder(settings.node(), incarnation);
         this.election = new DutyElection(
                 settings, clock, client, random, listener, incarnation, this::onDutyAcquired, this::onDutyLost);
     }
@@ -116,6 +139,7 @@
      * @param hostCapacity capacity of this host for duties, 0 if the node is no candidate
      */
     public void tick(List<DutyPeer> peers, int hostCapacity) {
+        peers.forEach(this::learnFromPeer);
         election.tick(peers, preference(hostCapacity));
         if (!election.isHolder()) {
             return;
@@ -140,21 +164,57 @@
         return OptionalLong.of(aggregator.committedThrough());
     }
 
+    /** Records that a holder has committed the windows up to and including this one. */
+    public void recordCommittedThrough(long window) {
+        committedWindows.recordThrough(window);
+    }
+
+    /** Returns the newest window that this node knows to be committed, 0 if there is none. */
+    public long committedThrough() {
+        return Math.max(0, committedWindows.through());
+    }
+
+    private void learnFromPeer(DutyPeer peer) {
+        DutyAnnouncement announcement = peer.announcement();
+        committedWindows.recordThrough(announcement.committedThrough());
+        Holder holder = new Holder(peer.name(), peer.incarnation());
+        if (peer.alive() && announcement.fencingToken() > 0) {
+            latestHolder = Optional.of(holder);
+        }
+        if (latestHolder.equals(Optional.of(holder))) {
+            latestHolderEra = announcement.storeEra();
+        }
+        if (unsettledHolder.equals(Optional.of(holder)) && announcement.storeEra() >= client.storeEra()) {
+            unsettledThrough = Long.MIN_VALUE;
+        }
+    }
+
     /** Saves the received reports and gives up the duty because the process shuts down. */
     public void stop() {
         aggregator.merge(counter.snapshot(false));
-        election.stop(aggregator.snapshot());
+        election.stop(tally());
     }
 
     private void onDutyAcquired(DutyRecord dutyRecord) {
+        long tallyEra = dutyRecord.tally().era();
+        boolean storeRestored = tallyEra != StoreEra.UNKNOWN && tallyEra < client.storeEra();
+        boolean settled = latestHolder.equals(Optional.of(self))
+                || (latestHolder.isPresent() && latestHolderEra >= client.storeEra());
+        unsettledThrough =
+                storeRestored && !settled ? settings.windowAt(medianClock.epochMillis()) - 1 : Long.MIN_VALUE;
+        settledEra = storeRestored ? tallyEra : client.storeEra();
+        unsettledHolder = latestHolder;
+        latestHolder = Optional.of(self);
         dutyRecord.committedCounts().forEach(counts -> {
+            committedWindows.record(counts);
             aggregator.markCommitted(counts.window());
             if (medianClock.epochMillis()
                     < settings.windowEndMillis(counts.window()) + 2 * settings.reportDeadlineMillis()) {
                 unreported.put(counts.window(), counts);
             }
         });
-        aggregator.mergeAll(dutyRecord.savedReports());
+        committedWindows.recordThrough(dutyRecord.tally().committedThrough());
+        aggregator.mergeAll(dutyRecord.tally().reports());
         holderSinceMillis = clock.steadyMillis();
         nextSaveMillis = holderSinceMillis + SAVE_INTERVAL_MILLIS;
     }
@@ -176,22 +236,40 @@
             return;
         }
         if (pendingCommit == null) {
-            long nowMillis = medianClock.epochMillis();
-            skipExpiredWindows(nowMillis);
-            long window = aggregator.committedThrough() + 1;
-            if (window >= settings.windowAt(nowMillis) || !isReady(window, nowMillis, peers)) {
-                return;
-            }
-            if (!aggregator.anyStartedBefore(settings.windowEndMillis(window))) {
-                aggregator.markCommitted(window);
+            Optional<UsageCounts> next = nextCounts(peers);
+            if (next.isEmpty()) {
                 return;
             }
-            pendingCommit = aggregator.counts(window);
-            coverage = new Coverage(completeNodes(window, peers), peers.size() + 1);
+            pendingCommit = next.get();
+            coverage = new Coverage(completeNodes(pendingCommit.window(), peers), peers.size() + 1);
         }
         commit(pendingCommit);
     }
 
+    /** Returns the counts to commit next, or nothing if none are due; those of a commit that the store has lost first. */
+    private Optional<UsageCounts> nextCounts(List<DutyPeer> peers) {
+        long nowMillis = medianClock.epochMillis();
+        skipExpiredWindows(nowMillis);
+        skipWindowsOfOtherHolders();
+        long window = aggregator.committedThrough() + 1;
+        Optional<UsageCounts> committedBefore = committedWindows.counts(window);
+        if (committedBefore.isPresent()) {
+            return committedBefore;
+        }
+        if (window >= settings.windowAt(nowMillis) || !isReady(window, nowMillis, peers)) {
+            return Optional.empty();
+        }
+        if (window <= unsettledThrough) {
+            skip(window, "the latest holder before the restore of the store is not heard");
+            return Optional.empty();
+        }
+        if (!aggregator.anyStartedBefore(settings.windowEndMillis(window))) {
+            aggregator.markCommitted(window);
+            return Optional.empty();
+        }
+        return Optional.of(aggregator.counts(window));
+    }
+
     /** Skips windows whose report deadline has passed. */
     private void skipExpiredWindows(long nowMillis) {
         long oldest = settings.windowAt(nowMillis - settings.reportDeadlineMillis());
@@ -207,12 +285,29 @@
         aggregator.markCommitted(oldest - 1);
     }
 
+    /** Skips windows that another node has committed, whose counts are unknown because the store has lost them. */
+    private void skipWindowsOfOtherHolders() {
+        for (long window = aggregator.committedThrough() + 1;
+                window <= committedWindows.through()
+                        && committedWindows.counts(window).isEmpty();
+                window++) {
+            skip(window, "committed by another holder before the restore of the store");
+        }
+    }
+
+    private void skip(long window, String reason) {
+        listener.windowSkipped(window, reason);
+        committedWindows.recordThrough(window);
+        aggregator.markCommitted(window);
+    }
+
     private boolean isReady(long window, long nowMillis, List<DutyPeer> peers) {
         long endMillis = settings.windowEndMillis(window);
+        boolean settled = window > unsettledThrough;
         boolean waitExpired = nowMillis >= endMillis + settings.reportDeadlineMillis() / PEER_WAIT_DIVISOR
                 && clock.steadyMillis() >= holderSinceMillis + TAKEOVER_GRACE_MILLIS;
         return nowMillis >= endMillis + CLOCK_SKEW_ALLOWANCE_MILLIS
-                && (waitExpired || completeNodes(window, peers) > peers.size());
+                && (waitExpired || (settled && completeNodes(window, peers) > peers.size()));
     }
 
     /** Returns how many nodes, including this one, have reported all of their counts of a window. */
@@ -229,6 +324,7 @@
         long callEpoch = epoch;
         long pruneThrough = counts.window() - settings.retainedWindows();
         client.commitUsage(election.fencingToken(), counts, pruneThrough, outcome -> {
+            election.observeEra();
             if (callEpoch != epoch) {
                 return;
             }
@@ -249,8 +345,10 @@
     }
 
     private void onCommitted(UsageCounts counts) {
+        committedWindows.record(counts);
         listener.usageCommitted(election.fencingToken(), counts, coverage.completeNodes(), coverage.knownNodes());
         pendingCommit = null;
+        committedWindows.dropThrough(counts.window() - settings.retainedWindows());
         aggregator.markCommitted(counts.window());
         aggregator.removeIdleSources(medianClock.epochMillis() - 2 * settings.reportDeadlineMillis());
         unreported.put(counts.window(), counts);
@@ -316,6 +414,13 @@
 
     // ---- saving
 
+    private UsageTally tally() {
+        if (aggregator.committedThrough() >= unsettledThrough) {
+            settledEra = client.storeEra();
+        }
+        return new UsageTally(aggregator.snapshot(), committedThrough(), settledEra);
+    }
+
     private void saveIfDue() {
         long nowMillis = clock.steadyMillis();
         if (saveInFlight || nowMillis < nextSaveMillis || !election.canCall() || !aggregator.clearChanged()) {
@@ -324,7 +429,8 @@
         saveInFlight = true;
         nextSaveMillis = nowMillis + SAVE_INTERVAL_MILLIS;
         long callEpoch = epoch;
-        client.saveReports(election.fencingToken(), aggregator.snapshot(), outcome -> {
+        client.saveTally(election.fencingToken(), tally(), outcome -> {
+            election.observeEra();
             if (callEpoch != epoch) {
                 return;
             }
--- a/core/src/main/java/org/tanagerhinge/core/store/StorePosition.java
+++ b/core/src/main/java/org/tanagerhinge/core/store/StorePosition.java
@@ -7,6 +7,8 @@
  * @param revision revision of the store in that era
  */
 public record StorePosition(long era, long revision) implements Comparable<StorePosition> {
+    private static final int REVISION_BITS = 40;
+
     /** The point before any write. */
     public static final StorePosition NONE = new StorePosition(StoreEra.UNKNOWN, 0);
 
@@ -15,6 +17,19 @@
         return new StorePosition(era, revision);
     }
 
+    /** Returns the point that a fencing token stands for. */
+    public static StorePosition ofFencingToken(long token) {
+        return new StorePosition(token >>> REVISION_BITS, token & ((1L << REVISION_BITS) - 1));
+    }
+
+    /**
+     * Returns a fencing token that orders like positions, so that it rises across a restore as well. Without an era it is
+     * the revision.
+     */
+    public long toFencingToken() {
+        return era << REVISION_BITS | revision;
+    }
+
     /** Orders by era, then by revision. */
     @Override
     public int compareTo(StorePosition other) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/DutyParticipant.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/DutyParticipant.java
@@ -76,7 +76,7 @@
         this.options = options;
         this.clock = new HostClock(gateway, wallClock);
         this.medianClock = MedianClock.of(clock);
-        this.telemetry = new DutyTelemetry(gateway);
+        this.telemetry = new DutyTelemetry(gateway, peers::reportNow);
         this.counter = UsageCounter.of(options.settings(), medianClock, peers.incarnation());
         this.reporter = UsageReporter.of(options.settings(), clock, medianClock, ThreadLocalRandom.current(), counter);
     }
@@ -115,7 +115,11 @@
 
     private DutyAnnouncement status() {
         return new DutyAnnouncement(
-                clock.wallClockMillis(), duty == null ? 0 : duty.preference(hostCapacity()), token());
+                clock.wallClockMillis(),
+                duty == null ? 0 : duty.preference(hostCapacity()),
+                token(),
+                gateway.storeEra().current(),
+                duty == null ? 0 : duty.committedThrough());
     }
 
     private int hostCapacity() {
@@ -211,6 +215,7 @@
                         long committedThrough = UsageCodec.decodeCommittedThrough(response.body());
                         reporter.acknowledged(
                                 holder.announcement().fencingToken(), report, startedRequests, committedThrough);
+                        duty.recordCommittedThrough(committedThrough);
                     } catch (InvalidProtocolBufferException e) {
                         LOG.log(
                                 Level.ERROR,
--- a/gateway/src/main/java/org/tanagerhinge/gateway/DutyTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/DutyTelemetry.java
@@ -7,13 +7,16 @@
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
 
-/** Records duty events as log lines and counters. */
+/** Records duty events as log lines and counters, and announces commits to the peers. */
 final class DutyTelemetry implements DutyListener {
     private final Gateway gateway;
+    private final Runnable announce;
     private double coverage = Double.NaN;
 
-    DutyTelemetry(Gateway gateway) {
+    /** Creates a listener that runs {@code announce} after each commit, before its counts are reported. */
+    DutyTelemetry(Gateway gateway, Runnable announce) {
         this.gateway = gateway;
+        this.announce = announce;
     }
 
     /**
@@ -49,6 +52,7 @@
                 .with(LogField.HEARD, completeNodes)
                 .with(LogField.KNOWN, knownNodes)
                 .write();
+        announce.run();
     }
 
     @Override
@@ -64,6 +68,15 @@
                 .write();
     }
 
+    @Override
+    public void windowSkipped(long window, String reason) {
+        gateway.count("usage_skipped");
+        LogLine.failure(LogEvent.USAGE_SKIPPED)
+                .with(LogField.WINDOW, window)
+                .with(LogField.WHY, reason)
+                .write();
+    }
+
     @Override
     public void windowMissed(long window, String reason) {
         gateway.count("usage_missed");
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -86,7 +86,8 @@
         state.addAllLeaving(message.leavingInstances());
         state.setTimeOfDayMillis(message.dutyStatus().wallClockMillis())
                 .setPower(message.dutyStatus().preference())
-                .setUsageToken(message.dutyStatus().fencingToken());
+                .setUsageToken(message.dutyStatus().fencingToken())
+                .setUsageCommittedThrough(message.dutyStatus().committedThrough());
         return state.build().toByteArray();
     }
 
@@ -127,8 +128,12 @@
         List<RequestQuarantine.Suspicion> suspicions = state.getSuspectedList().stream()
                 .map(PeerCodec::decodeSuspicion)
                 .toList();
-        DutyAnnouncement duty =
-                new DutyAnnouncement(state.getTimeOfDayMillis(), state.getPower(), state.getUsageToken());
+        DutyAnnouncement duty = new DutyAnnouncement(
+                state.getTimeOfDayMillis(),
+                state.getPower(),
+                state.getUsageToken(),
+                state.getStoreEra(),
+                state.getUsageCommittedThrough());
         return new PeerMessage(report, cachedPrefixes, suspicions, List.copyOf(state.getLeavingList()), duty);
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/UsageCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/UsageCodec.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 import org.tanagerhinge.core.duty.UsageCounts;
 import org.tanagerhinge.core.duty.UsageReport;
+import org.tanagerhinge.core.duty.UsageTally;
+import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.wire.peer.UsageSource;
 import org.tanagerhinge.wire.peer.UsageTaken;
 import org.tanagerhinge.wire.peer.UsageTold;
@@ -19,8 +21,15 @@
 
     /** Encodes usage reports. */
     public static byte[] encodeReports(List<UsageReport> reports) {
-        UsageTold.Builder message = UsageTold.newBuilder();
-        for (UsageReport report : reports) {
+        return encodeTally(new UsageTally(reports, 0, StoreEra.UNKNOWN));
+    }
+
+    /** Encodes what a holder saves. */
+    public static byte[] encodeTally(UsageTally tally) {
+        UsageTold.Builder message = UsageTold.newBuilder()
+                .setCommittedThrough(tally.committedThrough())
+                .setStoreEra(tally.era());
+        for (UsageReport report : tally.reports()) {
             UsageSource.Builder source = UsageSource.newBuilder()
                     .setNode(report.node())
                     .setIncarnation(report.incarnation())
@@ -35,9 +44,16 @@
 
     /** Decodes usage reports. */
     public static List<UsageReport> decodeReports(byte[] message) throws InvalidProtocolBufferException {
-        return UsageTold.parseFrom(message).getSourcesList().stream()
-                .map(UsageCodec::decodeReport)
-                .toList();
+        return decodeTally(message).reports();
+    }
+
+    /** Decodes what a holder has saved. */
+    public static UsageTally decodeTally(byte[] message) throws InvalidProtocolBufferException {
+        UsageTold tally = UsageTold.parseFrom(message);
+        return new UsageTally(
+                tally.getSourcesList().stream().map(UsageCodec::decodeReport).toList(),
+                tally.getCommittedThrough(),
+                tally.getStoreEra());
     }
 
     private static UsageReport decodeReport(UsageSource source) {
--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutyNode.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyNode.java
@@ -26,6 +26,8 @@
 import org.tanagerhinge.core.duty.UsageDuty;
 import org.tanagerhinge.core.duty.UsageReport;
 import org.tanagerhinge.core.duty.UsageReporter;
+import org.tanagerhinge.core.duty.UsageTally;
+import org.tanagerhinge.core.store.StoreEra;
 
 /**
  * Simulates a node that runs the real decision code of duties, with its clocks and its calls to store, platform and
@@ -36,6 +38,8 @@
     private static final long ANNOUNCEMENT_INTERVAL_MILLIS = 250;
     private static final long PEER_TIMEOUT_MILLIS = 700;
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
+    private static final long COMMIT_ANNOUNCEMENT_DELAY_MILLIS = 5;
+    private static final long OTHER_STORE_CALLS_MILLIS = 3_000;
     private static final long FINAL_REPORT_MILLIS = 400;
     private static final Duration MAX_CALL_DELAY = Duration.ofSeconds(13);
 
@@ -57,6 +61,7 @@
     long clockOffsetMillis;
     private final List<Runnable> deferredTasks = new ArrayList<>();
 
+    private StoreEra storeEra;
     private MedianClock medianClock;
     private UsageCounter usageCounter;
     private UsageDuty duty;
@@ -109,6 +114,8 @@
                 retakeAtOnce || skipFenceWait ? Duration.ZERO : MAX_CALL_DELAY,
                 Duration.ofMillis(DutySimulation.WINDOW_MILLIS),
                 Duration.ofMillis(DutySimulation.REPORT_GRACE_MILLIS));
+        storeEra = StoreEra.create();
+        callStoreForOtherPurposes(incarnation);
         medianClock = MedianClock.of(clock);
         usageCounter = UsageCounter.of(settings, medianClock, incarnation);
         duty = UsageDuty.of(
@@ -126,6 +133,16 @@
         repeat(incarnation, 40, this::startRequest);
     }
 
+    /** Models the calls of the node that have nothing to do with duties, which show the store's era as well. */
+    private void callStoreForOtherPurposes(long expectedIncarnation) {
+        runWhenResumed(expectedIncarnation, () -> {
+            if (!simulation.store.down && !isRejectedByStore()) {
+                storeEra.observe(simulation.store.era(), "the store");
+            }
+            simulation.schedule(OTHER_STORE_CALLS_MILLIS, () -> callStoreForOtherPurposes(expectedIncarnation));
+        });
+    }
+
     private void repeat(long expectedIncarnation, long intervalMillis, Runnable task) {
         simulation.schedule(
                 intervalMillis - simulation.randomBetween(0, 10),
@@ -256,6 +273,7 @@
                                 report,
                                 startedRequests,
                                 committedThrough[0].getAsLong());
+                        duty.recordCommittedThrough(committedThrough[0].getAsLong());
                     } else {
                         usageReporter.failed();
                     }
@@ -267,26 +285,48 @@
     }
 
     private void announceToPeers() {
-        DutyAnnouncement announcement = new DutyAnnouncement(
-                clock.wallClockMillis(),
-                duty.preference(stopping || isRejectedByStore() ? 0 : capacity),
-                duty.fencingToken());
+        DutyAnnouncement announcement = announcement();
         for (DutyNode peer : simulation.nodes) {
-            if (peer != this && peer.alive && canReach(peer) && !simulation.chance(0.01)) {
-                long ownIncarnation = incarnation;
-                long peerIncarnation = peer.incarnation;
-                simulation.schedule(
-                        simulation.randomBetween(1, 10),
-                        () -> peer.runWhenResumed(peerIncarnation, () -> {
-                            peer.peers.put(
-                                    name,
-                                    new ReceivedAnnouncement(ownIncarnation, announcement, peer.clock.steadyMillis()));
-                            peer.medianClock.recordPeerTime(name, announcement.wallClockMillis());
-                        }));
+            if (isReachable(peer) && !simulation.chance(0.01)) {
+                deliver(announcement, peer, simulation.randomBetween(1, 10));
             }
         }
     }
 
+    /** Announces a commit at once; draws no random numbers, so that runs are as they would be without it. */
+    private void announceCommit() {
+        DutyAnnouncement announcement = announcement();
+        simulation.nodes.stream()
+                .filter(this::isReachable)
+                .forEach(peer -> deliver(announcement, peer, COMMIT_ANNOUNCEMENT_DELAY_MILLIS));
+    }
+
+    private DutyAnnouncement announcement() {
+        return new DutyAnnouncement(
+                clock.wallClockMillis(),
+                duty.preference(stopping || isRejectedByStore() ? 0 : capacity),
+                duty.fencingToken(),
+                storeEra.current(),
+                duty.committedThrough());
+    }
+
+    private boolean isReachable(DutyNode peer) {
+        return peer != this && peer.alive && canReach(peer);
+    }
+
+    private void deliver(DutyAnnouncement announcement, DutyNode peer, long delayMillis) {
+        long ownIncarnation = incarnation;
+        long peerIncarnation = peer.incarnation;
+        simulation.schedule(
+                delayMillis,
+                () -> peer.runWhenResumed(peerIncarnation, () -> {
+                    peer.peers.put(
+                            name, new ReceivedAnnouncement(ownIncarnation, announcement, peer.clock.steadyMillis()));
+                    peer.storeEra.observe(announcement.storeEra(), name);
+                    peer.medianClock.recordPeerTime(name, announcement.wallClockMillis());
+                }));
+    }
+
     private boolean isRejectedByStore() {
         return simulation.store.rejectedNodes.contains(name);
     }
@@ -325,13 +365,25 @@
                     return;
                 }
                 T result = operation.get();
+                long answeredInEra = store.era();
                 if (!lost) {
                     simulation.schedule(
-                            simulation.randomBetween(1, 6), () -> settle.accept(new CallOutcome.Completed<>(result)));
+                            simulation.randomBetween(1, 6), () -> settle.accept(storeOutcome(result, answeredInEra)));
                 }
             });
         }
 
+        private <T> CallOutcome<T> storeOutcome(T result, long answeredInEra) {
+            return isRunning() && !storeEra.observe(answeredInEra, "the store")
+                    ? new CallOutcome.Unknown<>("response of an earlier era of the store")
+                    : new CallOutcome.Completed<>(result);
+        }
+
+        @Override
+        public long storeEra() {
+            return storeEra.current();
+        }
+
         @Override
         public void grantLease(long ttlMillis, Consumer<CallOutcome<Long>> callback) {
             callStore(() -> simulation.store.grantLease(ttlMillis), callback);
@@ -375,7 +427,7 @@
             }
             Function<UsageCounts, CommitResult> alreadyCommitted = CommitResult.AlreadyCommitted::new;
             callStore(
-                    () -> simulation.store.holdsDuty(fencingToken)
+                    () -> simulation.store.conditionHolds(fencingToken)
                             ? simulation
                                     .store
                                     .commit(counts, pruneThrough)
@@ -386,24 +438,24 @@
         }
 
         @Override
-        public void saveReports(long fencingToken, List<UsageReport> reports, Consumer<CallOutcome<Boolean>> callback) {
+        public void saveTally(long fencingToken, UsageTally tally, Consumer<CallOutcome<Boolean>> callback) {
             callStore(
                     () -> {
-                        boolean holdsDuty = simulation.store.holdsDuty(fencingToken);
-                        if (holdsDuty) {
-                            simulation.store.saveReports(reports);
+                        boolean executed = simulation.store.conditionHolds(fencingToken);
+                        if (executed) {
+                            simulation.store.saveTally(tally);
                         }
-                        return holdsDuty;
+                        return executed;
                     },
                     callback);
         }
 
         @Override
-        public void release(long fencingToken, List<UsageReport> reports, Runnable callback) {
+        public void release(long fencingToken, UsageTally tally, Runnable callback) {
             callStore(
                     () -> {
-                        if (simulation.store.holdsDuty(fencingToken)) {
-                            simulation.store.saveReports(reports);
+                        if (simulation.store.conditionHolds(fencingToken)) {
+                            simulation.store.saveTally(tally);
                             simulation.store.release();
                         }
                         return true;
@@ -414,7 +466,7 @@
         @Override
         public void reportUsage(long fencingToken, UsageCounts counts, Consumer<CallOutcome<ReportResult>> callback) {
             long sentToken = simulation.bug == DeliberateBug.NO_FENCE ? 1 : fencingToken;
-            if (!simulation.store.holdsDuty(fencingToken) && !simulation.store.discardedWithinLease(fencingToken)) {
+            if (!simulation.store.holdsDuty(fencingToken) && !simulation.store.restoredWithinLease(fencingToken)) {
                 simulation.recordFailure(
                         name + " sends a report with token " + fencingToken + " after its lease has expired");
             }
@@ -455,6 +507,7 @@
         public void usageCommitted(long fencingToken, UsageCounts counts, int completeNodes, int knownNodes) {
             simulation.logEvent(
                     name + " committed " + counts + ", complete reports from " + completeNodes + " of " + knownNodes);
+            announceCommit();
         }
 
         @Override
@@ -463,6 +516,11 @@
                     name + " reported window " + counts.window() + " with token " + fencingToken + ": " + outcome);
         }
 
+        @Override
+        public void windowSkipped(long window, String reason) {
+            simulation.logEvent(name + " skipped window " + window + ": " + reason);
+        }
+
         @Override
         public void windowMissed(long window, String reason) {
             simulation.logEvent(name + " missed window " + window + ": " + reason);
--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutyStoreModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyStoreModel.java
@@ -10,23 +10,23 @@
 import java.util.TreeMap;
 import org.tanagerhinge.core.duty.DutyRecord;
 import org.tanagerhinge.core.duty.UsageCounts;
-import org.tanagerhinge.core.duty.UsageReport;
+import org.tanagerhinge.core.duty.UsageTally;
+import org.tanagerhinge.core.store.StorePosition;
 
 /** Simulates the store calls that duties use: leases, conditional writes with one revision, and injected faults. */
 final class DutyStoreModel {
     private final DutySimulation simulation;
     private final Map<Long, Long> expiryMillisByLease = new HashMap<>();
     private final TreeMap<Long, UsageCounts> committedByWindow = new TreeMap<>();
-    private Optional<DutyRecord.Ownership> ownership = Optional.empty();
-    private long ownershipLease;
+    private Optional<Claim> claim = Optional.empty();
     private List<String> recentHolders = List.of();
-    private List<UsageReport> savedReports = List.of();
+    private UsageTally tally = UsageTally.EMPTY;
     private long revision = 400;
     private long lastLease = 7_000;
     private long era = 1;
     private long restoredAtMillis = Long.MIN_VALUE;
-    /** Tokens of claims that a restore discarded. */
-    private final Set<Long> discardedTokens = new HashSet<>();
+    /** Tokens of the claims that were in the store when it was restored. */
+    private final Set<Long> tokensBeforeRestore = new HashSet<>();
 
     boolean down;
     boolean leasesPause;
@@ -46,15 +46,21 @@
         }
     }
 
+    /**
+     * The holder's key.
+     *
+     * @param token fencing token of the holder that wrote it
+     */
+    private record Claim(String text, long revision, long lease, long token) {}
+
     /** Holds a copy of the data, from which {@link #restore} continues. */
     record Snapshot(
             long atMillis,
             Map<Long, Long> expiryMillisByLease,
             TreeMap<Long, UsageCounts> committedByWindow,
-            Optional<DutyRecord.Ownership> ownership,
-            long ownershipLease,
+            Optional<Claim> claim,
             List<String> recentHolders,
-            List<UsageReport> savedReports,
+            UsageTally tally,
             long revision,
             long lastLease) {}
 
@@ -64,10 +70,9 @@
                 simulation.nowMillis(),
                 new HashMap<>(expiryMillisByLease),
                 new TreeMap<>(committedByWindow),
-                ownership,
-                ownershipLease,
+                claim,
                 recentHolders,
-                savedReports,
+                tally,
                 revision,
                 lastLease);
     }
@@ -79,18 +84,15 @@
     void restore(Snapshot copy, boolean leasesPaused) {
         expire();
         long pausedMillis = leasesPaused ? simulation.nowMillis() - copy.atMillis() : 0;
-        ownership
-                .filter(lost -> !copy.ownership().equals(Optional.of(lost)))
-                .ifPresent(lost -> discardedTokens.add(lost.fencingToken()));
+        claim.ifPresent(held -> tokensBeforeRestore.add(held.token()));
         expiryMillisByLease.clear();
         copy.expiryMillisByLease()
                 .forEach((lease, expiryMillis) -> expiryMillisByLease.put(lease, expiryMillis + pausedMillis));
         committedByWindow.clear();
         committedByWindow.putAll(copy.committedByWindow());
-        ownership = copy.ownership();
-        ownershipLease = copy.ownershipLease();
+        claim = copy.claim();
         recentHolders = copy.recentHolders();
-        savedReports = copy.savedReports();
+        tally = copy.tally();
         revision = copy.revision();
         lastLease = copy.lastLease();
         era++;
@@ -102,9 +104,12 @@
         return era;
     }
 
-    /** Returns whether the claim with a token was discarded by a restore, and its holder may not know of it yet. */
-    boolean discardedWithinLease(long token) {
-        return discardedTokens.contains(token)
+    /**
+     * Returns whether a restore within the last lease may have discarded the claim with a token, or renewals of its lease,
+     * which its holder may not know yet.
+     */
+    boolean restoredWithinLease(long token) {
+        return tokensBeforeRestore.contains(token)
                 && simulation.nowMillis() - restoredAtMillis < DutySimulation.LEASE_MILLIS;
     }
 
@@ -113,8 +118,8 @@
             return;
         }
         expiryMillisByLease.values().removeIf(expiryMillis -> expiryMillis < simulation.nowMillis());
-        if (ownership.isPresent() && !expiryMillisByLease.containsKey(ownershipLease)) {
-            ownership = Optional.empty();
+        if (claim.isPresent() && !expiryMillisByLease.containsKey(claim.get().lease())) {
+            claim = Optional.empty();
             revision++;
         }
     }
@@ -134,25 +139,39 @@
         expire();
     }
 
-    boolean claim(String claim, long lease, List<String> claimants) {
+    boolean claim(String text, long lease, List<String> claimants) {
         expire();
-        if (ownership.isPresent() || !expiryMillisByLease.containsKey(lease)) {
+        if (claim.isPresent() || !expiryMillisByLease.containsKey(lease)) {
             return false;
         }
-        ownership = Optional.of(new DutyRecord.Ownership(claim, ++revision));
-        ownershipLease = lease;
+        revision++;
+        claim = Optional.of(
+                new Claim(text, revision, lease, StorePosition.of(era, revision).toFencingToken()));
         recentHolders = claimants;
         return true;
     }
 
     DutyRecord read() {
         expire();
-        return new DutyRecord(ownership, recentHolders, new ArrayList<>(committedByWindow.values()), savedReports);
+        return new DutyRecord(
+                claim.map(held -> new DutyRecord.Ownership(
+                        held.text(), StorePosition.of(era, held.revision()).toFencingToken())),
+                recentHolders,
+                new ArrayList<>(committedByWindow.values()),
+                tally);
     }
 
+    /** Returns whether the claim in the store is the one with a token. */
     boolean holdsDuty(long token) {
         expire();
-        return ownership.isPresent() && ownership.get().fencingToken() == token;
+        return claim.isPresent() && claim.get().token() == token;
+    }
+
+    /** Returns whether a write on condition of the holder's key is executed: the store compares revisions only. */
+    boolean conditionHolds(long token) {
+        expire();
+        return claim.isPresent()
+                && claim.get().revision() == StorePosition.ofFencingToken(token).revision();
     }
 
     /** Commits the counts of a window; returns the counts already committed for it, if any. */
@@ -167,13 +186,13 @@
         return Optional.empty();
     }
 
-    void saveReports(List<UsageReport> reports) {
-        savedReports = reports;
+    void saveTally(UsageTally saved) {
+        tally = saved;
         revision++;
     }
 
     void release() {
-        ownership = Optional.empty();
+        claim = Optional.empty();
         revision++;
     }
 }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/UsageReportsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/UsageReportsTest.java
@@ -157,4 +157,24 @@
         scene.duties.faultMode(DutyStandin.FaultMode.SERVES);
         RelayScene.await(() -> reported() == 5);
     }
+
+    /**
+     * Guards against reports that stop, or two counts for one window, when the store comes back from a copy without the
+     * holder's claim and the latest committed windows.
+     */
+    @Test
+    void reportsGoOnAfterTheStoreWasRestored() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(200, "body"));
+        GatewayDaemon first = gateway("a");
+        GatewayDaemon second = gateway("b");
+        StoreStandin.Snapshot copy = scene.store.snapshot();
+        for (int i = 0; i < 40; i++) {
+            scene.store.put("other/" + i, "written " + i);
+        }
+        ask(first, "/safe/1", 5);
+        RelayScene.await(() -> reported() == 5);
+        scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
+        ask(second, "/safe/2", 7);
+        RelayScene.await(() -> reported() == 12);
+    }
 }
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -38,6 +38,7 @@
     DUTY_LOST(Subject.BELIEF),
     USAGE_FIXED(Subject.BELIEF),
     USAGE_REPORTED(Subject.BELIEF),
+    USAGE_SKIPPED(Subject.BELIEF),
     USAGE_MISSED(Subject.BELIEF),
 
     STARTED(Subject.PROCESS),
