A gateway registers again after a restore of the store, and renews no lease of an earlier era

What operators would see: a new gateway does not find one whose registration the store lost, for as long as another node holds the lease id that was assigned again, since each renewal of it succeeds; and that node's keys outlive it.

Now a lease belongs to the era that granted it. The next renewal in a later era is a registration, under a new lease; the earlier one is neither renewed nor revoked. A lease that was granted before a restore is not used to write after it.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -69,6 +69,9 @@
     private String readReason = "started";
 
     private long leaseId;
+    /** Era of the store in which the lease was granted; in a later one its id may be another node's. */
+    private long leaseEra;
+
     private long nextCatchUpMillis = Long.MIN_VALUE;
     private boolean storeReachable = true;
     private List<MetadataStore.UnreadableEntry> loggedUnreadable = List.of();
@@ -287,6 +290,7 @@
             if (reply instanceof MetadataStore.Success<Long> success) {
                 markReachable();
                 leaseId = success.value();
+                leaseEra = gateway.storeEra().current();
                 readGateways();
                 schedule(this::keepLeaseAlive, KEEP_ALIVE_MILLIS);
             } else {
@@ -297,10 +301,14 @@
     }
 
     private void keepLeaseAlive() {
+        if (leaseEra != gateway.storeEra().current()) {
+            register();
+            return;
+        }
         store.keepAlive(leaseId, guarded(this::keepLeaseAlive, reply -> {
             if (reply instanceof MetadataStore.Success<Boolean> success) {
                 markReachable();
-                if (success.value()) {
+                if (success.value() && leaseEra == gateway.storeEra().current()) {
                     if (!peers.table().anyPresent(gateway.nowMillis())) {
                         readGateways();
                     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -15,6 +15,7 @@
 /** Tests gateways whose store comes back from an older copy, with revisions and lease ids that are given out again. */
 class RestoredStoreTest {
     private static final int LOST_WRITES = 40;
+    private static final long LEASE_OF_ANOTHER_NODE_MILLIS = 600_000;
 
     private RelayScene scene;
 
@@ -95,6 +96,20 @@
         }
     }
 
+    /**
+     * Guards against a gateway that renews a lease which another node holds now, while its own registration is lost and
+     * new gateways do not find it.
+     */
+    @Test
+    void gatewayRegistersAgainAlthoughItsLeaseIdWasAssignedToAnotherNode() throws IOException {
+        StoreStandin.Snapshot copy = scene.store.snapshot();
+        scene.gateway();
+        RelayScene.await(() -> scene.store.keys("gateways/").size() == 1);
+        scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
+        scene.store.grantLease(LEASE_OF_ANOTHER_NODE_MILLIS);
+        RelayScene.await(() -> scene.store.keys("gateways/").size() == 1);
+    }
+
     /**
      * Guards against a watch that outlasts a restore and is answered from the new data, without the versions that were
      * written at or below the revision it had asked for.
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -199,6 +199,13 @@
         texts.forEach(this::put);
     }
 
+    /** Grants a lease for a time in milliseconds and returns its id. */
+    public synchronized long grantLease(long ttlMillis) {
+        leases.put(++nextLease, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttlMillis));
+        leaseMillis.put(nextLease, ttlMillis);
+        return nextLease;
+    }
+
     /** Returns the store's revision. */
     public synchronized long revision() {
         return revision;
@@ -406,9 +413,7 @@
 
     private Reply lease(JsonNode call) {
         long ttl = call.path(PlatformNames.TTL_MILLIS).asLong();
-        leases.put(++nextLease, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttl));
-        leaseMillis.put(nextLease, ttl);
-        ObjectNode body = JSON.createObjectNode().put("lease", nextLease).put(PlatformNames.TTL_MILLIS, ttl);
+        ObjectNode body = JSON.createObjectNode().put("lease", grantLease(ttl)).put(PlatformNames.TTL_MILLIS, ttl);
         return new Reply(200, body.toString());
     }
 
