Quarantined requests are stored again after a restore of the store

What operators would see: after a restore, and then a restart of all gateways, a request that ends servers is sent again until three more have ended: the store had lost its entry, which only the gateway that quarantined it had written, once.

Now the gateway that reads the store for all writes the entries of all quarantined requests it knows when it learns of a new era.

RestoredStoreTest.quarantinedRequestsAreStoredAgain failed before (no entry after 30 s) and passes.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/RequestQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RequestQuarantine.java
@@ -164,6 +164,14 @@
                 : OptionalLong.empty();
     }
 
+    /** Returns the quarantined requests. */
+    public List<RequestFingerprint> quarantined(long nowMillis) {
+        return suspects.entrySet().stream()
+                .filter(suspect -> suspect.getValue().isQuarantined(nowMillis))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /**
      * Records that a server crashed while a request was in flight there.
      *
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -104,6 +104,9 @@
     private void storeRestored(long era, String source) {
         gateway.count("store_restored");
         gateway.directory().storeRestored(gateway.nowMillis());
+        if (isReader()) {
+            gateway.quarantine().quarantined(gateway.nowMillis()).forEach(this::quarantine);
+        }
         LogLine.of(LogEvent.STORE_RESTORED)
                 .with(LogField.ERA, era)
                 .with(LogField.WHY, "stated by " + source)
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
 import org.tanagerhinge.standin.relay.ServerStandin;
@@ -110,6 +111,18 @@
         RelayScene.await(() -> scene.store.keys("gateways/").size() == 1);
     }
 
+    /** Guards against losing the quarantine of a request that crashes servers, when all gateways stop later. */
+    @Test
+    void quarantinedRequestsAreStoredAgain() throws IOException {
+        RequestFingerprint request = new RequestFingerprint(7, 9);
+        StoreStandin.Snapshot copy = scene.store.snapshot();
+        scene.store.put("held/" + request, "");
+        GatewayDaemon gateway = scene.gateway();
+        RelayScene.await(() -> gateway.metrics().text().contains("reason=\"request_held\""));
+        scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
+        RelayScene.await(() -> scene.store.keys("held/").contains("held/" + request));
+    }
+
     /**
      * Guards against a watch that outlasts a restore and is answered from the new data, without the versions that were
      * written at or below the revision it had asked for.
