--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -54,6 +55,36 @@
         sim.scheduler.after(duration, () -> callLatency = Duration.ofMillis(2));
     }
 
+    /**
+     * Restores the store from a copy that is taken now: writes after it are lost, and their versions are assigned again.
+     * The operator's documents are written again a little later, with new versions, unless they were edited meanwhile.
+     *
+     * @param age age of the copy when the store is restored
+     * @param rewriteDelay time from the restore until the documents are written again
+     */
+    void restoreAfter(Duration age, Duration rewriteDelay) {
+        Map<String, Versioned> copiedValues = new TreeMap<>(values);
+        Map<String, Versioned> copiedClaims = new HashMap<>(claimValues);
+        long copiedVersion = version;
+        sim.scheduler.after(age, () -> {
+            Map<String, Versioned> lost = new TreeMap<>(values);
+            lost.entrySet().removeIf(entry -> entry.getValue().equals(copiedValues.get(entry.getKey())));
+            sim.scheduler.log(() -> "FAULT store restored from a copy " + age + " old, lost " + lost.keySet());
+            values.clear();
+            values.putAll(copiedValues);
+            claimValues.clear();
+            claimValues.putAll(copiedClaims);
+            version = copiedVersion;
+            sim.scheduler.after(
+                    rewriteDelay,
+                    () -> lost.forEach((key, value) -> {
+                        if (Objects.equals(values.get(key), copiedValues.get(key))) {
+                            values.put(key, new Versioned(value.value(), ++version));
+                        }
+                    }));
+        });
+    }
+
     void loseNextResponse() {
         responsesToLose = 1;
     }
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
@@ -6,7 +6,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
@@ -37,6 +39,10 @@
     private static final Duration SETTLE_DURATION = Duration.ofSeconds(45);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
     private static final int MAX_ATTEMPTS = 6;
+    private static final int MAX_RESTORES = 3;
+    private static final long MIN_COPY_AGE_MILLIS = 200;
+    private static final long MAX_COPY_AGE_MILLIS = 8_000;
+    private static final long MAX_REWRITE_DELAY_MILLIS = 2_000;
     private static final String[] DOMAINS = {"kita", "chuo", "higashi"};
 
     final VirtualTimeScheduler scheduler;
@@ -52,6 +58,7 @@
     private final Map<String, Long> counts = new TreeMap<>();
     private final Set<String> partitions = new LinkedHashSet<>();
     private final FaultInjector faultInjector;
+    private final Optional<SplittableRandom> restoreRandom;
     private final double requestsPerSecond;
     private double lossRate;
     private double duplicationRate;
@@ -59,10 +66,16 @@
     private int completeAnswers;
 
     Simulation(long seed, boolean logging) {
+        this(seed, logging, false);
+    }
+
+    /** Creates a run; with {@code restores}, the store is restored from older copies as well. */
+    Simulation(long seed, boolean logging, boolean restores) {
         this.scheduler = new VirtualTimeScheduler(logging);
         this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         this.requestsPerSecond = 5 + random.nextInt(40);
         this.faultInjector = new FaultInjector(this);
+        this.restoreRandom = restores ? Optional.of(new SplittableRandom(~seed)) : Optional.empty();
     }
 
     /** Runs to the end; throws {@link SoakFailure} if an invariant is violated. */
@@ -70,11 +83,23 @@
         createNodes();
         faultInjector.schedule(TRAFFIC_DURATION);
         scheduleArrivals();
+        restoreRandom.ifPresent(this::scheduleRestores);
         scheduler.runUntil(TRAFFIC_DURATION.plus(SETTLE_DURATION));
         checkAllAnswered();
         checkConfigurationConverged();
     }
 
+    /** Schedules restores from a generator of their own, so that the other faults of a seed are as without them. */
+    private void scheduleRestores(SplittableRandom restores) {
+        int count = restores.nextInt(1, MAX_RESTORES + 1);
+        for (int i = 0; i < count; i++) {
+            Duration copyAt = Duration.ofMillis(restores.nextLong(TRAFFIC_DURATION.toMillis()));
+            Duration age = Duration.ofMillis(restores.nextLong(MIN_COPY_AGE_MILLIS, MAX_COPY_AGE_MILLIS));
+            Duration rewriteDelay = Duration.ofMillis(restores.nextLong(MAX_REWRITE_DELAY_MILLIS));
+            scheduler.after(copyAt, () -> store.restoreAfter(age, rewriteDelay));
+        }
+    }
+
     private void createNodes() {
         int engines = 3 + random.nextInt(4);
         int services = 1 + random.nextInt(2);
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
@@ -46,7 +46,12 @@
 
     /** Runs one seed; the same seed gives the same run. */
     public static Result run(long seed) {
-        Simulation simulation = new Simulation(seed, false);
+        return run(seed, false);
+    }
+
+    /** Runs one seed like {@link #run(long)}; with {@code restores}, the store is restored from older copies as well. */
+    public static Result run(long seed, boolean restores) {
+        Simulation simulation = new Simulation(seed, false, restores);
         String failure = "";
         try {
             simulation.run();
@@ -68,8 +73,8 @@
     }
 
     /** Reruns a seed with its event log; returns the lines about the failed request or node, then the last lines. */
-    public static List<String> explain(long seed) {
-        Simulation simulation = new Simulation(seed, true);
+    public static List<String> explain(long seed, boolean restores) {
+        Simulation simulation = new Simulation(seed, true, restores);
         List<String> lines = new ArrayList<>();
         try {
             simulation.run();
@@ -126,12 +131,17 @@
 
     /** Runs consecutive seeds on several threads and returns their results in order. */
     public static List<Result> runAll(long firstSeed, int seedCount, int threads) {
+        return runAll(firstSeed, seedCount, threads, false);
+    }
+
+    /** Runs consecutive seeds like {@link #runAll(long, int, int)}, with or without restores of the store. */
+    public static List<Result> runAll(long firstSeed, int seedCount, int threads, boolean restores) {
         ExecutorService executor = Executors.newFixedThreadPool(threads);
         try {
             List<Future<Result>> futures = new ArrayList<>();
             for (int i = 0; i < seedCount; i++) {
                 long seed = firstSeed + i;
-                futures.add(executor.submit(() -> run(seed)));
+                futures.add(executor.submit(() -> run(seed, restores)));
             }
             List<Result> results = new ArrayList<>();
             for (Future<Result> future : futures) {
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -52,7 +52,7 @@
 
     @Option(
             name = {"--restores"},
-            description = "With --duties: restore the store from older copies as well")
+            description = "Restore the store from older copies as well")
     private boolean restores;
 
     @Option(
@@ -74,10 +74,10 @@
             return runDuties();
         }
         if (explain != null) {
-            Soak.explain(explain).forEach(System.out::println);
+            Soak.explain(explain, restores).forEach(System.out::println);
             return 0;
         }
-        List<Soak.Result> results = Soak.runAll(first, seeds, threads);
+        List<Soak.Result> results = Soak.runAll(first, seeds, threads, restores);
         return report(results);
     }
 
