--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
@@ -60,8 +62,10 @@
      * Guards against a watch that continues from a revision of the store's earlier data: it misses a version that was
      * written at or below that revision, until the next version is written.
      */
-    @Test
-    void versionWrittenBelowARevisionOfTheEarlierDataComesIntoForce() throws IOException {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void versionWrittenBelowARevisionOfTheEarlierDataComesIntoForce(boolean statesEra) throws IOException {
+        scene.store.statesEra(statesEra);
         GatewayDaemon gateway = scene.gateway();
         StoreStandin.Snapshot copy = scene.store.snapshot();
         writeOften(LOST_WRITES);
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -54,6 +54,7 @@
     private final Map<String, Integer> unansweredCalls = new TreeMap<>();
     private Set<Socket> silenced = Set.of();
     private long era = 1;
+    private boolean statesEra = true;
     private WaitingCalls callsOfEarlierEras = WaitingCalls.RESET;
     private long revision;
     private long compactedRevision;
@@ -155,6 +156,11 @@
         notifyAll();
     }
 
+    /** Sets whether responses state the era. */
+    public synchronized void statesEra(boolean states) {
+        statesEra = states;
+    }
+
     /** Returns a copy of the store's data. */
     public synchronized Snapshot snapshot() {
         expireLeases();
@@ -271,7 +277,7 @@
             throws IOException, InterruptedException {
         Reply reply;
         FaultMode mode;
-        long answeredInEra;
+        String eraHeader;
         synchronized (this) {
             long receivedInEra = era;
             calls.merge(request.path(), 1, Integer::sum);
@@ -284,7 +290,7 @@
             mode = silenced.contains(connection.socket()) ? FaultMode.SILENT : mode;
             boolean reset = era != receivedInEra && callsOfEarlierEras == WaitingCalls.RESET;
             mode = reset ? FaultMode.RESETS : mode;
-            answeredInEra = era;
+            eraHeader = statesEra ? PlatformNames.STORE_ERA + ": " + era + "\r\n" : "";
             if (request.path().equals(awaitedPath)) {
                 awaitedPath = "";
                 onAwaitedCall.run();
@@ -292,10 +298,7 @@
         }
         switch (mode) {
             case SERVES, BUSY ->
-                connection.answer(
-                        reply.status(),
-                        "Content-Type: application/json\r\n" + PlatformNames.STORE_ERA + ": " + answeredInEra + "\r\n",
-                        reply.body());
+                connection.answer(reply.status(), "Content-Type: application/json\r\n" + eraHeader, reply.body());
             case RESETS -> connection.reset();
             case SILENT, LOSES_ANSWERS -> Thread.sleep(TimeUnit.HOURS.toMillis(1));
         }
