--- a/harness/src/test/java/org/tanagerhinge/bench/WholePathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/WholePathTest.java
@@ -24,7 +24,7 @@
 import org.tanagerhinge.standin.Answers;
 import org.tanagerhinge.standin.EngineModel;
 
-/** The whole path with real routers, agents and stand-ins: answers, refusals, keys, hang-ups, marks. */
+/** Tests requests from end to end with real routers and agents, and with stand-ins for engines and the platform. */
 class WholePathTest {
     private static LocalCluster cluster;
 
@@ -94,10 +94,7 @@
         assertEquals("1004", response.getHeaders().get("X-Tanagerhinge-Result"));
     }
 
-    /**
-     * Symptom: a refusal without a numbered result. Events: a header holds a line break, and the HTTP library refuses the
-     * request before the router sees it. Cause: only the router's own refusals were numbered.
-     */
+    /** Guards against a refusal by the HTTP library that bears no result code. */
     @ParameterizedTest
     @ValueSource(strings = {"Idempotency-Key: a\n b", "Idempotency-Key: a\u0000b"})
     void aRequestThatCannotBeParsedIsRefusedWithANumberedResult(String header) throws Exception {
@@ -112,10 +109,7 @@
         }
     }
 
-    /**
-     * Symptom: a request after one that was refused for its size was cut off. Events: the router refuses without reading
-     * the body and closes the connection; the caller sends the next request on it. Cause: the answer did not say so.
-     */
+    /** Guards against a caller that sends its next request on a connection that a refusal has ended. */
     @Test
     void aBodyOverTheLimitIsRefusedAndTheCallerToldThatTheConnectionEnds() throws Exception {
         String url = cluster.routerUrls().get(0) + "/v1/chat/completions";
@@ -134,10 +128,7 @@
         assertFalse(response.getContentAsString().contains("sk-wrong"));
     }
 
-    /**
-     * Symptom: a card is mixed twice. Events: a caller sends a request under a key through one router, and repeats it
-     * through the other. Cause: each router knows only its own requests.
-     */
+    /** Guards against a second run of a keyed request that is repeated through another router. */
     @Test
     void aKeyRepeatedThroughTheOtherRouterDoesNotRunAgain() throws Exception {
         String message = "card for Umea [length 20]";
@@ -148,10 +139,7 @@
         assertEquals(1, cluster.runs().get(Answers.mark(message)));
     }
 
-    /**
-     * Symptom: a status is recorded twice. Events: the caller repeats a call while the first one is still running.
-     * Cause: the result is not there yet, so a lookup of results alone finds nothing.
-     */
+    /** Guards against a second run of a keyed request that is repeated before the first one has a result. */
     @Test
     void aKeyRepeatedWhileTheFirstCallRunsGetsTheSameResult() throws Exception {
         String message = "long card [length 120]";
@@ -188,10 +176,7 @@
         assertEquals("POST /plans/7 1\n", response.getContentAsString());
     }
 
-    /**
-     * Symptom: an engine computes a whole answer for nobody. Events: a caller that takes its answer in one piece hangs
-     * up while the engine works. Cause: nothing is written to such a caller, so no write fails.
-     */
+    /** Guards against an engine that goes on for a caller that has hung up before any output. */
     @Test
     void aCallerThatHangsUpCancelsTheWorkAtTheEngine() throws Exception {
         String url = cluster.routerUrls().get(0) + "/v1/chat/completions";
@@ -207,10 +192,7 @@
         LocalCluster.await(() -> cluster.router("router-1").unwrittenResponses() == 0);
     }
 
-    /**
-     * Symptom: a server that is to be replaced goes on getting work. Events: an operator marks it as leaving while
-     * requests come in. Cause: routers or its agent do not learn of the mark.
-     */
+    /** Guards against new requests to a server that an operator has marked as leaving. */
     @Test
     void aLeavingServerIsLeftAlone() throws Exception {
         cluster.setDesiredState("engine-2", DesiredServerState.LEAVING);
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
@@ -49,11 +49,7 @@
         }
     }
 
-    /**
-     * Symptom: a gateway had no servers, and answered 503 to everything. Events: another writer leaves things under the
-     * servers' prefix of the store that are no registrations, more than a page of them, beside one sound server. Cause: one
-     * entry that can't be read failed the whole read.
-     */
+    /** Guards against losing all servers because one entry under their prefix is not a registration. */
     @Test
     void entriesOfAnotherWriterLeaveTheSoundServersInForce() throws IOException {
         for (int i = 0; i < 60; i++) {
@@ -109,10 +105,7 @@
         RelayScene.await(() -> gateway.configVersion() == version);
     }
 
-    /**
-     * Symptom: one gateway went on with old routes while the store turned it away. Events: the store refuses one gateway
-     * and serves the other and the operators; a version is written. Cause: each gateway asked the store alone.
-     */
+    /** Guards against a gateway that keeps an old configuration because the store rejects it alone. */
     @Test
     void aGatewayThatTheStoreTurnsAwayHearsOfChangesFromAPeer() throws IOException {
         scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
@@ -128,12 +121,7 @@
         assertTrue(scene.store.calls(PlatformNames.WATCH_PATH) <= watches + 3, "one watch for both");
     }
 
-    /**
-     * Symptom: a key that was taken away was still served 3.04 s after the store had acknowledged it; the bound is 3 s. Events:
-     * the store falls silent for a third of 29 gateways, the one that reads for all and the next one among them; a version is
-     * written. Cause: the others noticed after 1.4 s that their list of servers wasn't renewed and asked the store for that, but
-     * for the configuration only once both of those had found out that their calls got no answer.
-     */
+    /** Guards against waiting for two readers in a row to notice that the store does not answer them. */
     @Test
     void whoseReaderFailsAsksForTheConfigurationTooBeforeTheNextOneHasFoundOut() throws IOException {
         scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
@@ -154,20 +142,7 @@
         RelayScene.await(() -> reader.configVersion() == version && next.configVersion() == version);
     }
 
-    /**
-     * No gateway took in a version for six seconds, until all were started again; keys that 42 versions had added were refused.
-     * The store had turned gateways away and come back. One gateway had asked for the configuration beside the one that reads
-     * for all, as that one seemed to fail it, and became the reader itself before it had an answer. Its loop that watches the
-     * configuration then made a second call on the same connection, which may be used by one call at a time: the loop ended
-     * with "a call is in progress", which nobody saw, while its reading of servers went on and told all others that it reads.
-     * The last lines of the four gateways until they were stopped:
-     *
-     * <pre>
-     *   19.834 b-1, 20.550 a-1 and 26.409 c-1 task_failed why="java.lang.IllegalStateException: a call is in progress"
-     *   27.681 d-1 configuration config=9      27.732 b-1 configuration config=9
-     *   30.118 d-1 store_back                  31.647 a-1 stopping     (versions 12 to 51 written from 28.456 to 30.168)
-     * </pre>
-     */
+    /** Guards against a watch loop that ends because a gateway becomes the reader during a catch-up read. */
     @Test
     void whoBecomesTheReaderWhileItAsksForTheConfigurationWatchesIt() throws IOException {
         scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
@@ -187,10 +162,7 @@
     }
 
     /**
-     * Open connections fall silent for good, without a reset, while new ones work: all that a gateway holds to the store at once.
-     * Each call then found that out by itself, after its whole time: the watch after 2.2 s, and the question for the configuration
-     * that follows it after 1.5 s more, so that a version was in force up to 4.3 s late at all gateways, where the bound is 2 s and
-     * what excuses it lasts 3 s.
+     * Guards against finding out one by one, each after its full timeout, that all connections to the store are silent.
      */
     @Test
     void whoFindsAConnectionToTheStoreSilentTrustsNoneOfTheOthers() throws IOException {
@@ -205,12 +177,7 @@
         assertEquals(0, scene.store.unansweredCalls(PlatformNames.KEY_PATH), "asked on a connection opened before");
     }
 
-    /**
-     * A gateway that hears its peers and can't ask them stays behind: packets get through one way only, or a peer's port takes no
-     * connection. Their datagrams name the newer version, each made the gateway ask a peer again and nobody else; it didn't read
-     * the store since its peers do, and the same datagrams confirmed its list of servers, whose age would have made it ask for
-     * both. Found by reading, while a day was looked into on which versions weren't taken in; that day had another cause.
-     */
+    /** Guards against a gateway that stays behind because a peer announces a version but cannot be queried for it. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void whoHearsOfAVersionAndCannotAskForItAsksTheStore(boolean silent) throws Exception {
@@ -250,11 +217,7 @@
         RelayScene.await(() -> scene.store.keys("gateways/").size() == 2);
     }
 
-    /**
-     * Symptom: a request that came seconds after SIGTERM was cut off. Events: a stream begins, the gateway is told to
-     * stop, the stream ends, its caller sends another request on the same connection. Cause: only answers that began
-     * after SIGTERM told the caller that the connection ends.
-     */
+    /** Guards against cutting a request on a connection whose stream had begun before SIGTERM. */
     @Test
     void aConnectionWhoseStreamBeganBeforeAStopEndsWithThatStream() throws IOException {
         ServerStandin server = scene.server("e-1", "model", ServerStandin.events(30, 10));
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -98,10 +98,7 @@
         }
     }
 
-    /**
-     * Symptom: the first callers of a starting gateway were told that their route does not exist. Events: the gateway
-     * listens, a request comes, the store answers later. Cause: no configuration was taken for an empty one.
-     */
+    /** Guards against a starting gateway that takes a missing configuration for an empty one and answers 404. */
     @Test
     void aGatewayWithoutAConfigurationPromisesNotToHaveRunTheRequest() throws IOException {
         scene.store.faultMode(StoreStandin.FaultMode.BUSY);
@@ -151,10 +148,7 @@
         assertEquals("seal-of-s-1", answer.header(PlatformNames.SERVER_SEAL));
     }
 
-    /**
-     * Symptom: a status record was written twice. Events: a server runs a request that must not be repeated and its
-     * answer is lost. Cause: a retry that takes a broken connection for a request that did not run.
-     */
+    /** Guards against a second run of a non-idempotent request whose answer is lost. */
     @Test
     void anUnsafeRequestWhoseAnswerIsLostIsNotSentAgainAndNotPromisedUnrun() throws IOException {
         ServerStandin first = scene.server("s-1", "plain", (server, request, connection) -> connection.reset());
@@ -175,10 +169,7 @@
         assertFalse(answer.header("Retry-After").isEmpty());
     }
 
-    /**
-     * Symptom: a caller got another caller's answer. Events: a server sends an answer twice; the second copy stands on
-     * the kept connection where the next request's answer is expected. Cause: answers matched by order alone.
-     */
+    /** Guards against giving a duplicate of an earlier answer on a kept connection to the next caller. */
     @Test
     void aLateCopyOfAnotherAnswerIsGivenToNobody() throws IOException {
         ServerStandin server = scene.server("s-1", "plain", ServerStandin.plain(200, "one"));
@@ -223,10 +214,7 @@
         assertEquals(502, ask(gateway, "POST", "/once/x", "", "{}").status());
     }
 
-    /**
-     * Symptom: half an event, then the whole one. Events: an engine crashes in the midst of an event; the stream goes on
-     * at another engine. Cause: bytes were passed on as they came and not event by event.
-     */
+    /** Guards against half an event, followed by the whole one, when an engine crashes within an event. */
     @Test
     void aStreamThatBreaksWithinAnEventGoesOnElsewhereWithEachEventOnce() throws IOException {
         ServerStandin cutting = scene.server("e-1", "model", ServerStandin.cutWithin(4));
@@ -250,10 +238,7 @@
                 .anyMatch(request -> request.header(PlatformNames.LAST_EVENT_ID).equals("3")));
     }
 
-    /**
-     * Symptom: streams stood still until their callers left. Events: an engine loses power in the midst of a stream, and
-     * nothing is reset. Cause: only a broken connection was taken for a lost engine.
-     */
+    /** Guards against streams that stall when an engine loses power and resets nothing. */
     @Test
     void aStreamWhoseEngineFallsSilentGoesOnElsewhere() throws IOException {
         CountDownLatch never = new CountDownLatch(1);
@@ -286,10 +271,7 @@
         assertFalse(answer.body().contains("id: 3"), "half an event");
     }
 
-    /**
-     * Symptom: answers came long after the operators' limit. Events: a server hangs. Cause: the relay waited for the
-     * caller's own, longer deadline.
-     */
+    /** Guards against waiting for the caller's own, longer deadline when a server hangs. */
     @Test
     void aRequestIsAnsweredAtItsRoutesTimeoutThoughTheCallerWouldWaitLonger() throws IOException {
         scene.platform
@@ -315,10 +297,7 @@
         RelayScene.await(() -> server.brokenResponses() == 1);
     }
 
-    /**
-     * Symptom: a request of one service ran at a server of another. Events: a server ends, its address is given to
-     * another server. Cause: a server was known by its address.
-     */
+    /** Guards against a run at another server that was assigned the address of an ended one. */
     @Test
     void aServerThatHasTheAddressOfAnEndedOneDoesNotRunItsRequests() throws IOException {
         ServerStandin other = ServerStandin.start("s-new", ServerStandin.plain(200, "wrong"));
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/UsageReportsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/UsageReportsTest.java
@@ -20,7 +20,7 @@
 import org.tanagerhinge.standin.relay.ServerStandin;
 import org.tanagerhinge.standin.relay.StoreStandin;
 
-/** Usage reports of real gateways, as the platform's address receives them. */
+/** Tests the usage reports of real gateways, as the platform receives them. */
 class UsageReportsTest {
     private static final Duration LEASE = Duration.ofMillis(1_000);
     private static final Duration WINDOW = Duration.ofMillis(1_500);
@@ -86,7 +86,7 @@
         assertEquals(1, holders().size());
     }
 
-    /** Requests that a server failed, or whose answer was lost, are left out; or ones that no server took are counted in. */
+    /** Guards against leaving out failed requests and lost answers, and counting requests that no server began. */
     @ParameterizedTest
     @CsvSource({
         "/safe/, 500, true",
@@ -112,7 +112,7 @@
         assertEquals(began ? 7 : 3, reported());
     }
 
-    /** A window isn't reported, or with another count, because the holder was stopped. */
+    /** Guards against a window that is missing or has another count because the holder was stopped. */
     @Test
     void aStoppedHolderHandsOverWhatItHeard() throws IOException {
         scene.server("s-1", "plain", ServerStandin.plain(200, "body"));
@@ -129,7 +129,7 @@
         assertEquals(2, holders().size());
     }
 
-    /** The store answers nobody for a while: reports stop, and none is sent twice with different counts when it is back. */
+    /** Guards against two counts for one window after the store was away. */
     @ParameterizedTest
     @CsvSource({"BUSY", "SILENT", "RESETS"})
     void reportsGoOnAfterTheStoreWasAway(StoreStandin.FaultMode mood) throws IOException, InterruptedException {
@@ -145,7 +145,7 @@
         RelayScene.await(() -> reported() == 10);
     }
 
-    /** A report without an answer is sent again as it was. */
+    /** Guards against a report that is given up, or changed, because it got no answer. */
     @ParameterizedTest
     @CsvSource({"BUSY", "SILENT"})
     void aReportThatHadNoAnswerIsSentAgain(DutyStandin.FaultMode mood) throws IOException, InterruptedException {
