A gateway applies all reports of its peers that have arrived in one turn of its event loop

What callers saw, at gateways with little processor in a burst: a key that had been taken away for more than three seconds was served, and a route that had been added answered 404.

Cause: Netty reads at most 16 datagrams a turn, and a turn takes long where requests do. Reports queued up in the socket's buffer, so a gateway learned of a version, and of the load of the others, seconds late; others that ask it for a version wait for the same turns. Now up to 1,024 are read in a turn, more than the buffer holds; an older report of a peer is dropped as before.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -45,6 +47,13 @@
  */
 final class PeerSynchronizer {
     private static final Logger LOG = System.getLogger(PeerSynchronizer.class.getName());
+    private static final int MAX_DATAGRAM_BYTES = 2_048;
+    /**
+     * Maximum number of reports received in one turn of the event loop; more than the socket's buffer holds, so that
+     * reports do not queue up on a host where a turn takes long.
+     */
+    private static final int MAX_REPORTS_PER_TURN = 1_024;
+
     private static final long REQUEST_TIMEOUT_MILLIS = 700;
     /** Delay that collects the broken connections of one crash in a single report. */
     private static final long BATCH_DELAY_MILLIS = 20;
@@ -88,6 +97,9 @@
         peers.channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES).maxMessagesPerRead(MAX_REPORTS_PER_TURN))
                 .handler(peers.new ReportHandler())
                 .bind(gateway.options().peerAddress())
                 .syncUninterruptibly()
