--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyClient.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyClient.java
@@ -49,7 +49,7 @@
      */
     void saveTally(long fencingToken, UsageTally tally, Consumer<CallOutcome<Boolean>> callback);
 
-    /** Saves what a successor needs and gives up ownership; {@code callback} runs when the call has succeeded or failed. */
+    /** Saves what a successor needs and gives up ownership; {@code callback} runs when the call has ended. */
     void release(long fencingToken, UsageTally tally, Runnable callback);
 
     /** Reports the counts of a window to the platform. */
--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyElection.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyElection.java
@@ -15,9 +15,11 @@
  * <p>The holder is the node that wrote the duty's key. The key is attached to the writer's lease and disappears with
  * it. The position of that write in the store's history is the fencing token, so each claim has a unique token. The
  * validity of a lease is counted from the time its last successful renewal was sent, and a renewal sent before the host
- * was suspended is not trusted. A restore of the store from an older copy ends all claims and attempts, since the store
- * may have lost them; no node stands again before a lease that was valid until then has expired. Candidates stand in order of preference: the most preferred one tries at once, each
+ * was suspended is not trusted. Candidates stand in order of preference: the most preferred one tries at once, each
  * further one after an additional delay.
+ *
+ * <p>A restore of the store from an older copy ends all claims and attempts, since the store may have lost them. No
+ * node stands again before a lease that was valid until then has expired.
  */
 final class DutyElection {
     private static final StateChart<DutyState, DutyEvent> CHART =
--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -15,8 +15,8 @@
  * sends exactly the committed counts. While the store is unreachable, no new window is reported.
  *
  * <p>A store that is restored from an older copy may have lost commits. Each node therefore remembers the newest
- * committed window it knows of, and a former holder the counts. After a restore, a new holder commits windows that ended
- * before it only once it has heard the former holder's final state, and leaves out those that were committed with
+ * committed window it knows of, and a former holder the counts. After a restore, a new holder commits windows that
+ * ended before it only once it has heard the former holder's final state, and leaves out those that were committed with
  * unknown counts.
  */
 public final class UsageDuty {
@@ -51,7 +51,9 @@
     private final CommittedWindows committedWindows = CommittedWindows.create();
     private UsageAggregator aggregator = UsageAggregator.create();
     private Optional<Holder> latestHolder = Optional.empty();
-    /** Latest era of the store that the latest holder has announced; from then on it commits nothing in earlier ones. */
+    /**
+     * Latest era of the store that the latest holder has announced; from then on it commits nothing in earlier ones.
+     */
     private long latestHolderEra = StoreEra.UNKNOWN;
     /** Windows up to this one may have been committed by {@link #unsettledHolder} before the store was restored. */
     private long unsettledThrough = Long.MIN_VALUE;
@@ -246,7 +248,9 @@
         commit(pendingCommit);
     }
 
-    /** Returns the counts to commit next, or nothing if none are due; those of a commit that the store has lost first. */
+    /**
+     * Returns the counts to commit next, or nothing if none are due; those of a commit that the store has lost first.
+     */
     private Optional<UsageCounts> nextCounts(List<DutyPeer> peers) {
         long nowMillis = medianClock.epochMillis();
         skipExpiredWindows(nowMillis);
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -12,8 +12,8 @@
  *
  * <p>Membership follows the registrations in the platform's store: a server that is missing from a list is removed,
  * except right after an outage of the store or its restore from an older copy. Registrations lapse during an outage,
- * and are missing in a copy, although the servers run; they come back within about two seconds. Without the exception an
- * outage would leave no server to send to; without its limit a crashed server would get requests forever.
+ * and are missing in a copy, although the servers run; they come back within about two seconds. Without the exception
+ * an outage would leave no server to send to; without its limit a crashed server would get requests forever.
  *
  * <p>A copy also contains registrations of servers that have left since. Such a server isn't added again until its
  * registration would have lapsed if it didn't run.
--- a/core/src/main/java/org/tanagerhinge/core/store/StoreEra.java
+++ b/core/src/main/java/org/tanagerhinge/core/store/StoreEra.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * Tracks the era of the metadata store, which rises by one each time the store is restored from an older copy. Within an
- * era, revisions and lease ids are unique; across eras they may be assigned again. Must be used by one thread.
+ * Tracks the era of the metadata store, which rises by one each time the store is restored from an older copy. Within
+ * an era, revisions and lease ids are unique; across eras they may be assigned again. Must be used by one thread.
  */
 public final class StoreEra {
     /** Era of a store that states none. */
--- a/core/src/main/java/org/tanagerhinge/core/store/StorePosition.java
+++ b/core/src/main/java/org/tanagerhinge/core/store/StorePosition.java
@@ -6,7 +6,7 @@
  * @param era era of the store, {@link StoreEra#UNKNOWN} if it states none
  * @param revision revision of the store in that era
  */
-public record StorePosition(long era, long revision) implements Comparable<StorePosition> {
+public record StorePosition(long era, long revision) {
     private static final int REVISION_BITS = 40;
 
     /** The point before any write. */
@@ -23,20 +23,13 @@
     }
 
     /**
-     * Returns a fencing token that orders like positions, so that it rises across a restore as well. Without an era it is
-     * the revision.
+     * Returns a fencing token that rises with the era and, within an era, with the revision. Without an era it is the
+     * revision.
      */
     public long toFencingToken() {
         return era << REVISION_BITS | revision;
     }
 
-    /** Orders by era, then by revision. */
-    @Override
-    public int compareTo(StorePosition other) {
-        int byEra = Long.compare(era, other.era);
-        return byEra != 0 ? byEra : Long.compare(revision, other.revision);
-    }
-
     @Override
     public String toString() {
         return era + "/" + revision;
--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutySoak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutySoak.java
@@ -13,8 +13,8 @@
  * Runs seeded simulations of duties under sequential and overlapping faults.
  *
  * <p>Faults are killed and suspended nodes, isolation from the store, the platform or peers, clock steps, rolling
- * restarts, a store or platform that is down, slow, loses responses or executes calls late, and a store that is restored
- * from an older copy.
+ * restarts, a store or platform that is down, slow, loses responses or executes calls late, and a store that is
+ * restored from an older copy.
  */
 public final class DutySoak {
     private static final long RUN_MILLIS = 90_000;
--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutyStoreModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyStoreModel.java
@@ -78,8 +78,8 @@
     }
 
     /**
-     * Continues from an earlier copy in the next era: later writes and leases are lost, and their revisions and lease ids
-     * are assigned again. Leases of the copy either have the time left that they had then, or go on to expire.
+     * Continues from an earlier copy in the next era: later writes and leases are lost, and their revisions and lease
+     * ids are assigned again. Leases of the copy either have the time left that they had then, or go on to expire.
      */
     void restore(Snapshot copy, boolean leasesPaused) {
         expire();
@@ -105,8 +105,8 @@
     }
 
     /**
-     * Returns whether a restore within the last lease may have discarded the claim with a token, or renewals of its lease,
-     * which its holder may not know yet.
+     * Returns whether a restore within the last lease may have discarded the claim with a token, or renewals of its
+     * lease, which its holder may not know yet.
      */
     boolean restoredWithinLease(long token) {
         return tokensBeforeRestore.contains(token)
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
@@ -56,8 +56,9 @@
     }
 
     /**
-     * Restores the store from a copy that is taken now: writes after it are lost, and their versions are assigned again.
-     * The operator's documents are written again a little later, with new versions, unless they were edited meanwhile.
+     * Restores the store from a copy that is taken now: writes after it are lost, and their versions are assigned
+     * again. The operator's documents are written again a little later, with new versions, unless they were edited
+     * meanwhile.
      *
      * @param age age of the copy when the store is restored
      * @param rewriteDelay time from the restore until the documents are written again
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
@@ -49,7 +49,9 @@
         return run(seed, false);
     }
 
-    /** Runs one seed like {@link #run(long)}; with {@code restores}, the store is restored from older copies as well. */
+    /**
+     * Runs one seed like {@link #run(long)}; with {@code restores}, the store is restored from older copies as well.
+     */
     public static Result run(long seed, boolean restores) {
         Simulation simulation = new Simulation(seed, false, restores);
         String failure = "";
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -168,8 +168,8 @@
     }
 
     /**
-     * Continues from an earlier copy, in the next era: later writes and leases are lost, and their revisions and ids are
-     * given out again.
+     * Continues from an earlier copy, in the next era: later writes and leases are lost, and their revisions and ids
+     * are given out again.
      *
      * @param waitingCalls how calls that arrived before are answered
      * @return the lost values of the operator and the servers, by key, for {@link #putAll}
