Only the reader of the store writes quarantined requests again after a restore

As the store returns, each gateway learns of the new era by its first response, before any has reported that it reaches the store again: all of them took themselves for the reader and would have written every entry. They wait a second.

The test of servers that registered after the copy restores the store between two calls, so that exactly the next list lacks them; it still fails without ServerDirectory.storeRestored (503).

--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -51,6 +51,9 @@
     /** Interval at which a gateway that is no reader checks whether it must read. */
     private static final int STANDBY_CHECK_MILLIS = 200;
 
+    /** Delay after a restore of the store in which all gateways report whether they reach it again. */
+    private static final int STORE_QUARANTINE_DELAY_MILLIS = 1_000;
+
     /** Maximum number of unreadable entries that are logged for one listing. */
     private static final int MAX_UNREADABLE_LOGGED = 20;
 
@@ -104,15 +107,20 @@
     private void storeRestored(long era, String source) {
         gateway.count("store_restored");
         gateway.directory().storeRestored(gateway.nowMillis());
-        if (isReader()) {
-            gateway.quarantine().quarantined(gateway.nowMillis()).forEach(this::quarantine);
-        }
+        schedule(this::storeQuarantineAgain, STORE_QUARANTINE_DELAY_MILLIS);
         LogLine.of(LogEvent.STORE_RESTORED)
                 .with(LogField.ERA, era)
                 .with(LogField.WHY, "stated by " + source)
                 .write();
     }
 
+    /** Writes the quarantined requests, which the store may have lost, unless another gateway does so as the reader. */
+    private void storeQuarantineAgain() {
+        if (isReader()) {
+            gateway.quarantine().quarantined(gateway.nowMillis()).forEach(this::quarantine);
+        }
+    }
+
     private long timeoutMillis() {
         return gateway.initialized() ? TIMEOUT_MILLIS : INITIAL_TIMEOUT_MILLIS;
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -87,11 +87,13 @@
         StoreStandin.Snapshot copy = scene.store.snapshot();
         scene.server("late-1", "late", ServerStandin.plain(200, "x"));
         RelayScene.await(() -> status(reader, "/late/x") == 200 && status(other, "/late/x") == 200);
-        Map<String, String> lost = scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
         boolean[] registered = new boolean[1];
         scene.store.afterNextCall(PlatformNames.RANGE_PATH, () -> {
-            scene.store.putAll(lost);
-            registered[0] = true;
+            Map<String, String> lost = scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
+            scene.store.afterNextCall(PlatformNames.RANGE_PATH, () -> {
+                scene.store.putAll(lost);
+                registered[0] = true;
+            });
         });
         RelayScene.await(() -> registered[0]);
         int listings = scene.store.calls(PlatformNames.RANGE_PATH);
