What is known of commits across a restore is kept in one class, apart from committing

UsageDuty held the latest holder, its era, the unsettled windows and the era of the tally beside CommittedWindows, which is what they are about; the era of the tally to save follows from the others and is no state any more.

--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -5,7 +5,6 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
-import org.tanagerhinge.core.store.StoreEra;
 
 /**
  * Reports the number of started requests to the platform, once for each usage window, while this node holds the duty.
@@ -47,21 +46,8 @@
     private final UsageCounter counter;
     private final DutyElection election;
     private final long startedAtMillis;
-    private final Holder self;
-    private final CommittedWindows committedWindows = CommittedWindows.create();
+    private final CommittedWindows committedWindows;
     private UsageAggregator aggregator = UsageAggregator.create();
-    private Optional<Holder> latestHolder = Optional.empty();
-    /**
-     * Latest era of the store that the latest holder has announced; from then on it commits nothing in earlier ones.
-     */
-    private long latestHolderEra = StoreEra.UNKNOWN;
-    /** Windows up to this one may have been committed by {@link #unsettledHolder} before the store was restored. */
-    private long unsettledThrough = Long.MIN_VALUE;
-
-    private Optional<Holder> unsettledHolder = Optional.empty();
-    /** Era of the tally while there are unsettled windows. */
-    private long settledEra = StoreEra.UNKNOWN;
-
     /** Counts whose commit was requested but not confirmed; a retry must send the same counts. */
     private UsageCounts pendingCommit;
 
@@ -78,9 +64,6 @@
     /** Increases whenever the duty is lost, so that callbacks of earlier calls are ignored. */
     private long epoch;
 
-    /** Identifies the process that holds or held the duty. */
-    private record Holder(String node, long incarnation) {}
-
     /** Number of nodes whose counts of a window are complete, out of the number of known nodes. */
     private record Coverage(int completeNodes, int knownNodes) {}
 
@@ -101,7 +84,7 @@
         this.listener = listener;
         this.counter = counter;
         this.startedAtMillis = clock.steadyMillis();
-        this.self = new Holder(settings.node(), incarnation);
+        this.committedWindows = CommittedWindows.of(settings.node(), incarnation);
         this.election = new DutyElection(
                 settings, clock, client, random, listener, incarnation, this::onDutyAcquired, this::onDutyLost);
     }
@@ -141,7 +124,7 @@
      * @param hostCapacity capacity of this host for duties, 0 if the node is no candidate
      */
     public void tick(List<DutyPeer> peers, int hostCapacity) {
-        peers.forEach(this::learnFromPeer);
+        peers.forEach(peer -> committedWindows.learnFrom(peer, client.storeEra()));
         election.tick(peers, preference(hostCapacity));
         if (!election.isHolder()) {
             return;
@@ -176,21 +159,6 @@
         return Math.max(0, committedWindows.through());
     }
 
-    private void learnFromPeer(DutyPeer peer) {
-        DutyAnnouncement announcement = peer.announcement();
-        committedWindows.recordThrough(announcement.committedThrough());
-        Holder holder = new Holder(peer.name(), peer.incarnation());
-        if (peer.alive() && announcement.fencingToken() > 0) {
-            latestHolder = Optional.of(holder);
-        }
-        if (latestHolder.equals(Optional.of(holder))) {
-            latestHolderEra = announcement.storeEra();
-        }
-        if (unsettledHolder.equals(Optional.of(holder)) && announcement.storeEra() >= client.storeEra()) {
-            unsettledThrough = Long.MIN_VALUE;
-        }
-    }
-
     /** Saves the received reports and gives up the duty because the process shuts down. */
     public void stop() {
         aggregator.merge(counter.snapshot(false));
@@ -198,15 +166,8 @@
     }
 
     private void onDutyAcquired(DutyRecord dutyRecord) {
-        long tallyEra = dutyRecord.tally().era();
-        boolean storeRestored = tallyEra != StoreEra.UNKNOWN && tallyEra < client.storeEra();
-        boolean settled = latestHolder.equals(Optional.of(self))
-                || (latestHolder.isPresent() && latestHolderEra >= client.storeEra());
-        unsettledThrough =
-                storeRestored && !settled ? settings.windowAt(medianClock.epochMillis()) - 1 : Long.MIN_VALUE;
-        settledEra = storeRestored ? tallyEra : client.storeEra();
-        unsettledHolder = latestHolder;
-        latestHolder = Optional.of(self);
+        committedWindows.dutyAcquired(
+                dutyRecord.tally(), client.storeEra(), settings.windowAt(medianClock.epochMillis()) - 1);
         dutyRecord.committedCounts().forEach(counts -> {
             committedWindows.record(counts);
             aggregator.markCommitted(counts.window());
@@ -215,7 +176,6 @@
                 unreported.put(counts.window(), counts);
             }
         });
-        committedWindows.recordThrough(dutyRecord.tally().committedThrough());
         aggregator.mergeAll(dutyRecord.tally().reports());
         holderSinceMillis = clock.steadyMillis();
         nextSaveMillis = holderSinceMillis + SAVE_INTERVAL_MILLIS;
@@ -263,7 +223,7 @@
         if (window >= settings.windowAt(nowMillis) || !isReady(window, nowMillis, peers)) {
             return Optional.empty();
         }
-        if (window <= unsettledThrough) {
+        if (!committedWindows.isSettled(window)) {
             skip(window, "the latest holder before the restore of the store is not heard");
             return Optional.empty();
         }
@@ -307,7 +267,7 @@
 
     private boolean isReady(long window, long nowMillis, List<DutyPeer> peers) {
         long endMillis = settings.windowEndMillis(window);
-        boolean settled = window > unsettledThrough;
+        boolean settled = committedWindows.isSettled(window);
         boolean waitExpired = nowMillis >= endMillis + settings.reportDeadlineMillis() / PEER_WAIT_DIVISOR
                 && clock.steadyMillis() >= holderSinceMillis + TAKEOVER_GRACE_MILLIS;
         return nowMillis >= endMillis + CLOCK_SKEW_ALLOWANCE_MILLIS
@@ -419,10 +379,8 @@
     // ---- saving
 
     private UsageTally tally() {
-        if (aggregator.committedThrough() >= unsettledThrough) {
-            settledEra = client.storeEra();
-        }
-        return new UsageTally(aggregator.snapshot(), committedThrough(), settledEra);
+        long tallyEra = committedWindows.tallyEra(aggregator.committedThrough(), client.storeEra());
+        return new UsageTally(aggregator.snapshot(), committedThrough(), tallyEra);
     }
 
     private void saveIfDue() {
