--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutySoak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutySoak.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.function.LongFunction;
 import java.util.stream.LongStream;
 import org.tanagerhinge.core.duty.UsageCounts;
 
@@ -42,30 +41,21 @@
         }
     }
 
-    /** Runs one seed; the platform enforces fencing tokens for even seeds only. */
+    /** Runs one seed without restores of the store; the platform enforces fencing tokens for even seeds only. */
     public static Result run(long seed, DeliberateBug bug) {
-        return simulate(seed, bug, false, new ArrayList<>());
+        return run(seed, bug, false);
     }
 
-    /** Runs one seed like {@link #run}; besides, the store is restored from older copies. */
-    public static Result runWithRestores(long seed, DeliberateBug bug) {
-        return simulate(seed, bug, true, new ArrayList<>());
+    /** Runs one seed like {@link #run(long, DeliberateBug)}, with or without restores of the store. */
+    public static Result run(long seed, DeliberateBug bug, boolean restores) {
+        return simulate(seed, bug, restores, new ArrayList<>());
     }
 
     /** Runs consecutive seeds in parallel and returns their results in order. */
-    public static List<Result> runAll(long firstSeed, int seedCount, DeliberateBug bug) {
-        return runAll(firstSeed, seedCount, seed -> run(seed, bug));
-    }
-
-    /** Runs consecutive seeds like {@link #runAll}; besides, the store is restored from older copies. */
-    public static List<Result> runAllWithRestores(long firstSeed, int seedCount, DeliberateBug bug) {
-        return runAll(firstSeed, seedCount, seed -> runWithRestores(seed, bug));
-    }
-
-    private static List<Result> runAll(long firstSeed, int seedCount, LongFunction<Result> run) {
+    public static List<Result> runAll(long firstSeed, int seedCount, DeliberateBug bug, boolean restores) {
         return LongStream.range(firstSeed, firstSeed + seedCount)
                 .parallel()
-                .mapToObj(run)
+                .mapToObj(seed -> run(seed, bug, restores))
                 .toList();
     }
 
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -87,8 +87,7 @@
             DutySoak.explain(explain, chosen, restores).forEach(System.out::println);
             return 0;
         }
-        List<DutySoak.Result> results =
-                restores ? DutySoak.runAllWithRestores(first, seeds, chosen) : DutySoak.runAll(first, seeds, chosen);
+        List<DutySoak.Result> results = DutySoak.runAll(first, seeds, chosen, restores);
         results.stream()
                 .filter(result -> !result.passed())
                 .limit(MAX_SHOWN_FAILURES)
--- a/harness/src/test/java/org/tanagerhinge/bench/duty/DutySoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/duty/DutySoakTest.java
@@ -21,7 +21,7 @@
 
     @Test
     void fixedSeedsPassWithoutFailure() {
-        List<DutySoak.Result> results = DutySoak.runAll(1, SEEDS, DeliberateBug.NONE);
+        List<DutySoak.Result> results = DutySoak.runAll(1, SEEDS, DeliberateBug.NONE, false);
         for (DutySoak.Result result : results) {
             assertTrue(result.passed(), () -> "seed " + result.seed() + ": " + result.failure());
         }
@@ -35,7 +35,7 @@
      */
     @Test
     void fixedSeedsPassWhileTheStoreIsRestored() {
-        for (DutySoak.Result result : DutySoak.runAllWithRestores(1, SEEDS, DeliberateBug.NONE)) {
+        for (DutySoak.Result result : DutySoak.runAll(1, SEEDS, DeliberateBug.NONE, true)) {
             assertTrue(result.passed(), () -> "seed " + result.seed() + ": " + result.failure());
         }
     }
@@ -53,7 +53,9 @@
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void checksFindEachDeliberateBug(DeliberateBug bug) {
-        assertFalse(DutySoak.runAll(1, 300, bug).stream().allMatch(DutySoak.Result::passed), bug + " was not detected");
+        assertFalse(
+                DutySoak.runAll(1, 300, bug, false).stream().allMatch(DutySoak.Result::passed),
+                bug + " was not detected");
     }
 
     @Test
