One line for windows that aren't reported, for the reason of a read, and no order of departures that nobody uses

DutyTelemetry wrote the same line twice; StoreSynchronizer kept whether it had watched beside the source that tells it; ServerDirectory kept departures in order without need. Behaviour, counters and lines are as before.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -37,8 +37,8 @@
     private long newestListMillis = Long.MIN_VALUE;
     private long keepMissingUntilMillis = Long.MIN_VALUE;
     private long ignoreDepartedUntilMillis = Long.MIN_VALUE;
-    /** When instances departed, by instance id, in the order of their departure. */
-    private final Map<String, Long> departedAtMillis = new LinkedHashMap<>();
+    /** When instances departed, by instance id. */
+    private final Map<String, Long> departedAtMillis = new HashMap<>();
 
     private ServerDirectory() {}
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/DutyTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/DutyTelemetry.java
@@ -70,17 +70,17 @@
 
     @Override
     public void windowSkipped(long window, String reason) {
-        gateway.count("usage_skipped");
-        LogLine.failure(LogEvent.USAGE_SKIPPED)
-                .with(LogField.WINDOW, window)
-                .with(LogField.WHY, reason)
-                .write();
+        recordUnreported("usage_skipped", LogEvent.USAGE_SKIPPED, window, reason);
     }
 
     @Override
     public void windowMissed(long window, String reason) {
-        gateway.count("usage_missed");
-        LogLine.failure(LogEvent.USAGE_MISSED)
+        recordUnreported("usage_missed", LogEvent.USAGE_MISSED, window, reason);
+    }
+
+    private void recordUnreported(String counter, LogEvent event, long window, String reason) {
+        gateway.count(counter);
+        LogLine.failure(event)
                 .with(LogField.WINDOW, window)
                 .with(LogField.WHY, reason)
                 .write();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -238,9 +238,8 @@
             markReachable();
             MetadataStore.StoredConfig stored = success.value();
             position = stored.position();
-            boolean watched = watching;
             watching = gateway.config().isPresent() || stored.document() != null;
-            if (!watched) {
+            if (source == ConfigSource.STORE_READ) {
                 logRead(readReason, stored);
                 logWatch();
             }
