--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
@@ -8,11 +8,8 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,16 +43,7 @@
     }
 
     private PeerSynchronizer open(InetSocketAddress address) {
-        GatewayOptions options = new GatewayOptions(
-                "gateway-0",
-                "north",
-                address,
-                address,
-                Optional.empty(),
-                address,
-                new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
-                Optional.empty(),
-                Set.of());
+        GatewayOptions options = GatewayOptionsFixture.at(address);
         Gateway gateway = Gateway.create(loop, null, options, NodeMetrics.create(), LeastInFlightPlacement.create());
         return PeerSynchronizer.open(
                 gateway, loop, document -> RelayConfig.of(1, List.of(), List.of(), Map.of(), CallerLimits.DEFAULT));
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -144,16 +143,7 @@
 
     private static GatewayDaemon start(MetadataStore store) {
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
-        GatewayOptions options = new GatewayOptions(
-                "gateway-0",
-                "north",
-                any,
-                any,
-                Optional.empty(),
-                any,
-                new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
-                Optional.empty(),
-                Set.of());
+        GatewayOptions options = GatewayOptionsFixture.at(any);
         BiFunction<EventLoopGroup, StoreEra, DutyClient> noDuties = (loop, era) -> {
             throw new IllegalStateException("no duties");
         };
@@ -202,16 +192,7 @@
             Gateway gateway = Gateway.create(
                     loop,
                     new NoDialect(),
-                    new GatewayOptions(
-                            "gateway-0",
-                            "north",
-                            new InetSocketAddress(0),
-                            new InetSocketAddress(0),
-                            Optional.empty(),
-                            new InetSocketAddress(0),
-                            new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
-                            Optional.empty(),
-                            Set.of()),
+                    GatewayOptionsFixture.at(new InetSocketAddress(0)),
                     NodeMetrics.create(),
                     LeastInFlightPlacement.create());
             AtomicInteger steps = new AtomicInteger();
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
@@ -41,14 +41,6 @@
         scene.close();
     }
 
-    private int status(GatewayDaemon gateway, String path) {
-        try (RawCaller caller = RawCaller.to(gateway.address())) {
-            return caller.exchange(RawCaller.request("GET", path, "a", "", "")).status();
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     /** Guards against losing all servers because one entry under their prefix is not a registration. */
     @Test
     void entriesOfAnotherWriterLeaveTheSoundServersInForce() throws IOException {
@@ -57,7 +49,7 @@
         }
         scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
         GatewayDaemon gateway = scene.gateway();
-        assertEquals(200, status(gateway, "/safe/x"));
+        assertEquals(200, RelayScene.status(gateway, "/safe/x"));
         assertTrue(gateway.metrics().text().contains("tanagerhinge_decisions_total{reason=\"entry_unreadable\"} 20.0"));
     }
 
@@ -92,7 +84,7 @@
         int calls = scene.store.calls(PlatformNames.WATCH_PATH);
         RelayScene.await(() -> scene.store.calls(PlatformNames.WATCH_PATH) > calls + 1);
         assertEquals(version, gateway.configVersion());
-        assertEquals(200, status(gateway, "/safe/x"));
+        assertEquals(200, RelayScene.status(gateway, "/safe/x"));
     }
 
     @Test
@@ -202,12 +194,12 @@
         scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
         GatewayDaemon gateway = scene.gateway();
         scene.store.faultMode(mood);
-        assertEquals(200, status(gateway, "/safe/x"));
+        assertEquals(200, RelayScene.status(gateway, "/safe/x"));
         long version = scene.platform.publish();
         assertTrue(gateway.ready());
         scene.store.faultMode(StoreStandin.FaultMode.SERVES);
         RelayScene.await(() -> gateway.configVersion() == version);
-        assertEquals(200, status(gateway, "/safe/x"));
+        assertEquals(200, RelayScene.status(gateway, "/safe/x"));
     }
 
     @Test
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -94,6 +94,15 @@
         gateway.close();
     }
 
+    /** Sends a GET request to a gateway and returns the status of the response. */
+    static int status(GatewayDaemon gateway, String path) {
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            return caller.exchange(RawCaller.request("GET", path, "a", "", "")).status();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Waits until something holds; fails if it never does. */
     static void await(BooleanSupplier condition) {
         long until = System.nanoTime() + PATIENCE.toNanos();
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -45,14 +45,6 @@
         }
     }
 
-    private static int status(GatewayDaemon gateway, String path) {
-        try (RawCaller caller = RawCaller.to(gateway.address())) {
-            return caller.exchange(RawCaller.request("GET", path, "a", "", "")).status();
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     /** Waits until the configuration is watched from the store's current revision. */
     private void awaitWatchOfAllWrites() {
         RelayScene.await(() -> scene.store.lastWatchedRevision() == scene.store.revision());
@@ -86,7 +78,8 @@
         GatewayDaemon other = scene.gateway();
         StoreStandin.Snapshot copy = scene.store.snapshot();
         scene.server("late-1", "late", ServerStandin.plain(200, "x"));
-        RelayScene.await(() -> status(reader, "/late/x") == 200 && status(other, "/late/x") == 200);
+        RelayScene.await(
+                () -> RelayScene.status(reader, "/late/x") == 200 && RelayScene.status(other, "/late/x") == 200);
         boolean[] registered = new boolean[1];
         scene.store.afterNextCall(PlatformNames.RANGE_PATH, () -> {
             Map<String, String> lost = scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
@@ -98,8 +91,8 @@
         RelayScene.await(() -> registered[0]);
         int listings = scene.store.calls(PlatformNames.RANGE_PATH);
         while (scene.store.calls(PlatformNames.RANGE_PATH) < listings + 2) {
-            assertEquals(200, status(reader, "/late/x"));
-            assertEquals(200, status(other, "/late/x"));
+            assertEquals(200, RelayScene.status(reader, "/late/x"));
+            assertEquals(200, RelayScene.status(other, "/late/x"));
         }
     }
 
