One class decides whether a placed request is sent or rejected

Cause: the check by rank stood in RelayExchange, the check by expected wait in RelayExchange and AdmissionControl, and the fleet model repeated both. Further checks would have gone into each.

Change: AdmissionPolicy holds the checks in their order and returns a rejection with its reason; gateway and fleet model carry it out.

--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionControl.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionControl.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.core.relay;
 
 import java.util.OptionalLong;
+import java.util.function.DoubleSupplier;
 
 /**
  * Decides whether a request of the least urgent rank is accepted, and when its caller should retry otherwise.
@@ -46,19 +47,19 @@
      *
      * @param expectedWaitMillis expected time until the first output
      * @param timeLeftMillis time until the caller gives up
-     * @param random number drawn uniformly from 0 to 1, which spreads the retries of callers that are rejected
+     * @param random draws a number uniformly from 0 to 1, which spreads the retries of callers that are rejected
      *     together
      * @return delay in milliseconds; empty if the request is accepted
      */
     public static OptionalLong retryAfterMillis(
-            Route route, double expectedWaitMillis, long timeLeftMillis, double random) {
+            Route route, double expectedWaitMillis, long timeLeftMillis, DoubleSupplier random) {
         boolean retried = timeLeftMillis < RETRY_TIME_LEFT_SHARE * route.timeoutMillis();
         double maxWaitMillis = maxWaitMillis(route) * (retried ? RETRY_WAIT_FACTOR : 1);
         if (expectedWaitMillis <= maxWaitMillis) {
             return OptionalLong.empty();
         }
         double untilCapacityMillis = Math.max(MIN_RETRY_AFTER_MILLIS, expectedWaitMillis - maxWaitMillis);
-        return OptionalLong.of((long)
-                Math.max(1, Math.min(untilCapacityMillis * (1 + random), MAX_RETRY_AFTER_SHARE * timeLeftMillis)));
+        return OptionalLong.of((long) Math.max(
+                1, Math.min(untilCapacityMillis * (1 + random.getAsDouble()), MAX_RETRY_AFTER_SHARE * timeLeftMillis)));
     }
 }
--- a/core/src/test/java/org/tanagerhinge/core/relay/AdmissionControlTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/AdmissionControlTest.java
@@ -52,13 +52,14 @@
     void rejectsRequestsThatCannotStartInTime(double expectedWaitMillis, long timeLeftMillis, boolean rejected) {
         assertEquals(
                 rejected,
-                AdmissionControl.retryAfterMillis(route("r", 1_200, 2), expectedWaitMillis, timeLeftMillis, 0.5)
+                AdmissionControl.retryAfterMillis(route("r", 1_200, 2), expectedWaitMillis, timeLeftMillis, () -> 0.5)
                         .isPresent());
     }
 
     @Test
     void acceptsAllRequestsOfARouteWithoutTarget() {
-        assertEquals(OptionalLong.empty(), AdmissionControl.retryAfterMillis(route("r", 0, 2), 60_000, 8_000, 0.5));
+        assertEquals(
+                OptionalLong.empty(), AdmissionControl.retryAfterMillis(route("r", 0, 2), 60_000, 8_000, () -> 0.5));
     }
 
     /** Guards against callers that are rejected together and retry together, which would be the next burst. */
@@ -66,9 +67,9 @@
     @CsvSource({"1000, 8000", "3000, 8000", "20000, 8000", "20000, 900", "20000, 1"})
     void spreadsRetryAfterWithinAThirdOfTheTimeLeft(double expectedWaitMillis, long timeLeftMillis) {
         Route route = route("r", 1_200, 2);
-        long minRetryAfterMillis = AdmissionControl.retryAfterMillis(route, expectedWaitMillis, timeLeftMillis, 0)
+        long minRetryAfterMillis = AdmissionControl.retryAfterMillis(route, expectedWaitMillis, timeLeftMillis, () -> 0)
                 .orElseThrow();
-        long maxRetryAfterMillis = AdmissionControl.retryAfterMillis(route, expectedWaitMillis, timeLeftMillis, 1)
+        long maxRetryAfterMillis = AdmissionControl.retryAfterMillis(route, expectedWaitMillis, timeLeftMillis, () -> 1)
                 .orElseThrow();
         assertTrue(
                 minRetryAfterMillis >= Math.min(300, Math.max(1, timeLeftMillis / 3)),
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -18,13 +18,13 @@
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.attempt.RetryBudget;
+import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.PromptPart;
-import org.tanagerhinge.core.relay.RankGate;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.ServerAnnouncements;
 import org.tanagerhinge.core.relay.ServerChange;
@@ -65,7 +65,7 @@
     private final PlacementPolicy placement;
     private final RetryBudget budget;
     private final StoreEra storeEra = StoreEra.create();
-    private final RankGate rankGate = RankGate.create();
+    private final AdmissionPolicy admission;
     private final ServerAnnouncements serverAnnouncements = ServerAnnouncements.create();
     private final RequestQuarantine quarantine = RequestQuarantine.create();
     private final CrashDetector crashDetector = new CrashDetector(this);
@@ -95,6 +95,7 @@
         this.options = options;
         this.metrics = metrics;
         this.placement = placement;
+        this.admission = AdmissionPolicy.without(options.disabledMechanisms());
         this.pool = new BackendConnectionPool(loop, dialect, this::nowMillis, this::count, this::responseReceived);
         GatewayOptions.Bounds bounds = options.bounds();
         this.budget = RetryBudget.of(
@@ -138,8 +139,8 @@
         return budget;
     }
 
-    RankGate rankGate() {
-        return rankGate;
+    AdmissionPolicy admission() {
+        return admission;
     }
 
     ServerAnnouncements serverAnnouncements() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -89,7 +89,7 @@
         gateway.requestSent(request, decision);
         firstOutputWait = RankGate.PendingRequest.of(
                 server.instanceId(), exchange.rank(), startedAtMillis + route.targetMillis());
-        gateway.rankGate().recordSent(firstOutputWait);
+        gateway.admission().rankGate().recordSent(firstOutputWait);
         long maxIdleMillis = route.idempotent() ? Long.MAX_VALUE : MAX_IDLE_NON_IDEMPOTENT_MILLIS;
         BackendConnection pooled = gateway.pool().pollIdle(server, maxIdleMillis);
         if (pooled != null) {
@@ -316,7 +316,7 @@
             streaming = true;
             exchange.markExecutionStarted();
             server.recordStreamStart();
-            gateway.rankGate().recordSettled(firstOutputWait);
+            gateway.admission().rankGate().recordSettled(firstOutputWait);
         }
         if (prefillPending) {
             prefillPending = false;
@@ -330,7 +330,7 @@
             return;
         }
         finished = true;
-        gateway.rankGate().recordSettled(firstOutputWait);
+        gateway.admission().rankGate().recordSettled(firstOutputWait);
         if (responseTimer != null) {
             responseTimer.cancel(false);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -18,7 +18,7 @@
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.AttemptHistory;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
-import org.tanagerhinge.core.relay.AdmissionControl;
+import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.PlacementRequest;
@@ -140,14 +140,7 @@
             return;
         }
         ServerInstance chosen = decision.get().server();
-        if (gateway.enabled(Mechanism.RANK_GATE)
-                && history.sendCount() == 0
-                && gateway.rankGate().mustYield(rank(), chosen.instanceId(), nowMillis)) {
-            telemetry.yieldedToUrgent(chosen, rank());
-            refuse(Refusal.notExecuted(ResultCode.QUEUE_FULL, gateway.retryAfterMillis()));
-            return;
-        }
-        if (rejectedByAdmission(decision.get())) {
+        if (history.sendCount() == 0 && rejected(request, decision.get(), nowMillis)) {
             return;
         }
         triedServers.add(chosen.id());
@@ -157,22 +150,19 @@
         attempt.start();
     }
 
-    /**
-     * Refuses a least urgent request that could not be answered in time at the chosen server; returns whether it did.
-     */
-    private boolean rejectedByAdmission(PlacementPolicy.Decision decision) {
-        if (history.sendCount() > 0
-                || !gateway.enabled(Mechanism.ADMISSION)
-                || !config.isLeastUrgent(workspace, route, service)) {
-            return false;
-        }
-        OptionalLong retryAfterMillis = AdmissionControl.retryAfterMillis(
-                route, decision.expectedWaitMillis(), remainingMillis(), gateway.randomFraction());
-        retryAfterMillis.ifPresent(millis -> {
-            telemetry.rejected(decision);
-            refuse(Refusal.notExecuted(ResultCode.QUEUE_FULL, millis));
+    /** Refuses a request that the admission policy rejects; returns whether it did. */
+    private boolean rejected(PlacementRequest request, PlacementPolicy.Decision decision, long nowMillis) {
+        Optional<AdmissionPolicy.Rejection> rejection = gateway.admission()
+                .rejection(
+                        new AdmissionPolicy.Request(config, request, workspace, remainingMillis()),
+                        decision,
+                        nowMillis,
+                        gateway::randomFraction);
+        rejection.ifPresent(found -> {
+            telemetry.rejected(found, decision, rank());
+            refuse(Refusal.notExecuted(ResultCode.QUEUE_FULL, found.retryAfterMillis()));
         });
-        return retryAfterMillis.isPresent();
+        return rejection.isPresent();
     }
 
     private OptionalLong quarantineMillis(long nowMillis) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.RouteKind;
@@ -112,17 +113,16 @@
                 .write();
     }
 
-    /** Notes that the request must yield to more urgent ones at the chosen server. */
-    void yieldedToUrgent(ServerInstance chosen, int rank) {
-        server = chosen.id();
-        reason = "requests more urgent than rank " + rank + " are overdue at this server";
-    }
-
-    /** Notes that the request cannot meet its target at the chosen server. */
-    void rejected(PlacementPolicy.Decision decision) {
-        gateway.count("turned_away");
+    /** Notes why the admission policy rejected the request at the chosen server. */
+    void rejected(AdmissionPolicy.Rejection rejection, PlacementPolicy.Decision decision, int rank) {
         server = decision.server().id();
-        reason = "expected wait at this server is " + Math.round(decision.expectedWaitMillis()) + " ms";
+        reason = switch (rejection.reason()) {
+            case YIELDS_TO_URGENT -> "requests more urgent than rank " + rank + " are overdue at this server";
+            case EXPECTED_LATE -> {
+                gateway.count("turned_away");
+                yield "expected wait at this server is " + Math.round(decision.expectedWaitMillis()) + " ms";
+            }
+        };
     }
 
     /** Notes that the request is quarantined, since servers crashed while running it. */
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -6,11 +6,11 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
-import org.tanagerhinge.core.relay.AdmissionControl;
+import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.PeerLoadUpdater;
 import org.tanagerhinge.core.relay.PeerReport;
@@ -37,7 +37,7 @@
     private final ServiceConfig service;
     private final PlacementPolicy placement;
     private final Set<Mechanism> disabledMechanisms;
-    private final RankGate rankGate = RankGate.create();
+    private final AdmissionPolicy admission;
     private final PeerTable peerTable;
     private final Map<String, ServerInstance> instanceById = new LinkedHashMap<>();
     private final PeerLoadUpdater peerLoadUpdater = PeerLoadUpdater.of(instanceById::get);
@@ -56,6 +56,7 @@
         this.service = new ServiceConfig(
                 "model", 300, engine.slots(), engine.cacheCapacityTokens(), 1, 8_000 / engine.fetchMicrosPerToken());
         this.disabledMechanisms = disabledMechanisms;
+        this.admission = AdmissionPolicy.without(disabledMechanisms);
         this.placement = PromptAwarePlacement.without(disabledMechanisms);
         this.peerTable = PeerTable.of(name);
         placement.updateMinEventGap(scenario.kinds().stream()
@@ -94,24 +95,9 @@
             return;
         }
         ServerInstance chosen = decision.get().server();
-        if (call.sends == 0
-                && !disabledMechanisms.contains(Mechanism.RANK_GATE)
-                && rankGate.mustYield(rank(call), chosen.instanceId(), floorMillis(nowMillis))) {
-            fleet.rejected(call, 300 + fleet.random().nextInt(300), "yields");
+        if (call.sends == 0 && rejected(call, decision.get())) {
             return;
         }
-        boolean leastUrgent = fleet.config().isLeastUrgent(call.workspace, request.route(), service.name());
-        if (call.sends == 0 && leastUrgent && !disabledMechanisms.contains(Mechanism.ADMISSION)) {
-            OptionalLong retryAfterMillis = AdmissionControl.retryAfterMillis(
-                    request.route(),
-                    decision.get().expectedWaitMillis(),
-                    floorMillis(call.deadlineMillis - nowMillis),
-                    fleet.random().nextDouble());
-            if (retryAfterMillis.isPresent()) {
-                fleet.rejected(call, retryAfterMillis.getAsLong(), "expected late");
-                return;
-            }
-        }
         call.sends++;
         call.gateway = this;
         call.decision = decision.get();
@@ -127,7 +113,7 @@
         placement.recordSent(request, decision.get(), floorMillis(nowMillis));
         call.pendingRequest = RankGate.PendingRequest.of(
                 chosen.instanceId(), rank(call), floorMillis(nowMillis) + call.kind.firstEventTargetMillis());
-        rankGate.recordSent(call.pendingRequest);
+        admission.rankGate().recordSent(call.pendingRequest);
         recordSentPrompt(chosen, call);
         EngineModel engine = fleet.engine(chosen.id());
         Set<String> excludedServers = new HashSet<>(triedServers);
@@ -143,6 +129,19 @@
         }
     }
 
+    private boolean rejected(ModelCall call, PlacementPolicy.Decision decision) {
+        double nowMillis = fleet.nowMillis();
+        Optional<AdmissionPolicy.Rejection> rejection = admission.rejection(
+                new AdmissionPolicy.Request(
+                        fleet.config(), call.request, call.workspace, floorMillis(call.deadlineMillis - nowMillis)),
+                decision,
+                floorMillis(nowMillis),
+                fleet.random()::nextDouble);
+        rejection.ifPresent(found -> fleet.rejected(
+                call, found.retryAfterMillis(), found.reason().name().toLowerCase(Locale.ROOT)));
+        return rejection.isPresent();
+    }
+
     private int rank(ModelCall call) {
         return fleet.config().rank(call.workspace, call.request.route());
     }
@@ -178,7 +177,7 @@
 
     /** Records the first event of an answer. */
     void recordFirstEvent(ModelCall call) {
-        rankGate.recordSettled(call.pendingRequest);
+        admission.rankGate().recordSettled(call.pendingRequest);
         ServerInstance server = call.decision.server();
         server.recordPrefill(call.decision.tokensToPrefill());
         server.health().recordSuccess();
@@ -187,7 +186,7 @@
 
     /** Records that a request has left its engine, whatever its outcome. */
     void settle(ModelCall call, boolean prefillPending) {
-        rankGate.recordSettled(call.pendingRequest);
+        admission.rankGate().recordSettled(call.pendingRequest);
         ServerInstance server = call.decision.server();
         if (prefillPending) {
             server.recordPrefill(call.decision.tokensToPrefill());
