--- a/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
@@ -34,6 +34,13 @@
     /** Records that another node sent parts of a prompt to an engine, at a time in milliseconds. */
     default void recordPeerSent(ServerInstance server, ServiceConfig service, List<PromptPart> parts, long nowMillis) {}
 
+    /**
+     * Records how long work took on a server's host at a time in milliseconds, relative to nominal.
+     *
+     * @param factor 1 is nominal, greater is slower
+     */
+    default void recordWorkTime(ServerInstance server, double factor, long nowMillis) {}
+
     /** Discards the state kept for a server instance that was removed. */
     default void forgetInstance(String instanceId) {}
 
