Fair shares of workspaces while a service is short of capacity

Nothing kept one workspace that sends ten times its usual load from displacing all others of its rank. WorkspaceShares limits each workspace to a max-min share of the admitted work, in the last second after a sign of a shortage, and never while less urgent requests are admitted. It performs no I/O; figures of peers and time are inputs.

--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ShareGroup.java
@@ -0,0 +1,152 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+
+/** Holds the shares of the workspaces that send requests of one rank to one service. */
+final class ShareGroup {
+    /**
+     * Smallest fraction of a workspace's requests that is admitted, relative to the fraction of all requests; no
+     * workspace and no kind may be served less than a quarter as often as all are.
+     */
+    private static final double MIN_RELATIVE_FRACTION = 0.35;
+    /**
+     * Smallest fraction of large requests that is admitted, relative to the fraction of all requests of the rank; large
+     * requests must be served at least half as often as their kind.
+     */
+    private static final double MIN_RELATIVE_LARGE_FRACTION = 0.65;
+    /** A workspace whose demand would reach this fraction of the share if all nodes had it is near its share. */
+    private static final double NEAR_FRACTION = 0.5;
+    /** Fraction of the demand that is taken as the capacity, at most, when workspaces near their share are selected. */
+    private static final double NEAR_CAPACITY_FRACTION = 0.9;
+
+    private final String service;
+    private final int rank;
+    private final WorkMeter meter;
+    private final PeerUses peers;
+    private final ShareHeadroom headroom = ShareHeadroom.create();
+    private long computedAtMillis = Long.MIN_VALUE / 2;
+    private Map<Integer, WorkRate> workByWorkspace = Map.of();
+    private PeerUses.Totals peerTotals = new PeerUses.Totals(WorkRate.NONE, WorkRate.NONE, -1, false);
+    private WorkRate requests = WorkRate.NONE;
+    private double minFraction = MIN_RELATIVE_FRACTION;
+    private double level = Double.POSITIVE_INFINITY;
+
+    private ShareGroup(String service, int rank, PeerUses peers, long nowMillis) {
+        this.service = service;
+        this.rank = rank;
+        this.peers = peers;
+        this.meter = WorkMeter.create(nowMillis);
+    }
+
+    static ShareGroup of(String service, int rank, PeerUses peers, long nowMillis) {
+        return new ShareGroup(service, rank, peers, nowMillis);
+    }
+
+    String service() {
+        return service;
+    }
+
+    int rank() {
+        return rank;
+    }
+
+    WorkMeter meter() {
+        return meter;
+    }
+
+    ShareHeadroom headroom() {
+        return headroom;
+    }
+
+    /** Returns the highest work per second that a workspace is allowed; infinite if all are. */
+    double level() {
+        return level;
+    }
+
+    /** Returns the work per second that a workspace asks for, at this node and at those peers that reported it. */
+    double demand(int workspace) {
+        return workByWorkspace.getOrDefault(workspace, WorkRate.NONE).asked();
+    }
+
+    /** Returns the age of the oldest figure of a peer in the level; negative if there is none. */
+    long peerFiguresAgeMillis() {
+        return peerTotals.oldestMillis();
+    }
+
+    /** Returns whether peers reported that they admitted less urgent requests. */
+    boolean lessUrgentAdmittedByPeers() {
+        return peerTotals.lessUrgentAdmitted();
+    }
+
+    /** Returns the fraction of a workspace's requests that is admitted; empty if all are. */
+    OptionalDouble admittedFraction(int workspace, double work) {
+        double demand = demand(workspace);
+        if (demand <= level || !othersAsk(workspace)) {
+            return OptionalDouble.empty();
+        }
+        double smallest = meter.large(work)
+                ? Math.max(minFraction, MIN_RELATIVE_LARGE_FRACTION * requests.admittedFraction())
+                : minFraction;
+        return OptionalDouble.of(Math.max(level / demand, smallest));
+    }
+
+    private boolean othersAsk(int workspace) {
+        return workByWorkspace.size() > 1
+                || !workByWorkspace.containsKey(workspace)
+                || peerTotals.small().asked() > 0;
+    }
+
+    /** Returns the rate of requests of all workspaces, of this node and its peers, when the level was computed. */
+    WorkRate requests() {
+        return requests;
+    }
+
+    /** Collects the figures of this node and its peers. */
+    void collect(long nowMillis) {
+        workByWorkspace = new HashMap<>(meter.rates(nowMillis));
+        peerTotals = peers.collect(
+                service, rank, nowMillis, (work, workspace) -> workByWorkspace.merge(workspace, work, WorkRate::plus));
+        requests = meter.requests(nowMillis).plus(peerTotals.requests());
+    }
+
+    /**
+     * Computes the level from the collected figures.
+     *
+     * @param allRequests rate of requests of all ranks at the service
+     */
+    void computeLevel(WorkRate allRequests, long nowMillis) {
+        headroom.update(nowMillis - computedAtMillis);
+        computedAtMillis = nowMillis;
+        minFraction = MIN_RELATIVE_FRACTION * Math.max(requests.admittedFraction(), allRequests.admittedFraction());
+        WorkRate total = total().plus(peerTotals.small());
+        level = total.admitted() <= 0 ? Double.POSITIVE_INFINITY : level(headroom.factor() * total.admitted());
+    }
+
+    private WorkRate total() {
+        return workByWorkspace.values().stream().reduce(WorkRate.NONE, WorkRate::plus);
+    }
+
+    private double level(double capacity) {
+        return ShareLevel.of(
+                workByWorkspace.values(), capacity - peerTotals.small().asked(), minFraction);
+    }
+
+    /**
+     * Returns this node's figures for its peers.
+     *
+     * @param nodeCount number of nodes, this one included
+     */
+    Map<Integer, WorkRate> near(int nodeCount, long nowMillis) {
+        WorkRate total = total().plus(peerTotals.small());
+        double threshold = NEAR_FRACTION * level(Math.min(total.admitted(), NEAR_CAPACITY_FRACTION * total.asked()));
+        Map<Integer, WorkRate> near = new HashMap<>();
+        meter.rates(nowMillis).forEach((workspace, work) -> {
+            if (Math.max(work.asked() * nodeCount, demand(workspace)) >= threshold) {
+                near.put(workspace, work);
+            }
+        });
+        return near;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/WorkspaceShares.java
@@ -0,0 +1,212 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Limits each workspace to a fair share of a service while the service is short of capacity.
+ *
+ * <p>Shares are max-min fair among the requests of one rank, measured in work. The capacity is the work that was
+ * admitted in the last seconds. A workspace over its share has the excess fraction of its requests refused before they
+ * are sent, which leaves the capacity to the others. Requests are only refused within a second of a sign that the
+ * service is short, and never while less urgent requests are admitted.
+ */
+public final class WorkspaceShares {
+    /** Time between two computations of the levels, which visit all workspaces. */
+    static final long LEVEL_MILLIS = 250;
+    /** Time for which a service counts as short of capacity after a sign of it. */
+    static final long SHORT_MILLIS = 1_000;
+    /** No request is refused for this long after a less urgent one was admitted at the service. */
+    static final long LESS_URGENT_MILLIS = 5_000;
+    /** Less urgent requests in a row that weren't admitted here, from which none is taken to be admitted elsewhere. */
+    private static final int MIN_SHUT_OUT = 20;
+    /** Figures are reported for this long after a sign of a shortage; peers' figures are valid as long. */
+    private static final long REPORT_MILLIS = PeerUses.VALID_MILLIS;
+
+    private final PeerUses peers = PeerUses.create();
+    private final Map<String, Service> services = new HashMap<>();
+    private UseReporter reporter;
+
+    private WorkspaceShares() {}
+
+    /** Creates shares without any figures. */
+    public static WorkspaceShares create() {
+        return new WorkspaceShares();
+    }
+
+    /**
+     * Describes the work that a request asks for.
+     *
+     * @param rank 0 is the most urgent
+     * @param workspace name; empty for callers without a key, who count as one workspace
+     * @param leastUrgent whether no request for the service can have a less urgent rank
+     * @param work tokens at model engines, milliseconds at plain servers
+     */
+    public record Ask(String service, int rank, boolean leastUrgent, String workspace, double work) {
+        private int workspaceHash() {
+            return workspace.hashCode();
+        }
+    }
+
+    /**
+     * Describes by how much a workspace was over its share.
+     *
+     * @param share work per second that the workspace may have
+     * @param use work per second that the workspace asks for
+     * @param peerFiguresAgeMillis age of the oldest peer figure in the decision; negative if there was none
+     */
+    public record Excess(String workspace, double share, double use, long peerFiguresAgeMillis) {}
+
+    private static final class Service {
+        private final TreeMap<Integer, ShareGroup> groupByRank = new TreeMap<>();
+        private long refreshedAtMillis = Long.MIN_VALUE / 2;
+        private long shortAtMillis = Long.MIN_VALUE / 2;
+        private long peersShortAtMillis = Long.MIN_VALUE / 2;
+
+        /** Computes the levels of all ranks, a few times per second. */
+        private void refreshIfDue(long nowMillis) {
+            if (nowMillis - refreshedAtMillis < LEVEL_MILLIS) {
+                return;
+            }
+            refreshedAtMillis = nowMillis;
+            WorkRate allRequests = WorkRate.NONE;
+            for (ShareGroup group : groupByRank.values()) {
+                group.collect(nowMillis);
+                allRequests = allRequests.plus(group.requests());
+            }
+            for (ShareGroup group : groupByRank.values()) {
+                group.computeLevel(allRequests, nowMillis);
+            }
+        }
+
+        private boolean shortWithin(long millis, long nowMillis) {
+            return nowMillis - Math.max(shortAtMillis, peersShortAtMillis) <= millis;
+        }
+    }
+
+    /** Records a request that a caller sent, whether it is refused or not. */
+    public void recordAsked(Ask ask, long nowMillis) {
+        group(ask, nowMillis).meter().recordAsked(ask.workspaceHash(), ask.work(), nowMillis);
+    }
+
+    /** Records that a request was sent to a server. */
+    public void recordAdmitted(Ask ask, long nowMillis) {
+        ShareGroup group = group(ask, nowMillis);
+        group.meter().recordAdmitted(ask.workspaceHash(), ask.work(), nowMillis);
+        group.headroom().recordAdmitted(1);
+    }
+
+    /** Records that a server rejected a request that was sent to it, so that its work wasn't admitted. */
+    public void recordReturned(Ask ask, long nowMillis) {
+        ShareGroup group = group(ask, nowMillis);
+        group.meter().recordReturned(ask.workspaceHash(), ask.work(), nowMillis);
+        group.headroom().recordAdmitted(-1);
+    }
+
+    /** Records a sign that a service is short of capacity. */
+    public void recordShort(String service, long nowMillis) {
+        service(service).shortAtMillis = nowMillis;
+    }
+
+    /** Returns whether a service is short of capacity, by the signs that this node or its peers saw. */
+    public boolean isShort(String service, long nowMillis) {
+        Service known = services.get(service);
+        return known != null && known.shortWithin(SHORT_MILLIS, nowMillis);
+    }
+
+    /**
+     * Returns by how much the workspace of a request is over its share; empty if the request may be sent.
+     *
+     * @param random draws a number uniformly from 0 to 1, which selects the requests to refuse
+     */
+    public Optional<Excess> excess(Ask ask, long nowMillis, DoubleSupplier random) {
+        ShareGroup group = group(ask, nowMillis);
+        if (isShort(ask.service(), nowMillis) && refused(group, ask, nowMillis, random)) {
+            return Optional.of(new Excess(
+                    ask.workspace(), group.level(), group.demand(ask.workspaceHash()), group.peerFiguresAgeMillis()));
+        }
+        group.headroom().recordAllowed();
+        return Optional.empty();
+    }
+
+    private boolean refused(ShareGroup group, Ask ask, long nowMillis, DoubleSupplier random) {
+        service(ask.service()).refreshIfDue(nowMillis);
+        OptionalDouble fraction = group.admittedFraction(ask.workspaceHash(), ask.work());
+        return fraction.isPresent()
+                && !lessUrgentAdmitted(ask, nowMillis)
+                && random.getAsDouble() >= fraction.getAsDouble();
+    }
+
+    /**
+     * Returns whether less urgent requests are admitted, or may be for all that this node knows: it then heard nothing of
+     * its peers and saw too few less urgent requests to tell that none is admitted.
+     */
+    private boolean lessUrgentAdmitted(Ask ask, long nowMillis) {
+        boolean lessUrgentShutOut = false;
+        for (ShareGroup group :
+                service(ask.service()).groupByRank.tailMap(ask.rank(), false).values()) {
+            if (group.meter().admittedWithin(LESS_URGENT_MILLIS, nowMillis)) {
+                return true;
+            }
+            lessUrgentShutOut |= group.meter().askedSinceAdmitted() >= MIN_SHUT_OUT;
+        }
+        boolean unknown = !ask.leastUrgent()
+                && !lessUrgentShutOut
+                && group(ask, nowMillis).peerFiguresAgeMillis() < 0;
+        return unknown || group(ask, nowMillis).lessUrgentAdmittedByPeers();
+    }
+
+    private Service service(String name) {
+        return services.computeIfAbsent(name, added -> new Service());
+    }
+
+    private ShareGroup group(Ask ask, long nowMillis) {
+        return service(ask.service())
+                .groupByRank
+                .computeIfAbsent(ask.rank(), rank -> ShareGroup.of(ask.service(), rank, peers, nowMillis));
+    }
+
+    /** Records the figures of a peer's report. */
+    public void accept(String peer, List<WorkspaceUses> report, long nowMillis) {
+        peers.accept(peer, report, nowMillis);
+        for (WorkspaceUses uses : report) {
+            Service known = services.get(uses.service());
+            if (known != null && uses.shortAgeMillis().isPresent()) {
+                known.peersShortAtMillis = Math.max(
+                        known.peersShortAtMillis,
+                        nowMillis - uses.shortAgeMillis().getAsLong());
+            }
+        }
+    }
+
+    /** Returns the figures for this node's next report to its peers; none without a shortage. */
+    public List<WorkspaceUses> nextReport(int peerCount, long nowMillis) {
+        peers.forgetExpired(nowMillis);
+        if (reporter == null) {
+            reporter = UseReporter.create(nowMillis);
+        }
+        List<ShareGroup> groups = services.values().stream()
+                .filter(service -> service.shortWithin(REPORT_MILLIS, nowMillis))
+                .flatMap(service -> service.groupByRank.values().stream())
+                .toList();
+        groups.forEach(group -> services.get(group.service()).refreshIfDue(nowMillis));
+        return reporter.next(groups, peerCount, nowMillis, group -> shortAge(group.service(), nowMillis));
+    }
+
+    /** Returns the age of this node's own last sign; a peer's isn't repeated, or it would never end. */
+    private OptionalLong shortAge(String service, long nowMillis) {
+        long ageMillis = nowMillis - services.get(service).shortAtMillis;
+        return ageMillis <= SHORT_MILLIS ? OptionalLong.of(ageMillis) : OptionalLong.empty();
+    }
+
+    /** Returns the number of figures of peers that are kept. */
+    int peerFigureCount() {
+        return peers.size();
+    }
+}
