Admission checks the workspace's share after the rank

AdmissionPolicy asks WorkspaceShares between rank and expected wait, if the configuration has keys, and rejects with OVER_SHARE. The refusal's log line has the workspace, share, use and age of peers' figures; the counter is over_share.

--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
@@ -8,14 +8,20 @@
 /**
  * Decides whether a request that has been placed is sent to its server or rejected.
  *
- * <p>The checks run in a fixed order: rank first ({@link RankGate}), then the expected wait ({@link AdmissionControl}).
+ * <p>The checks run in a fixed order: rank first ({@link RankGate}), then the workspace's share ({@link
+ * WorkspaceShares}), then the expected wait ({@link AdmissionControl}).
  */
 public final class AdmissionPolicy {
     /** Minimum delay of a retry after a rejection by rank, in milliseconds; a random delay up to the same length is added. */
     private static final int MIN_RETRY_AFTER_MILLIS = 300;
 
+    /** Work of an output token, in prompt tokens to prefill. */
+    private static final double OUTPUT_TOKEN_WORK = 10;
+
     private final Set<Mechanism> disabled;
     private final RankGate rankGate = RankGate.create();
+    private final WorkspaceShares shares = WorkspaceShares.create();
+    private final ResponseTimes responseTimes = ResponseTimes.create();
 
     private AdmissionPolicy(Set<Mechanism> disabled) {
         this.disabled = disabled;
@@ -49,6 +55,8 @@
     public enum Reason {
         /** More urgent requests are overdue at the chosen server. */
         YIELDS_TO_URGENT,
+        /** The service is short of capacity, and the workspace asks for more than its fair share. */
+        OVER_SHARE,
         /** The first output can't be in time. */
         EXPECTED_LATE
     }
@@ -57,8 +65,13 @@
      * Describes the rejection of a request that hasn't been sent.
      *
      * @param retryAfterMillis how long the caller should wait before it retries, in milliseconds
+     * @param excess by how much the workspace is over its share, if that is the reason
      */
-    public record Rejection(Reason reason, long retryAfterMillis) {}
+    public record Rejection(Reason reason, long retryAfterMillis, Optional<WorkspaceShares.Excess> excess) {
+        private static Rejection of(Reason reason, long retryAfterMillis) {
+            return new Rejection(reason, retryAfterMillis, Optional.empty());
+        }
+    }
 
     /**
      * Returns the rejection of a request that no server has received yet; empty if it may be sent.
@@ -67,10 +80,36 @@
      */
     public Optional<Rejection> rejection(
             Request request, PlacementPolicy.Decision decision, long nowMillis, DoubleSupplier random) {
+        if (!sharesApply(request)) {
+            return check(request, Optional.empty(), decision, nowMillis, random);
+        }
+        WorkspaceShares.Ask ask = ask(request, decision.tokensToPrefill());
+        shares.recordAsked(ask, nowMillis);
+        Optional<Rejection> rejection = check(request, Optional.of(ask), decision, nowMillis, random);
+        if (rejection.isEmpty()) {
+            shares.recordAdmitted(ask, nowMillis);
+        }
+        boolean late = decision.expectedWaitMillis()
+                > AdmissionControl.maxWaitMillis(request.placement().route());
+        if (late || rejection.map(Rejection::reason).equals(Optional.of(Reason.YIELDS_TO_URGENT))) {
+            shares.recordShort(ask.service(), nowMillis);
+        }
+        return rejection;
+    }
+
+    private Optional<Rejection> check(
+            Request request,
+            Optional<WorkspaceShares.Ask> ask,
+            PlacementPolicy.Decision decision,
+            long nowMillis,
+            DoubleSupplier random) {
         if (!disabled.contains(Mechanism.RANK_GATE)
                 && rankGate.mustYield(request.rank(), decision.server().instanceId(), nowMillis)) {
-            long retryAfterMillis = MIN_RETRY_AFTER_MILLIS + (long) (random.getAsDouble() * MIN_RETRY_AFTER_MILLIS);
-            return Optional.of(new Rejection(Reason.YIELDS_TO_URGENT, retryAfterMillis));
+            return Optional.of(Rejection.of(Reason.YIELDS_TO_URGENT, retryAfterMillis(random)));
+        }
+        Optional<WorkspaceShares.Excess> excess = ask.flatMap(found -> shares.excess(found, nowMillis, random));
+        if (excess.isPresent()) {
+            return Optional.of(new Rejection(Reason.OVER_SHARE, retryAfterMillis(random), excess));
         }
         if (disabled.contains(Mechanism.ADMISSION) || !request.leastUrgent()) {
             return Optional.empty();
@@ -78,10 +117,43 @@
         OptionalLong retryAfterMillis = AdmissionControl.retryAfterMillis(
                 request.placement().route(), decision.expectedWaitMillis(), request.remainingMillis(), random);
         return retryAfterMillis.isPresent()
-                ? Optional.of(new Rejection(Reason.EXPECTED_LATE, retryAfterMillis.getAsLong()))
+                ? Optional.of(Rejection.of(Reason.EXPECTED_LATE, retryAfterMillis.getAsLong()))
                 : Optional.empty();
     }
 
+    private static long retryAfterMillis(DoubleSupplier random) {
+        return MIN_RETRY_AFTER_MILLIS + (long) (random.getAsDouble() * MIN_RETRY_AFTER_MILLIS);
+    }
+
+    /** Returns whether shares apply to a request: only if the configuration has workspaces. */
+    public boolean sharesApply(Request request) {
+        return request.config().requiresKey() && !disabled.contains(Mechanism.WORKSPACE_SHARES);
+    }
+
+    /** Returns the work that a request asks for, with the prompt tokens that a server has to prefill for it. */
+    public WorkspaceShares.Ask ask(Request request, int tokensToPrefill) {
+        PlacementRequest placement = request.placement();
+        double work = placement.service().hasModelEngines()
+                ? tokensToPrefill + OUTPUT_TOKEN_WORK * placement.prompt().maxOutputTokens()
+                : responseTimes.meanMillis(placement.route());
+        return new WorkspaceShares.Ask(
+                placement.service().name(),
+                request.rank(),
+                request.leastUrgent(),
+                request.workspace().map(WorkspaceConfig::name).orElse(""),
+                Math.max(1, work));
+    }
+
+    /** Returns the shares of the workspaces. */
+    public WorkspaceShares shares() {
+        return shares;
+    }
+
+    /** Returns the response times from which the work at plain servers is computed. */
+    public ResponseTimes responseTimes() {
+        return responseTimes;
+    }
+
     /** Returns the gate that is told which requests were sent and which have output. */
     public RankGate rankGate() {
         return rankGate;
--- a/core/src/main/java/org/tanagerhinge/core/relay/Mechanism.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Mechanism.java
@@ -20,6 +20,8 @@
     URGENT_LANE,
     /** Requests of the least urgent rank that can't start in time are rejected ({@link AdmissionControl}). */
     ADMISSION,
+    /** In a shortage, a workspace over its fair share has the excess rejected ({@link WorkspaceShares}). */
+    WORKSPACE_SHARES,
     /** Prefixes cached by another engine are fetched from it instead of being prefilled again. */
     FETCH,
     /** Load and demand reported by other nodes are taken into account. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -43,6 +43,7 @@
     private final CallerMetadata metadata;
     private final ResponseProgress progress;
     private final RequestTelemetry telemetry;
+    private final RequestAdmission admission;
     private final Set<String> triedServers = new HashSet<>();
     private RelayConfig config;
     private Route route;
@@ -65,6 +66,7 @@
         this.arrivedAtMillis = arrivedAtMillis;
         this.metadata = gateway.dialect().callerMetadata(head);
         this.progress = ResponseProgress.after(metadata.lastEventId());
+        this.admission = RequestAdmission.of(gateway);
         this.telemetry = RequestTelemetry.of(gateway, metadata.attemptId(), arrivedAtMillis);
     }
 
@@ -136,14 +138,14 @@
                 new PlacementRequest(route, config.service(service), metadata.prompt(), gateway.domain());
         Optional<PlacementPolicy.Decision> decision = gateway.placement().place(request, candidates, nowMillis);
         if (decision.isEmpty()) {
+            admission.withoutServer(new AdmissionPolicy.Request(config, request, workspace, remainingMillis()));
             failWithoutServer();
             return;
         }
-        ServerInstance chosen = decision.get().server();
-        if (history.sendCount() == 0 && rejected(request, decision.get(), nowMillis)) {
+        if (rejected(request, decision.get())) {
             return;
         }
-        triedServers.add(chosen.id());
+        triedServers.add(decision.get().server().id());
         history.recordSend();
         telemetry.sent(decision.get(), candidates.size(), level(decision.get()));
         attempt = new RelayAttempt(gateway, this, request, decision.get());
@@ -151,13 +153,9 @@
     }
 
     /** Refuses a request that the admission policy rejects; returns whether it did. */
-    private boolean rejected(PlacementRequest request, PlacementPolicy.Decision decision, long nowMillis) {
-        Optional<AdmissionPolicy.Rejection> rejection = gateway.admission()
-                .rejection(
-                        new AdmissionPolicy.Request(config, request, workspace, remainingMillis()),
-                        decision,
-                        nowMillis,
-                        gateway::randomFraction);
+    private boolean rejected(PlacementRequest request, PlacementPolicy.Decision decision) {
+        Optional<AdmissionPolicy.Rejection> rejection = admission.rejection(
+                new AdmissionPolicy.Request(config, request, workspace, remainingMillis()), decision);
         rejection.ifPresent(found -> {
             telemetry.rejected(found, decision, rank());
             refuse(Refusal.notExecuted(ResultCode.QUEUE_FULL, found.retryAfterMillis()));
@@ -285,6 +283,7 @@
             markExecutionStarted();
         }
         gateway.attemptFailed(ended.server(), failure);
+        admission.attemptFailed(ended.server(), failure);
         telemetry.attemptFailed(
                 failure,
                 reason,
@@ -328,6 +327,7 @@
         if (status < MIN_ERROR_STATUS && !gateway.quarantine().isEmpty()) {
             gateway.quarantine().recordCompletedRun(fingerprint(), gateway.nowMillis());
         }
+        admission.completed(status, gateway.nowMillis() - arrivedAtMillis);
         telemetry.completed(status, progress);
         finish();
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -11,6 +11,7 @@
 import org.tanagerhinge.core.relay.RouteKind;
 import org.tanagerhinge.core.relay.ServerInstance;
 import org.tanagerhinge.core.relay.WorkspaceConfig;
+import org.tanagerhinge.core.relay.WorkspaceShares;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
@@ -25,6 +26,7 @@
     private int attempts;
     private String server = "";
     private String reason = "";
+    private Optional<WorkspaceShares.Excess> excess = Optional.empty();
 
     private RequestTelemetry(Gateway gateway, String id, long arrivedAtMillis) {
         this.gateway = gateway;
@@ -116,8 +118,13 @@
     /** Notes why the admission policy rejected the request at the chosen server. */
     void rejected(AdmissionPolicy.Rejection rejection, PlacementPolicy.Decision decision, int rank) {
         server = decision.server().id();
+        excess = rejection.excess();
         reason = switch (rejection.reason()) {
             case YIELDS_TO_URGENT -> "requests more urgent than rank " + rank + " are overdue at this server";
+            case OVER_SHARE -> {
+                gateway.count("over_share");
+                yield "service is short of capacity and the workspace is over its share";
+            }
             case EXPECTED_LATE -> {
                 gateway.count("turned_away");
                 yield "expected wait at this server is " + Math.round(decision.expectedWaitMillis()) + " ms";
@@ -132,7 +139,7 @@
     }
 
     void refused(Refusal refusal) {
-        logLine(LogEvent.REFUSED, true)
+        LogLine line = logLine(LogEvent.REFUSED, true)
                 .with(LogField.ROUTE, route.map(Route::name).orElse(""))
                 .with(LogField.SERVER, server)
                 .with(LogField.WHY, reason)
@@ -141,8 +148,12 @@
                 .with(LogField.RUN, refusal.executionStatus())
                 .with(LogField.RETRY_AFTER_MS, refusal.retryAfterMillis())
                 .with(LogField.ATTEMPT, attempts)
-                .with(LogField.MS, gateway.nowMillis() - arrivedAtMillis)
-                .write();
+                .with(LogField.MS, gateway.nowMillis() - arrivedAtMillis);
+        excess.ifPresent(found -> line.with(LogField.WORKSPACE, found.workspace())
+                .with(LogField.SHARE, Math.round(found.share()))
+                .with(LogField.USE, Math.round(found.use()))
+                .with(LogField.PEER_USES_AGE_MS, found.peerFiguresAgeMillis()));
+        line.write();
     }
 
     void truncated(String reason, ResponseProgress progress) {
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -71,6 +71,12 @@
     SOURCE,
     /** Time since the first gateway received the configuration from the store. */
     AGE_MS,
+    /** Work per second that a workspace may have of a service that is short of capacity. */
+    SHARE,
+    /** Work per second that a workspace asks for. */
+    USE,
+    /** Age of the oldest figure of a peer in a decision; -1 if there was none. */
+    PEER_USES_AGE_MS,
     /** Fencing token of the duty's holder. */
     TOKEN,
     /** Number of a usage window. */
