--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -14,6 +14,7 @@
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.ServerRegistration;
+import org.tanagerhinge.core.relay.WorkspaceUses;
 import org.tanagerhinge.wire.peer.KeptParts;
 import org.tanagerhinge.wire.peer.Part;
 import org.tanagerhinge.wire.peer.PeerState;
@@ -38,13 +39,22 @@
      * @param suspicions requests suspected of crashing servers
      * @param leavingInstances ids of server instances that have announced that they leave
      * @param dutyStatus the node's announcement for duties
+     * @param workspaceUses some of the node's figures of workspaces, while a service is short of capacity
      */
     record PeerMessage(
             PeerReport report,
             List<CachedPrefix> cachedPrefixes,
             List<RequestQuarantine.Suspicion> suspicions,
             List<String> leavingInstances,
-            DutyAnnouncement dutyStatus) {}
+            DutyAnnouncement dutyStatus,
+            List<WorkspaceUses> workspaceUses) {
+        /** Returns this message with further suspicions. */
+        PeerMessage withSuspicions(List<RequestQuarantine.Suspicion> added) {
+            List<RequestQuarantine.Suspicion> all = new ArrayList<>(suspicions);
+            all.addAll(added);
+            return new PeerMessage(report, cachedPrefixes, all, leavingInstances, dutyStatus, workspaceUses);
+        }
+    }
 
     /** Holds a server list and its age in milliseconds. */
     record ServerSnapshot(List<ServerRegistration> list, long ageMillis) {}
@@ -88,6 +98,7 @@
                 .setPower(message.dutyStatus().preference())
                 .setUsageToken(message.dutyStatus().fencingToken())
                 .setUsageCommittedThrough(message.dutyStatus().committedThrough());
+        message.workspaceUses().forEach(uses -> state.addWorkspaceUses(WorkspaceUsesCodec.encode(uses)));
         return state.build().toByteArray();
     }
 
@@ -134,7 +145,15 @@
                 state.getUsageToken(),
                 state.getStoreEra(),
                 state.getUsageCommittedThrough());
-        return new PeerMessage(report, cachedPrefixes, suspicions, List.copyOf(state.getLeavingList()), duty);
+        return new PeerMessage(
+                report,
+                cachedPrefixes,
+                suspicions,
+                List.copyOf(state.getLeavingList()),
+                duty,
+                state.getWorkspaceUsesList().stream()
+                        .map(WorkspaceUsesCodec::decode)
+                        .toList());
     }
 
     private static SuspectedRequest encodeSuspicion(RequestQuarantine.Suspicion suspicion) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -11,7 +11,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -54,14 +53,13 @@
      */
     private static final int MAX_REPORTS_PER_TURN = 1_024;
 
-    private static final long REQUEST_TIMEOUT_MILLIS = 700;
     /** Delay that collects the broken connections of one crash in a single report. */
     private static final long BATCH_DELAY_MILLIS = 20;
     /** Minimum age difference at which a peer's newer server list is requested. */
     private static final long MIN_AGE_GAIN_MILLIS = 50;
 
     private final Gateway gateway;
-    private final EventLoopGroup loop;
+    private final PeerClient client;
     private final PeerTable table;
     private final PeerLoadUpdater load;
     private final Function<byte[], RelayConfig> decoder;
@@ -85,7 +83,7 @@
 
     private PeerSynchronizer(Gateway gateway, EventLoopGroup loop, Function<byte[], RelayConfig> decoder) {
         this.gateway = gateway;
-        this.loop = loop;
+        this.client = PeerClient.of(loop);
         this.table = PeerTable.of(gateway.options().name());
         this.load = PeerLoadUpdater.of(gateway.directory()::instance);
         this.decoder = decoder;
@@ -214,15 +212,18 @@
         PeerReport state = currentReport();
         List<RequestQuarantine.Suspicion> unreported = gateway.quarantine().pendingUpdates(gateway.nowMillis());
         List<String> leaving = gateway.serverAnnouncements().nextLeavingReport();
-        byte[] bytes = PeerCodec.encodeState(
-                new PeerCodec.PeerMessage(state, List.copyOf(pendingPrefixes), unreported, leaving, dutyStatus.get()));
+        PeerCodec.PeerMessage message = new PeerCodec.PeerMessage(
+                state,
+                List.copyOf(pendingPrefixes),
+                unreported,
+                leaving,
+                dutyStatus.get(),
+                gateway.admission().shares().nextReport(addresses.size(), gateway.nowMillis()));
+        byte[] bytes = PeerCodec.encodeState(message);
         byte[] fullBytes = bytes;
         int fullReportIndex = -1;
         if (!standing.isEmpty() && !addresses.isEmpty()) {
-            List<RequestQuarantine.Suspicion> all = new ArrayList<>(unreported);
-            all.addAll(standing);
-            fullBytes = PeerCodec.encodeState(
-                    new PeerCodec.PeerMessage(state, List.copyOf(pendingPrefixes), all, leaving, dutyStatus.get()));
+            fullBytes = PeerCodec.encodeState(message.withSuspicions(standing));
             fullReportTurn = (fullReportTurn + 1) % addresses.size();
             fullReportIndex = fullReportTurn;
         }
@@ -280,6 +281,7 @@
         }
         message.suspicions().forEach(gateway::suspicionReceived);
         message.leavingInstances().forEach(gateway::serverLeavingReported);
+        gateway.admission().shares().accept(report.name(), message.workspaceUses(), nowMillis);
         applyLoadChange(before, report.loads());
         if (report.configVersion() > gateway.configVersion()) {
             requestConfig(report);
@@ -354,7 +356,7 @@
         }
         configRequestInFlight = true;
         long requestedAtMillis = gateway.nowMillis();
-        request(aheadPeer, PeerRequestHandler.CONFIG_PATH, body -> {
+        client.request(aheadPeer, PeerRequestHandler.CONFIG_PATH, body -> {
             configRequestInFlight = false;
             if (body != null) {
                 try {
@@ -394,7 +396,7 @@
         }
         serversRequestInFlight = true;
         long requestedAtMillis = gateway.nowMillis();
-        request(aheadPeer, PeerRequestHandler.SERVERS_PATH, body -> {
+        client.request(aheadPeer, PeerRequestHandler.SERVERS_PATH, body -> {
             serversRequestInFlight = false;
             if (body != null) {
                 try {
@@ -409,21 +411,6 @@
         });
     }
 
-    private void request(PeerReport peer, String path, java.util.function.Consumer<byte[]> onResponse) {
-        InetSocketAddress address;
-        try {
-            address = PeerCodec.address(peer.address());
-        } catch (InvalidProtocolBufferException e) {
-            onResponse.accept(null);
-            return;
-        }
-        SequentialHttpClient client = SequentialHttpClient.of(loop, address);
-        client.call(HttpMethod.GET, path, "", REQUEST_TIMEOUT_MILLIS, response -> {
-            client.close();
-            onResponse.accept(response.status() == 200 ? response.body() : null);
-        });
-    }
-
     /** Receives the state reports of peers. */
     private final class ReportHandler extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -25,7 +25,12 @@
 
     private static PeerCodec.PeerMessage message(List<RequestQuarantine.Suspicion> suspicions, List<String> leaving) {
         return new PeerCodec.PeerMessage(
-                REPORT, List.of(), suspicions, leaving, new DutyAnnouncement(1_700_000_000_123L, 150, 412, 6, 340));
+                REPORT,
+                List.of(),
+                suspicions,
+                leaving,
+                new DutyAnnouncement(1_700_000_000_123L, 150, 412, 6, 340),
+                List.of());
     }
 
     @Test
