Engines of the fleet model have speeds and noisy neighbors

Cause: all simulated engines were equally fast at all times, so no run showed what placement does on hosts of different speeds or beside other work.

Change: HostSpeeds gives each engine a usual work time and a share of random slow periods; a step takes that much longer, and the first event of an answer tells the gateway the current work time. Each host draws from a random generator of its own.

FleetModelTest passes.

--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/EngineModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/EngineModel.java
@@ -21,6 +21,7 @@
 
     final String id;
     private final EngineParameters parameters;
+    private final HostModel host;
     private final FleetModel fleet;
     private final List<ModelCall> queue = new ArrayList<>();
     private final List<ModelCall> running = new ArrayList<>();
@@ -34,9 +35,10 @@
     private boolean up = true;
     private int instanceNumber;
 
-    EngineModel(String id, EngineParameters parameters, FleetModel fleet) {
+    EngineModel(String id, EngineParameters parameters, HostModel host, FleetModel fleet) {
         this.id = id;
         this.parameters = parameters;
+        this.host = host;
         this.fleet = fleet;
     }
 
@@ -54,6 +56,11 @@
         return up;
     }
 
+    /** Returns how long work takes on the engine's host now, relative to nominal. */
+    double workTime() {
+        return host.workTime(fleet.nowMillis());
+    }
+
     int inFlight() {
         return running.size() + queue.size();
     }
@@ -152,7 +159,7 @@
                 + parameters.millisPerThousandContextTokens() * contextTokens / 1e3
                 + parameters.millisPerMillionTokenPairs() * tokenPairs / 1e6;
         int currentInstance = instanceNumber;
-        fleet.scheduleAt(nowMillis + millis, () -> finishStep(generating, currentInstance));
+        fleet.scheduleAt(nowMillis + millis * workTime(), () -> finishStep(generating, currentInstance));
     }
 
     private void finishStep(List<ModelCall> generating, int expectedInstance) {
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.Prompt;
@@ -56,8 +57,10 @@
         this.scenario = scenario;
         this.random = new Random(seed);
         this.result = FleetResult.of(scenario);
+        SplittableRandom hostRandom = new SplittableRandom(seed);
         for (int i = 0; i < scenario.engines(); i++) {
-            engines.put(engineId(i), new EngineModel(engineId(i), scenario.engine(), this));
+            HostModel host = new HostModel(scenario.hosts(), i, hostRandom.split());
+            engines.put(engineId(i), new EngineModel(engineId(i), scenario.engine(), host, this));
         }
         for (RequestKind kind : scenario.kinds()) {
             routes.put(
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScenario.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScenario.java
@@ -15,6 +15,7 @@
  *     all
  *     workspaces have the same
  * @param preemptsForSlots whether engines preempt if a more urgent request finds no free slot, and not for memory alone
+ * @param hosts speeds of the engines' hosts
  */
 public record FleetScenario(
         String name,
@@ -26,7 +27,34 @@
         List<Outage> outages,
         int durationSeconds,
         double preferredShare,
-        boolean preemptsForSlots) {
+        boolean preemptsForSlots,
+        HostSpeeds hosts) {
+    /** Creates a scenario whose engines are equally fast at all times. */
+    public FleetScenario(
+            String name,
+            int gateways,
+            int engines,
+            EngineParameters engine,
+            List<RequestKind> kinds,
+            List<Burst> bursts,
+            List<Outage> outages,
+            int durationSeconds,
+            double preferredShare,
+            boolean preemptsForSlots) {
+        this(
+                name,
+                gateways,
+                engines,
+                engine,
+                kinds,
+                bursts,
+                outages,
+                durationSeconds,
+                preferredShare,
+                preemptsForSlots,
+                HostSpeeds.NOMINAL);
+    }
+
     /**
      * Describes a period with a higher rate of one kind of request.
      *
@@ -62,7 +90,8 @@
                 outages,
                 newDurationSeconds,
                 preferredShare,
-                preemptsForSlots);
+                preemptsForSlots,
+                hosts);
     }
 
     /** Returns this scenario with other bursts and outages. */
@@ -77,19 +106,46 @@
                 newOutages,
                 durationSeconds,
                 preferredShare,
-                preemptsForSlots);
+                preemptsForSlots,
+                hosts);
     }
 
     /** Returns this scenario with a share of the requests from a workspace of a more urgent rank. */
     public FleetScenario withPreferredShare(double share) {
         return new FleetScenario(
-                name, gateways, engines, engine, kinds, bursts, outages, durationSeconds, share, preemptsForSlots);
+                name,
+                gateways,
+                engines,
+                engine,
+                kinds,
+                bursts,
+                outages,
+                durationSeconds,
+                share,
+                preemptsForSlots,
+                hosts);
     }
 
     /** Returns this scenario with engines that preempt if a more urgent request finds no free slot. */
     public FleetScenario withSlotPreemption() {
         return new FleetScenario(
-                name, gateways, engines, engine, kinds, bursts, outages, durationSeconds, preferredShare, true);
+                name, gateways, engines, engine, kinds, bursts, outages, durationSeconds, preferredShare, true, hosts);
+    }
+
+    /** Returns this scenario with other speeds of hosts. */
+    public FleetScenario withHosts(HostSpeeds newHosts) {
+        return new FleetScenario(
+                name,
+                gateways,
+                engines,
+                engine,
+                kinds,
+                bursts,
+                outages,
+                durationSeconds,
+                preferredShare,
+                preemptsForSlots,
+                newHosts);
     }
 
     /**
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -179,6 +179,9 @@
     void recordFirstEvent(ModelCall call) {
         admission.rankGate().recordSettled(call.pendingRequest);
         ServerInstance server = call.decision.server();
+        if (scenario.hosts().stated()) {
+            placement.recordWorkTime(server, call.engine.workTime(), floorMillis(fleet.nowMillis()));
+        }
         server.recordPrefill(call.decision.tokensToPrefill());
         server.health().recordSuccess();
         placement.recordPrefill(call.request, call.decision, floorMillis(fleet.nowMillis() - call.sentAtMillis));
--- a/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
@@ -5,6 +5,9 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -102,6 +105,50 @@
         assertEquals(0, result.preemptedBesideLessUrgent(), result.summary());
     }
 
+    /** Guards against a model whose engines don't slow down while their hosts are busy, or slow down all the time. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void engineIsSlowerInSlowPeriodsOfItsHost(long seed) {
+        HostSpeeds speeds = new HostSpeeds(List.of(1.0), 20, 0.4, 1_000);
+        FleetScenario scenario = new FleetScenario(
+                        "one-engine",
+                        1,
+                        1,
+                        FleetScenario.fewSlots().engine(),
+                        List.of(new RequestKind(
+                                "question", 0, 8, List.of(), 600, 0.1, 2, 250, 150, 15_000, 2_000, 1, 0, false)),
+                        List.of(),
+                        List.of(),
+                        20,
+                        0,
+                        false)
+                .withHosts(speeds);
+        FleetResult result = FleetModel.simulate(scenario, seed, Set.of());
+        HostModel host = new HostModel(speeds, 0, new SplittableRandom(seed).split());
+        double slowCredit = meanCreditOfSeconds(result, second -> host.workTime(second * 1000) > 1);
+        double usualCredit = meanCreditOfSeconds(result, second -> host.workTime(second * 1000) == 1);
+        assertTrue(slowCredit < usualCredit - 0.3, slowCredit + " and " + usualCredit + "\n" + result.summary());
+    }
+
+    private static double meanCreditOfSeconds(FleetResult result, IntPredicate included) {
+        return IntStream.range(0, 20)
+                .filter(included)
+                .mapToDouble(result::creditOfSecond)
+                .average()
+                .orElseThrow();
+    }
+
+    /** Guards against other results of the scenarios whose hosts are all alike. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void hostsOfEqualSpeedChangeNothing(long seed) {
+        FleetScenario scenario = SCENARIO.scaledDown(2, 4);
+        FleetScenario equalHosts = scenario.withHosts(new HostSpeeds(List.of(1.0, 1.0), 1, 0.5, 600));
+        assertEquals(
+                FleetModel.simulate(scenario, seed, Set.of()).summary(),
+                FleetModel.simulate(equalHosts, seed, Set.of()).summary());
+    }
+
     @Test
     void holdersOnlyReducesRepeatedPrefill() {
         long few = 0;
