Fleet scenarios uneven and crowded

Cause: no scenario had the engines or the traffic of the target workloads in docs/design/shortage.md.

Change: TargetWorkloads holds both; ./bench fleet NAME... runs single scenarios. The result counts late answers whose first event was on time. The demand swings between failure domains are not simulated.

FleetModelTest passes and now pins the credit of the earlier scenarios.

--- a/harness/src/main/java/org/tanagerhinge/bench/experiment/BenchMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/experiment/BenchMain.java
@@ -40,7 +40,9 @@
     @AirlineModule
     private HelpOption<BenchMain> help;
 
-    @Arguments(title = "SCENARIO", description = "Names of scenarios, all, capacity, logs or fleet")
+    @Arguments(
+            title = "SCENARIO",
+            description = "Names of scenarios, all, capacity, logs, or fleet and names of its scenarios")
     private List<String> names = new ArrayList<>();
 
     @Option(
@@ -92,8 +94,8 @@
             if (names.equals(List.of("logs"))) {
                 return LogCost.run();
             }
-            if (names.equals(List.of("fleet"))) {
-                return FleetExperiment.run(seed, repeats, ablation);
+            if (!names.isEmpty() && names.getFirst().equals("fleet")) {
+                return FleetExperiment.run(names.subList(1, names.size()), seed, repeats, ablation);
             }
             boolean all = names.isEmpty() || names.equals(List.of("all"));
             return runScenarios(all ? ScenarioReader.NAMES : names);
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetExperiment.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetExperiment.java
@@ -25,15 +25,15 @@
     private FleetExperiment() {}
 
     /**
-     * Runs all scenarios and prints their results.
+     * Runs scenarios and prints their results.
      *
+     * @param names names of the scenarios; empty for all
      * @param seed seed of the first run
      * @param repeats number of runs per scenario, with consecutive seeds
      * @param ablation whether to repeat the runs with each mechanism disabled in turn
      */
-    public static int run(long seed, int repeats, boolean ablation) {
-        for (FleetScenario scenario :
-                List.of(FleetScenario.manySlots(), FleetScenario.fewSlots(), FleetScenario.ownParts())) {
+    public static int run(List<String> names, long seed, int repeats, boolean ablation) {
+        for (FleetScenario scenario : scenarios(names)) {
             printResult(scenario, seed, repeats, Set.of());
             if (ablation) {
                 for (Mechanism mechanism : SIMULATED_MECHANISMS) {
@@ -44,6 +44,22 @@
         return 0;
     }
 
+    private static List<FleetScenario> scenarios(List<String> names) {
+        List<FleetScenario> all = List.of(
+                FleetScenario.manySlots(),
+                FleetScenario.fewSlots(),
+                FleetScenario.ownParts(),
+                TargetWorkloads.uneven(),
+                TargetWorkloads.crowded());
+        List<String> known = all.stream().map(FleetScenario::name).toList();
+        if (!known.containsAll(names)) {
+            throw new IllegalArgumentException("fleet scenarios are " + known + ", not " + names);
+        }
+        return all.stream()
+                .filter(scenario -> names.isEmpty() || names.contains(scenario.name()))
+                .toList();
+    }
+
     private static void printResult(FleetScenario scenario, long seed, int repeats, Set<Mechanism> disabled) {
         double creditSum = 0;
         double minCredit = 1;
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
@@ -43,6 +43,7 @@
         private int onTime;
         private int late;
         private int gapExceeded;
+        private int lateByGap;
         private int abandoned;
         private int failed;
         private int rejections;
@@ -61,6 +62,11 @@
             return late;
         }
 
+        /** Returns the number of late answers whose first event was on time. */
+        public int lateByGap() {
+            return lateByGap;
+        }
+
         /** Returns the number of requests whose callers disconnected while an engine had them. */
         public int abandoned() {
             return abandoned;
@@ -88,6 +94,7 @@
         Tally tally = tallyByKind.get(call.kind.name());
         boolean late = call.earnedCredit() < call.possibleCredit();
         tally.gapExceeded += call.gapExceeded ? 1 : 0;
+        tally.lateByGap += late && !call.firstEventLate() ? 1 : 0;
         tally.onTime += late ? 0 : 1;
         tally.late += late ? 1 : 0;
         tally.earnedCredit += call.earnedCredit();
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
@@ -63,9 +63,14 @@
         return kind.onTimeValue() * (0.3 + 0.7 * Math.min(4, relativeSize));
     }
 
+    /** Returns whether the first event was later than its target. */
+    boolean firstEventLate() {
+        return firstEventAtMillis - requestedAtMillis > kind.firstEventTargetMillis();
+    }
+
     /** Returns the credit for the answer that was delivered, reduced if it was late. */
     double earnedCredit() {
-        boolean late = gapExceeded || firstEventAtMillis - requestedAtMillis > kind.firstEventTargetMillis();
+        boolean late = gapExceeded || firstEventLate();
         return possibleCredit() * (late ? kind.lateValue() / kind.onTimeValue() : 1);
     }
 }
--- a/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
@@ -4,12 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.core.relay.Mechanism;
 
@@ -149,6 +152,39 @@
                 FleetModel.simulate(equalHosts, seed, Set.of()).summary());
     }
 
+    /** Guards against a scenario in which different and busy hosts don't cause late gaps. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void unevenHostsExceedGapsOfDrafts(long seed) {
+        FleetScenario scenario = TargetWorkloads.uneven().scaledDown(3, 8);
+        FleetResult uneven = FleetModel.simulate(scenario, seed, Set.of());
+        FleetResult nominal = FleetModel.simulate(scenario.withHosts(HostSpeeds.NOMINAL), seed, Set.of());
+        assertTrue(
+                uneven.kind("draft").lateByGap() > nominal.kind("draft").lateByGap(),
+                uneven.summary() + nominal.summary());
+    }
+
+    /** Guards against a change of decisions or of the model where a change to other scenarios was meant. */
+    @ParameterizedTest
+    @CsvSource({
+        "many-places, 1, 0.597795968",
+        "many-places, 2, 0.630400239",
+        "few-places, 1, 0.612045207",
+        "few-places, 2, 0.623834850",
+        "own-parts, 1, 0.611635417",
+        "own-parts, 2, 0.668767879",
+    })
+    void earlierScenariosKeepTheirResults(String name, long seed, String credit) {
+        FleetScenario scenario = Stream.of(
+                        FleetScenario.manySlots(), FleetScenario.fewSlots(), FleetScenario.ownParts())
+                .filter(each -> each.name().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .scaledDown(3, 10);
+        FleetResult result = FleetModel.simulate(scenario, seed, Set.of());
+        assertEquals(credit, String.format(Locale.ROOT, "%.9f", result.credit()), result.summary());
+    }
+
     @Test
     void holdersOnlyReducesRepeatedPrefill() {
         long few = 0;
