Fleet model has workspaces and callers who repeat at once

Cause: all simulated callers were alike, so no run showed whether one workspace takes the capacity of the others, or callers who repeat at once that of callers who wait as told.

Change: Callers gives a scenario workspaces of uneven size, optionally one that sends more in a period, and a share of impatient callers; they are drawn from a random generator of their own. The result counts outcomes by workspace and kind. The scenario crowded has 24 workspaces, of which the second largest sends ten times its usual load from 3 to 8 s; 30% of its callers repeat a rejected request after 20 ms, up to 20 times.

FleetModelTest and the linter pass.

--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -44,6 +44,7 @@
     private final Map<String, Double> lastUseMillisByPart = new HashMap<>();
     private final FleetResult result;
     private final RelayConfig config;
+    private final CallerModel callers;
     private double nowMillis;
     private long nextEventNumber;
     private long nextSequenceNumber;
@@ -83,8 +84,9 @@
                 drawParts(kind.name() + i, kind.sharedParts().get(i));
             }
         }
+        this.callers = new CallerModel(scenario.callers(), new SplittableRandom(~seed));
         Map<String, WorkspaceConfig> workspaces = scenario.preferredShare() <= 0
-                ? Map.of()
+                ? callers.workspaces()
                 : Map.of(
                         PREFERRED, new WorkspaceConfig(PREFERRED, OptionalInt.of(0)),
                         OTHERS, new WorkspaceConfig(OTHERS, OptionalInt.of(1)));
@@ -154,6 +156,9 @@
     }
 
     private Optional<WorkspaceConfig> drawWorkspace() {
+        if (scenario.callers().workspaces() > 0) {
+            return config.workspace(callers.drawKey(nowMillis));
+        }
         if (scenario.preferredShare() <= 0) {
             return Optional.empty();
         }
@@ -183,7 +188,7 @@
     // ---- callers
 
     private void scheduleArrivals(RequestKind kind) {
-        double ratePerSecond = kind.requestsPerSecond();
+        double ratePerSecond = kind.requestsPerSecond() * callers.rateFactor(nowMillis);
         for (FleetScenario.Burst burst : scenario.bursts()) {
             if (burst.kind().equals(kind.name())
                     && nowMillis >= burst.fromSeconds() * 1000
@@ -223,6 +228,7 @@
         Prompt prompt = Prompt.of(inputTokens, outputTokens, parts);
         ModelCall call = new ModelCall(
                 kind, drawWorkspace(), prompt, outputTokens, nowMillis, inputTokens / (double) meanInputTokens);
+        call.impatient = callers.drawImpatient();
         result.recordRequest(call);
         scheduleAt(call.deadlineMillis, () -> disconnect(call));
         watchForGap(call);
@@ -256,18 +262,23 @@
         }
     }
 
-    /** Handles the rejection of a request: the caller retries once, through a random gateway. */
+    /**
+     * Handles the rejection of a request: the caller retries through a random gateway, once and as told, or at once and
+     * often if it is impatient.
+     */
     void rejected(ModelCall call, double retryAfterMillis, String reason) {
         result.recordRejection(call, reason);
         call.rejections++;
         call.engine = null;
         call.sends = 0;
-        if (call.rejections > 1) {
+        if (call.rejections > (call.impatient ? scenario.callers().maxRepeats() : 1)) {
             call.ended = true;
             result.recordFailure(call);
             return;
         }
-        double waitMillis = Math.min(retryAfterMillis, (call.deadlineMillis - nowMillis) / 3);
+        double waitMillis = call.impatient
+                ? scenario.callers().repeatMillis()
+                : Math.min(retryAfterMillis, (call.deadlineMillis - nowMillis) / 3);
         call.lastEventAtMillis = nowMillis + waitMillis;
         scheduleAt(
                 nowMillis + waitMillis,
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.bench.fleet;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -11,6 +12,7 @@
     private static final double FAILED_RETRY_PENALTY = 0.3;
 
     private final Map<String, Tally> tallyByKind = new LinkedHashMap<>();
+    private final Map<String, Map<String, Tally>> tallyByWorkspaceAndKind = new LinkedHashMap<>();
     private final Map<String, Long> rejectionsByReason = new TreeMap<>();
     private final double[] possibleCreditBySecond;
     private final double[] earnedCreditBySecond;
@@ -29,6 +31,11 @@
         for (RequestKind kind : scenario.kinds()) {
             tallyByKind.put(kind.name(), new Tally());
         }
+        for (int i = 0; i < scenario.callers().workspaces(); i++) {
+            Map<String, Tally> tallies = new LinkedHashMap<>();
+            scenario.kinds().forEach(kind -> tallies.put(kind.name(), new Tally()));
+            tallyByWorkspaceAndKind.put(Callers.workspaceName(i), tallies);
+        }
         possibleCreditBySecond = new double[scenario.durationSeconds() + 1];
         earnedCreditBySecond = new double[scenario.durationSeconds() + 1];
     }
@@ -77,46 +84,70 @@
             return failed;
         }
 
+        /** Returns how often requests were rejected, including their repeats. */
+        public int rejections() {
+            return rejections;
+        }
+
+        /** Returns the share of the requests that were answered completely. */
+        public double servedShare() {
+            return requests == 0 ? 1 : (onTime + late) / (double) requests;
+        }
+
+        /** Returns the share of the requests that were answered on time. */
+        public double onTimeShare() {
+            return requests == 0 ? 1 : onTime / (double) requests;
+        }
+
         /** Returns the earned share of the possible credit. */
         public double credit() {
             return possibleCredit == 0 ? 1 : earnedCredit / possibleCredit;
         }
     }
 
+    private List<Tally> tallies(ModelCall call) {
+        Tally ofKind = tallyByKind.get(call.kind.name());
+        return call.workspace
+                .map(workspace -> tallyByWorkspaceAndKind.get(workspace.name()))
+                .map(tallies -> List.of(ofKind, tallies.get(call.kind.name())))
+                .orElseGet(() -> List.of(ofKind));
+    }
+
     void recordRequest(ModelCall call) {
-        Tally tally = tallyByKind.get(call.kind.name());
-        tally.requests++;
-        tally.possibleCredit += call.possibleCredit();
+        for (Tally tally : tallies(call)) {
+            tally.requests++;
+            tally.possibleCredit += call.possibleCredit();
+        }
         possibleCreditBySecond[(int) (call.requestedAtMillis / 1000)] += call.possibleCredit();
     }
 
     void recordCompletion(ModelCall call) {
-        Tally tally = tallyByKind.get(call.kind.name());
         boolean late = call.earnedCredit() < call.possibleCredit();
-        tally.gapExceeded += call.gapExceeded ? 1 : 0;
-        tally.lateByGap += late && !call.firstEventLate() ? 1 : 0;
-        tally.onTime += late ? 0 : 1;
-        tally.late += late ? 1 : 0;
-        tally.earnedCredit += call.earnedCredit();
+        for (Tally tally : tallies(call)) {
+            tally.gapExceeded += call.gapExceeded ? 1 : 0;
+            tally.lateByGap += late && !call.firstEventLate() ? 1 : 0;
+            tally.onTime += late ? 0 : 1;
+            tally.late += late ? 1 : 0;
+            tally.earnedCredit += call.earnedCredit();
+        }
         earnedCreditBySecond[(int) (call.requestedAtMillis / 1000)] += call.earnedCredit();
     }
 
     void recordAbandonment(ModelCall call) {
-        tallyByKind.get(call.kind.name()).abandoned++;
+        tallies(call).forEach(tally -> tally.abandoned++);
     }
 
     void recordFailure(ModelCall call) {
-        Tally tally = tallyByKind.get(call.kind.name());
-        tally.failed++;
+        tallies(call).forEach(tally -> tally.failed++);
         if (call.rejections > 0) {
             // A caller that retried as requested and then failed has also lost the waiting time.
-            tally.earnedCredit -= FAILED_RETRY_PENALTY * call.possibleCredit();
+            tallies(call).forEach(tally -> tally.earnedCredit -= FAILED_RETRY_PENALTY * call.possibleCredit());
             earnedCreditBySecond[(int) (call.requestedAtMillis / 1000)] -= FAILED_RETRY_PENALTY * call.possibleCredit();
         }
     }
 
     void recordRejection(ModelCall call, String reason) {
-        tallyByKind.get(call.kind.name()).rejections++;
+        tallies(call).forEach(tally -> tally.rejections++);
         rejectionsByReason.merge(call.kind.name() + " " + reason, 1L, Long::sum);
     }
 
@@ -167,6 +198,11 @@
         return tallyByKind.get(name);
     }
 
+    /** Returns the outcome counts of a workspace's requests of a kind. */
+    public Tally workspace(String name, String kind) {
+        return tallyByWorkspaceAndKind.get(name).get(kind);
+    }
+
     /** Returns the earned share of the possible credit of all requests. */
     public double credit() {
         double possibleCredit = tallyByKind.values().stream()
@@ -210,12 +246,13 @@
                 preemptedBesideLessUrgent));
         tallyByKind.forEach((name, tally) -> text.append(String.format(
                 Locale.ROOT,
-                "  %-10s requests %5d  on time %5d  late %5d (%d with gaps)  abandoned %5d  failed %5d  rejections %5d  credit %.3f%n",
+                "  %-10s requests %5d  on time %5d  late %5d (%d with gaps, %d by gaps alone)  abandoned %5d  failed %5d  rejections %5d  credit %.3f%n",
                 name,
                 tally.requests,
                 tally.onTime,
                 tally.late,
                 tally.gapExceeded,
+                tally.lateByGap,
                 tally.abandoned,
                 tally.failed,
                 tally.rejections,
@@ -224,11 +261,25 @@
         for (int i = 0; i < possibleCreditBySecond.length - 1; i++) {
             text.append(String.format(Locale.ROOT, " %.2f", creditOfSecond(i)));
         }
-        return text.append("\n  prefilled again ")
+        text.append('\n');
+        tallyByWorkspaceAndKind.forEach((name, tallies) -> appendWorkspace(text, name, tallies));
+        return text.append("  prefilled again ")
                 .append(repeatedPrefillTokensByCause)
                 .append("\n  rejections ")
                 .append(rejectionsByReason)
                 .append('\n')
                 .toString();
     }
+
+    private static void appendWorkspace(StringBuilder text, String name, Map<String, Tally> tallies) {
+        text.append("  workspace ").append(name);
+        tallies.forEach((kind, tally) -> text.append(String.format(
+                Locale.ROOT,
+                "  %s: requests %d served %.2f on time %.2f",
+                kind,
+                tally.requests,
+                tally.servedShare(),
+                tally.onTimeShare())));
+        text.append('\n');
+    }
 }
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScenario.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScenario.java
@@ -16,6 +16,7 @@
  *     workspaces have the same
  * @param preemptsForSlots whether engines preempt if a more urgent request finds no free slot, and not for memory alone
  * @param hosts speeds of the engines' hosts
+ * @param callers workspaces and patience of the callers
  */
 public record FleetScenario(
         String name,
@@ -28,8 +29,16 @@
         int durationSeconds,
         double preferredShare,
         boolean preemptsForSlots,
-        HostSpeeds hosts) {
-    /** Creates a scenario whose engines are equally fast at all times. */
+        HostSpeeds hosts,
+        Callers callers) {
+    /** Rejects a scenario with both kinds of workspaces. */
+    public FleetScenario {
+        if (preferredShare > 0 && callers.workspaces() > 0) {
+            throw new IllegalArgumentException("preferred share and workspaces of callers exclude each other");
+        }
+    }
+
+    /** Creates a scenario whose engines are equally fast at all times and whose callers have no keys. */
     public FleetScenario(
             String name,
             int gateways,
@@ -52,7 +61,8 @@
                 durationSeconds,
                 preferredShare,
                 preemptsForSlots,
-                HostSpeeds.NOMINAL);
+                HostSpeeds.NOMINAL,
+                Callers.ANONYMOUS);
     }
 
     /**
@@ -91,7 +101,8 @@
                 newDurationSeconds,
                 preferredShare,
                 preemptsForSlots,
-                hosts);
+                hosts,
+                callers);
     }
 
     /** Returns this scenario with other bursts and outages. */
@@ -107,7 +118,8 @@
                 durationSeconds,
                 preferredShare,
                 preemptsForSlots,
-                hosts);
+                hosts,
+                callers);
     }
 
     /** Returns this scenario with a share of the requests from a workspace of a more urgent rank. */
@@ -123,13 +135,25 @@
                 durationSeconds,
                 share,
                 preemptsForSlots,
-                hosts);
+                hosts,
+                callers);
     }
 
     /** Returns this scenario with engines that preempt if a more urgent request finds no free slot. */
     public FleetScenario withSlotPreemption() {
         return new FleetScenario(
-                name, gateways, engines, engine, kinds, bursts, outages, durationSeconds, preferredShare, true, hosts);
+                name,
+                gateways,
+                engines,
+                engine,
+                kinds,
+                bursts,
+                outages,
+                durationSeconds,
+                preferredShare,
+                true,
+                hosts,
+                callers);
     }
 
     /** Returns this scenario with other speeds of hosts. */
@@ -145,7 +169,25 @@
                 durationSeconds,
                 preferredShare,
                 preemptsForSlots,
-                newHosts);
+                newHosts,
+                callers);
+    }
+
+    /** Returns this scenario with other callers. */
+    public FleetScenario withCallers(Callers newCallers) {
+        return new FleetScenario(
+                name,
+                gateways,
+                engines,
+                engine,
+                kinds,
+                bursts,
+                outages,
+                durationSeconds,
+                preferredShare,
+                preemptsForSlots,
+                hosts,
+                newCallers);
     }
 
     /**
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
@@ -18,6 +18,7 @@
     final double requestedAtMillis;
     final double deadlineMillis;
     final double relativeSize;
+    boolean impatient;
     int rejections;
     int sends;
 
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/TargetWorkloads.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/TargetWorkloads.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.bench.fleet;
 
 import java.util.List;
+import java.util.Optional;
 import org.tanagerhinge.bench.fleet.FleetScenario.Burst;
 import org.tanagerhinge.bench.fleet.RequestKind.SharedPart;
 
@@ -27,22 +28,26 @@
                 .withHosts(new HostSpeeds(List.of(0.55, 1.2, 1.2, 1.2), 2.5, 0.15, 600));
     }
 
-    /** Returns bursts of digests and of queries that exceed what the engines can do. */
+    /**
+     * Returns bursts of digests and of queries that exceed what the engines can do, from workspaces of uneven size, one
+     * of which sends ten times its usual load at times.
+     */
     public static FleetScenario crowded() {
         return new FleetScenario(
-                "crowded",
-                23,
-                30,
-                new EngineParameters(64, 134, 333_946, 42.8, 1_024, 6.35, 0.00115, 0.0129, 0.97, 7.3, 4, 4),
-                List.of(digest(), query()),
-                List.of(
-                        new Burst("digest", 6, 0.5, 9.5),
-                        new Burst("query", 6, 11, 16),
-                        new Burst("digest", 6, 17.5, 21)),
-                List.of(),
-                26,
-                0,
-                false);
+                        "crowded",
+                        23,
+                        30,
+                        new EngineParameters(64, 134, 333_946, 42.8, 1_024, 6.35, 0.00115, 0.0129, 0.97, 7.3, 4, 4),
+                        List.of(digest(), query()),
+                        List.of(
+                                new Burst("digest", 6, 0.5, 9.5),
+                                new Burst("query", 6, 11, 16),
+                                new Burst("digest", 6, 17.5, 21)),
+                        List.of(),
+                        26,
+                        0,
+                        false)
+                .withCallers(new Callers(24, 1, Optional.of(new Callers.HotWorkspace(1, 10, 3, 8)), 0.3, 20, 20));
     }
 
     private static RequestKind draft() {
--- a/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetModelTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.IntPredicate;
@@ -164,6 +165,48 @@
                 uneven.summary() + nominal.summary());
     }
 
+    /** Guards against a hot workspace that doesn't send more in its period, or makes the others send more. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void onlyTheHotWorkspaceSendsMore(long seed) {
+        FleetScenario scenario =
+                FleetScenario.ownParts().withDisturbances(List.of(), List.of()).scaledDown(3, 8);
+        FleetResult usual =
+                FleetModel.simulate(scenario.withCallers(new Callers(6, 1, Optional.empty(), 0, 0, 0)), seed, Set.of());
+        FleetResult hot = FleetModel.simulate(
+                scenario.withCallers(new Callers(6, 1, Optional.of(new Callers.HotWorkspace(2, 10, 2, 6)), 0, 0, 0)),
+                seed,
+                Set.of());
+        assertTrue(requestsOf(hot, "w2") > 4 * requestsOf(usual, "w2"), hot.summary() + usual.summary());
+        assertTrue(requestsOf(hot, "w2") < 7 * requestsOf(usual, "w2"), hot.summary() + usual.summary());
+        assertEquals(1, requestsOf(hot, "w0") / (double) requestsOf(usual, "w0"), 0.25);
+        for (FleetResult result : List.of(usual, hot)) {
+            int requests =
+                    IntStream.range(0, 6).map(i -> requestsOf(result, "w" + i)).sum();
+            assertEquals(
+                    result.kind("plan").requests() + result.kind("question").requests(), requests, result.summary());
+        }
+    }
+
+    private static int requestsOf(FleetResult result, String workspace) {
+        return result.workspace(workspace, "plan").requests()
+                + result.workspace(workspace, "question").requests();
+    }
+
+    /** Guards against callers who wait although the scenario says that they repeat at once and often. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void impatientCallersAreRejectedMoreOften(long seed) {
+        FleetScenario scenario = TargetWorkloads.crowded().scaledDown(3, 8);
+        FleetResult impatient = FleetModel.simulate(scenario, seed, Set.of());
+        FleetResult patient = FleetModel.simulate(
+                scenario.withCallers(new Callers(24, 1, scenario.callers().hotWorkspace(), 0, 0, 0)), seed, Set.of());
+        assertTrue(
+                impatient.kind("digest").rejections()
+                        > 2 * patient.kind("digest").rejections(),
+                impatient.summary() + patient.summary());
+    }
+
     /** Guards against a change of decisions or of the model where a change to other scenarios was meant. */
     @ParameterizedTest
     @CsvSource({
