Random fleet runs check the bounds on who is served

Cause: the bounds of part B in docs/design/shortage.md were asserted nowhere.

Groups of fewer than 20 requests and requests that ended by the crash of their engine aren't considered. It isn't part of ./check.

--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -251,7 +251,7 @@
         if (call.ended) {
             return;
         }
-        call.ended = true;
+        end(call, RequestOutcome.Result.LOST);
         if (call.engine != null) {
             call.engine.remove(call);
             call.gateway.settle(call, Double.isNaN(call.firstEventAtMillis));
@@ -262,6 +262,11 @@
         }
     }
 
+    private void end(ModelCall call, RequestOutcome.Result how) {
+        call.ended = true;
+        result.recordOutcome(call, how, nowMillis);
+    }
+
     /**
      * Handles the rejection of a request: the caller retries through a random gateway, once and as told, or at once and
      * often if it is impatient.
@@ -272,7 +277,7 @@
         call.engine = null;
         call.sends = 0;
         if (call.rejections > (call.impatient ? scenario.callers().maxRepeats() : 1)) {
-            call.ended = true;
+            end(call, RequestOutcome.Result.LOST);
             result.recordFailure(call);
             return;
         }
@@ -299,7 +304,7 @@
         }
         call.lastEventAtMillis = nowMillis;
         if (last) {
-            call.ended = true;
+            end(call, RequestOutcome.Result.SERVED);
             call.gateway.settle(call, false);
             result.recordCompletion(call);
         }
@@ -317,7 +322,7 @@
                     call.gateway.server(engine.id).health().recordUnreachable((long) nowMillis);
                     call.gateway.dispatch(call, Set.of(engine.id));
                 } else {
-                    call.ended = true;
+                    end(call, RequestOutcome.Result.CRASHED);
                     result.recordFailure(call);
                 }
             }
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
@@ -1,10 +1,12 @@
 package org.tanagerhinge.bench.fleet;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import org.tanagerhinge.core.relay.WorkspaceConfig;
 
 /** Collects the outcomes of a simulated scenario by kind of request and by second. */
 public final class FleetResult {
@@ -13,6 +15,7 @@
 
     private final Map<String, Tally> tallyByKind = new LinkedHashMap<>();
     private final Map<String, Map<String, Tally>> tallyByWorkspaceAndKind = new LinkedHashMap<>();
+    private final List<RequestOutcome> outcomes = new ArrayList<>();
     private final Map<String, Long> rejectionsByReason = new TreeMap<>();
     private final double[] possibleCreditBySecond;
     private final double[] earnedCreditBySecond;
@@ -146,6 +149,19 @@
         }
     }
 
+    /** Records how and when a request ended; called once for each request. */
+    void recordOutcome(ModelCall call, RequestOutcome.Result result, double nowMillis) {
+        outcomes.add(new RequestOutcome(
+                call.kind.name(),
+                call.kind.rank(),
+                call.workspace.map(WorkspaceConfig::name).orElse(""),
+                call.prompt.inputTokens(),
+                call.requestedAtMillis,
+                call.sentAtMillis,
+                nowMillis,
+                result));
+    }
+
     void recordRejection(ModelCall call, String reason) {
         tallies(call).forEach(tally -> tally.rejections++);
         rejectionsByReason.merge(call.kind.name() + " " + reason, 1L, Long::sum);
@@ -198,6 +214,16 @@
         return tallyByKind.get(name);
     }
 
+    /** Returns the number of requests that callers sent, without repeats. */
+    public int requests() {
+        return tallyByKind.values().stream().mapToInt(Tally::requests).sum();
+    }
+
+    /** Returns the outcomes of the requests in the order in which they ended. */
+    List<RequestOutcome> outcomes() {
+        return List.copyOf(outcomes);
+    }
+
     /** Returns the outcome counts of a workspace's requests of a kind. */
     public Tally workspace(String name, String kind) {
         return tallyByWorkspaceAndKind.get(name).get(kind);
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
@@ -28,7 +28,7 @@
     PlacementRequest request;
     PlacementPolicy.Decision decision;
     RankGate.PendingRequest pendingRequest;
-    double sentAtMillis;
+    double sentAtMillis = Double.NaN;
     int priorityLevel;
     long sequence;
     double fetchedAtMillis = -1;
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Callable;
 import org.tanagerhinge.bench.duty.DeliberateBug;
 import org.tanagerhinge.bench.duty.DutySoak;
+import org.tanagerhinge.bench.fleet.FleetSoak;
 import org.tanagerhinge.core.invariant.Invariant;
 
 /** Runs random simulations from the command line and prints the failures and a summary. */
@@ -50,6 +51,11 @@
             description = "Simulate cluster duties instead of requests")
     private boolean duties;
 
+    @Option(
+            name = {"--fleet"},
+            description = "Simulate a small fleet of gateways and engines instead of requests")
+    private boolean fleet;
+
     @Option(
             name = {"--restores"},
             description = "Restore the store from older copies as well")
@@ -70,6 +76,9 @@
         if (help != null && help.showHelpIfRequested()) {
             return 0;
         }
+        if (fleet) {
+            return runFleet();
+        }
         if (duties) {
             return runDuties();
         }
@@ -81,6 +90,24 @@
         return report(results);
     }
 
+    private int runFleet() {
+        if (explain != null) {
+            FleetSoak.explain(explain).forEach(System.out::println);
+            return 0;
+        }
+        List<FleetSoak.Result> results = FleetSoak.runAll(first, seeds);
+        List<FleetSoak.Result> failed =
+                results.stream().filter(result -> !result.passed()).toList();
+        failed.stream()
+                .limit(MAX_SHOWN_FAILURES)
+                .forEach(result -> System.out.println("seed " + result.seed() + " FAILED: " + result.violations()));
+        int requests = results.stream().mapToInt(FleetSoak.Result::requests).sum();
+        int served = results.stream().mapToInt(FleetSoak.Result::served).sum();
+        System.out.println(seeds + " seeds, " + served + " of " + requests + " requests served, " + failed.size()
+                + " seeds failed, by bound " + FleetSoak.failuresByBound(results));
+        return failed.isEmpty() ? 0 : 1;
+    }
+
     private int runDuties() {
         DeliberateBug chosen = DeliberateBug.valueOf(bug.toUpperCase(Locale.ROOT));
         if (explain != null) {
