Servers state the work time of their hosts, and gateways tell their peers

Cause: the fourth figure of a server's load header says how long work takes on its host at the moment. Gateways read three; hosts whose neighbors take most of them for 600 ms got work like all others.

Change: the figure is parsed at the edge as a factor (implausible ones are ignored), kept for each instance with the usual one of the last seconds, and told to peers for the servers in use, in at most 6 bytes each. A server that states nothing, a report of the version before and a restarted server have factor 1.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerLoadUpdater.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerLoadUpdater.java
@@ -35,6 +35,17 @@
         }
     }
 
+    /** Passes the work times that a peer's report states to a placement policy. */
+    public void recordWorkTimes(
+            Map<String, PeerReport.StatedWorkTime> workTimes, PlacementPolicy placement, long nowMillis) {
+        workTimes.forEach((instanceId, stated) -> {
+            ServerInstance server = serverByInstanceId.apply(instanceId);
+            if (server != null) {
+                placement.recordWorkTime(server, stated.factor(), nowMillis - stated.ageMillis());
+            }
+        });
+    }
+
     /** Sets the load of all servers to the sums over the present peers, so that silent peers no longer count. */
     public void applyTotals(Collection<ServerInstance> servers, Map<String, PeerReport.InstanceLoad> loads) {
         for (ServerInstance server : servers) {
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -17,6 +17,7 @@
  * @param reportIntervalMillis longest time until the node's next report
  * @param loads load by instance id of the backend server
  * @param demands demand of the node's callers by service
+ * @param workTimes work times that servers stated recently, by instance id
  */
 public record PeerReport(
         String name,
@@ -31,10 +32,19 @@
         long serverListDigest,
         long reportIntervalMillis,
         Map<String, InstanceLoad> loads,
-        Map<String, LaneDemand> demands) {
+        Map<String, LaneDemand> demands,
+        Map<String, StatedWorkTime> workTimes) {
     /**
      * Requests that a node has in flight at a backend server, and prompt tokens that the server still has to prefill
      * for them.
      */
     public record InstanceLoad(int inFlight, long pendingPrefillTokens) {}
+
+    /**
+     * Work time that a backend server stated to the node ({@link WorkTime}).
+     *
+     * @param factor 1 is nominal, greater is slower
+     * @param ageMillis time since the server stated it, when the report was made
+     */
+    public record StatedWorkTime(double factor, long ageMillis) {}
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
@@ -14,6 +14,7 @@
     private int activeStreams;
     private long lastReceivedMillis = Long.MIN_VALUE;
     private final ServerHealth health = ServerHealth.create();
+    private final WorkTime workTime = WorkTime.create();
 
     private ServerInstance(ServerRegistration registration) {
         this.registration = registration;
@@ -163,4 +164,8 @@
     public ServerHealth health() {
         return health;
     }
+
+    public WorkTime workTime() {
+        return workTime;
+    }
 }
--- a/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
@@ -28,7 +28,8 @@
                 0,
                 intervalMillis,
                 Map.of("a", new PeerReport.InstanceLoad(2, 100)),
-                Map.of("model", new LaneDemand(1, 2, 3)));
+                Map.of("model", new LaneDemand(1, 2, 3)),
+                Map.of());
     }
 
     @Test
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendResponseMetadata.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -22,6 +23,10 @@
         Optional<String> weightsVersion,
         boolean leaving,
         OptionalLong retryAfterMillis) {
-    /** Counts the requests that a server runs, those that wait there, and its slots for running requests. */
-    public record ServerLoad(int running, int waiting, int slots) {}
+    /**
+     * Counts the requests that a server runs, those that wait there, and its slots for running requests.
+     *
+     * @param workTime how long work takes on the server's host relative to nominal, if reported
+     */
+    public record ServerLoad(int running, int waiting, int slots, OptionalDouble workTime) {}
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -472,6 +472,7 @@
         if (!peerLoadAvailable) {
             server.updateReportedLoad(load.running(), load.waiting());
         }
+        load.workTime().ifPresent(factor -> placement.recordWorkTime(server, factor, nowMillis()));
     }
 
     /** Records whether peers report their load, which is fresher than the load that servers report. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -63,11 +63,7 @@
                 .setServersAgeMillis((int) Math.min(Integer.MAX_VALUE, report.serverListAgeMillis()))
                 .setServersDigest(report.serverListDigest())
                 .setIntervalMillis((int) report.reportIntervalMillis());
-        report.loads()
-                .forEach((server, use) -> state.addUses(ServerUse.newBuilder()
-                        .setServer(server)
-                        .setRunning(use.inFlight())
-                        .setPromptTokens(Math.max(0, use.pendingPrefillTokens()))));
+        report.loads().forEach((server, load) -> state.addUses(encodeUse(server, load, report.workTimes())));
         report.demands()
                 .forEach((service, demand) -> state.addDemands(ServiceDemand.newBuilder()
                         .setService(service)
@@ -91,11 +87,31 @@
         return state.build().toByteArray();
     }
 
+    private static ServerUse encodeUse(
+            String server, PeerReport.InstanceLoad load, Map<String, PeerReport.StatedWorkTime> workTimes) {
+        ServerUse.Builder use = ServerUse.newBuilder()
+                .setServer(server)
+                .setRunning(load.inFlight())
+                .setPromptTokens(Math.max(0, load.pendingPrefillTokens()));
+        PeerReport.StatedWorkTime workTime = workTimes.get(server);
+        if (workTime != null) {
+            use.setWorkTimePercent((int) Math.round(100 * workTime.factor()))
+                    .setWorkTimeAgeMillis((int) workTime.ageMillis());
+        }
+        return use.build();
+    }
+
     static PeerMessage decodeState(byte[] bytes) throws InvalidProtocolBufferException {
         PeerState state = PeerState.parseFrom(bytes);
         Map<String, PeerReport.InstanceLoad> uses = new HashMap<>();
+        Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerUse use : state.getUsesList()) {
             uses.put(use.getServer(), new PeerReport.InstanceLoad(use.getRunning(), use.getPromptTokens()));
+            if (use.getWorkTimePercent() > 0) {
+                workTimes.put(
+                        use.getServer(),
+                        new PeerReport.StatedWorkTime(use.getWorkTimePercent() / 100.0, use.getWorkTimeAgeMillis()));
+            }
         }
         Map<String, LaneDemand> demands = new HashMap<>();
         for (ServiceDemand demand : state.getDemandsList()) {
@@ -124,7 +140,8 @@
                 state.getServersDigest(),
                 state.getIntervalMillis(),
                 uses,
-                demands);
+                demands,
+                workTimes);
         List<RequestQuarantine.Suspicion> suspicions = state.getSuspectedList().stream()
                 .map(PeerCodec::decodeSuspicion)
                 .toList();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -241,11 +241,15 @@
     private PeerReport currentReport() {
         long nowMillis = gateway.nowMillis();
         Map<String, PeerReport.InstanceLoad> uses = new HashMap<>();
+        Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerInstance server : gateway.directory().all()) {
             if (server.inFlight() > 0) {
                 uses.put(
                         server.instanceId(),
                         new PeerReport.InstanceLoad(server.inFlight(), server.pendingPrefillTokens()));
+                server.workTime()
+                        .recentlyStated(nowMillis)
+                        .ifPresent(workTime -> workTimes.put(server.instanceId(), workTime));
             }
         }
         return new PeerReport(
@@ -261,7 +265,8 @@
                 gateway.directory().digest(),
                 intervalMillis(),
                 uses,
-                gateway.placement().localDemands(nowMillis));
+                gateway.placement().localDemands(nowMillis),
+                workTimes);
     }
 
     private void receive(PeerCodec.PeerMessage message) {
@@ -281,6 +286,7 @@
         message.suspicions().forEach(gateway::suspicionReceived);
         message.leavingInstances().forEach(gateway::serverLeavingReported);
         applyLoadChange(before, report.loads());
+        load.recordWorkTimes(report.workTimes(), gateway.placement(), nowMillis);
         if (report.configVersion() > gateway.configVersion()) {
             requestConfig(report);
         }
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -21,7 +21,7 @@
     private static final int CONTROL_BYTES_PER_SECOND = 21_000;
 
     private static final PeerReport REPORT =
-            new PeerReport("gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, Map.of(), Map.of());
+            new PeerReport("gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, Map.of(), Map.of(), Map.of());
 
     private static PeerCodec.PeerMessage message(List<RequestQuarantine.Suspicion> suspicions, List<String> leaving) {
         return new PeerCodec.PeerMessage(
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
@@ -37,7 +37,20 @@
 
     private static byte[] report(long sequence) {
         PeerReport report = new PeerReport(
-                "peer", 1, sequence, "127.0.0.1:1", true, 0, 0, 0, Integer.MAX_VALUE, 0, 250, Map.of(), Map.of());
+                "peer",
+                1,
+                sequence,
+                "127.0.0.1:1",
+                true,
+                0,
+                0,
+                0,
+                Integer.MAX_VALUE,
+                0,
+                250,
+                Map.of(),
+                Map.of(),
+                Map.of());
         return PeerCodec.encodeState(
                 new PeerCodec.PeerMessage(report, List.of(), List.of(), List.of(), DutyAnnouncement.NONE));
     }
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -207,11 +207,15 @@
 
     private void sendReport() {
         Map<String, PeerReport.InstanceLoad> loads = new HashMap<>();
+        Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerInstance server : instanceById.values()) {
             if (server.inFlight() > 0) {
                 loads.put(
                         server.instanceId(),
                         new PeerReport.InstanceLoad(server.inFlight(), server.pendingPrefillTokens()));
+                server.workTime()
+                        .recentlyStated(floorMillis(fleet.nowMillis()))
+                        .ifPresent(workTime -> workTimes.put(server.instanceId(), workTime));
             }
         }
         long intervalMillis = ReportSchedule.idleIntervalMillis(peerCount());
@@ -228,7 +232,8 @@
                 0,
                 intervalMillis,
                 loads,
-                placement.localDemands(floorMillis(fleet.nowMillis())));
+                placement.localDemands(floorMillis(fleet.nowMillis())),
+                workTimes);
         List<CachedPrompt> prompts = List.copyOf(cachedPrompts);
         cachedPrompts.clear();
         tokensSinceReport = 0;
@@ -255,6 +260,7 @@
             return;
         }
         peerLoadUpdater.applyChange(previousLoads, report.loads());
+        peerLoadUpdater.recordWorkTimes(report.workTimes(), placement, nowMillis);
     }
 
     private void updatePeerTotals() {
