Lanes, placement and prefill rate follow the work time of engines

Lanes filled an event gap as if no engine were ever slower than usual; the first engines by id formed the short lane, slow ones among them; and the estimated prefill rate followed the fastest engines, so that prompts of 9,000 tokens counted as short.

Change: the short lane takes the fastest engines and gets room for their slow moments as far as long prompts leave engines (UnevenLaneSizing); what neither lane needs is divided in proportion; a lane shrinks only after a second. Rate and costs are those of an engine of nominal speed, weighted by each one's work time. Plain servers are chosen by expected time. Where no server states a work time, sizes and costs are as before.

--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/EngineLanes.java
@@ -0,0 +1,167 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Divides the engines of each service into a lane for short and one for long prompts, by the demand of all nodes'
+ * callers.
+ *
+ * <p>The engines of a service are ordered by speed band and id, so all nodes agree on the lanes without communication.
+ * The short lane takes the first ones: the gaps of its streams hold most easily on fast engines.
+ */
+final class EngineLanes {
+    private final Set<Mechanism> disabled;
+    private final EngineCost costs;
+    private final Map<String, ServiceState> stateByService = new HashMap<>();
+    private Map<String, LaneDemand> peerDemands = Map.of();
+    private long minEventGapMillis;
+
+    private EngineLanes(Set<Mechanism> disabled, EngineCost costs, long minEventGapMillis) {
+        this.disabled = disabled;
+        this.costs = costs;
+        this.minEventGapMillis = minEventGapMillis;
+    }
+
+    static EngineLanes of(Set<Mechanism> disabled, EngineCost costs, long minEventGapMillis) {
+        return new EngineLanes(disabled, costs, minEventGapMillis);
+    }
+
+    /** Holds what is learned about one service. */
+    private static final class ServiceState {
+        private final DemandEstimator demand;
+        private final SlownessEstimator slowness = SlownessEstimator.create();
+        private final LaneSizeHold shortLaneSize = LaneSizeHold.create();
+
+        ServiceState(long nowMillis) {
+            demand = DemandEstimator.create(nowMillis);
+        }
+    }
+
+    private ServiceState state(String service, long nowMillis) {
+        return stateByService.computeIfAbsent(service, name -> new ServiceState(nowMillis));
+    }
+
+    DemandEstimator demand(String service, long nowMillis) {
+        return state(service, nowMillis).demand;
+    }
+
+    void updateMinEventGap(long millis) {
+        minEventGapMillis = millis;
+    }
+
+    void updatePeerDemands(Map<String, LaneDemand> demands) {
+        peerDemands = Map.copyOf(demands);
+    }
+
+    Map<String, LaneDemand> localDemands(long nowMillis) {
+        Map<String, LaneDemand> demands = new HashMap<>();
+        stateByService.forEach((service, state) -> demands.put(service, state.demand.demand(nowMillis)));
+        return demands;
+    }
+
+    /** Records how long work took on an engine relative to nominal, as it stated at a time in milliseconds. */
+    void recordWorkTime(ServerInstance server, double factor, long nowMillis) {
+        if (server.workTime().record(factor, nowMillis)) {
+            double slowness = factor / server.workTime().usual();
+            state(server.service(), nowMillis).slowness.record(slowness, nowMillis);
+        }
+    }
+
+    /** Returns how much slower than usual the engines of a service get at times, at least 1. */
+    double slowness(String service, long nowMillis) {
+        return state(service, nowMillis).slowness.quantile();
+    }
+
+    /** Returns the engines that a request may use. */
+    List<ServerInstance> lane(
+            PlacementRequest request, boolean longPrompt, List<ServerInstance> candidates, long nowMillis) {
+        if (disabled.contains(Mechanism.LANES)) {
+            return candidates;
+        }
+        List<ServerInstance> engines = orderedBySpeed(candidates);
+        int shortLaneSize = shortLaneSize(request.service(), engines, nowMillis);
+        if (shortLaneSize >= engines.size()) {
+            return engines;
+        }
+        List<ServerInstance> ownLane =
+                longPrompt ? engines.subList(shortLaneSize, engines.size()) : engines.subList(0, shortLaneSize);
+        if (!mayOverflow(request, longPrompt, nowMillis)
+                || disabled.contains(Mechanism.LANE_OVERFLOW)
+                || !withFreeSlot(ownLane).isEmpty()) {
+            return ownLane;
+        }
+        List<ServerInstance> free = withFreeSlot(engines);
+        return free.isEmpty() ? engines : free;
+    }
+
+    /** Returns the engines, which are ordered by id, ordered by speed band and id. */
+    private static List<ServerInstance> orderedBySpeed(List<ServerInstance> engines) {
+        int lowest = Integer.MAX_VALUE;
+        int highest = Integer.MIN_VALUE;
+        for (ServerInstance engine : engines) {
+            lowest = Math.min(lowest, engine.workTime().band());
+            highest = Math.max(highest, engine.workTime().band());
+        }
+        if (lowest >= highest) {
+            return engines;
+        }
+        List<ServerInstance> ordered = new ArrayList<>(engines.size());
+        for (int band = lowest; band <= highest; band++) {
+            for (ServerInstance engine : engines) {
+                if (engine.workTime().band() == band) {
+                    ordered.add(engine);
+                }
+            }
+        }
+        return ordered;
+    }
+
+    private int shortLaneSize(ServiceConfig service, List<ServerInstance> engines, long nowMillis) {
+        ServiceState state = state(service.name(), nowMillis);
+        LaneDemand demand =
+                state.demand.demand(nowMillis).plus(peerDemands.getOrDefault(service.name(), LaneDemand.NONE));
+        boolean shortMoreUrgent = !disabled.contains(Mechanism.URGENT_LANE) && state.demand.isShortMoreUrgent();
+        double shortPrefillMillis = Math.max(1, state.demand.meanShortPromptTokens() / costs.tokensPerMilli());
+        int usualSize = LaneSizing.shortLaneSize(
+                engines.size(),
+                service.slots(),
+                demand,
+                costs.tokensPerMilli(),
+                LaneSizing.shortPrefillShare(minEventGapMillis, shortPrefillMillis),
+                shortMoreUrgent);
+        double slowness = state.slowness.quantile();
+        if (slowness <= 1 || usualSize >= engines.size()) {
+            return usualSize;
+        }
+        UnevenLaneSizing sizing = new UnevenLaneSizing(
+                service.slots(), costs.tokensPerMilli(), minEventGapMillis, shortPrefillMillis, slowness);
+        int size = sizing.shortLaneSize(engines, demand, shortMoreUrgent);
+        return Math.min(engines.size() - 1, state.shortLaneSize.hold(size, nowMillis));
+    }
+
+    /**
+     * Returns whether a request may use the other lane when its own has no free slot: without a slot a request gets no
+     * output until another one ends, whereas next to long prompts its stream only exceeds its event gap. Long prompts
+     * that are less urgent than the short ones stay in their lane; a long burst of them would otherwise fill the short
+     * lane as well and delay its streams.
+     */
+    private boolean mayOverflow(PlacementRequest request, boolean longPrompt, long nowMillis) {
+        return !longPrompt
+                || request.route().priority()
+                        <= demand(request.service().name(), nowMillis).mostUrgentShortRank(nowMillis);
+    }
+
+    private static List<ServerInstance> withFreeSlot(List<ServerInstance> lane) {
+        List<ServerInstance> free = new ArrayList<>();
+        for (ServerInstance server : lane) {
+            if (server.totalInFlight() < server.slots()) {
+                free.add(server);
+            }
+        }
+        return free;
+    }
+}
--- a/core/src/main/java/org/tanagerhinge/core/relay/LaneSizing.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/LaneSizing.java
@@ -13,18 +13,18 @@
      * Largest share of an engine's slots that short requests may use; the rest absorbs requests that peers haven't
      * reported.
      */
-    private static final double MAX_SLOT_SHARE = 0.8;
+    static final double MAX_SLOT_SHARE = 0.8;
     /** Largest share of an event gap that the prefill of other prompts may take; the rest is for decoding steps. */
     private static final double MAX_GAP_SHARE = 0.85;
     /** Standard deviations above the mean number of prompts per event gap that must still fit into the gap. */
     private static final double STANDARD_DEVIATIONS = 1.5;
     /** Largest share of an engine's time for the prefill of long prompts; beyond it they queue behind each other. */
-    private static final double MAX_LONG_PREFILL_SHARE = 0.6;
+    static final double MAX_LONG_PREFILL_SHARE = 0.6;
     /**
      * Largest share of the engines for the short lane in a shortage, if short requests are more urgent than long
      * ones.
      */
-    private static final double MAX_URGENT_LANE_SHARE = 0.7;
+    static final double MAX_URGENT_LANE_SHARE = 0.7;
 
     private LaneSizing() {}
 
--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlainServerChoice.java
@@ -0,0 +1,42 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.List;
+
+/** Chooses a plain server by the time that a request is expected to take there. */
+final class PlainServerChoice {
+    /** Cost of a server in another failure domain, as a share of a request's time on a server of nominal speed. */
+    private static final double OTHER_DOMAIN_COST = 0.01;
+
+    private int rotation;
+
+    private PlainServerChoice() {}
+
+    static PlainServerChoice create() {
+        return new PlainServerChoice();
+    }
+
+    PlacementPolicy.Decision choose(PlacementRequest request, List<ServerInstance> candidates, long nowMillis) {
+        rotation++;
+        ServerInstance best = null;
+        double bestCost = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            ServerInstance server = candidates.get(Math.floorMod(i + rotation, candidates.size()));
+            double cost = cost(server, nowMillis) + (server.domain().equals(request.domain()) ? 0 : OTHER_DOMAIN_COST);
+            if (best == null || cost < bestCost) {
+                best = server;
+                bestCost = cost;
+            }
+        }
+        return PlacementPolicy.Decision.unordered(best, 0);
+    }
+
+    /**
+     * Returns the load of a server; of one that states its work time, the time that a request takes and waits there
+     * besides, since a busy host is slower by the same factor while it has free slots.
+     */
+    private static double cost(ServerInstance server, long nowMillis) {
+        double load = server.totalInFlight() / (double) Math.max(1, server.slots());
+        WorkTime workTime = server.workTime();
+        return workTime.known() ? load + (1 + Math.max(0, load - 1)) * workTime.current(nowMillis) : load;
+    }
+}
--- a/core/src/main/java/org/tanagerhinge/core/relay/PrefillRateEstimator.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PrefillRateEstimator.java
@@ -28,13 +28,17 @@
         return new PrefillRateEstimator(initialTokensPerMilli);
     }
 
-    /** Records the time to first event of a prompt with a number of tokens to prefill. */
-    public void recordPrefill(int tokens, long firstEventMillis) {
+    /**
+     * Records the time to first event of a prompt with a number of tokens to prefill.
+     *
+     * @param workTime usual work time of the engine relative to nominal; the estimate is the rate of a nominal engine
+     */
+    public void recordPrefill(int tokens, double workTime, long firstEventMillis) {
         if (tokens < MIN_TOKENS || firstEventMillis <= 0) {
             return;
         }
         samples++;
-        double sample = (double) tokens / firstEventMillis;
+        double sample = tokens * workTime / firstEventMillis;
         tokensPerMilli += (sample > tokensPerMilli ? RISE_WEIGHT : FALL_WEIGHT) * (sample - tokensPerMilli);
     }
 
--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/relay/UnevenLaneSizing.java
@@ -0,0 +1,77 @@
+package org.tanagerhinge.core.relay;
+
+import java.util.List;
+
+/**
+ * Computes how many engines of a service are reserved for short prompts, if the engines differ in speed or get slower at
+ * times ({@link WorkTime}).
+ *
+ * <p>Both lanes first get what they need at usual speed. What the long lane doesn't need then gives the short lane the
+ * room that its streams need in slow moments. Engines that neither lane needs are divided in proportion to the needs,
+ * so that streams are not bunched on few engines while others idle.
+ *
+ * @param slots requests that an engine runs at once
+ * @param tokensPerMilli prompt tokens that an engine of nominal speed prefills per millisecond
+ * @param maxGapMillis longest event gap allowed
+ * @param shortPrefillMillis prefill time of a short prompt on an engine of nominal speed
+ * @param slowness how much slower than usual engines get at times, at least 1
+ */
+record UnevenLaneSizing(
+        int slots, double tokensPerMilli, double maxGapMillis, double shortPrefillMillis, double slowness) {
+    /**
+     * Returns the number of engines in the short lane, taken from the start of the list.
+     *
+     * @param engines at least two
+     */
+    int shortLaneSize(List<ServerInstance> engines, LaneDemand demand, boolean shortMoreUrgent) {
+        int longSize = longLaneSize(engines, demand);
+        int most = engines.size() - longSize;
+        int usual = shortNeed(engines, demand, 1);
+        if (usual > most) {
+            return inShortage(engines.size(), usual, longSize, shortMoreUrgent);
+        }
+        int need = shortNeed(engines, demand, slowness);
+        if (need >= most) {
+            return Math.max(1, most);
+        }
+        int spare = most - need;
+        return need + (int) ((double) spare * need / (need + longSize));
+    }
+
+    private static int inShortage(int engines, int shortNeed, int longNeed, boolean shortMoreUrgent) {
+        double size = shortMoreUrgent
+                ? Math.min(shortNeed, LaneSizing.MAX_URGENT_LANE_SHARE * engines)
+                : engines * (double) shortNeed / (shortNeed + longNeed);
+        return (int) Math.min(engines - 1, Math.max(1, Math.ceil(size)));
+    }
+
+    /** Returns how many engines from the end of the list prefill the long prompts, at least one. */
+    private int longLaneSize(List<ServerInstance> engines, LaneDemand demand) {
+        double needed = demand.longTokensPerSecond() / (LaneSizing.MAX_LONG_PREFILL_SHARE * tokensPerMilli * 1000);
+        double capacity = 0;
+        int size = 0;
+        while (size < engines.size() - 1 && (size == 0 || capacity < needed)) {
+            size++;
+            capacity += 1 / engines.get(engines.size() - size).workTime().usual();
+        }
+        return size;
+    }
+
+    /** Returns how many engines from the start of the list serve the short requests when all are slower by a factor. */
+    private int shortNeed(List<ServerInstance> engines, LaneDemand demand, double slower) {
+        double tokensPerSecond = 0;
+        double requests = 0;
+        int size = 0;
+        while (size < engines.size()
+                && (size == 0
+                        || tokensPerSecond < demand.shortTokensPerSecond()
+                        || requests < demand.shortInFlight())) {
+            double factor = engines.get(size).workTime().usual() * slower;
+            double share = LaneSizing.shortPrefillShare(maxGapMillis, shortPrefillMillis * factor);
+            tokensPerSecond += share * tokensPerMilli * 1000 / factor;
+            requests += LaneSizing.MAX_SLOT_SHARE * Math.max(1, slots) / Math.max(1, factor);
+            size++;
+        }
+        return size;
+    }
+}
