Lines about sends tell the work time of the chosen server

An operator could not see which speed of an engine placement believed in. The field is missing where servers state none.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -75,6 +75,9 @@
             line.with(LogField.FETCH, fetch.tokens())
                     .with(LogField.FETCH_FROM, fetch.source().id());
         });
+        if (chosen.workTime().known()) {
+            line.with(LogField.WORK_TIME, Math.round(100 * chosen.workTime().current(gateway.nowMillis())));
+        }
         line.with(LogField.PEERS, gateway.peersPresent()).write();
     }
 
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -39,6 +39,8 @@
     TO_READ,
     /** Step within the rank, which orders the prefill of prompts; 0 is the first. */
     STEP,
+    /** Work time of the server's host at the decision, in percent of nominal. */
+    WORK_TIME,
     /** Prompt tokens of a cached prefix that the server should fetch from another server instead of prefilling them. */
     FETCH,
     /** Server from which the prefix should be fetched. */
