Work times of peers expire, and lanes follow the speed of engines without slow moments

Cause, found in review: a negative age in a peer's report dated a figure weeks ahead and blocked all newer ones; gateways reported figures learned from peers, each hop as newer; a plain server that states nothing was preferred to all that do; the quantile of slowness lost weight with each late report and never expired; a shortage was divided by needs capped at the number of engines; engines of constant slowness were sized as nominal ones; a figure of 1 percent counted.

--- a/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
@@ -35,6 +35,11 @@
         return prefillRate.tokensPerMilli();
     }
 
+    /** Returns the prompt tokens that an engine usually prefills per millisecond. */
+    double tokensPerMilli(ServerInstance server) {
+        return prefillRate.tokensPerMilli() / server.workTime().usual();
+    }
+
     /**
      * Records the time to first event of a prompt. A sample counts as of an engine of nominal speed; otherwise the rate
      * would follow the fastest engines and overestimate all others.
@@ -64,7 +69,7 @@
      * Returns the time in milliseconds until an engine has prefilled a prompt. Engines prefill small prompts first,
      * so a prompt waits for the share of the pending tokens that is in smaller prompts: half of them at mean size.
      * Returns 0 until the prefill rate is measured, since a node that has just started would otherwise reject callers
-     * on an assumed rate.
+     * on an assumed rate. A slow moment of the host doesn't count, since it ends within most waits.
      */
     double expectedWaitMillis(ServerInstance server, int tokensToPrefill) {
         if (!prefillRate.isMeasured()) {
@@ -72,6 +77,6 @@
         }
         double tokensAhead =
                 server.totalPendingPrefillTokens() * (tokensToPrefill / (tokensToPrefill + meanLongPrefillTokens));
-        return (tokensAhead + tokensToPrefill) * server.workTime().usual() / prefillRate.tokensPerMilli();
+        return (tokensAhead + tokensToPrefill) / tokensPerMilli(server);
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/EngineLanes.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/EngineLanes.java
@@ -10,13 +10,14 @@
  * Divides the engines of each service into a lane for short and one for long prompts, by the demand of all nodes'
  * callers.
  *
- * <p>The engines of a service are ordered by speed band and id, so all nodes agree on the lanes without communication.
- * The short lane takes the first ones: the gaps of its streams hold most easily on fast engines.
+ * <p>The engines of a service are ordered by speed band and id, so nodes that know the same work times agree on the
+ * lanes without communication. The short lane takes the first ones, since fast engines meet tight event gaps best.
  */
 final class EngineLanes {
     private final Set<Mechanism> disabled;
     private final EngineCost costs;
     private final Map<String, ServiceState> stateByService = new HashMap<>();
+    private final Map<String, SlownessEstimator> slownessByService = new HashMap<>();
     private Map<String, LaneDemand> peerDemands = Map.of();
     private long minEventGapMillis;
 
@@ -33,7 +34,6 @@
     /** Holds what is learned about one service. */
     private static final class ServiceState {
         private final DemandEstimator demand;
-        private final SlownessEstimator slowness = SlownessEstimator.create();
         private final LaneSizeHold shortLaneSize = LaneSizeHold.create();
 
         ServiceState(long nowMillis) {
@@ -63,17 +63,30 @@
         return demands;
     }
 
-    /** Records how long work took on an engine relative to nominal, as it stated at a time in milliseconds. */
-    void recordWorkTime(ServerInstance server, double factor, long nowMillis) {
-        if (server.workTime().record(factor, nowMillis)) {
-            double slowness = factor / server.workTime().usual();
-            state(server.service(), nowMillis).slowness.record(slowness, nowMillis);
+    /** Records the work time that a server stated to this node at a time in milliseconds. */
+    void recordWorkTime(ServerInstance server, double factor, long statedAtMillis) {
+        if (server.workTime().record(factor, statedAtMillis)) {
+            recordSlowness(server, factor, statedAtMillis);
         }
     }
 
+    /** Records the work time that a server stated to another node. */
+    void recordPeerWorkTime(ServerInstance server, PeerReport.StatedWorkTime stated, long nowMillis) {
+        if (server.workTime().recordFromPeer(stated, nowMillis)) {
+            recordSlowness(server, stated.factor(), nowMillis);
+        }
+    }
+
+    private void recordSlowness(ServerInstance server, double factor, long nowMillis) {
+        slownessByService
+                .computeIfAbsent(server.service(), service -> SlownessEstimator.create())
+                .record(factor / server.workTime().usual(), nowMillis);
+    }
+
     /** Returns how much slower than usual the engines of a service get at times, at least 1. */
     double slowness(String service, long nowMillis) {
-        return state(service, nowMillis).slowness.quantile();
+        SlownessEstimator estimator = slownessByService.get(service);
+        return estimator == null ? 1 : estimator.quantile(nowMillis);
     }
 
     /** Returns the engines that a request may use. */
@@ -98,6 +111,10 @@
         return free.isEmpty() ? engines : free;
     }
 
+    private static boolean anyOffNominal(List<ServerInstance> engines) {
+        return engines.stream().anyMatch(engine -> engine.workTime().usual() != 1);
+    }
+
     /** Returns the engines, which are ordered by id, ordered by speed band and id. */
     private static List<ServerInstance> orderedBySpeed(List<ServerInstance> engines) {
         int lowest = Integer.MAX_VALUE;
@@ -133,8 +150,8 @@
                 costs.tokensPerMilli(),
                 LaneSizing.shortPrefillShare(minEventGapMillis, shortPrefillMillis),
                 shortMoreUrgent);
-        double slowness = state.slowness.quantile();
-        if (slowness <= 1 || usualSize >= engines.size()) {
+        double slowness = slowness(service.name(), nowMillis);
+        if (usualSize >= engines.size() || (slowness <= 1 && !anyOffNominal(engines))) {
             return usualSize;
         }
         UnevenLaneSizing sizing = new UnevenLaneSizing(
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerLoadUpdater.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerLoadUpdater.java
@@ -41,7 +41,7 @@
         workTimes.forEach((instanceId, stated) -> {
             ServerInstance server = serverByInstanceId.apply(instanceId);
             if (server != null) {
-                placement.recordWorkTime(server, stated.factor(), nowMillis - stated.ageMillis());
+                placement.recordPeerWorkTime(server, stated, nowMillis);
             }
         });
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
@@ -35,11 +35,15 @@
     default void recordPeerSent(ServerInstance server, ServiceConfig service, List<PromptPart> parts, long nowMillis) {}
 
     /**
-     * Records how long work took on a server's host at a time in milliseconds, relative to nominal.
+     * Records how long work takes on a server's host relative to nominal, as the server stated to this node.
      *
      * @param factor 1 is nominal, greater is slower
+     * @param statedAtMillis time of the statement in milliseconds
      */
-    default void recordWorkTime(ServerInstance server, double factor, long nowMillis) {}
+    default void recordWorkTime(ServerInstance server, double factor, long statedAtMillis) {}
+
+    /** Records the work time that a server stated to another node, whose report was received at a time in milliseconds. */
+    default void recordPeerWorkTime(ServerInstance server, PeerReport.StatedWorkTime stated, long nowMillis) {}
 
     /** Discards the state kept for a server instance that was removed. */
     default void forgetInstance(String instanceId) {}
--- a/core/src/main/java/org/tanagerhinge/core/relay/PlainServerChoice.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlainServerChoice.java
@@ -17,11 +17,14 @@
 
     PlacementPolicy.Decision choose(PlacementRequest request, List<ServerInstance> candidates, long nowMillis) {
         rotation++;
+        boolean workTimeKnown =
+                candidates.stream().anyMatch(server -> server.workTime().known());
         ServerInstance best = null;
         double bestCost = 0;
         for (int i = 0; i < candidates.size(); i++) {
             ServerInstance server = candidates.get(Math.floorMod(i + rotation, candidates.size()));
-            double cost = cost(server, nowMillis) + (server.domain().equals(request.domain()) ? 0 : OTHER_DOMAIN_COST);
+            double cost = cost(server, workTimeKnown, nowMillis)
+                    + (server.domain().equals(request.domain()) ? 0 : OTHER_DOMAIN_COST);
             if (best == null || cost < bestCost) {
                 best = server;
                 bestCost = cost;
@@ -31,12 +34,12 @@
     }
 
     /**
-     * Returns the load of a server; of one that states its work time, the time that a request takes and waits there
-     * besides, since a busy host is slower by the same factor while it has free slots.
+     * Returns the cost of a server: its load and, if any server states its work time, the expected time of the request
+     * in units of its nominal time.
      */
-    private static double cost(ServerInstance server, long nowMillis) {
+    private static double cost(ServerInstance server, boolean workTimeKnown, long nowMillis) {
         double load = server.totalInFlight() / (double) Math.max(1, server.slots());
-        WorkTime workTime = server.workTime();
-        return workTime.known() ? load + (1 + Math.max(0, load - 1)) * workTime.current(nowMillis) : load;
+        double expectedTime = Math.max(1, load) * server.workTime().current(nowMillis);
+        return workTimeKnown ? load + expectedTime : load;
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PrefixFetchPlanner.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PrefixFetchPlanner.java
@@ -42,7 +42,7 @@
             return decision;
         }
         int tokens = found.get().tokens();
-        double timeShare = request.service().fetchMillis(tokens) * costs.tokensPerMilli() / tokens;
+        double timeShare = request.service().fetchMillis(tokens) * costs.tokensPerMilli(decision.server()) / tokens;
         if (timeShare > MAX_FETCH_TIME_SHARE) {
             return decision;
         }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
@@ -16,8 +16,9 @@
     private static final long DEFAULT_MIN_GAP_MILLIS = 120;
 
     /**
-     * Discount per shared token for the preferred engines of a prompt that no engine has cached. It is above the cost of
-     * a token to prefill in {@link EngineCost}, so that a preferred engine is chosen unless it has much more to prefill than others.
+     * Discount per shared token for the preferred engines of a prompt that no engine has cached. It is above the cost
+     * of a token to prefill on an engine of nominal speed ({@link EngineCost}), so that a preferred engine is chosen
+     * unless it has much more to prefill than others.
      */
     private static final double AFFINITY_WEIGHT = 10;
 
@@ -56,10 +57,18 @@
      * Returns whether a prompt of this size is long: its prefill delays the streams on the same engine, also while that
      * is slower than usual.
      */
-    private boolean isLongPrompt(PlacementRequest request, long nowMillis) {
-        double slowness = lanes.slowness(request.service().name(), nowMillis);
+    private boolean isLongPrompt(PlacementRequest request, List<ServerInstance> engines, long nowMillis) {
+        double workTime = lanes.slowness(request.service().name(), nowMillis) * meanUsualWorkTime(engines);
         return request.prompt().inputTokens()
-                > LONG_PROMPT_GAP_SHARE * minEventGapMillis * costs.tokensPerMilli() / slowness;
+                > LONG_PROMPT_GAP_SHARE * minEventGapMillis * costs.tokensPerMilli() / workTime;
+    }
+
+    private static double meanUsualWorkTime(List<ServerInstance> engines) {
+        double sum = 0;
+        for (ServerInstance engine : engines) {
+            sum += engine.workTime().usual();
+        }
+        return sum / engines.size();
     }
 
     @Override
@@ -73,8 +82,13 @@
     }
 
     @Override
-    public void recordWorkTime(ServerInstance server, double factor, long nowMillis) {
-        lanes.recordWorkTime(server, factor, nowMillis);
+    public void recordWorkTime(ServerInstance server, double factor, long statedAtMillis) {
+        lanes.recordWorkTime(server, factor, statedAtMillis);
+    }
+
+    @Override
+    public void recordPeerWorkTime(ServerInstance server, PeerReport.StatedWorkTime stated, long nowMillis) {
+        lanes.recordPeerWorkTime(server, stated, nowMillis);
     }
 
     @Override
@@ -96,7 +110,7 @@
             return Optional.of(plainServers.choose(request, candidates, nowMillis));
         }
         rotation++;
-        boolean longPrompt = isLongPrompt(request, nowMillis);
+        boolean longPrompt = isLongPrompt(request, candidates, nowMillis);
         List<ServerInstance> lane = lanes.lane(request, longPrompt, candidates, nowMillis);
         Decision best = chooseEngine(request, lane, longPrompt, nowMillis);
         return Optional.of(withStep(request, withFetch(request, best, candidates, nowMillis)));
@@ -172,7 +186,7 @@
             return decision;
         }
         int step = prefillOrder.step(
-                request.route(), request.prompt(), decision.tokensToPrefill(), costs.tokensPerMilli());
+                request.route(), request.prompt(), decision.tokensToPrefill(), costs.tokensPerMilli(decision.server()));
         return decision.withStep(step);
     }
 
--- a/core/src/test/java/org/tanagerhinge/core/relay/UnevenLaneSizingTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/UnevenLaneSizingTest.java
@@ -28,14 +28,14 @@
         return new UnevenLaneSizing(96, 112, GAP_MILLIS, PREFILL_MILLIS, slowness).shortLaneSize(engines, demand, true);
     }
 
-    /** Guards against streams that exceed their gaps because the lane has no room for the slow moments of its engines. */
+    /** Guards against streams that exceed their gaps because the lane is sized for engines at their usual speed. */
     @Test
     void shortLaneGetsRoomForSlowMoments() {
         LaneDemand demand = new LaneDemand(190, 90_000, 900_000);
         assertTrue(size(engines(29, 1), demand, 2.5) > size(engines(29, 1), demand, 1) + 2);
     }
 
-    /** Guards against room for slowness that is taken from long prompts which need the engines. */
+    /** Guards against reserves for slow moments at the expense of long prompts that need the engines. */
     @Test
     void roomForSlowMomentsYieldsToTheNeedOfTheLongLane() {
         LaneDemand demand = new LaneDemand(190, 90_000, 1_500_000);
@@ -45,7 +45,7 @@
         assertTrue(size >= size(engines, demand, 1), "short lane of " + size);
     }
 
-    /** Guards against streams on the fewest engines that bear them while other engines idle. */
+    /** Guards against streams concentrated on few engines while other engines are idle. */
     @Test
     void enginesThatNeitherLaneNeedsAreDividedInProportion() {
         LaneDemand demand = new LaneDemand(60, 30_000, 70_000);
@@ -53,7 +53,7 @@
         assertTrue(size > 10 && size < 29, "short lane of " + size);
     }
 
-    /** Guards against a lane sized by the number of engines although some bear half as much as others. */
+    /** Guards against a lane sized by the number of engines although some have half the capacity of others. */
     @Test
     void slowerEnginesMakeALaneLarger() {
         LaneDemand demand = new LaneDemand(190, 90_000, 1_200_000);
@@ -69,6 +69,15 @@
         assertTrue(size >= 1 && size < count, "short lane of " + size);
     }
 
+    /** Guards against lanes of equal size in an overload, whatever the two demands are. */
+    @Test
+    void shortageIsDividedByTheTrueNeeds() {
+        LaneDemand demand = new LaneDemand(40 * 0.8 * 96, 0, 10 * 0.6 * 112_000);
+        int size = new UnevenLaneSizing(96, 112, GAP_MILLIS, PREFILL_MILLIS, 2)
+                .shortLaneSize(engines(10, 1), demand, false);
+        assertEquals(8, size);
+    }
+
     /** Guards against engines that move between the lanes with each swing of the demand. */
     @Test
     void laneShrinksOnlyAfterTheDemandHasStayedLower() {
--- a/core/src/test/java/org/tanagerhinge/core/relay/UnevenPlacementTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/UnevenPlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -93,7 +94,58 @@
         assertEquals("e0", send(request(PLAIN, Prompt.NONE), 1_100).server().id());
     }
 
-    /** Guards against a restarted server that is taken for as slow as the instance before it. */
+    /** Guards against a restarted server, or one of an older version, that gets all requests since it states nothing. */
+    @Test
+    void plainServerWithoutStatementCountsAsNominal() {
+        List<ServerInstance> servers = servers(3);
+        placement.recordWorkTime(servers.get(0), 1, 1_000);
+        placement.recordWorkTime(servers.get(1), 1, 1_000);
+        servers.get(2).updatePeerLoad(3, 0);
+        for (int i = 0; i < 6; i++) {
+            assertNotEquals(
+                    "e2", send(request(PLAIN, Prompt.NONE), 1_100).server().id());
+        }
+    }
+
+    /** Guards against prompts that count as short on engines that are slower than nominal at all times. */
+    @Test
+    void enginesOfConstantSlownessCountByTheirSpeed() {
+        List<ServerInstance> engines = servers(8);
+        placement.updateMinEventGap(200);
+        for (int round = 0; round < 10; round++) {
+            for (ServerInstance engine : engines) {
+                placement.recordWorkTime(engine, 2, 300L * round);
+            }
+        }
+        PlacementRequest request = request(ENGINES, prompt(11_200, 0));
+        PlacementPolicy.Decision decision =
+                placement.place(request, engines, 3_000).orElseThrow();
+        for (int i = 0; i < 50; i++) {
+            placement.recordPrefill(request, decision, 200);
+        }
+        assertTrue(placement
+                .place(request(ENGINES, prompt(8_000, 1)), engines, 3_000)
+                .orElseThrow()
+                .longPrompt());
+    }
+
+    /** Guards against a peer's report that counts for another instance of a server, or fails on one that has left. */
+    @Test
+    void reportsOfPeersReachTheInstanceThatTheyName() {
+        List<ServerInstance> engines = servers(2);
+        PeerLoadUpdater updater = PeerLoadUpdater.of(directory::instance);
+        updater.recordWorkTimes(
+                Map.of(
+                        "e0", new PeerReport.StatedWorkTime(2.5, 40),
+                        "e0@17", new PeerReport.StatedWorkTime(7, 40),
+                        "gone", new PeerReport.StatedWorkTime(7, 40)),
+                placement,
+                1_000);
+        assertEquals(2.5, engines.get(0).workTime().current(1_000));
+        assertEquals(1, engines.get(1).workTime().current(1_000));
+    }
+
+    /** Guards against a restarted server that counts as slow because the instance before it was. */
     @Test
     void restartedServerIsUnknown() {
         directory.apply(List.of(registration("a", 1)), 0);
@@ -102,19 +154,17 @@
         assertEquals(1, directory.available("model").getFirst().workTime().current(30));
     }
 
-    /** Guards against a prefill rate that follows the fastest engines, by which long prompts count as short ones. */
+    /** Guards against a prefill rate that follows the fastest engines, so that long prompts count as short. */
     @Test
     void prefillRateIsThatOfAnEngineOfNominalSpeed() {
         List<ServerInstance> engines = servers(4);
         placement.updateMinEventGap(200);
-        for (ServerInstance engine : engines) {
-            placement.recordWorkTime(engine, 0.55, 0);
+        for (int i = 0; i < engines.size(); i++) {
+            placement.recordWorkTime(engines.get(i), i == 0 ? 0.55 : 1.2, 0);
         }
-        Prompt prompt = prompt(11_200, 0);
-        PlacementPolicy.Decision decision =
-                placement.place(request(ENGINES, prompt), engines, 10).orElseThrow();
+        PlacementPolicy.Decision onFastEngine = PlacementPolicy.Decision.unordered(engines.getFirst(), 11_200);
         for (int i = 0; i < 50; i++) {
-            placement.recordPrefill(request(ENGINES, prompt), decision, 55);
+            placement.recordPrefill(request(ENGINES, prompt(11_200, 0)), onFastEngine, 55);
         }
         assertTrue(placement
                 .place(request(ENGINES, prompt(9_500, 1)), engines, 20)
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -60,4 +60,25 @@
                 - PeerCodec.encodeState(message(List.of(), List.of())).length;
         assertTrue(bytes < CONTROL_BYTES_PER_SECOND / 4, bytes + " bytes");
     }
+
+    /** Guards against work times that get lost, or are invented for servers that state none. */
+    @Test
+    void workTimesSurviveRoundTrip() throws InvalidProtocolBufferException {
+        Map<String, PeerReport.StatedWorkTime> workTimes = Map.of("slow", new PeerReport.StatedWorkTime(2.5, 120));
+        byte[] with = encode(workTimes);
+        byte[] without = encode(Map.of());
+        assertEquals(workTimes, PeerCodec.decodeState(with).report().workTimes());
+        assertEquals(Map.of(), PeerCodec.decodeState(without).report().workTimes());
+        assertTrue(with.length - without.length <= 6, with.length - without.length + " bytes for a server");
+    }
+
+    private static byte[] encode(Map<String, PeerReport.StatedWorkTime> workTimes) {
+        Map<String, PeerReport.InstanceLoad> loads = Map.of(
+                "slow", new PeerReport.InstanceLoad(3, 100),
+                "silent", new PeerReport.InstanceLoad(1, 0));
+        PeerReport report = new PeerReport(
+                "gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, loads, Map.of(), workTimes);
+        return PeerCodec.encodeState(
+                new PeerCodec.PeerMessage(report, List.of(), List.of(), List.of(), DutyAnnouncement.NONE));
+    }
 }
