--- a/gateway/src/test/java/org/tanagerhinge/gateway/WorkspaceUsesCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/WorkspaceUsesCodecTest.java
@@ -24,8 +24,8 @@
     private static final int BYTES_PER_SECOND = 4_000;
 
     private static byte[] encode(List<WorkspaceUses> uses) {
-        PeerReport report =
-                new PeerReport("gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, Map.of(), Map.of());
+        PeerReport report = new PeerReport(
+                "gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, Map.of(), Map.of(), Map.of());
         return PeerCodec.encodeState(
                 new PeerCodec.PeerMessage(report, List.of(), List.of(), List.of(), DutyAnnouncement.NONE, uses));
     }
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -179,6 +179,9 @@
     void recordFirstEvent(ModelCall call) {
         admission.rankGate().recordSettled(call.pendingRequest);
         ServerInstance server = call.decision.server();
+        if (scenario.hosts().stated()) {
+            placement.recordWorkTime(server, call.engine.workTime(), floorMillis(fleet.nowMillis()));
+        }
         server.recordPrefill(call.decision.tokensToPrefill());
         server.health().recordSuccess();
         placement.recordPrefill(call.request, call.decision, floorMillis(fleet.nowMillis() - call.sentAtMillis));
@@ -204,11 +207,15 @@
 
     private void sendReport() {
         Map<String, PeerReport.InstanceLoad> loads = new HashMap<>();
+        Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerInstance server : instanceById.values()) {
             if (server.inFlight() > 0) {
                 loads.put(
                         server.instanceId(),
                         new PeerReport.InstanceLoad(server.inFlight(), server.pendingPrefillTokens()));
+                server.workTime()
+                        .recentlyStated(floorMillis(fleet.nowMillis()))
+                        .ifPresent(workTime -> workTimes.put(server.instanceId(), workTime));
             }
         }
         long intervalMillis = ReportSchedule.idleIntervalMillis(peerCount());
@@ -225,7 +232,8 @@
                 0,
                 intervalMillis,
                 loads,
-                placement.localDemands(floorMillis(fleet.nowMillis())));
+                placement.localDemands(floorMillis(fleet.nowMillis())),
+                workTimes);
         List<CachedPrompt> prompts = List.copyOf(cachedPrompts);
         cachedPrompts.clear();
         tokensSinceReport = 0;
@@ -252,6 +260,7 @@
             return;
         }
         peerLoadUpdater.applyChange(previousLoads, report.loads());
+        peerLoadUpdater.recordWorkTimes(report.workTimes(), placement, nowMillis);
     }
 
     private void updatePeerTotals() {
