Shares refuse by the queue of the chosen engine in place of chance

Cause: refusals at random left engines idle while callers were refused, and requests repeated at once raised the demand of all large workspaces.

Change: at model engines a workspace over its share is refused by the expected queue there, beyond half of the longest acceptable one. The fleet model's gateways exchange figures.

--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
@@ -18,6 +18,12 @@
     /** Work of an output token, in prompt tokens to prefill. */
     private static final double OUTPUT_TOKEN_WORK = 10;
 
+    /**
+     * Part of the longest acceptable queue of a model engine up to which no request is refused by share. With an empty
+     * queue an engine would idle while callers are refused.
+     */
+    private static final double SHARED_QUEUE_SHARE = 0.5;
+
     private final Set<Mechanism> disabled;
     private final RankGate rankGate = RankGate.create();
     private final WorkspaceShares shares = WorkspaceShares.create();
@@ -107,7 +113,8 @@
                 && rankGate.mustYield(request.rank(), decision.server().instanceId(), nowMillis)) {
             return Optional.of(Rejection.of(Reason.YIELDS_TO_URGENT, retryAfterMillis(random)));
         }
-        Optional<WorkspaceShares.Excess> excess = ask.flatMap(found -> shares.excess(found, nowMillis, random));
+        DoubleSupplier selector = shareSelector(request, decision, random);
+        Optional<WorkspaceShares.Excess> excess = ask.flatMap(found -> shares.excess(found, nowMillis, selector));
         if (excess.isPresent()) {
             return Optional.of(new Rejection(Reason.OVER_SHARE, retryAfterMillis(random), excess));
         }
@@ -121,6 +128,23 @@
                 : Optional.empty();
     }
 
+    /**
+     * Returns the numbers by which shares select the requests to refuse: at model engines the expected queueing time as a
+     * part of the longest acceptable one, so that a workspace over its share is refused first where capacity is short
+     * and is served where an engine is idle; at plain servers, whose queues aren't known, random ones.
+     */
+    private static DoubleSupplier shareSelector(
+            Request request, PlacementPolicy.Decision decision, DoubleSupplier random) {
+        if (!request.placement().service().hasModelEngines()) {
+            return random;
+        }
+        double maxQueueMillis =
+                AdmissionControl.maxWaitMillis(request.placement().route()) - decision.prefillMillis();
+        double queueMillis = decision.expectedWaitMillis() - decision.prefillMillis();
+        double queueShare = queueMillis / Math.max(1, maxQueueMillis);
+        return () -> Math.max(0, Math.min(1, (queueShare - SHARED_QUEUE_SHARE) / (1 - SHARED_QUEUE_SHARE)));
+    }
+
     private static long retryAfterMillis(DoubleSupplier random) {
         return MIN_RETRY_AFTER_MILLIS + (long) (random.getAsDouble() * MIN_RETRY_AFTER_MILLIS);
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
@@ -64,6 +64,7 @@
      * @param longPrompt whether the prompt counted as long when the decision was made; kept since the bound moves
      *     with the measured prefill rate
      * @param expectedWaitMillis expected prefill time, queueing included, until the first output
+     * @param prefillMillis part of that time without queueing
      * @param fetch prefix that the server should fetch from another one instead of prefilling it
      */
     record Decision(
@@ -72,21 +73,28 @@
             int step,
             boolean longPrompt,
             double expectedWaitMillis,
+            double prefillMillis,
             Optional<PrefixFetch> fetch) {
         /** Creates a decision without an expected wait and a step in the prefill order. */
         static Decision unordered(ServerInstance server, int tokensToPrefill) {
-            return new Decision(server, tokensToPrefill, 0, false, 0, Optional.empty());
+            return new Decision(server, tokensToPrefill, 0, false, 0, 0, Optional.empty());
         }
 
         /** Returns this decision with a step in the prefill order. */
         Decision withStep(int newStep) {
-            return new Decision(server, tokensToPrefill, newStep, longPrompt, expectedWaitMillis, fetch);
+            return new Decision(server, tokensToPrefill, newStep, longPrompt, expectedWaitMillis, prefillMillis, fetch);
         }
 
         /** Returns this decision with a prefix to fetch and the tokens that remain to prefill. */
         Decision withFetch(PrefixFetch newFetch, int newTokensToPrefill) {
             return new Decision(
-                    server, newTokensToPrefill, step, longPrompt, expectedWaitMillis, Optional.of(newFetch));
+                    server,
+                    newTokensToPrefill,
+                    step,
+                    longPrompt,
+                    expectedWaitMillis,
+                    prefillMillis,
+                    Optional.of(newFetch));
         }
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
@@ -153,17 +153,22 @@
             double waitMillis = costs.expectedWaitMillis(server, tokensToPrefill);
             boolean allowed = !restricted || cached[index] >= sharedTokens || position >= 0;
             if (allowed && (best == null || cost < bestCost)) {
-                best = new Decision(server, tokensToPrefill, 0, longPrompt, waitMillis, Optional.empty());
+                best = decision(server, tokensToPrefill, longPrompt, waitMillis);
                 bestCost = cost;
             }
             if (waitMillis <= maxWaitMillis && (bestInTime == null || cost < bestInTimeCost)) {
-                bestInTime = new Decision(server, tokensToPrefill, 0, longPrompt, waitMillis, Optional.empty());
+                bestInTime = decision(server, tokensToPrefill, longPrompt, waitMillis);
                 bestInTimeCost = cost;
             }
         }
         return best.expectedWaitMillis() > maxWaitMillis && bestInTime != null ? bestInTime : best;
     }
 
+    private Decision decision(ServerInstance server, int tokensToPrefill, boolean longPrompt, double waitMillis) {
+        double prefillMillis = Math.min(waitMillis, tokensToPrefill / costs.tokensPerMilli(server));
+        return new Decision(server, tokensToPrefill, 0, longPrompt, waitMillis, prefillMillis, Optional.empty());
+    }
+
     private Decision withFetch(
             PlacementRequest request, Decision decision, List<ServerInstance> candidates, long nowMillis) {
         return disabled.contains(Mechanism.FETCH)
--- a/core/src/test/java/org/tanagerhinge/core/relay/AdmissionPolicyTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/AdmissionPolicyTest.java
@@ -10,6 +10,8 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests the order of the checks of admission, and when shares take part in them. */
 class AdmissionPolicyTest {
@@ -47,7 +49,7 @@
     }
 
     private PlacementPolicy.Decision decision(double expectedWaitMillis) {
-        return new PlacementPolicy.Decision(server, 1_000, 0, false, expectedWaitMillis, Optional.empty());
+        return new PlacementPolicy.Decision(server, 1_000, 0, false, expectedWaitMillis, 0, Optional.empty());
     }
 
     /** Returns a policy that has refused nine tenths of the hot workspace's requests as late until now. */
@@ -88,6 +90,21 @@
                 reason(policy.rejection(hot, decision(LATE_MILLIS), NOW_MILLIS, () -> 0.99)));
     }
 
+    /** Guards against engines that idle while a workspace over its share is refused, or against no refusal at all. */
+    @ParameterizedTest
+    @CsvSource({"0, false", "0.4, false", "0.95, true"})
+    void workspaceOverItsShareIsRefusedWhereTheQueueIsLong(double queueShare, boolean refused) {
+        AdmissionPolicy policy = shortOfCapacity(WORKSPACES);
+        double waitMillis = queueShare * AdmissionControl.maxWaitMillis(route());
+        assertEquals(
+                refused,
+                policy.rejection(request(WORKSPACES, HOT), decision(waitMillis), NOW_MILLIS, () -> 0.99)
+                        .isPresent());
+        assertEquals(
+                Optional.empty(),
+                policy.rejection(request(WORKSPACES, SMALL), decision(waitMillis), NOW_MILLIS, () -> 0.99));
+    }
+
     /** Guards against shares in a deployment without workspaces. */
     @Test
     void sharesNeedWorkspaces() {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
@@ -81,7 +81,7 @@
     }
 
     private PlacementPolicy.Decision decision() {
-        return new PlacementPolicy.Decision(server, 0, 0, false, 0, Optional.empty());
+        return new PlacementPolicy.Decision(server, 0, 0, false, 0, 0, Optional.empty());
     }
 
     /** Guards against a shortage of plain servers that goes unseen, and one that is seen where there is none. */
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -24,6 +24,7 @@
 import org.tanagerhinge.core.relay.ServerInstance;
 import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.relay.ServiceConfig;
+import org.tanagerhinge.core.relay.WorkspaceUses;
 
 /** Simulates a gateway that runs the real placement code and receives delayed reports of its peers. */
 final class ModelGateway {
@@ -235,24 +236,26 @@
                 placement.localDemands(floorMillis(fleet.nowMillis())),
                 workTimes);
         List<CachedPrompt> prompts = List.copyOf(cachedPrompts);
+        List<WorkspaceUses> uses = admission.shares().nextReport(peerCount(), floorMillis(fleet.nowMillis()));
         cachedPrompts.clear();
         tokensSinceReport = 0;
         reportedAtMillis = fleet.nowMillis();
         fleet.scheduleAt(fleet.nowMillis() + REPORT_DELAY_MILLIS, () -> {
             for (ModelGateway other : fleet.gateways()) {
                 if (other != this) {
-                    other.receiveReport(report, prompts);
+                    other.receiveReport(report, prompts, uses);
                 }
             }
         });
     }
 
-    private void receiveReport(PeerReport report, List<CachedPrompt> prompts) {
+    private void receiveReport(PeerReport report, List<CachedPrompt> prompts, List<WorkspaceUses> uses) {
         long nowMillis = floorMillis(fleet.nowMillis());
         Map<String, PeerReport.InstanceLoad> previousLoads = peerTable.loads(report.name(), nowMillis);
         if (!peerTable.accept(report, nowMillis)) {
             return;
         }
+        admission.shares().accept(report.name(), uses, nowMillis);
         for (CachedPrompt parts : prompts) {
             placement.recordPeerSent(instanceById.get(parts.server()), service, parts.parts(), nowMillis);
         }
