Test: keyed requests across restores of the store; refused callers repeat their keys

SoakTest plays seeds 2, 3, 5, 8, 25, 27 and 52 of runs with restores. They fail until routers write lost claims again: a keyed request starts twice (at_most_once). In these runs a refused keyed call is repeated within 8 s, up to 6 calls a key; before, hardly any call of an old key arrived later than 2 s after a restore, so that a mere pause would have hidden the fault.

--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
@@ -43,6 +43,7 @@
     private static final long MIN_COPY_AGE_MILLIS = 200;
     private static final long MAX_COPY_AGE_MILLIS = 8_000;
     private static final long MAX_REWRITE_DELAY_MILLIS = 2_000;
+    private static final long MAX_REPEAT_DELAY_MILLIS = 8_000;
     private static final String[] DOMAINS = {"kita", "chuo", "higashi"};
 
     final VirtualTimeScheduler scheduler;
@@ -202,9 +203,17 @@
             completeAnswers++;
         } else if (outcome == RunOutcome.UNKNOWN && call.request().keyed() && call.attempt() < MAX_ATTEMPTS) {
             scheduler.after(Duration.ofMillis(300), () -> startCall(call.request(), call.attempt() + 1));
+        } else if (outcome == RunOutcome.NOT_RUN && call.request().keyed() && call.attempt() < MAX_ATTEMPTS) {
+            restoreRandom.ifPresent(restores -> repeatLater(call, restores));
         }
     }
 
+    /** Repeats a refused keyed call, so that calls of a key arrive until long after a restore of the store. */
+    private void repeatLater(SimCall call, SplittableRandom restores) {
+        Duration delay = Duration.ofMillis(restores.nextLong(MAX_REPEAT_DELAY_MILLIS));
+        scheduler.after(delay, () -> startCall(call.request(), call.attempt() + 1));
+    }
+
     int openCallCount(SimRequest request) {
         return openCallCounts.getOrDefault(request, 0);
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
@@ -43,6 +43,16 @@
         assertEquals("", Soak.run(seed).failure());
     }
 
+    /**
+     * Guards against a keyed request that starts twice because the store was restored from an older copy, lost the
+     * claim and granted the key to a repeat.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3, 5, 8, 25, 27, 52})
+    void keyRunsOnceAcrossRestoresOfTheStore(long seed) {
+        assertEquals("", Soak.run(seed, true).failure());
+    }
+
     @Test
     void sameSeedReproducesTheRun() {
         assertEquals(Soak.run(7), Soak.run(7));
