Routers write lost claims again after a restore of the store

Callers saw a keyed request run twice: a router was granted the key, the store was restored from a copy without the claim, and a repeat at another router was granted it as well.

Routers keep the claims that they were granted, follow or released for 90 s (at most 4,096) and write them again when an answer states a newer era. They grant and follow none until their own are written and the store has answered for 10 s in sum, or a router that has waited noted the era in the store. Leases of an earlier era are no longer used, and a generation doesn't restart when the store lost the entry.

--- a/core/src/main/java/org/tanagerhinge/core/claim/ClaimDecision.java
+++ b/core/src/main/java/org/tanagerhinge/core/claim/ClaimDecision.java
@@ -34,4 +34,23 @@
         }
         return new HeldByOther(current);
     }
+
+    /**
+     * Returns whether a claim of before a restore of the store replaces the entry found there afterwards.
+     *
+     * <p>An entry of the same generation by another owner was written after the restore and is not settled, since its
+     * router waits as well. A free entry does not replace another owner's: that one may have run since.
+     *
+     * @param current entry stored under the key, null if none
+     * @param kept the claim of before the restore
+     */
+    static boolean restores(ClaimEntry current, ClaimEntry kept) {
+        if (current == null) {
+            return true;
+        }
+        if (current.generation() > kept.generation() || current.equals(kept)) {
+            return false;
+        }
+        return !kept.free() || kept.owner().equals(current.owner());
+    }
 }
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
@@ -19,6 +19,7 @@
 import org.tanagerhinge.core.router.RouterCore;
 import org.tanagerhinge.core.router.RouterOptions;
 import org.tanagerhinge.core.router.RouterPort;
+import org.tanagerhinge.node.platform.ClaimStore;
 
 /** Simulates a router process that runs the real decision code. */
 final class SimRouter extends SimNode implements RouterPort {
@@ -29,6 +30,8 @@
     private final Map<ServerId, Boolean> linkedServers = new LinkedHashMap<>();
     private final Map<RequestId, SimCall> calls = new LinkedHashMap<>();
     private RouterCore core;
+    private SimStoreClient storeClient;
+    private ClaimStore claims;
     private RouterId id;
     private ConfigRevision appliedRevision = ConfigRevision.NONE;
     private boolean stopping;
@@ -57,6 +60,8 @@
         stopping = false;
         appliedRevision = ConfigRevision.NONE;
         id = RouterId.of(name, sim.random.nextLong());
+        storeClient = new SimStoreClient(sim.store);
+        claims = sim.store.newClaims(storeClient);
         core = RouterCore.create(
                 id, RouterOptions.defaults(FailureDomain.of(domain)), sim.scheduler, sim.random, this, sim.checks);
         poll(startNumber(), Duration.ofMillis(1));
@@ -66,6 +71,7 @@
         sim.scheduler.after(delay, () -> {
             if (up() && startNumber() == expectedStart) {
                 sim.store.readConfig(this, config -> deliver(expectedStart, () -> core.applyConfig(config)));
+                deliver(expectedStart, () -> sim.store.recoverClaims(storeClient, claims));
                 poll(expectedStart, POLL_INTERVAL);
             }
         });
@@ -192,6 +198,7 @@
     public void claim(long sequence, ClaimEntry requested, long expectedGeneration) {
         int expectedStart = startNumber();
         sim.store.submitClaim(
+                claims,
                 requested,
                 expectedGeneration,
                 decision -> deliver(expectedStart, () -> core.onClaimDecided(sequence, decision)));
@@ -199,7 +206,7 @@
 
     @Override
     public void releaseClaim(ClaimEntry claim) {
-        sim.store.releaseClaim(claim);
+        sim.store.releaseClaim(claims, claim);
     }
 
     @Override
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
@@ -25,8 +25,8 @@
     private final Map<String, Versioned> claimValues = new HashMap<>();
 
     private final ConfigStore documents = ConfigStore.in(this);
-    private final ClaimStore claims;
     private long version;
+    private long era = 1;
     private int responsesToLose;
     private boolean down;
     private Duration callLatency = Duration.ofMillis(2);
@@ -34,7 +34,7 @@
 
     SimStore(Simulation sim) {
         this.sim = sim;
-        this.claims = ClaimStore.in(this, () -> sim.scheduler.instant());
+        values.put("tanagerhinge/claims-settled-era", new Versioned(Long.toString(era), ++version));
     }
 
     ConfigStore documents() {
@@ -76,6 +76,7 @@
             claimValues.clear();
             claimValues.putAll(copiedClaims);
             version = copiedVersion;
+            era++;
             sim.scheduler.after(
                     rewriteDelay,
                     () -> lost.forEach((key, value) -> {
@@ -120,17 +121,35 @@
         }
     }
 
+    /** Returns the claims of a router process that has just started. */
+    ClaimStore newClaims(SimStoreClient client) {
+        return ClaimStore.in(client, sim.scheduler);
+    }
+
+    /** Polls the store for a router, which writes its claims again if the store was restored. */
+    void recoverClaims(SimStoreClient client, ClaimStore claims) {
+        calls++;
+        try {
+            client.readAll("");
+            claims.recover();
+        } catch (PlatformException e) {
+            sim.increment("claim_recovery_failed");
+        }
+    }
+
     /**
      * Claims a key; the response arrives after the latency or is lost, and then the write takes effect at once, late
      * or never.
      */
-    void submitClaim(ClaimEntry requested, long expectedGeneration, Consumer<ClaimDecision> callback) {
+    void submitClaim(
+            ClaimStore claims, ClaimEntry requested, long expectedGeneration, Consumer<ClaimDecision> callback) {
         calls++;
         boolean lost = sim.chance(0.005);
         if (down || lost) {
             if (!down || sim.chance(0.1)) {
                 Duration delay = sim.chance(0.5) ? callLatency : Duration.ofMillis(500 + sim.random.nextInt(4000));
-                sim.scheduler.after(delay, () -> claims.claim(requested, expectedGeneration));
+                sim.scheduler.after(
+                        delay, () -> newClaims(new SimStoreClient(this)).claim(requested, expectedGeneration));
             }
             sim.scheduler.after(
                     Duration.ofSeconds(1), () -> callback.accept(new ClaimDecision.Unsettled("no response")));
@@ -144,7 +163,7 @@
     }
 
     /** Releases a claim; the call may be lost. */
-    void releaseClaim(ClaimEntry claim) {
+    void releaseClaim(ClaimStore claims, ClaimEntry claim) {
         calls++;
         if (sim.chance(0.01)) {
             return;
@@ -205,6 +224,11 @@
         return true;
     }
 
+    @Override
+    public long era() {
+        return era;
+    }
+
     private void throwIfDown(String call) throws PlatformException {
         if (down) {
             throw new PlatformException(call, "down", null);
--- a/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
@@ -9,10 +9,12 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import org.tanagerhinge.core.claim.ClaimDecision;
+import org.tanagerhinge.core.claim.ClaimRecovery;
 import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.store.StoreEra;
 
 /**
  * Stores claims of callers' idempotency keys: one value for each key in the platform's store, written by
@@ -30,16 +32,24 @@
     private static final int MAX_SWAP_ATTEMPTS = 4;
 
     private static final String KEY_PREFIX = "tanagerhinge/claims/";
+    /** Key of the newest era in which a router has waited until others had written their claims again. */
+    private static final String SETTLED_ERA_KEY = "tanagerhinge/claims-settled-era";
+
+    private static final ClaimDecision UNSETTLED_AFTER_RESTORE =
+            new ClaimDecision.Unsettled("the store was restored; claims are being written again");
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final PlatformStore store;
     private final InstantSource clock;
+    private final ClaimRecovery recovery;
     private long currentLease;
+    private long leaseEra;
     private Instant leaseGrantedAt = Instant.MIN;
 
     private ClaimStore(PlatformStore store, InstantSource clock) {
         this.store = store;
         this.clock = clock;
+        this.recovery = ClaimRecovery.create(clock);
     }
 
     /**
@@ -57,49 +67,129 @@
      * @param expectedGeneration the generation that the claim replaces; 0 for a key not used before
      */
     public ClaimDecision claim(ClaimEntry requested, long expectedGeneration) {
+        recovery.observe(store.era());
+        if (!recovery.settling()) {
+            return UNSETTLED_AFTER_RESTORE;
+        }
+        long era = recovery.era();
         try {
-            Optional<PlatformStore.Versioned> current =
-                    expectedGeneration == 0 ? Optional.empty() : store.read(key(requested.digest()));
-            for (int attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt++) {
-                ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
-                ClaimDecision decision = ClaimDecision.decide(held, requested, expectedGeneration);
-                if (decision != null) {
-                    return decision;
-                }
-                ClaimEntry next = requested.withGeneration(held == null ? 1 : held.generation() + 1);
-                long version = current.map(PlatformStore.Versioned::version).orElse(0L);
-                PlatformStore.Swap swap = store.swap(key(requested.digest()), render(next), version, currentLease());
-                if (swap instanceof PlatformStore.Swap.Differs differs) {
-                    current = differs.current();
-                } else {
-                    return new ClaimDecision.Granted(next);
-                }
-            }
-            return new ClaimDecision.Unsettled("other writers changed the claim at each attempt");
+            ClaimDecision decision = decide(requested, expectedGeneration);
+            recovery.observe(store.era());
+            return switch (decision) {
+                case ClaimDecision.Granted(ClaimEntry entry) -> retainOr(entry, era, decision);
+                case ClaimDecision.HeldByOther(ClaimEntry entry) -> retainOr(entry, era, decision);
+                case ClaimDecision.Unsettled unsettled -> unsettled;
+            };
         } catch (PlatformException e) {
             return new ClaimDecision.Unsettled(e.getMessage());
         }
     }
 
+    private ClaimDecision retainOr(ClaimEntry entry, long era, ClaimDecision decision) {
+        return recovery.retain(entry, era) ? decision : UNSETTLED_AFTER_RESTORE;
+    }
+
+    private ClaimDecision decide(ClaimEntry requested, long expectedGeneration) throws PlatformException {
+        Optional<PlatformStore.Versioned> current =
+                expectedGeneration == 0 ? Optional.empty() : store.read(key(requested.digest()));
+        for (int attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt++) {
+            ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
+            ClaimDecision decision = ClaimDecision.decide(held, requested, expectedGeneration);
+            if (decision != null) {
+                return decision;
+            }
+            long replaced = Math.max(expectedGeneration, held == null ? 0 : held.generation());
+            ClaimEntry next = requested.withGeneration(replaced + 1);
+            PlatformStore.Swap swap = swap(next, current);
+            if (swap instanceof PlatformStore.Swap.Differs differs) {
+                current = differs.current();
+            } else {
+                return new ClaimDecision.Granted(next);
+            }
+        }
+        return new ClaimDecision.Unsettled("other writers changed the claim at each attempt");
+    }
+
+    private PlatformStore.Swap swap(ClaimEntry entry, Optional<PlatformStore.Versioned> current)
+            throws PlatformException {
+        long version = current.map(PlatformStore.Versioned::version).orElse(0L);
+        return store.swap(key(entry.digest()), render(entry), version, currentLease());
+    }
+
     /** Releases a claim, so that another request can claim the key; does nothing if it changed owner or generation. */
     public void release(ClaimEntry claim) throws PlatformException {
-        String key = key(claim.digest());
-        Optional<PlatformStore.Versioned> current = store.read(key);
+        long era = recovery.era();
+        Optional<PlatformStore.Versioned> current = store.read(key(claim.digest()));
         if (current.isEmpty()) {
             return;
         }
         ClaimEntry held = parse(current.get().value());
-        if (held.generation() == claim.generation() && held.owner().equals(claim.owner()) && !held.free()) {
-            store.swap(key, render(claim.released()), current.get().version(), currentLease());
+        if (held.generation() == claim.generation()
+                && held.owner().equals(claim.owner())
+                && !held.free()
+                && swap(claim.released(), current) instanceof PlatformStore.Swap.Done) {
+            recovery.observe(store.era());
+            recovery.retain(claim.released(), era);
+        }
+    }
+
+    /**
+     * Writes the claims of this process again if the store was restored from an older copy, and settles claims again
+     * when other processes had time to do the same; to be called about once a second.
+     */
+    public void recover() throws PlatformException {
+        recovery.observe(store.era());
+        if (recovery.settling()) {
+            return;
+        }
+        long era = recovery.era();
+        for (ClaimEntry entry : recovery.pending()) {
+            restore(entry, era);
+        }
+        Optional<PlatformStore.Versioned> marker = store.read(SETTLED_ERA_KEY);
+        recovery.observe(store.era());
+        long settledEra = marker.map(ClaimStore::eraOf).orElse(StoreEra.UNKNOWN);
+        if (recovery.storeAnswered(settledEra) && settledEra < recovery.era()) {
+            long version = marker.map(PlatformStore.Versioned::version).orElse(0L);
+            store.write(SETTLED_ERA_KEY, Long.toString(recovery.era()), version);
+        }
+    }
+
+    private void restore(ClaimEntry entry, long era) throws PlatformException {
+        Optional<PlatformStore.Versioned> current = Optional.empty();
+        for (int attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt++) {
+            ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
+            if (!ClaimDecision.restores(held, entry)) {
+                recovery.restored(held, era);
+                return;
+            }
+            if (!(swap(entry, current) instanceof PlatformStore.Swap.Differs differs)) {
+                recovery.restored(entry, era);
+                return;
+            }
+            current = differs.current();
+        }
+        throw new PlatformException("write a claim again", "other writers changed it at each attempt", null);
+    }
+
+    private static long eraOf(PlatformStore.Versioned settled) {
+        try {
+            return Long.parseLong(settled.value());
+        } catch (NumberFormatException e) {
+            return StoreEra.UNKNOWN;
         }
     }
 
     private synchronized long currentLease() throws PlatformException {
         Instant now = clock.instant();
+        long era = recovery.era();
         if (leaseGrantedAt.equals(Instant.MIN)
+                // The store may have lost the lease in a restore, or granted its id to another process.
+                || leaseEra != era
                 || leaseGrantedAt.plus(LEASE_SHARING_PERIOD).isBefore(now)) {
             currentLease = store.grantLease(MIN_CLAIM_LIFETIME.plus(LEASE_SHARING_PERIOD));
             leaseGrantedAt = now;
+            leaseEra = era;
         }
         return currentLease;
     }
--- a/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
@@ -13,18 +13,23 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
+import org.tanagerhinge.core.store.StoreEra;
 
 /** Client of a key-value store that speaks the etcd v3 JSON-over-HTTP protocol. */
 public final class EtcdStore implements PlatformStore {
     private static final ObjectMapper JSON = new ObjectMapper();
+    /** Header in which a store states its era. */
+    private static final String ERA_HEADER = "Store-Era";
 
     private final HttpClient client;
     private final String baseUrl;
     private final Duration timeout;
+    private final AtomicLong era = new AtomicLong(StoreEra.UNKNOWN);
 
     private EtcdStore(HttpClient client, String baseUrl, Duration timeout) {
         this.client = client;
@@ -120,6 +125,7 @@
             if (response.getStatus() != 200) {
                 throw new PlatformException(path, "status " + response.getStatus(), null);
             }
+            recordEra(path, response.getHeaders().get(ERA_HEADER));
             return JSON.readTree(response.getContentAsString());
         } catch (TimeoutException | ExecutionException | IOException e) {
             throw new PlatformException(path, e.toString(), e);
@@ -129,6 +135,26 @@
         }
     }
 
+    /** Records the era that an answer states, if it does; fails if the store has been restored since. */
+    private void recordEra(String path, String stated) throws PlatformException {
+        if (stated == null) {
+            return;
+        }
+        try {
+            long answered = Long.parseLong(stated.trim());
+            if (era.accumulateAndGet(answered, Math::max) > answered) {
+                throw new PlatformException(path, "answer of an earlier era of the store", null);
+            }
+        } catch (NumberFormatException e) {
+            throw new PlatformException(path, ERA_HEADER + " is not an integer", e);
+        }
+    }
+
+    @Override
+    public long era() {
+        return era.get();
+    }
+
     private static String encode(String text) {
         return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
     }
--- a/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import org.tanagerhinge.core.store.StoreEra;
 
 /** Blocking client of the platform's key-value store, with compare-and-swap and leases. */
 public interface PlatformStore {
@@ -43,4 +44,11 @@
 
     /** Grants a lease and returns its id; keys under it are removed after the duration. */
     long grantLease(Duration duration) throws PlatformException;
+
+    /**
+     * Returns the latest era that the store has stated in an answer, or {@link StoreEra#UNKNOWN}. An answer of an earlier era counts as a failed call.
+     */
+    default long era() {
+        return StoreEra.UNKNOWN;
+    }
 }
--- a/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
+++ b/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.message.ClaimEntry;
@@ -19,6 +20,7 @@
 
     private final ExecutorService executor = Executors.newFixedThreadPool(
             CONCURRENT_CALLS, Thread.ofPlatform().name("claims-", 0).daemon().factory());
+    private final AtomicBoolean recovering = new AtomicBoolean();
     private final ClaimStore store;
     private final NodeMetrics metrics;
 
@@ -44,6 +46,24 @@
         });
     }
 
+    /** Writes claims again if the store was restored; does nothing while an earlier call is still at it. */
+    void recover() {
+        if (recovering.compareAndSet(false, true)) {
+            submit(this::recoverNow);
+        }
+    }
+
+    private void recoverNow() {
+        try {
+            store.recover();
+        } catch (PlatformException e) {
+            metrics.count("platform_call_failed");
+            LOG.log(Level.INFO, "claims could not be written again after a restore: " + e.getMessage());
+        } finally {
+            recovering.set(false);
+        }
+    }
+
     private void submit(Runnable call) {
         try {
             executor.execute(() -> {
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -64,6 +64,7 @@
 /** The router process: connects {@link RouterCore} to callers, agents and the platform's store. */
 public final class RouterDaemon implements Daemon {
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+    private static final Duration CLAIM_RECOVERY_INTERVAL = Duration.ofSeconds(1);
     private static final int NETWORK_THREADS = 2;
     private static final int TRAFFIC_THREADS = 4;
 
@@ -139,6 +140,7 @@
                 found -> control.post(() -> core.applyConfig(found)),
                 metrics);
         control.scheduleEvery(TICK_INTERVAL, core::onTick);
+        control.scheduleEvery(CLAIM_RECOVERY_INTERVAL, claims::recover);
         LogSetup.setNodeName(self.name());
         LogLine.of(LogEvent.STARTED)
                 .with(LogField.WHY, "serving callers on port " + httpServer.port())
