One count for a usage window across restores of the store

The platform saw two different counts for one window: a holder reported it, the store lost the commit in a restore, all nodes were killed, and a new holder committed the window again.

--- a/core/src/main/java/org/tanagerhinge/core/duty/CommittedWindows.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/CommittedWindows.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.tanagerhinge.core.store.StoreEra;
+import org.tanagerhinge.core.store.StorePosition;
 
 /**
  * Remembers which usage windows are committed, for as long as the process runs. The store may be restored from an older
@@ -19,6 +20,8 @@
     private Optional<Holder> latestHolder = Optional.empty();
     /** Latest era of the store that the latest holder has announced. */
     private long latestHolderEra = StoreEra.UNKNOWN;
+    /** Era in which the latest holder first acquired the duty since another one had held it. */
+    private long latestHolderSinceEra = StoreEra.UNKNOWN;
 
     /** The holder that may have committed windows up to {@link #unsettledThrough}. */
     private Optional<Holder> predecessor = Optional.empty();
@@ -71,7 +74,9 @@
         recordThrough(announcement.committedThrough());
         Optional<Holder> holder = Optional.of(new Holder(peer.name(), peer.incarnation()));
         if (peer.alive() && announcement.fencingToken() > 0) {
-            latestHolder = holder;
+            recordHolder(
+                    holder,
+                    StorePosition.ofFencingToken(announcement.fencingToken()).era());
         }
         if (latestHolder.equals(holder)) {
             latestHolderEra = announcement.storeEra();
@@ -90,15 +95,23 @@
      */
     void dutyAcquired(UsageTally tally, long era, long endedThrough) {
         boolean storeRestored = tally.era() != StoreEra.UNKNOWN && tally.era() < era;
-        boolean settled =
-                latestHolder.equals(Optional.of(self)) || (latestHolder.isPresent() && latestHolderEra >= era);
+        boolean heard = latestHolder.equals(Optional.of(self)) || (latestHolder.isPresent() && latestHolderEra >= era);
+        // A holder that acquired the duty in a later era than that of the tally may not know all commits itself.
+        boolean settled = heard && latestHolderSinceEra <= tally.era();
         unsettledThrough = storeRestored && !settled ? endedThrough : Long.MIN_VALUE;
         acquiredTallyEra = tally.era();
-        predecessor = latestHolder;
-        latestHolder = Optional.of(self);
+        predecessor = latestHolderSinceEra <= tally.era() ? latestHolder : Optional.empty();
+        recordHolder(Optional.of(self), era);
         recordThrough(tally.committedThrough());
     }
 
+    private void recordHolder(Optional<Holder> holder, long claimedInEra) {
+        if (!latestHolder.equals(holder)) {
+            latestHolder = holder;
+            latestHolderSinceEra = claimedInEra;
+        }
+    }
+
     /** Returns whether this holder knows if a window was committed before the store was restored. */
     boolean isSettled(long window) {
         return window > unsettledThrough;
--- a/core/src/main/java/org/tanagerhinge/core/duty/MedianClock.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/MedianClock.java
@@ -32,6 +32,11 @@
         peerOffsetsMillis.keySet().retainAll(peers);
     }
 
+    /** Returns the time of this node's steady clock. */
+    long steadyMillis() {
+        return clock.steadyMillis();
+    }
+
     /** Returns the median wall-clock time in milliseconds since the Unix epoch. */
     public long epochMillis() {
         long[] clockOffsetsMillis = new long[peerOffsetsMillis.size() + 1];
--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageCounter.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageCounter.java
@@ -13,7 +13,7 @@
     private final MedianClock medianClock;
     private final String node;
     private final long incarnation;
-    private final long sinceMillis;
+    private final long startedAtSteadyMillis;
     private final TreeMap<Long, SortedMap<String, Long>> windows = new TreeMap<>();
     private long startedRequests;
 
@@ -22,7 +22,7 @@
         this.medianClock = medianClock;
         this.node = node;
         this.incarnation = incarnation;
-        this.sinceMillis = medianClock.epochMillis();
+        this.startedAtSteadyMillis = medianClock.steadyMillis();
     }
 
     /** Returns a counter that starts counting now. */
@@ -57,6 +57,10 @@
         dropThrough(settings.windowAt(nowMillis) - settings.retainedWindows());
         TreeMap<Long, SortedMap<String, Long>> copy = new TreeMap<>();
         windows.forEach((window, counts) -> copy.put(window, Collections.unmodifiableSortedMap(new TreeMap<>(counts))));
+        // The clock of this node alone, read at the start, may have been stepped back, and the process would seem to
+        // have
+        // counted windows that ended before it started.
+        long sinceMillis = nowMillis - (medianClock.steadyMillis() - startedAtSteadyMillis);
         return new UsageReport(node, incarnation, sinceMillis, nowMillis, last, copy);
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -47,6 +47,7 @@
     private final DutyElection election;
     private final long startedAtMillis;
     private final CommittedWindows committedWindows;
+    private final ClockHistory clockHistory = ClockHistory.create();
     private UsageAggregator aggregator = UsageAggregator.create();
     /** Counts whose commit was requested but not confirmed; a retry must send the same counts. */
     private UsageCounts pendingCommit;
@@ -124,6 +125,7 @@
      * @param hostCapacity capacity of this host for duties, 0 if the node is no candidate
      */
     public void tick(List<DutyPeer> peers, int hostCapacity) {
+        clockHistory.record(clock.steadyMillis(), medianClock.epochMillis());
         peers.forEach(peer -> committedWindows.learnFrom(peer, client.storeEra()));
         election.tick(peers, preference(hostCapacity));
         if (!election.isHolder()) {
@@ -220,7 +222,9 @@
         if (committedBefore.isPresent()) {
             return committedBefore;
         }
-        if (window >= settings.windowAt(nowMillis) || !isReady(window, nowMillis, peers)) {
+        if (window >= settings.windowAt(nowMillis)
+                || !hasEndedBySteadyClock(window)
+                || !isReady(window, nowMillis, peers)) {
             return Optional.empty();
         }
         if (!committedWindows.isSettled(window)) {
@@ -234,6 +238,14 @@
         return Optional.of(aggregator.counts(window));
     }
 
+    /**
+     * Returns whether a window has ended whatever steps the wall clocks make now. A window committed ahead of its end
+     * would not count as ended before a restore of the store, and might be committed again with other counts.
+     */
+    private boolean hasEndedBySteadyClock(long window) {
+        return clockHistory.epochMillis(clock.steadyMillis()) >= settings.windowEndMillis(window);
+    }
+
     /** Skips windows whose report deadline has passed. */
     private void skipExpiredWindows(long nowMillis) {
         long oldest = settings.windowAt(nowMillis - settings.reportDeadlineMillis());
