--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -272,7 +272,7 @@
             return;
         }
         addPeerAddress(report.address());
-        gateway.storeEra().observe(report.storeEra(), "peer " + report.name());
+        gateway.storeEra().observeFromPeer(report.storeEra(), "peer " + report.name());
         dutyListener.accept(report.name(), message.dutyStatus());
         gateway.budget().nodeCount(table.nodeCount());
         for (PeerCodec.CachedPrefix parts : message.cachedPrefixes()) {
--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutyNode.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyNode.java
@@ -114,7 +114,7 @@
                 retakeAtOnce || skipFenceWait ? Duration.ZERO : MAX_CALL_DELAY,
                 Duration.ofMillis(DutySimulation.WINDOW_MILLIS),
                 Duration.ofMillis(DutySimulation.REPORT_GRACE_MILLIS));
-        storeEra = StoreEra.create();
+        storeEra = StoreEra.create(clock::steadyMillis);
         callStoreForOtherPurposes(incarnation);
         medianClock = MedianClock.of(clock);
         usageCounter = UsageCounter.of(settings, medianClock, incarnation);
@@ -322,7 +322,7 @@
                 () -> peer.runWhenResumed(peerIncarnation, () -> {
                     peer.peers.put(
                             name, new ReceivedAnnouncement(ownIncarnation, announcement, peer.clock.steadyMillis()));
-                    peer.storeEra.observe(announcement.storeEra(), name);
+                    peer.storeEra.observeFromPeer(announcement.storeEra(), name);
                     peer.medianClock.recordPeerTime(name, announcement.wallClockMillis());
                 }));
     }
