--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.Prompt;
@@ -43,6 +44,7 @@
     private final Map<String, Double> lastUseMillisByPart = new HashMap<>();
     private final FleetResult result;
     private final RelayConfig config;
+    private final CallerModel callers;
     private double nowMillis;
     private long nextEventNumber;
     private long nextSequenceNumber;
@@ -56,8 +58,10 @@
         this.scenario = scenario;
         this.random = new Random(seed);
         this.result = FleetResult.of(scenario);
+        SplittableRandom hostRandom = new SplittableRandom(seed);
         for (int i = 0; i < scenario.engines(); i++) {
-            engines.put(engineId(i), new EngineModel(engineId(i), scenario.engine(), this));
+            HostModel host = new HostModel(scenario.hosts(), i, hostRandom.split());
+            engines.put(engineId(i), new EngineModel(engineId(i), scenario.engine(), host, this));
         }
         for (RequestKind kind : scenario.kinds()) {
             routes.put(
@@ -80,8 +84,9 @@
                 drawParts(kind.name() + i, kind.sharedParts().get(i));
             }
         }
+        this.callers = new CallerModel(scenario.callers(), new SplittableRandom(~seed));
         Map<String, WorkspaceConfig> workspaces = scenario.preferredShare() <= 0
-                ? Map.of()
+                ? callers.workspaces()
                 : Map.of(
                         PREFERRED, new WorkspaceConfig(PREFERRED, OptionalInt.of(0)),
                         OTHERS, new WorkspaceConfig(OTHERS, OptionalInt.of(1)));
@@ -151,6 +156,9 @@
     }
 
     private Optional<WorkspaceConfig> drawWorkspace() {
+        if (scenario.callers().workspaces() > 0) {
+            return config.workspace(callers.drawKey(nowMillis));
+        }
         if (scenario.preferredShare() <= 0) {
             return Optional.empty();
         }
@@ -180,7 +188,7 @@
     // ---- callers
 
     private void scheduleArrivals(RequestKind kind) {
-        double ratePerSecond = kind.requestsPerSecond();
+        double ratePerSecond = kind.requestsPerSecond() * callers.rateFactor(nowMillis);
         for (FleetScenario.Burst burst : scenario.bursts()) {
             if (burst.kind().equals(kind.name())
                     && nowMillis >= burst.fromSeconds() * 1000
@@ -220,6 +228,7 @@
         Prompt prompt = Prompt.of(inputTokens, outputTokens, parts);
         ModelCall call = new ModelCall(
                 kind, drawWorkspace(), prompt, outputTokens, nowMillis, inputTokens / (double) meanInputTokens);
+        call.impatient = callers.drawImpatient();
         result.recordRequest(call);
         scheduleAt(call.deadlineMillis, () -> disconnect(call));
         watchForGap(call);
@@ -242,7 +251,7 @@
         if (call.ended) {
             return;
         }
-        call.ended = true;
+        end(call, RequestOutcome.Result.LOST);
         if (call.engine != null) {
             call.engine.remove(call);
             call.gateway.settle(call, Double.isNaN(call.firstEventAtMillis));
@@ -253,18 +262,28 @@
         }
     }
 
-    /** Handles the rejection of a request: the caller retries once, through a random gateway. */
+    private void end(ModelCall call, RequestOutcome.Result how) {
+        call.ended = true;
+        result.recordOutcome(call, how, nowMillis);
+    }
+
+    /**
+     * Handles the rejection of a request: the caller retries through a random gateway, once and as told, or at once and
+     * often if it is impatient.
+     */
     void rejected(ModelCall call, double retryAfterMillis, String reason) {
         result.recordRejection(call, reason);
         call.rejections++;
         call.engine = null;
         call.sends = 0;
-        if (call.rejections > 1) {
-            call.ended = true;
+        if (call.rejections > (call.impatient ? scenario.callers().maxRepeats() : 1)) {
+            end(call, RequestOutcome.Result.LOST);
             result.recordFailure(call);
             return;
         }
-        double waitMillis = Math.min(retryAfterMillis, (call.deadlineMillis - nowMillis) / 3);
+        double waitMillis = call.impatient
+                ? scenario.callers().repeatMillis()
+                : Math.min(retryAfterMillis, (call.deadlineMillis - nowMillis) / 3);
         call.lastEventAtMillis = nowMillis + waitMillis;
         scheduleAt(
                 nowMillis + waitMillis,
@@ -285,7 +304,7 @@
         }
         call.lastEventAtMillis = nowMillis;
         if (last) {
-            call.ended = true;
+            end(call, RequestOutcome.Result.SERVED);
             call.gateway.settle(call, false);
             result.recordCompletion(call);
         }
@@ -303,7 +322,7 @@
                     call.gateway.server(engine.id).health().recordUnreachable((long) nowMillis);
                     call.gateway.dispatch(call, Set.of(engine.id));
                 } else {
-                    call.ended = true;
+                    end(call, RequestOutcome.Result.CRASHED);
                     result.recordFailure(call);
                 }
             }
