Work of an attempt that may have run isn't taken back

Cause: when a first attempt may have run and a second server rejected the request, the work of the first was taken back from the admitted work.

Change: the admission of a request remembers that an attempt may have run; the rejection remains a sign of a shortage.

Result: RequestAdmissionTest passes.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestAdmission.java
@@ -19,6 +19,7 @@
     private Optional<Route> plainRoute = Optional.empty();
     private boolean decided;
     private boolean returned;
+    private boolean mayHaveRun;
 
     private RequestAdmission(Gateway gateway) {
         this.gateway = gateway;
@@ -74,14 +75,17 @@
                         && gateway.serverAnnouncements().backoffMillis(id, nowMillis) > 0);
     }
 
-    /** Records a failed attempt; work that a server didn't run wasn't admitted. */
+    /** Records a failed attempt; work that no server may have run wasn't admitted. */
     void attemptFailed(ServerInstance server, AttemptFailure failure) {
+        mayHaveRun |= failure.mayHaveRun();
         if (failure.mayHaveRun() || returned) {
             return;
         }
         long nowMillis = gateway.nowMillis();
-        returned = true;
-        ask.ifPresent(found -> shares().recordReturned(found, nowMillis));
+        if (!mayHaveRun) {
+            returned = true;
+            ask.ifPresent(found -> shares().recordReturned(found, nowMillis));
+        }
         if (failure == AttemptFailure.NOT_RUN
                 && plainRoute.isPresent()
                 && !gateway.serverAnnouncements().isLeaving(server.instanceId(), nowMillis)) {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
@@ -131,6 +131,19 @@
         assertEquals(reported().requests().asked(), reported().requests().admitted());
     }
 
+    /** Guards against work of a server that may have run a request, taken back because a second server rejected it. */
+    @Test
+    void workThatMayHaveRunIsNotTakenBack() {
+        RequestAdmission admission = RequestAdmission.of(gateway);
+        AdmissionPolicy.Request request = request(0, true);
+        admission.rejection(request, decision());
+        admission.attemptFailed(server, AttemptFailure.BROKEN);
+        admission.rejection(request, decision());
+        admission.attemptFailed(server, AttemptFailure.NOT_RUN);
+        assertEquals(true, isShort());
+        assertEquals(reported().requests().asked(), reported().requests().admitted());
+    }
+
     private WorkspaceUses reported() {
         return gateway.admission().shares().nextReport(1, gateway.nowMillis()).getFirst();
     }
