--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -18,7 +18,7 @@
  * @param peerAddress address for peer gateways: state reports over UDP, requests over TCP
  * @param bounds the platform's limits
  * @param duties settings of duties, if the platform uses any
- * @param disabledMechanisms mechanisms that an experiment disables; empty otherwise
+ * @param disabledMechanisms mechanisms that an experiment or the settings disable
  */
 public record GatewayOptions(
         String name,
--- a/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
+++ b/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
@@ -123,6 +123,16 @@
         return new Setting<>(section, name, "true or false", parser, Optional.of(Boolean.toString(defaultValue)), help);
     }
 
+    /** Returns a setting whose value is {@code yes} or {@code no}. */
+    public static Setting<Boolean> yesNo(String section, String name, boolean defaultValue, String help) {
+        Function<String, Boolean> parser = text -> switch (text) {
+            case "yes" -> true;
+            case "no" -> false;
+            default -> throw new IllegalArgumentException("neither yes nor no");
+        };
+        return new Setting<>(section, name, "yes or no", parser, Optional.of(defaultValue ? "yes" : "no"), help);
+    }
+
     /** Returns a setting whose value is one of an enum's constants, in lower case. */
     public static <T extends Enum<T>> Setting<T> choice(
             String section, String name, Class<T> type, T defaultValue, String help) {
