Reports of work share a header between several workspaces

Cause: a report was sent as soon as there was any credit, so each held one workspace with its own header, and a round over all workspaces took longer than figures are valid.

Change: a report waits for the credit of a second, or what is left of the round. A round names the largest workspaces that fit into 2.5 s; the others are added to the small work. More urgent ranks aren't reported, since shares don't limit them; the minimum fraction is computed from the node's own requests of all ranks.

Result: repeated within 3 s with 22 peers and 8 s with 409.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ShareGroup.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ShareGroup.java
@@ -64,6 +64,11 @@
         return rank;
     }
 
+    /** Returns whether shares limit the requests. */
+    boolean limited() {
+        return limited;
+    }
+
     /** Sets whether shares limit the requests; they do at the least urgent rank of the service. */
     void setLimited(boolean limited) {
         this.limited = limited;
@@ -110,11 +115,6 @@
                 || peerTotals.small().asked() > 0;
     }
 
-    /** Returns the rate of requests of all workspaces, of this node and its peers, when the level was computed. */
-    WorkRate requests() {
-        return requests;
-    }
-
     /** Collects the figures of this node and its peers. */
     void collect(long nowMillis) {
         ownWorkByWorkspace = meter.rates(nowMillis);
@@ -127,7 +127,8 @@
     /**
      * Computes the level from the collected figures.
      *
-     * @param allRequests rate of requests of all ranks at the service
+     * @param allRequests rate of this node's requests of all ranks at the service; peers report only the least urgent
+     *     rank
      * @param isShort whether the service is short of capacity; otherwise the headroom has nothing to learn from
      */
     void computeLevel(WorkRate allRequests, boolean isShort, long nowMillis) {
--- a/core/src/main/java/org/tanagerhinge/core/relay/UseReporter.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/UseReporter.java
@@ -22,6 +22,12 @@
     /** Bytes of a workspace in the encoding: tags, length, a hash and two figures below 2^28. */
     private static final int WORKSPACE_BYTES = 17;
 
+    /**
+     * Time in which a round reports its workspaces. Figures are valid for 5 s, so that one lost report doesn't let those of
+     * the largest workspaces expire.
+     */
+    private static final double ROUND_SECONDS = 2.5;
+
     /** Credit of a node that has just started. */
     private static final long INITIAL_CREDIT_MILLIS = 1_000;
 
@@ -40,7 +46,8 @@
     private record Item(ShareGroup group, WorkRate requests, WorkRate small, Map<Integer, WorkRate> near) {}
 
     /**
-     * Returns the next figures, the largest workspaces first; all groups and workspaces get their turn.
+     * Returns the next figures, the largest workspaces first; empty until the credit suffices for several workspaces, which
+     * share the header of their group. A round reports the workspaces that fit into its time and the others together.
      *
      * @param shortAge time since the service of a group was seen to be short, if it was lately
      */
@@ -53,25 +60,51 @@
         }
         Map<ShareGroup, WorkspaceUses> report = new LinkedHashMap<>();
         if (pending.isEmpty()) {
-            fill(groups, peerCount + 1, nowMillis);
+            fill(groups, peerCount, nowMillis);
+        }
+        if (availableBytes < Math.min(batchBytes(peerCount), bytes(pending))) {
+            return List.of();
         }
         int bytes = 0;
-        while (!pending.isEmpty() && availableBytes > 0 && bytes < MAX_BYTES_PER_REPORT) {
-            Item item = pending.poll();
-            int itemBytes = WORKSPACE_BYTES
-                    + (report.containsKey(item.group)
-                            ? 0
-                            : GROUP_BYTES + item.group.service().length());
+        while (!pending.isEmpty()) {
+            Item item = pending.peek();
+            int itemBytes = WORKSPACE_BYTES + (report.containsKey(item.group) ? 0 : headerBytes(item.group));
+            if (bytes > 0 && (itemBytes > availableBytes || bytes + itemBytes > MAX_BYTES_PER_REPORT)) {
+                break;
+            }
             bytes += itemBytes;
             availableBytes -= itemBytes;
-            add(report, item, shortAge);
+            add(report, pending.poll(), shortAge);
         }
         return List.copyOf(report.values());
     }
 
+    private static double bytesPerSecond(int peerCount) {
+        return (double) MAX_BYTES_PER_SECOND / Math.max(1, peerCount);
+    }
+
+    /** Returns the credit that is saved for a report, unless less is left to report. */
+    private static double batchBytes(int peerCount) {
+        return Math.min(MAX_BYTES_PER_REPORT, bytesPerSecond(peerCount));
+    }
+
+    private static int headerBytes(ShareGroup group) {
+        return GROUP_BYTES + group.service().length();
+    }
+
+    /** Returns the bytes of items in one report. */
+    private static int bytes(Collection<Item> items) {
+        return items.size() * WORKSPACE_BYTES
+                + items.stream()
+                        .map(Item::group)
+                        .distinct()
+                        .mapToInt(UseReporter::headerBytes)
+                        .sum();
+    }
+
     /** Credits the bytes of the time since the last report; at most those of a second are saved up before. */
     private void credit(int peerCount, long nowMillis) {
-        double bytesPerSecond = (double) MAX_BYTES_PER_SECOND / Math.max(1, peerCount);
+        double bytesPerSecond = bytesPerSecond(peerCount);
         long elapsedMillis = Math.min(PeerUses.VALID_MILLIS, nowMillis - creditedAtMillis);
         availableBytes = Math.min(bytesPerSecond, availableBytes) + bytesPerSecond * elapsedMillis / 1_000;
         creditedAtMillis = nowMillis;
@@ -86,26 +119,31 @@
         uses.near().putAll(item.near);
     }
 
-    private void fill(Collection<ShareGroup> groups, int nodeCount, long nowMillis) {
+    private void fill(Collection<ShareGroup> groups, int peerCount, long nowMillis) {
+        double groupBytes = ROUND_SECONDS * bytesPerSecond(peerCount) / groups.size();
         for (ShareGroup group : groups) {
-            Map<Integer, WorkRate> near = group.near(nodeCount, nowMillis);
-            WorkRate small = WorkRate.NONE;
-            for (Map.Entry<Integer, WorkRate> entry :
-                    group.meter().rates(nowMillis).entrySet()) {
-                small = near.containsKey(entry.getKey()) ? small : small.plus(entry.getValue());
-            }
-            addItems(group, near, group.meter().requests(nowMillis), small);
+            double headerPart = headerBytes(group) / batchBytes(peerCount);
+            int workspaces = Math.max(1, (int) (groupBytes * (1 - headerPart) / WORKSPACE_BYTES));
+            addItems(group, largest(group.near(peerCount + 1, nowMillis), workspaces), nowMillis);
         }
     }
 
-    private void addItems(ShareGroup group, Map<Integer, WorkRate> near, WorkRate requests, WorkRate small) {
-        if (near.isEmpty()) {
-            pending.add(new Item(group, requests, small, Map.of()));
-            return;
-        }
-        near.entrySet().stream()
+    private static List<Map.Entry<Integer, WorkRate>> largest(Map<Integer, WorkRate> near, int count) {
+        return near.entrySet().stream()
                 .sorted(Map.Entry.comparingByValue(
                         Comparator.comparingDouble(WorkRate::asked).reversed()))
-                .forEach(entry -> pending.add(new Item(group, requests, small, Map.ofEntries(entry))));
+                .limit(count)
+                .toList();
+    }
+
+    private void addItems(ShareGroup group, List<Map.Entry<Integer, WorkRate>> reported, long nowMillis) {
+        Map<Integer, WorkRate> others = group.meter().rates(nowMillis);
+        reported.forEach(entry -> others.remove(entry.getKey()));
+        WorkRate small = others.values().stream().reduce(WorkRate.NONE, WorkRate::plus);
+        WorkRate requests = group.meter().requests(nowMillis);
+        if (reported.isEmpty()) {
+            pending.add(new Item(group, requests, small, Map.of()));
+        }
+        reported.forEach(entry -> pending.add(new Item(group, requests, small, Map.ofEntries(entry))));
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/WorkspaceShares.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/WorkspaceShares.java
@@ -75,7 +75,7 @@
             WorkRate allRequests = WorkRate.NONE;
             for (ShareGroup group : groupByRank.values()) {
                 group.collect(nowMillis);
-                allRequests = allRequests.plus(group.requests());
+                allRequests = allRequests.plus(group.meter().requests(nowMillis));
             }
             for (ShareGroup group : groupByRank.values()) {
                 group.computeLevel(allRequests, isShort(nowMillis), nowMillis);
@@ -95,6 +95,15 @@
             return nowMillis - signAtMillis <= SHORT_MILLIS;
         }
 
+        /** Returns the groups that shares limit; another one tells peers of a shortage if there is none. */
+        private List<ShareGroup> reportedGroups() {
+            List<ShareGroup> limited =
+                    groupByRank.values().stream().filter(ShareGroup::limited).toList();
+            return limited.isEmpty() && !groupByRank.isEmpty()
+                    ? List.of(groupByRank.lastEntry().getValue())
+                    : limited;
+        }
+
         private boolean reports(long nowMillis) {
             return nowMillis - Math.max(shortAtMillis, peersShortAtMillis) <= REPORT_MILLIS;
         }
@@ -191,7 +200,7 @@
         }
         List<ShareGroup> groups = services.values().stream()
                 .filter(service -> service.reports(nowMillis))
-                .flatMap(service -> service.groupByRank.values().stream())
+                .flatMap(service -> service.reportedGroups().stream())
                 .toList();
         groups.forEach(group -> services.get(group.service()).refreshIfDue(nowMillis));
         return reporter.next(groups, peerCount, nowMillis, group -> shortAge(group.service(), nowMillis));
--- a/gateway/src/test/java/org/tanagerhinge/gateway/WorkspaceUsesCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/WorkspaceUsesCodecTest.java
@@ -5,11 +5,14 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.core.duty.DutyAnnouncement;
 import org.tanagerhinge.core.relay.PeerReport;
@@ -78,4 +81,28 @@
         assertTrue(bytes <= BYTES_PER_SECOND * 1.1 * lastMillis / 1_000, bytes + " bytes");
         assertTrue(!reported.isEmpty());
     }
+
+    /** Guards against reports so small, or rounds so long, that peers' figures of the largest workspace expire. */
+    @ParameterizedTest
+    @CsvSource({"1, 3000, 100", "22, 3000, 12", "409, 8000, 1"})
+    void largestWorkspaceIsRepeatedBeforeItsFiguresExpire(int peerCount, long longestMillis, int minWorkspaces) {
+        WorkspaceShares shares = WorkspaceShares.create();
+        int largest = "w0".hashCode();
+        long repeatedAtMillis = 0;
+        Set<Integer> reported = new HashSet<>();
+        for (long millis = 0; millis <= 30_000; millis += ReportSchedule.minIntervalMillis(peerCount)) {
+            for (int i = 0; i < 200; i++) {
+                double work = i == 0 ? 100_000 : 10_000;
+                shares.recordAsked(new WorkspaceShares.Ask("model", 0, false, "w" + i, work), millis);
+                shares.recordAsked(new WorkspaceShares.Ask("model", 1, true, "w" + i, work), millis);
+            }
+            shares.recordShort("model", millis);
+            for (WorkspaceUses uses : shares.nextReport(peerCount, millis)) {
+                reported.addAll(uses.near().keySet());
+                repeatedAtMillis = uses.near().containsKey(largest) ? millis : repeatedAtMillis;
+            }
+            assertTrue(millis - repeatedAtMillis <= longestMillis, "not repeated at " + millis);
+        }
+        assertTrue(reported.size() >= minWorkspaces, reported.size() + " workspaces");
+    }
 }
