--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -285,9 +285,16 @@
                 ? scenario.callers().repeatMillis()
                 : Math.min(retryAfterMillis, (call.deadlineMillis - nowMillis) / 3);
         call.lastEventAtMillis = nowMillis + waitMillis;
-        scheduleAt(
-                nowMillis + waitMillis,
-                () -> gateways.get(random.nextInt(gateways.size())).dispatch(call, Set.of()));
+        scheduleAt(nowMillis + waitMillis, () -> comeBack(call));
+    }
+
+    private void comeBack(ModelCall call) {
+        if (!call.ended) {
+            if (call.cameBackAsTold()) {
+                result.recordCameBack(call);
+            }
+            gateways.get(random.nextInt(gateways.size())).dispatch(call, Set.of());
+        }
     }
 
     // ---- engines
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
@@ -57,6 +57,9 @@
         private int abandoned;
         private int failed;
         private int rejections;
+        private int cameBack;
+        private int servedAfterComingBack;
+        private int onTimeAfterComingBack;
         private double possibleCredit;
         private double earnedCredit;
 
@@ -87,6 +90,16 @@
             return failed;
         }
 
+        /** Returns the number of requests whose callers retried at the time that they were told. */
+        public int cameBack() {
+            return cameBack;
+        }
+
+        /** Returns the number of these requests that were answered, on time or late. */
+        public int servedAfterComingBack() {
+            return servedAfterComingBack;
+        }
+
         /** Returns how often requests were rejected, including their repeats. */
         public int rejections() {
             return rejections;
@@ -132,6 +145,10 @@
             tally.onTime += late ? 0 : 1;
             tally.late += late ? 1 : 0;
             tally.earnedCredit += call.earnedCredit();
+            if (call.cameBackAsTold()) {
+                tally.servedAfterComingBack++;
+                tally.onTimeAfterComingBack += late ? 0 : 1;
+            }
         }
         earnedCreditBySecond[(int) (call.requestedAtMillis / 1000)] += call.earnedCredit();
     }
@@ -149,6 +166,13 @@
         }
     }
 
+    /** Records that a rejected caller retries at the time that it was told. */
+    void recordCameBack(ModelCall call) {
+        for (Tally tally : tallies(call)) {
+            tally.cameBack++;
+        }
+    }
+
     /** Records how and when a request ended; called once for each request. */
     void recordOutcome(ModelCall call, RequestOutcome.Result result, double nowMillis) {
         outcomes.add(new RequestOutcome(
@@ -245,6 +269,15 @@
         return possibleCreditBySecond[second] == 0 ? 1 : earnedCreditBySecond[second] / possibleCreditBySecond[second];
     }
 
+    /** Returns the share of the requests that came back as told and were answered, or 1 if none came back. */
+    public double servedShareOfCameBack() {
+        int cameBack = tallyByKind.values().stream().mapToInt(Tally::cameBack).sum();
+        int served = tallyByKind.values().stream()
+                .mapToInt(Tally::servedAfterComingBack)
+                .sum();
+        return cameBack == 0 ? 1 : served / (double) cameBack;
+    }
+
     /** Returns the tokens of shared parts that were prefilled again shortly after their last use. */
     public long repeatedPrefill() {
         return repeatedPrefillTokens;
@@ -272,7 +305,7 @@
                 preemptedBesideLessUrgent));
         tallyByKind.forEach((name, tally) -> text.append(String.format(
                 Locale.ROOT,
-                "  %-10s requests %5d  on time %5d  late %5d (%d with gaps, %d by gaps alone)  abandoned %5d  failed %5d  rejections %5d  credit %.3f%n",
+                "  %-10s requests %5d  on time %5d  late %5d (%d with gaps, %d by gaps alone)  abandoned %5d  failed %5d  rejections %5d  came back %5d (%d served, %d on time)  credit %.3f%n",
                 name,
                 tally.requests,
                 tally.onTime,
@@ -282,6 +315,9 @@
                 tally.abandoned,
                 tally.failed,
                 tally.rejections,
+                tally.cameBack,
+                tally.servedAfterComingBack,
+                tally.onTimeAfterComingBack,
                 tally.credit())));
         text.append("  by second");
         for (int i = 0; i < possibleCreditBySecond.length - 1; i++) {
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelCall.java
@@ -59,6 +59,11 @@
         this.lastEventAtMillis = nowMillis;
     }
 
+    /** Returns whether it was rejected and its caller waited as told before it came back. */
+    boolean cameBackAsTold() {
+        return rejections > 0 && !impatient;
+    }
+
     /** Returns the credit for an answer on time, weighted by the size of the prompt. */
     double possibleCredit() {
         return kind.onTimeValue() * (0.3 + 0.7 * Math.min(4, relativeSize));
