The key-value store's era has a header of its own

Cause: the client of the etcd protocol read the header name of the users' platform, which only the platform module may spell out; PlatformNamesTest failed.

Change: X-Etcd-Era. Result: PlatformNamesTest and ClaimStoreTest pass.

--- a/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
@@ -24,7 +24,7 @@
 public final class EtcdStore implements PlatformStore {
     private static final ObjectMapper JSON = new ObjectMapper();
     /** Header in which a store states its era. */
-    private static final String ERA_HEADER = "Store-Era";
+    private static final String ERA_HEADER = "X-Etcd-Era";
 
     private final HttpClient client;
     private final String baseUrl;
