A released claim of a greater generation replaces what a restored store has

Cause, found in review: a router that kept a released claim of generation 3 and found generation 1 of another owner in the restored store neither wrote its claim nor took it off its list. It refused all keyed requests until it restarted, with a swap each second. The count of calls to the store rose each second although none was made.

Change: the greater generation wins, also if it is free; a claim whose entry in the store is known is pending no more; the recovery calls the store only while it is due.

--- a/core/src/main/java/org/tanagerhinge/core/claim/ClaimDecision.java
+++ b/core/src/main/java/org/tanagerhinge/core/claim/ClaimDecision.java
@@ -39,7 +39,8 @@
      * Returns whether a claim of before a restore of the store replaces the entry found there afterwards.
      *
      * <p>An entry of the same generation by another owner was written after the restore and is not settled, since its
-     * router waits as well. A free entry does not replace another owner's: that one may have run since.
+     * router waits as well. A free entry of the same generation does not replace another owner's: that one may
+     * have run since.
      *
      * @param current entry stored under the key, null if none
      * @param kept the claim of before the restore
@@ -48,8 +49,8 @@
         if (current == null) {
             return true;
         }
-        if (current.generation() > kept.generation() || current.equals(kept)) {
-            return false;
+        if (current.generation() != kept.generation() || current.equals(kept)) {
+            return current.generation() < kept.generation();
         }
         return !kept.free() || kept.owner().equals(current.owner());
     }
--- a/core/src/test/java/org/tanagerhinge/core/claim/ClaimRecoveryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/claim/ClaimRecoveryTest.java
@@ -142,6 +142,32 @@
         return settled;
     }
 
+    /**
+     * Guards against a router that refuses keyed requests until it restarts, since it keeps a released claim of a greater
+     * generation than the restored store has.
+     */
+    @Test
+    void releasedClaimReplacesAnEarlierGenerationOfAnotherOwner() {
+        ClaimEntry restored = claim(1, 1);
+        ClaimEntry kept = ClaimEntry.requested(
+                        restored.digest(), "body", ServerId.of("engine-1"), 1, RequestId.of("other"))
+                .withGeneration(3)
+                .released();
+        assertTrue(ClaimDecision.restores(restored, kept));
+        assertFalse(ClaimDecision.restores(kept, restored));
+    }
+
+    /** Guards against a claim that stays pending for ever, since the store has another generation of it. */
+    @Test
+    void claimThatIsInTheStoreIsPendingNoMore() {
+        settleInEra(1);
+        recovery.retain(claim(1, 3), 1);
+        recovery.observe(2);
+        assertEquals(List.of(claim(1, 3)), recovery.pending());
+        recovery.restored(claim(1, 1), 2);
+        assertEquals(List.of(), recovery.pending());
+    }
+
     private static ClaimEntry claim(int key, long generation) {
         return ClaimEntry.requested(
                         new KeyDigest(KeyDigest.sha256Hex("key " + key).substring(0, 32)),
--- a/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
@@ -133,6 +133,12 @@
         }
     }
 
+    /** Returns whether {@link #recover} has to call the store: it was restored and claims aren't settled yet. */
+    public boolean recoveryDue() {
+        recovery.observe(store.era());
+        return !recovery.settling();
+    }
+
     /**
      * Writes the claims of this process again if the store was restored from an older copy, and settles claims again
      * when other processes had time to do the same; to be called about once a second.
--- a/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
+++ b/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
@@ -47,9 +47,9 @@
         });
     }
 
-    /** Writes claims again if the store was restored; does nothing while an earlier call is still at it. */
+    /** Writes claims again if the store was restored; does nothing while an earlier call is running. */
     void recover() {
-        if (recovering.compareAndSet(false, true)) {
+        if (store.recoveryDue() && recovering.compareAndSet(false, true)) {
             submit(this::recoverNow);
         }
     }
