An era that the store refuted stays refuted after a restore

Cause, found in review: after a real restore all peers were believed again, among them the one with the wrong era; and until then a node cut off from the store believed no peer at all.

Change: the smallest refuted era is kept; smaller ones are believed of peers, that one and greater ones only after the store has stated one as great.

Result: the two new tests fail before; StoreEraTest passes.

--- a/core/src/main/java/org/tanagerhinge/core/store/StoreEra.java
+++ b/core/src/main/java/org/tanagerhinge/core/store/StoreEra.java
@@ -9,7 +9,7 @@
  * an era, revisions and lease ids are unique; across eras they may be assigned again. Must be used by one thread.
  *
  * <p>An era that only peers state is believed until the store has answered with a smaller one for a while. From then on
- * peers are not believed until the store itself states a newer era.
+ * neither that era nor a greater one is believed of peers until the store itself states one as great.
  */
 public final class StoreEra {
     /** Era of a store that states none. */
@@ -28,7 +28,8 @@
     /** Time of the first smaller era that the store stated since peers stated the current one. */
     private long contradictedSinceMillis = NOT_CONTRADICTED;
 
-    private boolean peersBelieved = true;
+    /** Smallest era of peers that the store has refuted. */
+    private long refutedFrom = Long.MAX_VALUE;
 
     /** Receives the start of each era after the first one known. */
     @FunctionalInterface
@@ -75,7 +76,7 @@
     public boolean observe(long era, String source) {
         if (era > statedByStore) {
             statedByStore = era;
-            peersBelieved = true;
+            refutedFrom = era >= refutedFrom ? Long.MAX_VALUE : refutedFrom;
         }
         if (era >= current) {
             contradictedSinceMillis = NOT_CONTRADICTED;
@@ -85,15 +86,15 @@
         if (era < statedByStore || !refutesPeers()) {
             return false;
         }
+        refutedFrom = Math.min(refutedFrom, current);
         current = era;
         contradictedSinceMillis = NOT_CONTRADICTED;
-        peersBelieved = false;
         return true;
     }
 
     /** Records an era that a peer stated. */
     public void observeFromPeer(long era, String peer) {
-        if (peersBelieved && era > current) {
+        if (era > current && era < refutedFrom) {
             contradictedSinceMillis = NOT_CONTRADICTED;
             advance(era, peer);
         }
--- a/core/src/test/java/org/tanagerhinge/core/store/StoreEraTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/store/StoreEraTest.java
@@ -61,4 +61,24 @@
         assertFalse(era.observe(2, STORE));
         assertEquals(3, era.current());
     }
+
+    /** Guards against a refuted era that is believed again at the next real restore, when windows are most at risk. */
+    @Test
+    void refutedEraStaysRefutedAfterARestore() {
+        eraThatTheStoreKeepsDenyingIsGivenUp();
+        era.observe(3, STORE);
+        era.observeFromPeer(9, PEER);
+        assertEquals(3, era.current());
+        era.observe(9, STORE);
+        era.observeFromPeer(10, PEER);
+        assertEquals(10, era.current());
+    }
+
+    /** Guards against a node cut off from the store that doesn't believe its peers' true era, since one stated a wrong one. */
+    @Test
+    void trueEraOfPeersIsBelievedAfterAWrongOne() {
+        eraThatTheStoreKeepsDenyingIsGivenUp();
+        era.observeFromPeer(3, PEER);
+        assertEquals(3, era.current());
+    }
 }
