--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageCounter.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageCounter.java
@@ -57,9 +57,8 @@
         dropThrough(settings.windowAt(nowMillis) - settings.retainedWindows());
         TreeMap<Long, SortedMap<String, Long>> copy = new TreeMap<>();
         windows.forEach((window, counts) -> copy.put(window, Collections.unmodifiableSortedMap(new TreeMap<>(counts))));
-        // The clock of this node alone, read at the start, may have been stepped back, and the process would seem to
-        // have
-        // counted windows that ended before it started.
+        // Not the clock read at the start: if it was stepped back, the process would seem to have counted windows that
+        // ended before it started.
         long sinceMillis = nowMillis - (medianClock.steadyMillis() - startedAtSteadyMillis);
         return new UsageReport(node, incarnation, sinceMillis, nowMillis, last, copy);
     }
--- a/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
@@ -46,7 +46,8 @@
     long grantLease(Duration duration) throws PlatformException;
 
     /**
-     * Returns the latest era that the store has stated in an answer, or {@link StoreEra#UNKNOWN}. An answer of an earlier era counts as a failed call.
+     * Returns the latest era that the store has stated in an answer, or {@link StoreEra#UNKNOWN}. An answer of an
+     * earlier era counts as a failed call.
      */
     default long era() {
         return StoreEra.UNKNOWN;
