The fleet model counts who comes back as told and is served

Cause: how well callers are served that retry at the time they were told could not be seen, so a change of the retry times could not be weighed. Change: the result counts the requests that came back, were answered and were on time, and the experiment prints the mean share.

--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetExperiment.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetExperiment.java
@@ -49,6 +49,7 @@
         double minCredit = 1;
         double maxCredit = 0;
         double repeatedPrefillMillions = 0;
+        double servedShareOfCameBack = 0;
         FleetResult last = null;
         int runs = Math.max(1, repeats);
         for (int i = 0; i < runs; i++) {
@@ -56,17 +57,19 @@
             creditSum += last.credit();
             minCredit = Math.min(minCredit, last.credit());
             maxCredit = Math.max(maxCredit, last.credit());
+            servedShareOfCameBack += last.servedShareOfCameBack();
             repeatedPrefillMillions += last.repeatedPrefill() / 1e6;
         }
         System.out.printf(
                 Locale.ROOT,
-                "%s, disabled: %s, runs %d: credit %.3f (%.3f to %.3f), %.1f M tokens prefilled again%n",
+                "%s, disabled: %s, runs %d: credit %.3f (%.3f to %.3f), came back and served %.3f, %.1f M tokens prefilled again%n",
                 scenario.name(),
                 disabled.isEmpty() ? "nothing" : disabled,
                 runs,
                 creditSum / runs,
                 minCredit,
                 maxCredit,
+                servedShareOfCameBack / runs,
                 repeatedPrefillMillions / runs);
         if (disabled.isEmpty()) {
             System.out.print(last.summary());
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -266,9 +266,14 @@
         }
         double waitMillis = Math.min(retryAfterMillis, (call.deadlineMillis - nowMillis) / 3);
         call.lastEventAtMillis = nowMillis + waitMillis;
-        scheduleAt(
-                nowMillis + waitMillis,
-                () -> gateways.get(random.nextInt(gateways.size())).dispatch(call, Set.of()));
+        scheduleAt(nowMillis + waitMillis, () -> comeBack(call));
+    }
+
+    private void comeBack(ModelCall call) {
+        if (!call.ended) {
+            result.recordCameBack(call);
+            gateways.get(random.nextInt(gateways.size())).dispatch(call, Set.of());
+        }
     }
 
     // ---- engines
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
@@ -46,6 +46,9 @@
         private int abandoned;
         private int failed;
         private int rejections;
+        private int cameBack;
+        private int servedAfterComingBack;
+        private int onTimeAfterComingBack;
         private double possibleCredit;
         private double earnedCredit;
 
@@ -71,6 +74,16 @@
             return failed;
         }
 
+        /** Returns the number of requests whose callers retried at the time that they were told. */
+        public int cameBack() {
+            return cameBack;
+        }
+
+        /** Returns the number of these requests that were answered, on time or late. */
+        public int servedAfterComingBack() {
+            return servedAfterComingBack;
+        }
+
         /** Returns the earned share of the possible credit. */
         public double credit() {
             return possibleCredit == 0 ? 1 : earnedCredit / possibleCredit;
@@ -90,6 +103,10 @@
         tally.gapExceeded += call.gapExceeded ? 1 : 0;
         tally.onTime += late ? 0 : 1;
         tally.late += late ? 1 : 0;
+        if (call.rejections > 0) {
+            tally.servedAfterComingBack++;
+            tally.onTimeAfterComingBack += late ? 0 : 1;
+        }
         tally.earnedCredit += call.earnedCredit();
         earnedCreditBySecond[(int) (call.requestedAtMillis / 1000)] += call.earnedCredit();
     }
@@ -108,6 +125,11 @@
         }
     }
 
+    /** Records that a rejected caller retries at the time that it was told. */
+    void recordCameBack(ModelCall call) {
+        tallyByKind.get(call.kind.name()).cameBack++;
+    }
+
     void recordRejection(ModelCall call, String reason) {
         tallyByKind.get(call.kind.name()).rejections++;
         rejectionsByReason.merge(call.kind.name() + " " + reason, 1L, Long::sum);
@@ -176,6 +198,15 @@
         return possibleCreditBySecond[second] == 0 ? 1 : earnedCreditBySecond[second] / possibleCreditBySecond[second];
     }
 
+    /** Returns the share of the requests that came back as told and were answered, or 1 if none came back. */
+    public double servedShareOfCameBack() {
+        int cameBack = tallyByKind.values().stream().mapToInt(Tally::cameBack).sum();
+        int served = tallyByKind.values().stream()
+                .mapToInt(Tally::servedAfterComingBack)
+                .sum();
+        return cameBack == 0 ? 1 : served / (double) cameBack;
+    }
+
     /** Returns the tokens of shared parts that were prefilled again shortly after their last use. */
     public long repeatedPrefill() {
         return repeatedPrefillTokens;
@@ -203,7 +234,7 @@
                 preemptedBesideLessUrgent));
         tallyByKind.forEach((name, tally) -> text.append(String.format(
                 Locale.ROOT,
-                "  %-10s requests %5d  on time %5d  late %5d (%d with gaps)  abandoned %5d  failed %5d  rejections %5d  credit %.3f%n",
+                "  %-10s requests %5d  on time %5d  late %5d (%d with gaps)  abandoned %5d  failed %5d  rejections %5d  came back %5d (%d served, %d on time)  credit %.3f%n",
                 name,
                 tally.requests,
                 tally.onTime,
@@ -212,6 +243,9 @@
                 tally.abandoned,
                 tally.failed,
                 tally.rejections,
+                tally.cameBack,
+                tally.servedAfterComingBack,
+                tally.onTimeAfterComingBack,
                 tally.credit())));
         text.append("  by second");
         for (int i = 0; i < possibleCreditBySecond.length - 1; i++) {
