--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -17,6 +17,7 @@
  * @param reportIntervalMillis longest time until the node's next report
  * @param loads load by instance id of the backend server
  * @param demands demand of the node's callers by service
+ * @param promised retries that the node has promised by service; empty if it says nothing about them
  */
 public record PeerReport(
         String name,
@@ -31,7 +32,59 @@
         long serverListDigest,
         long reportIntervalMillis,
         Map<String, InstanceLoad> loads,
-        Map<String, LaneDemand> demands) {
+        Map<String, LaneDemand> demands,
+        Map<String, PromisedWork> promised) {
+    /** Creates a report that says nothing about promised retries. */
+    public PeerReport(
+            String name,
+            long incarnation,
+            long sequence,
+            String address,
+            boolean storeReachable,
+            long storeEra,
+            long configVersion,
+            long configAgeMillis,
+            long serverListAgeMillis,
+            long serverListDigest,
+            long reportIntervalMillis,
+            Map<String, InstanceLoad> loads,
+            Map<String, LaneDemand> demands) {
+        this(
+                name,
+                incarnation,
+                sequence,
+                address,
+                storeReachable,
+                storeEra,
+                configVersion,
+                configAgeMillis,
+                serverListAgeMillis,
+                serverListDigest,
+                reportIntervalMillis,
+                loads,
+                demands,
+                Map.of());
+    }
+
+    /** Returns this report with promised retries by service. */
+    public PeerReport withPromised(Map<String, PromisedWork> newPromised) {
+        return new PeerReport(
+                name,
+                incarnation,
+                sequence,
+                address,
+                storeReachable,
+                storeEra,
+                configVersion,
+                configAgeMillis,
+                serverListAgeMillis,
+                serverListDigest,
+                reportIntervalMillis,
+                loads,
+                demands,
+                newPromised);
+    }
+
     /**
      * Requests that a node has in flight at a backend server, and prompt tokens that the server still has to prefill
      * for them.
