Gateways report their promised retries to each other

Cause: callers come back through any gateway, and each promised the same slots. PeerCodecTest: at most 4,000 bytes a second with 1, 22 and 409 peers.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -117,6 +117,15 @@
         return peers.values().stream().anyMatch(peer -> present(peer, nowMillis));
     }
 
+    /** Returns the age of the oldest report of a present peer in seconds, or NaN if there is none. */
+    public double oldestReportSeconds(long nowMillis) {
+        return peers.values().stream()
+                .filter(peer -> present(peer, nowMillis))
+                .mapToDouble(peer -> (nowMillis - peer.receivedAtMillis()) / 1000.0)
+                .max()
+                .orElse(Double.NaN);
+    }
+
     /** Returns the number of nodes: this one and all peers that aren't forgotten. */
     public int nodeCount() {
         return peers.size() + 1;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -12,11 +12,13 @@
 import org.tanagerhinge.core.duty.DutyAnnouncement;
 import org.tanagerhinge.core.relay.LaneDemand;
 import org.tanagerhinge.core.relay.PeerReport;
+import org.tanagerhinge.core.relay.PromisedWork;
 import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.wire.peer.KeptParts;
 import org.tanagerhinge.wire.peer.Part;
 import org.tanagerhinge.wire.peer.PeerState;
+import org.tanagerhinge.wire.peer.PromisedRetries;
 import org.tanagerhinge.wire.peer.ServerEnd;
 import org.tanagerhinge.wire.peer.ServerEntry;
 import org.tanagerhinge.wire.peer.ServerList;
@@ -74,6 +76,12 @@
                         .setShortRunning(demand.shortInFlight())
                         .setShortTokens(demand.shortTokensPerSecond())
                         .setLongTokens(demand.longTokensPerSecond())));
+        report.promised()
+                .forEach((service, promised) -> state.addPromised(PromisedRetries.newBuilder()
+                        .setService(service)
+                        .setFirstSlot(promised.firstSlot())
+                        .addAllWork(promised.workBySlot())
+                        .setCapacity(promised.capacity())));
         for (CachedPrefix cachedPrefix : message.cachedPrefixes()) {
             KeptParts.Builder parts = KeptParts.newBuilder().setServer(cachedPrefix.instanceId());
             cachedPrefix
@@ -112,19 +120,20 @@
                             .toList()));
         }
         PeerReport report = new PeerReport(
-                state.getName(),
-                state.getIncarnation(),
-                state.getSequence(),
-                state.getAddress(),
-                state.getStoreAnswers(),
-                state.getStoreEra(),
-                state.getConfigVersion(),
-                state.getConfigAgeMillis(),
-                state.getServersAgeMillis(),
-                state.getServersDigest(),
-                state.getIntervalMillis(),
-                uses,
-                demands);
+                        state.getName(),
+                        state.getIncarnation(),
+                        state.getSequence(),
+                        state.getAddress(),
+                        state.getStoreAnswers(),
+                        state.getStoreEra(),
+                        state.getConfigVersion(),
+                        state.getConfigAgeMillis(),
+                        state.getServersAgeMillis(),
+                        state.getServersDigest(),
+                        state.getIntervalMillis(),
+                        uses,
+                        demands)
+                .withPromised(decodePromised(state.getPromisedList()));
         List<RequestQuarantine.Suspicion> suspicions = state.getSuspectedList().stream()
                 .map(PeerCodec::decodeSuspicion)
                 .toList();
@@ -137,6 +146,16 @@
         return new PeerMessage(report, cachedPrefixes, suspicions, List.copyOf(state.getLeavingList()), duty);
     }
 
+    private static Map<String, PromisedWork> decodePromised(List<PromisedRetries> entries) {
+        Map<String, PromisedWork> promised = new HashMap<>();
+        for (PromisedRetries entry : entries) {
+            promised.put(
+                    entry.getService(),
+                    new PromisedWork(entry.getCapacity(), entry.getFirstSlot(), List.copyOf(entry.getWorkList())));
+        }
+        return promised;
+    }
+
     private static SuspectedRequest encodeSuspicion(RequestQuarantine.Suspicion suspicion) {
         SuspectedRequest.Builder suspected = SuspectedRequest.newBuilder()
                 .setWorkspace(suspicion.request().workspaceHash())
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -249,19 +249,22 @@
             }
         }
         return new PeerReport(
-                gateway.options().name(),
-                incarnation,
-                ++sequence,
-                address(),
-                storeReachable.getAsBoolean(),
-                gateway.storeEra().current(),
-                gateway.configVersion(),
-                gateway.configAgeMillis(),
-                gateway.directory().hasList() ? nowMillis - gateway.directory().newestListMillis() : Integer.MAX_VALUE,
-                gateway.directory().digest(),
-                intervalMillis(),
-                uses,
-                gateway.placement().localDemands(nowMillis));
+                        gateway.options().name(),
+                        incarnation,
+                        ++sequence,
+                        address(),
+                        storeReachable.getAsBoolean(),
+                        gateway.storeEra().current(),
+                        gateway.configVersion(),
+                        gateway.configAgeMillis(),
+                        gateway.directory().hasList()
+                                ? nowMillis - gateway.directory().newestListMillis()
+                                : Integer.MAX_VALUE,
+                        gateway.directory().digest(),
+                        intervalMillis(),
+                        uses,
+                        gateway.placement().localDemands(nowMillis))
+                .withPromised(gateway.admission().retries().nextReport(addresses.size(), nowMillis));
     }
 
     private void receive(PeerCodec.PeerMessage message) {
@@ -271,6 +274,7 @@
         if (!table.accept(report, nowMillis)) {
             return;
         }
+        gateway.admission().retries().recordPeer(report, nowMillis);
         addPeerAddress(report.address());
         gateway.storeEra().observe(report.storeEra(), "peer " + report.name());
         dutyListener.accept(report.name(), message.dutyStatus());
@@ -340,12 +344,7 @@
 
     /** Returns the age of the oldest report of a present peer in seconds, or NaN if there is none. */
     double oldestReportSeconds() {
-        long nowMillis = gateway.nowMillis();
-        return table.peers().stream()
-                .filter(peer -> PeerTable.present(peer, nowMillis))
-                .mapToDouble(peer -> (nowMillis - peer.receivedAtMillis()) / 1000.0)
-                .max()
-                .orElse(Double.NaN);
+        return table.oldestReportSeconds(gateway.nowMillis());
     }
 
     private void requestConfig(PeerReport aheadPeer) {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -9,11 +9,16 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.duty.DutyAnnouncement;
 import org.tanagerhinge.core.relay.PeerReport;
+import org.tanagerhinge.core.relay.PromisedWork;
+import org.tanagerhinge.core.relay.RetrySchedule;
 import org.tanagerhinge.core.relay.ServerAnnouncements;
+import org.tanagerhinge.wire.peer.PeerState;
 
 /** Guards against peer messages that lose information or outgrow their share of the control bandwidth. */
 class PeerCodecTest {
@@ -43,6 +48,55 @@
         assertEquals(sent, PeerCodec.decodeState(PeerCodec.encodeState(sent)));
     }
 
+    @Test
+    void promisedRetriesSurviveRoundTrip() throws InvalidProtocolBufferException {
+        PeerCodec.PeerMessage sent = new PeerCodec.PeerMessage(
+                REPORT.withPromised(Map.of(
+                        "model", new PromisedWork(120, 3, List.of(1L, 0L, 300_000L)),
+                        "other", new PromisedWork(0, 0, List.of()))),
+                List.of(),
+                List.of(),
+                List.of(),
+                new DutyAnnouncement(1_700_000_000_123L, 150, 412, 6, 340));
+        assertEquals(sent, PeerCodec.decodeState(PeerCodec.encodeState(sent)));
+    }
+
+    /** Guards against a report of the version before, which has no promised retries, that can't be read. */
+    @Test
+    void reportWithoutPromisedRetriesHasNone() throws InvalidProtocolBufferException {
+        byte[] bytes = PeerState.parseFrom(PeerCodec.encodeState(message(List.of(), List.of()))).toBuilder()
+                .clearPromised()
+                .build()
+                .toByteArray();
+        assertEquals(Map.of(), PeerCodec.decodeState(bytes).report().promised());
+    }
+
+    /**
+     * Guards against promised retries that take more than 4,000 bytes a second to all peers together as they are
+     * encoded, with slots far beyond their capacity.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 22, 409})
+    void promisedRetriesStayUnder4000BytesASecond(int peers) {
+        RetrySchedule schedule = RetrySchedule.create();
+        long bytes = 0;
+        int seconds = 60;
+        for (long nowMillis = 0; nowMillis < seconds * 1_000; nowMillis += 60) {
+            for (int i = 0; i < 10; i++) {
+                schedule.promise("service-" + i % 3, 30_000, 15_000, nowMillis, () -> 0.5);
+            }
+            Map<String, PromisedWork> promised = schedule.nextReport(peers, nowMillis);
+            bytes += peers * (encodedBytes(REPORT.withPromised(promised)) - encodedBytes(REPORT));
+        }
+        assertTrue(bytes > 0 && bytes / seconds <= 4_000, bytes / seconds + " bytes a second");
+    }
+
+    private static long encodedBytes(PeerReport report) {
+        return PeerCodec.encodeState(
+                        new PeerCodec.PeerMessage(report, List.of(), List.of(), List.of(), DutyAnnouncement.NONE))
+                .length;
+    }
+
     /** Covers a crash of servers with 128 slots, whose requests all become suspects, with servers that leave. */
     @Test
     void largestReportStaysUnderAQuarterOfTheControlBandwidth() {
