--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
@@ -52,6 +52,11 @@
             return config.rank(workspace, placement.route());
         }
 
+        /** Returns whether the configuration has workspaces; retries are scheduled only for callers who have a key. */
+        boolean identifiesCaller() {
+            return config.requiresKey();
+        }
+
         /** Returns the name of the service. */
         String service() {
             return placement.service().name();
@@ -118,7 +123,7 @@
                 request.placement().route(),
                 decision.expectedWaitMillis(),
                 request.remainingMillis(),
-                retries.promisedShare(request.service(), nowMillis),
+                request.identifiesCaller() ? retries.promisedShare(request.service(), nowMillis) : 0,
                 random);
         if (delayMillis.isEmpty()) {
             retries.recordAdmitted(request.service(), request.work(decision), nowMillis);
@@ -130,7 +135,7 @@
 
     /** Returns the time until a caller was told to retry, as far as it waits that long; empty if it wasn't told any. */
     private OptionalLong untilToldMillis(Request request, long nowMillis) {
-        if (repeats.isEmpty()) {
+        if (!request.identifiesCaller() || repeats.isEmpty()) {
             return OptionalLong.empty();
         }
         OptionalLong untilToldMillis =
@@ -148,6 +153,9 @@
             long unscheduledMillis,
             long nowMillis,
             DoubleSupplier random) {
+        if (!request.identifiesCaller()) {
+            return unscheduledMillis;
+        }
         OptionalLong untilToldMillis = untilToldMillis(request, nowMillis);
         if (untilToldMillis.isPresent()) {
             return untilToldMillis.getAsLong();
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -17,6 +17,7 @@
  * @param reportIntervalMillis longest time until the node's next report
  * @param loads load by instance id of the backend server
  * @param demands demand of the node's callers by service
+ * @param workTimes work times that servers stated recently, by instance id
  * @param promised retries that the node has promised by service; empty if it says nothing about them
  */
 public record PeerReport(
@@ -33,6 +34,7 @@
         long reportIntervalMillis,
         Map<String, InstanceLoad> loads,
         Map<String, LaneDemand> demands,
+        Map<String, StatedWorkTime> workTimes,
         Map<String, PromisedWork> promised) {
     /** Creates a report that says nothing about promised retries. */
     public PeerReport(
@@ -48,7 +50,8 @@
             long serverListDigest,
             long reportIntervalMillis,
             Map<String, InstanceLoad> loads,
-            Map<String, LaneDemand> demands) {
+            Map<String, LaneDemand> demands,
+            Map<String, StatedWorkTime> workTimes) {
         this(
                 name,
                 incarnation,
@@ -63,6 +66,7 @@
                 reportIntervalMillis,
                 loads,
                 demands,
+                workTimes,
                 Map.of());
     }
 
@@ -82,6 +86,7 @@
                 reportIntervalMillis,
                 loads,
                 demands,
+                workTimes,
                 newPromised);
     }
 
@@ -90,4 +95,12 @@
      * for them.
      */
     public record InstanceLoad(int inFlight, long pendingPrefillTokens) {}
+
+    /**
+     * Work time that a backend server stated to the node ({@link WorkTime}).
+     *
+     * @param factor 1 is nominal, greater is slower
+     * @param ageMillis time since the server stated it, when the report was made
+     */
+    public record StatedWorkTime(double factor, long ageMillis) {}
 }
--- a/core/src/test/java/org/tanagerhinge/core/relay/AdmissionPolicyTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/AdmissionPolicyTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -36,8 +37,10 @@
             true,
             true);
     private static final ServiceConfig SERVICE = ServiceConfig.of("model", 300, 48, 300_000);
+    private static final Map<String, WorkspaceConfig> KEYS =
+            Map.of("key", new WorkspaceConfig("w", OptionalInt.empty()));
     private static final RelayConfig CONFIG =
-            RelayConfig.of(1, List.of(ROUTE), List.of(SERVICE), Map.of(), CallerLimits.DEFAULT);
+            RelayConfig.of(1, List.of(ROUTE), List.of(SERVICE), KEYS, CallerLimits.DEFAULT);
     private static final ServerInstance SERVER = ServerInstance.of(RelayFixture.registration("a", false));
 
     private final AdmissionPolicy policy = AdmissionPolicy.without(Set.of());
--- a/core/src/test/java/org/tanagerhinge/core/relay/RetryScheduleTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RetryScheduleTest.java
@@ -31,7 +31,7 @@
     }
 
     private static PeerReport report(String peer, long incarnation, Map<String, PromisedWork> promised) {
-        return new PeerReport(peer, incarnation, 1, "a:1", true, 0, 1, 0, 0, 0, 250, Map.of(), Map.of())
+        return new PeerReport(peer, incarnation, 1, "a:1", true, 0, 1, 0, 0, 0, 250, Map.of(), Map.of(), Map.of())
                 .withPromised(promised);
     }
 
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -183,6 +183,9 @@
     void recordFirstEvent(ModelCall call) {
         admission.rankGate().recordSettled(call.pendingRequest);
         ServerInstance server = call.decision.server();
+        if (scenario.hosts().stated()) {
+            placement.recordWorkTime(server, call.engine.workTime(), floorMillis(fleet.nowMillis()));
+        }
         server.recordPrefill(call.decision.tokensToPrefill());
         server.health().recordSuccess();
         placement.recordPrefill(call.request, call.decision, floorMillis(fleet.nowMillis() - call.sentAtMillis));
@@ -208,11 +211,15 @@
 
     private void sendReport() {
         Map<String, PeerReport.InstanceLoad> loads = new HashMap<>();
+        Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerInstance server : instanceById.values()) {
             if (server.inFlight() > 0) {
                 loads.put(
                         server.instanceId(),
                         new PeerReport.InstanceLoad(server.inFlight(), server.pendingPrefillTokens()));
+                server.workTime()
+                        .recentlyStated(floorMillis(fleet.nowMillis()))
+                        .ifPresent(workTime -> workTimes.put(server.instanceId(), workTime));
             }
         }
         long intervalMillis = ReportSchedule.idleIntervalMillis(peerCount());
@@ -229,7 +236,8 @@
                         0,
                         intervalMillis,
                         loads,
-                        placement.localDemands(floorMillis(fleet.nowMillis())))
+                        placement.localDemands(floorMillis(fleet.nowMillis())),
+                        workTimes)
                 .withPromised(admission.retries().nextReport(peerCount(), floorMillis(fleet.nowMillis())));
         List<CachedPrompt> prompts = List.copyOf(cachedPrompts);
         cachedPrompts.clear();
@@ -257,6 +265,7 @@
             return;
         }
         peerLoadUpdater.applyChange(previousLoads, report.loads());
+        peerLoadUpdater.recordWorkTimes(report.workTimes(), placement, nowMillis);
         admission.retries().recordPeer(report, nowMillis);
     }
 
