--- a/core/src/main/java/org/tanagerhinge/core/claim/ClaimRecovery.java
+++ b/core/src/main/java/org/tanagerhinge/core/claim/ClaimRecovery.java
@@ -94,7 +94,10 @@
                 .reversed();
     }
 
-    /** Records the entry that the store has for a pending claim after it was written again, which is then pending no more. */
+    /**
+     * Records the entry that the store has for a pending claim after it was written again, which is then pending no
+     * more.
+     */
     public synchronized void restored(ClaimEntry entry, long inEra) {
         Retained before = retained.remove(entry.digest());
         ClaimEntry newest = before == null || before.entry.generation() <= entry.generation() ? entry : before.entry;
--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
@@ -12,7 +12,10 @@
  * WorkspaceShares}), then the expected wait ({@link AdmissionControl}).
  */
 public final class AdmissionPolicy {
-    /** Minimum delay of a retry after a rejection by rank, in milliseconds; a random delay up to the same length is added. */
+    /**
+     * Minimum delay of a retry after a rejection by rank, in milliseconds; a random delay up to the same length is
+     * added.
+     */
     private static final int MIN_RETRY_AFTER_MILLIS = 300;
 
     /** Work of an output token, in prompt tokens to prefill. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/Mechanism.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Mechanism.java
@@ -1,6 +1,8 @@
 package org.tanagerhinge.core.relay;
 
-/** Lists the mechanisms of the relay that experiments can disable one by one; all are enabled unless settings say no. */
+/**
+ * Lists the mechanisms of the relay that experiments can disable one by one; all are enabled unless settings say no.
+ */
 public enum Mechanism {
     /** Short and long prompts use separate engines ({@link LaneSizing}). */
     LANES,
--- a/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
@@ -42,7 +42,9 @@
      */
     default void recordWorkTime(ServerInstance server, double factor, long statedAtMillis) {}
 
-    /** Records the work time that a server stated to another node, whose report was received at a time in milliseconds. */
+    /**
+     * Records the work time that a server stated to another node, whose report was received at a time in milliseconds.
+     */
     default void recordPeerWorkTime(ServerInstance server, PeerReport.StatedWorkTime stated, long nowMillis) {}
 
     /** Discards the state kept for a server instance that was removed. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/SlownessEstimator.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/SlownessEstimator.java
@@ -36,7 +36,9 @@
         totalWeight++;
     }
 
-    /** Reduces the weight of all samples; the time of a sample that a peer reports may be before that of the latest one. */
+    /**
+     * Reduces the weight of all samples; the time of a sample that a peer reports may be before that of the latest one.
+     */
     private void decay(long nowMillis) {
         if (nowMillis <= lastMillis) {
             return;
--- a/core/src/main/java/org/tanagerhinge/core/relay/UnevenLaneSizing.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/UnevenLaneSizing.java
@@ -42,7 +42,9 @@
         return (int) Math.min(engines - 1, Math.max(1, Math.ceil(size)));
     }
 
-    /** Returns how many engines from the end of the list the long prompts need, at least one; more than all if short. */
+    /**
+     * Returns how many engines from the end of the list the long prompts need, at least one; more than all if short.
+     */
     private double longNeed(List<ServerInstance> engines, LaneDemand demand) {
         double needed = demand.longTokensPerSecond() / (LaneSizing.MAX_LONG_PREFILL_SHARE * tokensPerMilli * 1000);
         double capacity = 0;
--- a/core/src/main/java/org/tanagerhinge/core/relay/UseReporter.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/UseReporter.java
@@ -23,8 +23,8 @@
     private static final int WORKSPACE_BYTES = 17;
 
     /**
-     * Time in which a round reports its workspaces. Figures are valid for 5 s, so that one lost report doesn't let those of
-     * the largest workspaces expire.
+     * Time in which a round reports its workspaces. Figures are valid for 5 s, so that one lost report doesn't let
+     * those of the largest workspaces expire.
      */
     private static final double ROUND_SECONDS = 2.5;
 
@@ -46,8 +46,9 @@
     private record Item(ShareGroup group, WorkRate requests, WorkRate small, Map<Integer, WorkRate> near) {}
 
     /**
-     * Returns the next figures, the largest workspaces first; empty until the credit suffices for several workspaces, which
-     * share the header of their group. A round reports the workspaces that fit into its time and the others together.
+     * Returns the next figures, the largest workspaces first; empty until the credit suffices for several workspaces,
+     * which share the header of their group. A round reports the workspaces that fit into its time and the others
+     * together.
      *
      * @param shortAge time since the service of a group was seen to be short, if it was lately
      */
--- a/core/src/main/java/org/tanagerhinge/core/relay/WorkTime.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/WorkTime.java
@@ -20,14 +20,18 @@
      * within it.
      */
     private static final long LIFETIME_MILLIS = 600;
-    /** Number of factors from which the usual one is taken: some seconds, within which a lasting change becomes usual. */
+    /**
+     * Number of factors from which the usual one is taken: some seconds, within which a lasting change becomes usual.
+     */
     private static final int WINDOW = 15;
     /**
      * Shortest interval between two factors of the window, in milliseconds. Many responses within one slow moment would
      * otherwise make it look usual.
      */
     private static final long SAMPLE_INTERVAL_MILLIS = 250;
-    /** Position of the usual factor among the sorted ones of the window; below the median since load only slows down. */
+    /**
+     * Position of the usual factor among the sorted ones of the window; below the median since load only slows down.
+     */
     private static final double USUAL_POSITION = 0.3;
     /** Ratio of usual factors between neighboring bands; smaller differences don't justify a move between lanes. */
     private static final double BAND_RATIO = 1.5;
@@ -130,7 +134,9 @@
         return known() && latest.isCurrent(nowMillis) ? latest.factor() : usual;
     }
 
-    /** Returns the latest factor that the server stated to this node, while it is recent, for reports to other nodes. */
+    /**
+     * Returns the latest factor that the server stated to this node, while it is recent, for reports to other nodes.
+     */
     public Optional<PeerReport.StatedWorkTime> recentlyStated(long nowMillis) {
         return latestOwn
                 .filter(own -> own.isCurrent(nowMillis))
--- a/core/src/main/java/org/tanagerhinge/core/store/StoreEra.java
+++ b/core/src/main/java/org/tanagerhinge/core/store/StoreEra.java
@@ -15,7 +15,9 @@
     /** Era of a store that states none. */
     public static final long UNKNOWN = 0;
 
-    /** Longer than an answer of the earlier era may take (1.5 s, watches 2.2 s), so that late answers refute nothing. */
+    /**
+     * Longer than an answer of the earlier era may take (1.5 s, watches 2.2 s), so that late answers refute nothing.
+     */
     static final long REFUTATION_MILLIS = 10_000;
 
     private static final long NOT_CONTRADICTED = Long.MIN_VALUE;
--- a/core/src/test/java/org/tanagerhinge/core/claim/ClaimRecoveryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/claim/ClaimRecoveryTest.java
@@ -143,8 +143,8 @@
     }
 
     /**
-     * Guards against a router that refuses keyed requests until it restarts, since it keeps a released claim of a greater
-     * generation than the restored store has.
+     * Guards against a router that refuses keyed requests until it restarts, since it keeps a released claim of a
+     * greater generation than the restored store has.
      */
     @Test
     void releasedClaimReplacesAnEarlierGenerationOfAnotherOwner() {
--- a/core/src/test/java/org/tanagerhinge/core/relay/UnevenPlacementTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/UnevenPlacementTest.java
@@ -82,7 +82,9 @@
         }
     }
 
-    /** Guards against a choice by requests over slots alone, where a free slot of a busy host is slower than another. */
+    /**
+     * Guards against a choice by requests over slots alone, where a free slot of a busy host is slower than another.
+     */
     @Test
     void plainServerIsChosenByExpectedTime() {
         List<ServerInstance> servers = servers(2);
@@ -94,7 +96,9 @@
         assertEquals("e0", send(request(PLAIN, Prompt.NONE), 1_100).server().id());
     }
 
-    /** Guards against a restarted server, or one of an older version, that gets all requests since it states nothing. */
+    /**
+     * Guards against a restarted server, or one of an older version, that gets all requests since it states nothing.
+     */
     @Test
     void plainServerWithoutStatementCountsAsNominal() {
         List<ServerInstance> servers = servers(3);
--- a/core/src/test/java/org/tanagerhinge/core/relay/WorkTimeTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/WorkTimeTest.java
@@ -104,7 +104,9 @@
         assertTrue(workTime.recentlyStated(1_701).isEmpty());
     }
 
-    /** Guards against lanes that change with every statement of a server whose speed is near the border of two bands. */
+    /**
+     * Guards against lanes that change with every statement of a server whose speed is near the border of two bands.
+     */
     @Test
     void bandChangesOnlyBeyondItsHysteresis() {
         assertEquals(-1, stating(0.55, 3).band());
--- a/core/src/test/java/org/tanagerhinge/core/relay/WorkspaceSharesFailureTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/WorkspaceSharesFailureTest.java
@@ -29,7 +29,9 @@
         return own.stream().filter(outcome -> outcome.end() == End.SERVED).count() / (double) own.size();
     }
 
-    /** Guards against gateways that refuse too much, or protect nobody, when they hear nothing or little of each other. */
+    /**
+     * Guards against gateways that refuse too much, or protect nobody, when they hear nothing or little of each other.
+     */
     @ParameterizedTest
     @CsvSource({"0, 1, true", "4000, 0, false", "6000, 0.5, false"})
     void localViewProtectsSmallWorkspacesAndUsesCapacity(long maxDelayMillis, double loss, boolean silent) {
--- a/core/src/test/java/org/tanagerhinge/core/store/StoreEraTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/store/StoreEraTest.java
@@ -74,7 +74,10 @@
         assertEquals(10, era.current());
     }
 
-    /** Guards against a node cut off from the store that doesn't believe its peers' true era, since one stated a wrong one. */
+    /**
+     * Guards against a node cut off from the store that doesn't believe its peers' true era, since one stated a wrong
+     * one.
+     */
     @Test
     void trueEraOfPeersIsBelievedAfterAWrongOne() {
         eraThatTheStoreKeepsDenyingIsGivenUp();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -499,11 +499,6 @@
         placement.forgetInstance(server.instanceId());
     }
 
-    /** Returns a uniformly distributed random number from 0 to 1. */
-    double randomFraction() {
-        return ThreadLocalRandom.current().nextDouble();
-    }
-
     /** Returns how long a refused caller should wait, in milliseconds. */
     long retryAfterMillis() {
         return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextInt(MIN_RETRY_AFTER_MILLIS);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -176,8 +176,8 @@
     }
 
     /**
-     * Ends the exchange without a server's response; uses {@code refusalIfNotExecuted} only if no server may have executed
-     * the request.
+     * Ends the exchange without a server's response; uses {@code refusalIfNotExecuted} only if no server may have
+     * executed the request.
      */
     private void endWithoutResponse(String reason, Refusal refusalIfNotExecuted) {
         if (progress.headForwarded()) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestAdmission.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.PlacementPolicy;
@@ -37,7 +38,12 @@
         }
         decided = true;
         recordAsk(request, decision.tokensToPrefill());
-        return gateway.admission().rejection(request, decision, gateway.nowMillis(), gateway::randomFraction);
+        return gateway.admission()
+                .rejection(
+                        request,
+                        decision,
+                        gateway.nowMillis(),
+                        () -> ThreadLocalRandom.current().nextDouble());
     }
 
     private void recordAsk(AdmissionPolicy.Request request, int tokensToPrefill) {
