--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -9,9 +9,10 @@
 /**
  * Reports the number of started requests to the platform, once for each usage window, while this node holds the duty.
  *
- * <p>Two different reports for one window must not occur. Counts are therefore committed to the store before they are
- * first sent, on condition that they were not committed before and that this node is still the holder. A successor
- * sends exactly the committed counts. While the store is unreachable, no new window is reported.
+ * <p>Two different reports for one window must not occur; they are worse than a missing one. Counts are therefore
+ * committed to the store before they are first sent, on condition that they were not committed before and that this
+ * node is still the holder. A successor sends exactly the committed counts. While the store is unreachable, no new
+ * window is reported.
  *
  * <p>A store that is restored from an older copy may have lost commits. Each node therefore remembers the newest
  * committed window it knows of, and a former holder the counts. After a restore, a new holder commits windows that
--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionControl.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionControl.java
@@ -22,15 +22,15 @@
      */
     private static final double MAX_WAIT_TARGET_SHARE = 0.8;
     /**
-     * Factor by which a retried request may wait longer, so that a caller who retries as told is seldom rejected
-     * twice.
+     * Factor by which a retried request may wait longer: its output is hardly in time any more, but a caller who retries
+     * as told should seldom be rejected twice.
      */
     private static final double RETRY_WAIT_FACTOR = 1.5;
     /** A request that has less than this share of its route's timeout left counts as retried. */
     private static final double RETRY_TIME_LEFT_SHARE = 0.97;
     /** Smallest retry delay in milliseconds; peer load reports are up to this old. */
     private static final long MIN_RETRY_AFTER_MILLIS = 300;
-    /** Largest share of the caller's remaining time that it is told to wait. */
+    /** Largest share of the caller's remaining time that it is told to wait; callers don't wait longer. */
     private static final double MAX_RETRY_AFTER_SHARE = 1.0 / 3;
 
     private AdmissionControl() {}
--- a/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
@@ -20,7 +20,10 @@
  * otherwise the server itself may be at fault.
  */
 final class CrashAttribution {
-    /** Time within which an agent detects that its server is down after a run has failed. */
+    /**
+     * Time within which an agent detects that its server is down after a run has failed: a probe, its response, and a
+     * margin.
+     */
     private static final Duration CRASH_DETECTION_WINDOW = Duration.ofSeconds(2);
 
     private static final int MAX_PENDING_RUNS_PER_SERVER = 128;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -49,7 +49,7 @@
     private static final int MIN_RETRY_AFTER_MILLIS = 300;
 
     private static final long SWEEP_MILLIS = 250;
-    /** A server with open streams that sends nothing for this long gets no new requests. */
+    /** A server that sends nothing for this long, twice the longest usual gap, to open streams gets no new requests. */
     private static final long SILENT_SERVER_MILLIS = 500;
     /** Resumable streams move to another server after this long without an event. */
     private static final long ABANDON_STREAM_MILLIS = 900;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -30,7 +30,10 @@
 
 /** Relays one request of a caller: resolves its route, makes attempts at backend servers, and writes the response. */
 final class RelayExchange {
-    /** Time that a request waits for a starting gateway to load its configuration before it is refused. */
+    /**
+     * Time that a request waits for a starting gateway to load its configuration before it is refused. Loading takes
+     * about 100 ms, and a refused caller would come back later than that.
+     */
     private static final long INITIALIZATION_TIMEOUT_MILLIS = 400;
     /** Lowest status that does not clear a suspicion: failing servers send it without executing the request. */
     private static final int MIN_ERROR_STATUS = 400;
