One minimum retry delay and one weight of an output token; two comments say what holds

Cause, found on reading the whole change: AdmissionPolicy held copies of the minimum retry delay of AdmissionControl and of the output token's weight of PrefillOrder.

Change: the existing constants are used. No value and no behavior changes.

--- a/core/src/main/java/org/tanagerhinge/core/duty/ClockHistory.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/ClockHistory.java
@@ -9,7 +9,7 @@
  */
 final class ClockHistory {
     private static final long SAMPLE_INTERVAL_MILLIS = 1_000;
-    /** Steps of 9 s at a time are played; a step or suspension that lasts is followed after 15 s. */
+    /** A step of the clocks that lasts less than 15 s doesn't move the median; one that lasts longer does. */
     private static final int MAX_SAMPLES = 30;
 
     private final Deque<Long> offsetsMillis = new ArrayDeque<>();
--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionControl.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionControl.java
@@ -29,7 +29,7 @@
     /** A request that has less than this share of its route's timeout left counts as retried. */
     private static final double RETRY_TIME_LEFT_SHARE = 0.97;
     /** Smallest retry delay in milliseconds; peer load reports are up to this old. */
-    private static final long MIN_RETRY_AFTER_MILLIS = 300;
+    static final long MIN_RETRY_AFTER_MILLIS = 300;
     /** Largest share of the caller's remaining time that it is told to wait; callers don't wait longer. */
     private static final double MAX_RETRY_AFTER_SHARE = 1.0 / 3;
 
--- a/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/AdmissionPolicy.java
@@ -12,15 +12,6 @@
  * WorkspaceShares}), then the expected wait ({@link AdmissionControl}).
  */
 public final class AdmissionPolicy {
-    /**
-     * Minimum delay of a retry after a rejection by rank, in milliseconds; a random delay up to the same length is
-     * added.
-     */
-    private static final int MIN_RETRY_AFTER_MILLIS = 300;
-
-    /** Work of an output token, in prompt tokens to prefill. */
-    private static final double OUTPUT_TOKEN_WORK = 10;
-
     /**
      * Part of the longest acceptable queue of a model engine up to which no request is refused by share. With refusals
      * at any queue, engines were idle while callers were refused: 30% of the digests of the fleet model's scenario
@@ -159,8 +150,10 @@
         return Math.clamp((queueMillis / maxQueueMillis - SHARED_QUEUE_SHARE) / (1 - SHARED_QUEUE_SHARE), 0, 1);
     }
 
+    /** Returns a retry delay of the shortest length to twice that, which spreads callers rejected together. */
     private static long retryAfterMillis(DoubleSupplier random) {
-        return MIN_RETRY_AFTER_MILLIS + (long) (random.getAsDouble() * MIN_RETRY_AFTER_MILLIS);
+        return AdmissionControl.MIN_RETRY_AFTER_MILLIS
+                + (long) (random.getAsDouble() * AdmissionControl.MIN_RETRY_AFTER_MILLIS);
     }
 
     /** Returns whether shares apply to a request: only if the configuration has workspaces. */
@@ -172,7 +165,8 @@
     public WorkspaceShares.Ask ask(Request request, int tokensToPrefill) {
         PlacementRequest placement = request.placement();
         double work = placement.service().hasModelEngines()
-                ? tokensToPrefill + OUTPUT_TOKEN_WORK * placement.prompt().maxOutputTokens()
+                ? tokensToPrefill
+                        + PrefillOrder.OUTPUT_TOKEN_WEIGHT * placement.prompt().maxOutputTokens()
                 : responseTimes.meanMillis(placement.route());
         return new WorkspaceShares.Ask(
                 placement.service().name(),
--- a/core/src/main/java/org/tanagerhinge/core/relay/PrefillOrder.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PrefillOrder.java
@@ -25,7 +25,7 @@
     /**
      * Weight of an output token in a request's size: generating one costs an engine about as much as prefilling ten.
      */
-    private static final double OUTPUT_TOKEN_WEIGHT = 10;
+    static final double OUTPUT_TOKEN_WEIGHT = 10;
     /** Part of a request's value that doesn't depend on its size, relative to the value of a request of mean size. */
     private static final double BASE_VALUE = 0.3;
     /**
