--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimRequest.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimRequest.java
@@ -105,6 +105,10 @@
                 () -> this + " was reported as not run, but started " + starts + " times");
     }
 
+    boolean started() {
+        return starts > 0;
+    }
+
     int completeAnswers() {
         return completeAnswers;
     }
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
@@ -157,6 +157,9 @@
         }
         sim.scheduler.after(callLatency.dividedBy(2), () -> {
             ClaimDecision decision = claims.claim(requested, expectedGeneration);
+            if (claims.recoveryDue()) {
+                sim.increment("claim_held_after_restore");
+            }
             sim.scheduler.log(() -> "claim " + requested + " replacing " + expectedGeneration + ": " + decision);
             sim.scheduler.after(callLatency.dividedBy(2), () -> callback.accept(decision));
         });
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
@@ -199,6 +199,9 @@
         openCallsById.remove(call.id());
         openCallCounts.merge(call.request(), -1, Integer::sum);
         call.request().reportedOutcomes(this, outcome, call.id());
+        if (call.request().keyed()) {
+            increment("keyed_call_" + outcome.label());
+        }
         if (outcome == RunOutcome.COMPLETE) {
             completeAnswers++;
         } else if (outcome == RunOutcome.UNKNOWN && call.request().keyed() && call.attempt() < MAX_ATTEMPTS) {
@@ -309,8 +312,19 @@
         counts.merge(reason, 1L, Long::sum);
     }
 
+    /** Returns the events counted so far, and how many keyed requests started and were answered in any of their calls. */
     Map<String, Long> counts() {
-        return counts;
+        Map<String, Long> all = new TreeMap<>(counts);
+        List<SimRequest> keyed =
+                requests.values().stream().filter(SimRequest::keyed).distinct().toList();
+        all.put("keyed_request", (long) keyed.size());
+        all.put(
+                "keyed_request_started",
+                keyed.stream().filter(SimRequest::started).count());
+        all.put(
+                "keyed_request_answered",
+                keyed.stream().filter(request -> request.completeAnswers() > 0).count());
+        return all;
     }
 
     long faultsInjected() {
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
@@ -4,7 +4,6 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -71,7 +70,7 @@
                         simulation.checks.counts().isEmpty()
                                 ? Map.of(Invariant.TIER_ORDER, 0L)
                                 : simulation.checks.counts()),
-                new TreeMap<>(simulation.counts()));
+                simulation.counts());
     }
 
     /** Reruns a seed with its event log; returns the lines about the failed request or node, then the last lines. */
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -5,6 +5,7 @@
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
@@ -104,7 +105,8 @@
         int requests = results.stream().mapToInt(FleetSoak.Result::requests).sum();
         int served = results.stream().mapToInt(FleetSoak.Result::served).sum();
         System.out.println(seeds + " seeds, " + served + " of " + requests + " requests served, " + failed.size()
-                + " seeds failed, by bound " + FleetSoak.failuresByBound(results));
+                + " seeds failed, by bound " + FleetSoak.failuresByBound(results)
+                + listOf(failed.stream().map(FleetSoak.Result::seed).toList()));
         return failed.isEmpty() ? 0 : 1;
     }
 
@@ -130,6 +132,10 @@
         return failed == 0 ? 0 : 1;
     }
 
+    private static String listOf(List<Long> failedSeeds) {
+        return failedSeeds.isEmpty() ? "" : ": " + failedSeeds;
+    }
+
     private static int report(List<Soak.Result> results) {
         Map<Invariant, Long> checks = new EnumMap<>(Invariant.class);
         Map<String, Long> counts = new TreeMap<>();
@@ -137,7 +143,7 @@
         long faults = 0;
         long requests = 0;
         long completeAnswers = 0;
-        int failed = 0;
+        List<Long> failedSeeds = new ArrayList<>();
         for (Soak.Result result : results) {
             events += result.events();
             faults += result.faults();
@@ -145,8 +151,11 @@
             completeAnswers += result.completeAnswers();
             result.checks().forEach((invariant, count) -> checks.merge(invariant, count, Long::sum));
             result.counts().forEach((reason, count) -> counts.merge(reason, count, Long::sum));
-            if (!result.passed() && failed++ < MAX_SHOWN_FAILURES) {
-                System.out.println("seed " + result.seed() + " FAILED: " + result.failure());
+            if (!result.passed()) {
+                failedSeeds.add(result.seed());
+                if (failedSeeds.size() <= MAX_SHOWN_FAILURES) {
+                    System.out.println("seed " + result.seed() + " FAILED: " + result.failure());
+                }
             }
         }
         System.out.println("event counts:");
@@ -154,7 +163,8 @@
         System.out.println("invariant checks:");
         checks.forEach((invariant, count) -> System.out.println("  " + count + "  " + invariant.label()));
         System.out.println(results.size() + " seeds, " + events + " events, " + faults + " faults, " + requests
-                + " calls, " + completeAnswers + " complete answers, " + failed + " seeds failed");
-        return failed == 0 ? 0 : 1;
+                + " calls, " + completeAnswers + " complete answers, " + failedSeeds.size() + " seeds failed"
+                + listOf(failedSeeds));
+        return failedSeeds.isEmpty() ? 0 : 1;
     }
 }
