A router that has just started serves keyed calls as soon as its store has stated the era

Callers saw keyed calls refused as unsettled (4003) by a router that was ready: it learned the era with its first read of the configuration, held claims since a restore may have been just before, and asked only a second later whether another router had settled that era. A keyed call waits one second for its claim.

The router asks as soon as the configuration was read. The stand-in of the store can state its era and be restored from a copy, which no stand-in of the routers' store could: no daemon had been through either.

--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -137,7 +137,7 @@
         poller = ConfigPoller.start(
                 ConfigStore.in(parts.platform()),
                 parts::pollInterval,
-                found -> control.post(() -> core.applyConfig(found)),
+                this::onConfigRead,
                 metrics);
         control.scheduleEvery(TICK_INTERVAL, core::onTick);
         control.scheduleEvery(CLAIM_RECOVERY_INTERVAL, claims::recover);
@@ -147,6 +147,12 @@
                 .write();
     }
 
+    /** Applies a configuration, and recovers claims at once if the answer of the store stated a new era. */
+    private void onConfigRead(ClusterConfig found) {
+        control.post(() -> core.applyConfig(found));
+        claims.recover();
+    }
+
     private void registerGauges() {
         metrics.registerGauge("requests_in_progress", "Requests in progress", () -> control.query(core::inFlight));
         metrics.registerGauge("links", "Agents connected", () -> control.query(core::linkedAgents));
--- a/standin/src/main/java/org/tanagerhinge/standin/PlatformStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/PlatformStandin.java
@@ -23,12 +23,20 @@
  * watch is a single long poll. {@code POST /standin/faults} takes {@code down}, {@code slowMillis} and {@code
  * loseAnswers} (the number of writes that take effect without a response). {@code GET /standin/calls} returns the
  * number of calls.
+ *
+ * <p>Once {@link #stateEra} was called, each answer states the store's era, as a store does that may be restored from an
+ * older copy.
  */
 public final class PlatformStandin implements AutoCloseable {
+    private static final String ERA_HEADER = "X-Etcd-Era";
     private static final int MAX_VALUE_LENGTH = 1 << 20;
     private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
 
-    private record Entry(String value, long createRevision, long modRevision, long lease) {}
+    /** A value and its revisions. */
+    public record Entry(String value, long createRevision, long modRevision, long lease) {}
+
+    /** Content of the store at one time. */
+    public record Copy(Map<String, Entry> entries, Map<Long, Instant> leases, long revision, long nextLease) {}
 
     private record HostState(String state, Instant since) {}
 
@@ -40,6 +48,9 @@
     private long revision;
     private long nextLease = 1;
     private CompletableFuture<Void> changed = new CompletableFuture<>();
+    /** Number of restores so far, plus one; 0 if answers do not state it. */
+    private volatile long era;
+
     private volatile boolean down;
     private volatile long slowMillis;
     private volatile int loseAnswers;
@@ -79,12 +90,37 @@
         loseAnswers = writes;
     }
 
+    /** Makes every answer state the store's era. */
+    public void stateEra() {
+        era = 1;
+    }
+
+    /** Returns a copy of the store's content. */
+    public synchronized Copy copy() {
+        return new Copy(Map.copyOf(entries), Map.copyOf(leases), revision, nextLease);
+    }
+
+    /** Restores the store from a copy: later writes are lost, their revisions are assigned again, and a new era starts. */
+    public synchronized void restore(Copy copy) {
+        entries.clear();
+        entries.putAll(copy.entries());
+        leases.clear();
+        leases.putAll(copy.leases());
+        revision = copy.revision();
+        nextLease = copy.nextLease();
+        era++;
+        notifyWatches();
+    }
+
     private void handle(String method, String path, byte[] body, StandinServer.Exchange exchange) throws IOException {
         if (path.startsWith("/standin/")) {
             control(path, body, exchange);
             return;
         }
         calls.incrementAndGet();
+        if (era > 0) {
+            exchange.header(ERA_HEADER, Long.toString(era));
+        }
         if (down) {
             exchange.abort();
             return;
--- a/standin/src/main/java/org/tanagerhinge/standin/StandinServer.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/StandinServer.java
@@ -30,6 +30,11 @@
 
     /** A request and its pending response. */
     record Exchange(Request request, Response response, Callback callback) {
+        /** Adds a header to the answer. */
+        void header(String name, String value) {
+            response.getHeaders().put(name, value);
+        }
+
         void json(int status, JsonNode node) {
             text(status, "application/json", node.toString());
         }
