Claims of keyed requests are known to more processes than their router and executor

The router now submits a claimed request with the claim's body digest and era, and reports the claim to a second agent. A reported claim of an earlier era is written again like a router's own, at the latest before its key is decided. Processes state in their heartbeat that they accept reports, so that earlier versions get none.

--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
@@ -18,8 +18,10 @@
 import org.tanagerhinge.core.invariant.Invariant;
 import org.tanagerhinge.core.invariant.InvariantMonitor;
 import org.tanagerhinge.core.message.AgentLoad;
+import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.ResultCode;
 
 /**
@@ -45,6 +47,7 @@
     private final Map<Long, Run> runsInFlight = new HashMap<>();
     private final RouterLinks links;
     private final FlowControl flowControl;
+    private final ClaimReports claimReports;
     private ClusterConfig config = ClusterConfig.EMPTY;
     private long nextRunId = 1;
     private boolean stopping;
@@ -68,6 +71,7 @@
         this.executions = new ExecutionTable(options, monitor);
         this.links = new RouterLinks(port, clock);
         this.flowControl = new FlowControl(port, options.creditWindowUnits());
+        this.claimReports = new ClaimReports(serverId, links, clock);
     }
 
     /**
@@ -142,6 +146,7 @@
         if (!links.isConnected(router)) {
             return;
         }
+        claimReports.removeRouter(router);
         for (Run run : links.disconnect(router)) {
             run.subscribers().removeIf(subscriber -> subscriber.router().equals(router));
             if (run.subscribers().isEmpty()) {
@@ -178,14 +183,18 @@
             case Frame.Attach attach -> onAttach(router, attach);
             case Frame.Cancel cancel -> onCancel(router, cancel.attempt(), cancel.continueRun());
             case Frame.Credit credit -> onCredit(router, credit);
-            case Frame.Heartbeat heartbeat -> onPeerRevision(router, heartbeat.revision());
+            case Frame.ClaimReport report -> report.claims().forEach(claim -> claimReports.report(claim, router));
+            case Frame.Heartbeat heartbeat -> onHeartbeat(router, heartbeat);
             case Frame.ConfigPull pull -> send(router, new Frame.ConfigPush(config));
             case Frame.ConfigPush push -> applyConfig(push.config());
         }
     }
 
-    private void onPeerRevision(RouterId router, ConfigRevision peer) {
-        if (config.revision().isBehind(peer)) {
+    private void onHeartbeat(RouterId router, Frame.Heartbeat heartbeat) {
+        if (heartbeat.acceptsClaimReports()) {
+            claimReports.addRouter(router);
+        }
+        if (config.revision().isBehind(heartbeat.revision())) {
             send(router, new Frame.ConfigPull());
         }
     }
@@ -212,11 +221,21 @@
                 run.subscribers().add(new Subscriber(router, submit.attempt()));
                 links.attach(router, submit.attempt(), run);
                 run.execution().ifPresent(_ -> executions.recordQueued(run, now()));
+                claim(submit).ifPresent(claim -> claimReports.report(claim, router));
                 dispatch();
             }
         }
     }
 
+    private Optional<StoredClaim> claim(Frame.Submit submit) {
+        return submit.claim().map(terms -> {
+            Execution execution = submit.execution().orElseThrow();
+            ClaimEntry entry = ClaimEntry.requested(
+                    execution.digest(), terms.bodyDigest(), serverId, incarnation, submit.request());
+            return new StoredClaim(entry.withGeneration(execution.generation()), terms.era());
+        });
+    }
+
     private void closeAndReject(RouterId router, Frame.Submit submit, ResultCode code, Duration retryAfter) {
         submit.execution().ifPresent(execution -> executions.close(execution, now()));
         reject(router, submit.attempt(), code, retryAfter);
@@ -581,7 +600,7 @@
         if (wasAccepting != isAccepting()) {
             broadcastLoad();
         }
-        Frame.Heartbeat heartbeat = new Frame.Heartbeat(config.revision());
+        Frame.Heartbeat heartbeat = Frame.Heartbeat.of(config.revision());
         links.routers().forEach(router -> send(router, heartbeat));
     }
 
@@ -638,7 +657,7 @@
     }
 
     private void sendStatus(RouterId router) {
-        send(router, new Frame.Heartbeat(config.revision()));
+        send(router, Frame.Heartbeat.of(config.revision()));
         send(router, new Frame.LoadReport(load()));
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/claim/ClaimDecision.java
+++ b/core/src/main/java/org/tanagerhinge/core/claim/ClaimDecision.java
@@ -1,11 +1,12 @@
 package org.tanagerhinge.core.claim;
 
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.StoredClaim;
 
 /** Decides whether a request gets the claim of its caller's idempotency key. */
 public sealed interface ClaimDecision {
     /** The request holds the claim; the entry contains its generation. */
-    record Granted(ClaimEntry entry) implements ClaimDecision {}
+    record Granted(StoredClaim claim) implements ClaimDecision {}
 
     /** Another request holds the key; the entry names the server that runs it. */
     record HeldByOther(ClaimEntry entry) implements ClaimDecision {}
@@ -19,9 +20,10 @@
      * @param current entry stored under the key, null if none
      * @param requested entry that the request wants to write
      * @param expectedGeneration generation that the request may replace because nothing runs under it; 0 for none
+     * @param era era of the store in which the current entry was read
      * @return the decision, or null if the requested entry may replace the current one
      */
-    static ClaimDecision decide(ClaimEntry current, ClaimEntry requested, long expectedGeneration) {
+    static ClaimDecision decide(ClaimEntry current, ClaimEntry requested, long expectedGeneration, long era) {
         if (current == null || current.free()) {
             return null;
         }
@@ -30,7 +32,7 @@
         }
         if (current.owner().equals(requested.owner()) && current.sameExecutor(requested)) {
             // An earlier write took effect although its answer was lost.
-            return new Granted(current);
+            return new Granted(new StoredClaim(current, era));
         }
         return new HeldByOther(current);
     }
--- a/core/src/main/java/org/tanagerhinge/core/claim/ClaimRecovery.java
+++ b/core/src/main/java/org/tanagerhinge/core/claim/ClaimRecovery.java
@@ -7,19 +7,22 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.store.StoreEra;
 
 /**
- * Keeps the latest claims of a router in memory, so that it can write them again after the store was restored from an
- * older copy, and decides when claims may be settled again. May be used by several threads.
+ * Keeps the latest claims that a router was granted, follows or was told of by agents, so that it can write them again
+ * after the store was restored from an older copy, and decides when claims may be settled again. May be used by several
+ * threads.
  */
 public final class ClaimRecovery {
     /** A restore brings back a copy that is at most 60 s old; the rest is time for a router to learn of the restore. */
-    static final Duration RETENTION = Duration.ofSeconds(90);
+    public static final Duration RETENTION = Duration.ofSeconds(90);
     /** Limits memory to about 2 MB. One router writes them again one by one, which may outlast the hold time of others. */
-    static final int MAX_RETAINED = 4_096;
+    public static final int MAX_RETAINED = 4_096;
     /** Time for other routers to learn of a restore and write their claims; longer than a pause of 6 s and a poll. */
     static final Duration HOLD_TIME = Duration.ofSeconds(10);
     /** Longest interval between two answers in which the store counts as available to other routers as well. */
@@ -85,6 +88,25 @@
         return true;
     }
 
+    /** Keeps a claim that an agent reported; it is pending if it was granted in an earlier era than the current one. */
+    public synchronized void keep(StoredClaim claim) {
+        Retained before = retained.get(claim.entry().digest());
+        boolean known = before != null
+                && before.entry.generation() == claim.entry().generation()
+                && before.writtenInEra >= claim.era();
+        if (!known) {
+            put(claim.entry(), claim.era());
+            evict();
+        }
+    }
+
+    /** Returns the pending claim of a key, if there is one. */
+    public synchronized Optional<ClaimEntry> pending(KeyDigest digest) {
+        return Optional.ofNullable(retained.get(digest))
+                .filter(each -> each.writtenInEra < era)
+                .map(Retained::entry);
+    }
+
     /** Returns the claims that have not been written in the current era, the latest first. */
     public synchronized List<ClaimEntry> pending() {
         return retained.values().stream()
--- a/core/src/main/java/org/tanagerhinge/core/message/Frame.java
+++ b/core/src/main/java/org/tanagerhinge/core/message/Frame.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.core.message;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
@@ -29,6 +30,7 @@
      *
      * @param timeLeft time until the deadline of the request; a duration, because hosts' clocks differ
      * @param execution for a non-idempotent request, the record under which the agent runs it at most once; else empty
+     * @param claim the claim of the caller's idempotency key, if the execution is permitted by one
      * @param resumeText text that the caller already has and that is to be continued; empty for a new answer
      * @param resumeFromUnits units that the caller already has
      * @param expectedUnits units that the router expects in the rest of the answer
@@ -39,6 +41,7 @@
             WorkItem work,
             Duration timeLeft,
             Optional<Execution> execution,
+            Optional<ClaimTerms> claim,
             String resumeText,
             long resumeFromUnits,
             long expectedUnits)
@@ -93,8 +96,23 @@
     /** Reports the load of an agent; sent once per heartbeat interval and when the agent starts or stops accepting work. */
     record LoadReport(AgentLoad load) implements FromAgent {}
 
-    /** Signals that the sender is alive and which configuration it has. */
-    record Heartbeat(ConfigRevision revision) implements FromEither {}
+    /**
+     * Reports recent claims of callers' idempotency keys. A router keeps them to write them again if the platform's
+     * store loses them; an agent keeps them to report them to routers.
+     */
+    record ClaimReport(List<StoredClaim> claims) implements FromEither {}
+
+    /**
+     * Signals that the sender is alive and which configuration it has.
+     *
+     * @param acceptsClaimReports whether the sender handles a {@link ClaimReport}, as earlier versions don't
+     */
+    record Heartbeat(ConfigRevision revision, boolean acceptsClaimReports) implements FromEither {
+        /** Returns the heartbeat of a process of this version. */
+        public static Heartbeat of(ConfigRevision revision) {
+            return new Heartbeat(revision, true);
+        }
+    }
 
     /** Requests the peer's configuration. */
     record ConfigPull() implements FromEither {}
--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -17,8 +17,10 @@
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.id.TargetName;
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.ClaimTerms;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.SchedulingParameters;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.message.WorkItem;
 import org.tanagerhinge.core.result.RequestFailure;
 
@@ -42,7 +44,7 @@
     private ServerId server;
     private long serverIncarnation;
     private long generation;
-    private ClaimEntry claim;
+    private StoredClaim claim;
     private ClaimEntry followedClaim;
     private long claimSequence;
     private Instant waitingSince;
@@ -197,7 +199,7 @@
             return Optional.empty();
         }
         if (claim != null) {
-            return Optional.of(claim.execution());
+            return Optional.of(claim.entry().execution());
         }
         return Optional.of(Execution.of(keyDigest(), generation));
     }
@@ -208,10 +210,20 @@
     }
 
     Optional<ClaimEntry> claim() {
+        return Optional.ofNullable(claim).map(StoredClaim::entry);
+    }
+
+    Optional<StoredClaim> storedClaim() {
         return Optional.ofNullable(claim);
     }
 
-    void claim(ClaimEntry grantedClaim) {
+    /** Returns what the executor is told of the claim; empty if the request has none. */
+    Optional<ClaimTerms> claimTerms() {
+        return Optional.ofNullable(claim)
+                .map(granted -> new ClaimTerms(granted.entry().bodyDigest(), granted.era()));
+    }
+
+    void claim(StoredClaim grantedClaim) {
         claim = grantedClaim;
     }
 
@@ -229,7 +241,7 @@
         if (followedClaim != null) {
             return followedClaim.generation();
         }
-        return claim == null ? 0 : claim.generation();
+        return claim == null ? 0 : claim.entry().generation();
     }
 
     long claimSequence() {
--- a/core/src/main/java/org/tanagerhinge/core/router/IdempotencyClaims.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/IdempotencyClaims.java
@@ -7,6 +7,7 @@
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.result.ResultCode;
 
@@ -72,13 +73,13 @@
         }
         Exchange exchange = found.get();
         switch (decision) {
-            case ClaimDecision.Granted granted -> onGranted(exchange, granted.entry());
+            case ClaimDecision.Granted granted -> onGranted(exchange, granted.claim());
             case ClaimDecision.HeldByOther heldByOther -> followHolder(exchange, heldByOther.entry());
             case ClaimDecision.Unsettled unsettled -> port.countDecision("claim_unsettled");
         }
     }
 
-    private void onGranted(Exchange exchange, ClaimEntry claim) {
+    private void onGranted(Exchange exchange, StoredClaim claim) {
         exchanges.forgetClaim(exchange);
         exchange.claim(claim);
         exchange.followedClaim(null);
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -27,6 +27,7 @@
 import org.tanagerhinge.core.message.AgentLoad;
 import org.tanagerhinge.core.message.BackendCall;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.result.RunOutcome;
@@ -306,6 +307,7 @@
         boolean resumes = exchange.idempotent() && exchange.deliveredUnits() > 0;
         long expectedUnits = exchange.expectedUnits();
         view.recordSubmission(expectedUnits + exchange.request().promptUnits() / PROMPT_TOKENS_PER_UNIT, now());
+        exchange.storedClaim().ifPresent(claim -> reportClaim(view, claim));
         port.send(
                 exchange.server(),
                 new Frame.Submit(
@@ -314,11 +316,18 @@
                         exchange.work(),
                         exchange.timeLeft(now()),
                         exchange.execution(),
+                        exchange.claimTerms(),
                         resumes ? exchange.deliveredText() : "",
                         resumes ? exchange.deliveredUnits() : 0,
                         expectedUnits));
     }
 
+    /** Reports a claim to another agent than its executor, so that it is known if both router and executor end. */
+    private void reportClaim(ServerView executor, StoredClaim claim) {
+        servers.otherClaimKeeper(executor.server(), claim.entry().digest())
+                .ifPresent(keeper -> port.send(keeper, new Frame.ClaimReport(List.of(claim))));
+    }
+
     /** Handles the store's decision on a claim, or the lack of one. */
     public void onClaimDecided(long sequence, ClaimDecision decision) {
         claims.onDecision(sequence, decision);
@@ -340,7 +349,7 @@
         view.incarnation(incarnation);
         view.machine().fire(ServerEvent.LINK);
         view.lastUsedAt(now());
-        port.send(server, new Frame.Heartbeat(config.revision()));
+        port.send(server, Frame.Heartbeat.of(config.revision()));
         exchanges.all().stream()
                 .filter(exchange -> exchange.in(ExchangeState.UNCERTAIN) && server.equals(exchange.server()))
                 .forEach(claims::attach);
@@ -432,7 +441,9 @@
                 findByAttempt(failed.attempt(), server).ifPresent(exchange -> onFailed(exchange, failed));
             }
             case Frame.LoadReport report -> onLoad(view, report.load());
+            case Frame.ClaimReport report -> port.keepClaims(report.claims());
             case Frame.Heartbeat heartbeat -> {
+                view.acceptsClaimReports(heartbeat.acceptsClaimReports());
                 if (config.revision().isBehind(heartbeat.revision())) {
                     port.send(server, new Frame.ConfigPull());
                 }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
@@ -1,11 +1,13 @@
 package org.tanagerhinge.core.router;
 
+import java.util.List;
 import org.tanagerhinge.core.config.BackendServer;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.result.RunOutcome;
@@ -28,6 +30,9 @@
     /** Releases a claim in the platform's store, if reachable: nothing ran under it and nothing will. */
     void releaseClaim(ClaimEntry claim);
 
+    /** Keeps claims of other routers, to be written again if the platform's store loses them. */
+    void keepClaims(List<StoredClaim> claims);
+
     /** Opens a connection to an agent and reconnects until {@link #unlink}. */
     void link(BackendServer server);
 
--- a/core/src/main/java/org/tanagerhinge/core/router/ServerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ServerTable.java
@@ -14,6 +14,7 @@
 import org.tanagerhinge.core.config.DesiredServerState;
 import org.tanagerhinge.core.config.ServerKind;
 import org.tanagerhinge.core.config.ServersDocument;
+import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.id.TargetName;
 
@@ -69,6 +70,25 @@
         return acceptingServers;
     }
 
+    /**
+     * Returns the linked agent that is to keep a claim beside its executor, preferably in another failure domain; the
+     * same one for the same key as long as the links are the same.
+     */
+    Optional<ServerId> otherClaimKeeper(BackendServer executor, KeyDigest digest) {
+        List<BackendServer> keepers = views.values().stream()
+                .filter(view -> view.linked() && view.acceptsClaimReports())
+                .map(ServerView::server)
+                .filter(server -> !server.id().equals(executor.id()))
+                .toList();
+        List<BackendServer> elsewhere = keepers.stream()
+                .filter(server -> !server.failureDomain().equals(executor.failureDomain()))
+                .toList();
+        return RendezvousHash.first(
+                digest.hex(),
+                (elsewhere.isEmpty() ? keepers : elsewhere)
+                        .stream().map(BackendServer::id).toList());
+    }
+
     /** Returns the linked servers, grouped by the targets that they serve. */
     Collection<List<ServerView>> linkedByTargets() {
         Map<Set<TargetName>, List<ServerView>> groups = new LinkedHashMap<>();
--- a/core/src/main/java/org/tanagerhinge/core/router/ServerView.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ServerView.java
@@ -28,6 +28,7 @@
     private Instant lastHeartbeatAt = Instant.MIN;
     private Instant lastUsedAt = Instant.MIN;
     private int consecutiveSlowChecks;
+    private boolean acceptsClaimReports;
 
     ServerView(BackendServer server) {
         this.server = server;
@@ -80,6 +81,7 @@
         unreportedSubmissions.clear();
         unreportedCostUnits = 0;
         consecutiveSlowChecks = 0;
+        acceptsClaimReports = false;
     }
 
     /** Returns the expected units of the work that is in no load report yet. */
@@ -115,6 +117,14 @@
         lastUsedAt = at;
     }
 
+    boolean acceptsClaimReports() {
+        return acceptsClaimReports;
+    }
+
+    void acceptsClaimReports(boolean next) {
+        acceptsClaimReports = next;
+    }
+
     int consecutiveSlowChecks() {
         return consecutiveSlowChecks;
     }
--- a/core/src/test/java/org/tanagerhinge/core/agent/TestRuns.java
+++ b/core/src/test/java/org/tanagerhinge/core/agent/TestRuns.java
@@ -41,6 +41,9 @@
                 TargetName.of("m"),
                 new BackendCall.ModelCall(new byte[10]),
                 0);
-        return new Run(id, new Frame.Submit(id, RequestId.of("r" + id), work, timeLeft, execution, "", 0, cost), NOW);
+        return new Run(
+                id,
+                new Frame.Submit(id, RequestId.of("r" + id), work, timeLeft, execution, Optional.empty(), "", 0, cost),
+                NOW);
     }
 }
--- a/core/src/test/java/org/tanagerhinge/core/claim/ClaimRecoveryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/claim/ClaimRecoveryTest.java
@@ -7,11 +7,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.StoredClaim;
 
 /** Tests which claims a router keeps for a restore of the store, and when it settles claims again. */
 class ClaimRecoveryTest {
@@ -168,6 +170,38 @@
         assertEquals(List.of(), recovery.pending());
     }
 
+    /** Guards against a claim that was granted before a restore and is reported to a router that noticed it already. */
+    @Test
+    void claimReportedFromAnEarlierEraIsPending() {
+        settleInEra(2);
+        recovery.keep(new StoredClaim(claim(1, 1), 1));
+        recovery.keep(new StoredClaim(claim(2, 1), 2));
+        assertEquals(List.of(claim(1, 1)), recovery.pending());
+        assertEquals(Optional.of(claim(1, 1)), recovery.pending(claim(1, 1).digest()));
+        assertEquals(Optional.empty(), recovery.pending(claim(2, 1).digest()));
+    }
+
+    /** Guards against writing a claim again with each report of it. */
+    @Test
+    void claimThatIsWrittenAgainIsNotPendingWhenItIsReportedAgain() {
+        settleInEra(1);
+        recovery.keep(new StoredClaim(claim(1, 1), 1));
+        recovery.observe(2);
+        recovery.restored(claim(1, 1), 2);
+        recovery.keep(new StoredClaim(claim(1, 1), 1));
+        assertEquals(List.of(), recovery.pending());
+    }
+
+    /** Guards against a report that replaces a later generation, under which the request may run. */
+    @Test
+    void reportOfAnEarlierGenerationIsIgnored() {
+        settleInEra(1);
+        recovery.retain(claim(1, 2), 1);
+        recovery.keep(new StoredClaim(claim(1, 1), 1));
+        recovery.observe(2);
+        assertEquals(List.of(claim(1, 2)), recovery.pending());
+    }
+
     private static ClaimEntry claim(int key, long generation) {
         return ClaimEntry.requested(
                         new KeyDigest(KeyDigest.sha256Hex("key " + key).substring(0, 32)),
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
@@ -29,6 +29,7 @@
 import org.tanagerhinge.core.message.BackendCall;
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.router.ExchangeOutcome;
 import org.tanagerhinge.core.router.IncomingRequest;
@@ -66,6 +67,9 @@
         @Override
         public void claim(long sequence, ClaimEntry wanted, long expectedGeneration) {}
 
+        @Override
+        public void keepClaims(List<StoredClaim> claims) {}
+
         @Override
         public void releaseClaim(ClaimEntry claim) {}
 
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/DecisionCost.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/DecisionCost.java
@@ -65,7 +65,15 @@
                 new BackendCall.ModelCall(new byte[2000]),
                 500);
         return new Frame.Submit(
-                attempt, RequestId.of("r" + attempt), work, Duration.ofSeconds(60), Optional.empty(), "", 0, 100);
+                attempt,
+                RequestId.of("r" + attempt),
+                work,
+                Duration.ofSeconds(60),
+                Optional.empty(),
+                Optional.empty(),
+                "",
+                0,
+                100);
     }
 
     private static double agentMicrosPerRequest(int queueLength, int workspaces) {
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
@@ -14,6 +14,7 @@
 import org.tanagerhinge.core.invariant.Invariant;
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.router.ExchangeOutcome;
 import org.tanagerhinge.core.router.RouterCore;
@@ -209,6 +210,11 @@
         sim.store.releaseClaim(claims, claim);
     }
 
+    @Override
+    public void keepClaims(List<StoredClaim> reported) {
+        reported.forEach(claims::keep);
+    }
+
     @Override
     public void link(BackendServer server) {
         linkedServers.put(server.id(), true);
--- a/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
@@ -53,6 +53,17 @@
         assertEquals("", Soak.run(seed, true).failure());
     }
 
+    /**
+     * Guards against a keyed request that starts twice because the routers that knew its claim had ended when the store
+     * was restored without it: the agent that ran it lives (56, 203, 382) or has ended as well (115, 286), or only few
+     * processes knew of it (274, 572, 736).
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {56, 115, 203, 274, 286, 382, 572, 736})
+    void keyRunsOnceAcrossRestoresAfterItsRouterHasEnded(long seed) {
+        assertEquals("", Soak.run(seed, true).failure());
+    }
+
     @Test
     void sameSeedReproducesTheRun() {
         assertEquals(Soak.run(7), Soak.run(7));
--- a/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
@@ -14,6 +14,7 @@
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.store.StoreEra;
 
 /**
@@ -73,10 +74,14 @@
         }
         long era = recovery.era();
         try {
-            ClaimDecision decision = decide(requested, expectedGeneration);
+            Optional<ClaimEntry> pending = recovery.pending(requested.digest());
+            if (pending.isPresent()) {
+                restore(pending.get(), era);
+            }
+            ClaimDecision decision = decide(requested, expectedGeneration, era);
             recovery.observe(store.era());
             return switch (decision) {
-                case ClaimDecision.Granted(ClaimEntry entry) -> retainOr(entry, era, decision);
+                case ClaimDecision.Granted(StoredClaim claim) -> retainOr(claim.entry(), era, decision);
                 case ClaimDecision.HeldByOther(ClaimEntry entry) -> retainOr(entry, era, decision);
                 case ClaimDecision.Unsettled unsettled -> unsettled;
             };
@@ -89,12 +94,12 @@
         return recovery.retain(entry, era) ? decision : UNSETTLED_AFTER_RESTORE;
     }
 
-    private ClaimDecision decide(ClaimEntry requested, long expectedGeneration) throws PlatformException {
+    private ClaimDecision decide(ClaimEntry requested, long expectedGeneration, long era) throws PlatformException {
         Optional<PlatformStore.Versioned> current =
                 expectedGeneration == 0 ? Optional.empty() : store.read(key(requested.digest()));
         for (int attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt++) {
             ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
-            ClaimDecision decision = ClaimDecision.decide(held, requested, expectedGeneration);
+            ClaimDecision decision = ClaimDecision.decide(held, requested, expectedGeneration, era);
             if (decision != null) {
                 return decision;
             }
@@ -104,7 +109,7 @@
             if (swap instanceof PlatformStore.Swap.Differs differs) {
                 current = differs.current();
             } else {
-                return new ClaimDecision.Granted(next);
+                return new ClaimDecision.Granted(new StoredClaim(next, era));
             }
         }
         return new ClaimDecision.Unsettled("other writers changed the claim at each attempt");
@@ -133,10 +138,18 @@
         }
     }
 
-    /** Returns whether {@link #recover} has to call the store: it was restored and claims aren't settled yet. */
+    /** Keeps a claim that an agent reported, to be written again if the store loses it. */
+    public void keep(StoredClaim claim) {
+        recovery.keep(claim);
+    }
+
+    /**
+     * Returns whether {@link #recover} has to call the store: it was restored, and claims aren't settled yet or an agent
+     * has reported one that may be lost.
+     */
     public boolean recoveryDue() {
         recovery.observe(store.era());
-        return !recovery.settling();
+        return !recovery.settling() || !recovery.pending().isEmpty();
     }
 
     /**
@@ -144,14 +157,16 @@
      * when other processes had time to do the same; to be called about once a second.
      */
     public void recover() throws PlatformException {
-        recovery.observe(store.era());
-        if (recovery.settling()) {
+        if (!recoveryDue()) {
             return;
         }
         long era = recovery.era();
         for (ClaimEntry entry : recovery.pending()) {
             restore(entry, era);
         }
+        if (recovery.settling()) {
+            return;
+        }
         Optional<PlatformStore.Versioned> marker = store.read(SETTLED_ERA_KEY);
         recovery.observe(store.era());
         long settledEra = marker.map(ClaimStore::eraOf).orElse(StoreEra.UNKNOWN);
--- a/node/src/test/java/org/tanagerhinge/node/platform/ClaimStoreTest.java
+++ b/node/src/test/java/org/tanagerhinge/node/platform/ClaimStoreTest.java
@@ -1,7 +1,9 @@
 package org.tanagerhinge.node.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -16,6 +18,7 @@
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.StoredClaim;
 
 /** Tests claims of two processes across restores of the store they share. */
 class ClaimStoreTest {
@@ -54,6 +57,37 @@
         granted(second.claim(request("r2"), 0));
     }
 
+    /** Guards against a key that runs twice because the only process that was granted it ended before a restore. */
+    @Test
+    void reportedClaimOfAProcessThatEndedIsWrittenAgain() throws PlatformException {
+        settle();
+        ClaimEntry granted = granted(first.claim(request("r1"), 0));
+        second.keep(new StoredClaim(granted, store.era));
+        store.restoreEmpty();
+        for (int i = 0; i < 12; i++) {
+            second.recover();
+            now = now.plusSeconds(1);
+        }
+        assertEquals(new ClaimDecision.HeldByOther(granted), second.claim(request("r2"), 0));
+    }
+
+    /** Guards against a grant between a late report of a lost claim and the next time that claims are written again. */
+    @Test
+    void claimReportedAfterClaimsWereSettledIsWrittenBeforeTheKeyIsGranted() throws PlatformException {
+        settle();
+        ClaimEntry granted = granted(first.claim(request("r1"), 0));
+        long era = store.era;
+        store.restoreEmpty();
+        for (int i = 0; i < 12; i++) {
+            second.recover();
+            now = now.plusSeconds(1);
+        }
+        second.keep(new StoredClaim(granted, era));
+        assertTrue(second.recoveryDue());
+        assertEquals(new ClaimDecision.HeldByOther(granted), second.claim(request("r2"), 0));
+        assertFalse(second.recoveryDue());
+    }
+
     /** Guards against writes under a lease that the restored store does not know, all of which would fail. */
     @Test
     void claimsAreWrittenUnderALeaseOfTheCurrentEra() throws PlatformException {
@@ -93,7 +127,7 @@
     }
 
     private static ClaimEntry granted(ClaimDecision decision) {
-        return assertInstanceOf(ClaimDecision.Granted.class, decision).entry();
+        return assertInstanceOf(ClaimDecision.Granted.class, decision).claim().entry();
     }
 
     private static ClaimEntry request(String id) {
--- a/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
+++ b/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -9,6 +10,7 @@
 import java.util.function.Consumer;
 import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 import org.tanagerhinge.node.platform.ClaimStore;
 import org.tanagerhinge.node.platform.PlatformException;
@@ -47,6 +49,11 @@
         });
     }
 
+    /** Keeps claims that an agent reported, to be written again if the store loses them. */
+    void keep(List<StoredClaim> claims) {
+        claims.forEach(store::keep);
+    }
+
     /** Writes claims again if the store was restored; does nothing while an earlier call is running. */
     void recover() {
         if (store.recoveryDue() && recovering.compareAndSet(false, true)) {
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -11,6 +11,7 @@
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -30,6 +31,7 @@
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.result.RunOutcome;
@@ -134,11 +136,7 @@
                         "/healthz", () -> Page.text(200, "ok\n"),
                         "/readyz", this::readinessPage),
                 new CallerHandler(this, parts.maxBodyBytes()));
-        poller = ConfigPoller.start(
-                ConfigStore.in(parts.platform()),
-                parts::pollInterval,
-                this::onConfigRead,
-                metrics);
+        poller = ConfigPoller.start(ConfigStore.in(parts.platform()), parts::pollInterval, this::onConfigRead, metrics);
         control.scheduleEvery(TICK_INTERVAL, core::onTick);
         control.scheduleEvery(CLAIM_RECOVERY_INTERVAL, claims::recover);
         LogSetup.setNodeName(self.name());
@@ -334,6 +332,11 @@
             claims.release(claim);
         }
 
+        @Override
+        public void keepClaims(List<StoredClaim> reported) {
+            claims.keep(reported);
+        }
+
         @Override
         public void link(BackendServer server) {
             String address = server.agentAddress();
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
@@ -9,13 +9,17 @@
 import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.id.ProfileName;
 import org.tanagerhinge.core.id.RequestId;
+import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.id.TargetName;
 import org.tanagerhinge.core.id.WorkspaceId;
 import org.tanagerhinge.core.message.AgentLoad;
 import org.tanagerhinge.core.message.BackendCall;
+import org.tanagerhinge.core.message.ClaimEntry;
+import org.tanagerhinge.core.message.ClaimTerms;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.SchedulingParameters;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.message.WorkItem;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.wire.proto.LoadState;
@@ -82,9 +86,15 @@
                         decodeLoad(packet.getFailed().getLoad()));
             case LOAD -> new Frame.LoadReport(decodeLoad(packet.getLoad()));
             case HEARTBEAT ->
-                new Frame.Heartbeat(ConfigRevision.of(
-                        packet.getHeartbeat().getProfiles(),
-                        packet.getHeartbeat().getServers()));
+                new Frame.Heartbeat(
+                        ConfigRevision.of(
+                                packet.getHeartbeat().getProfiles(),
+                                packet.getHeartbeat().getServers()),
+                        packet.getHeartbeat().getAcceptsClaimReports());
+            case CLAIM_REPORT ->
+                new Frame.ClaimReport(packet.getClaimReport().getClaimsList().stream()
+                        .map(FrameDecoder::decodeClaim)
+                        .toList());
             case CONFIG_PULL -> new Frame.ConfigPull();
             case CONFIG_PUSH ->
                 new Frame.ConfigPush(new ClusterConfig(
@@ -119,6 +129,11 @@
                 work,
                 Duration.ofMillis(submit.getTimeLeftMillis()),
                 submit.hasExecution() ? Optional.of(decodeExecution(submit.getExecution())) : Optional.empty(),
+                submit.hasClaim()
+                        ? Optional.of(new ClaimTerms(
+                                submit.getClaim().getBodyDigest(),
+                                submit.getClaim().getStoreEra()))
+                        : Optional.empty(),
                 submit.getResumeText(),
                 submit.getResumeFrom(),
                 submit.getExpectedUnits());
@@ -128,6 +143,18 @@
         return Execution.of(new KeyDigest(execution.getDigest()), execution.getGeneration());
     }
 
+    private static StoredClaim decodeClaim(org.tanagerhinge.wire.proto.StoredClaim claim) {
+        Execution execution = decodeExecution(claim.getExecution());
+        ClaimEntry entry = ClaimEntry.requested(
+                execution.digest(),
+                claim.getTerms().getBodyDigest(),
+                ServerId.of(claim.getExecutor()),
+                claim.getExecutorIncarnation(),
+                RequestId.of(claim.getOwner()));
+        return new StoredClaim(
+                entry.withGeneration(execution.generation()), claim.getTerms().getStoreEra());
+    }
+
     private static AgentLoad decodeLoad(LoadState load) {
         return new AgentLoad(
                 load.getInFlight(),
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
@@ -5,13 +5,17 @@
 import org.tanagerhinge.core.config.ConfigJson;
 import org.tanagerhinge.core.message.AgentLoad;
 import org.tanagerhinge.core.message.BackendCall;
+import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Execution;
 import org.tanagerhinge.core.message.Frame;
+import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.message.WorkItem;
 import org.tanagerhinge.wire.proto.Attach;
 import org.tanagerhinge.wire.proto.Attempt;
 import org.tanagerhinge.wire.proto.Cancel;
 import org.tanagerhinge.wire.proto.Chunk;
+import org.tanagerhinge.wire.proto.ClaimReport;
+import org.tanagerhinge.wire.proto.ClaimTerms;
 import org.tanagerhinge.wire.proto.Config;
 import org.tanagerhinge.wire.proto.Credit;
 import org.tanagerhinge.wire.proto.Done;
@@ -79,7 +83,9 @@
             case Frame.Heartbeat heartbeat ->
                 packet.setHeartbeat(Revision.newBuilder()
                         .setProfiles(heartbeat.revision().profiles())
-                        .setServers(heartbeat.revision().servers()));
+                        .setServers(heartbeat.revision().servers())
+                        .setAcceptsClaimReports(heartbeat.acceptsClaimReports()));
+            case Frame.ClaimReport report -> packet.setClaimReport(encodeClaimReport(report));
             case Frame.ConfigPull pull -> packet.setConfigPull(Empty.getDefaultInstance());
             case Frame.ConfigPush push ->
                 packet.setConfigPush(Config.newBuilder()
@@ -110,6 +116,7 @@
                 .setExpectedUnits(frame.expectedUnits())
                 .setBody(wrapBytes(work.call().body()));
         frame.execution().ifPresent(execution -> submit.setExecution(encodeExecution(execution)));
+        frame.claim().ifPresent(claim -> submit.setClaim(encodeTerms(claim.bodyDigest(), claim.era())));
         if (work.call() instanceof BackendCall.ServiceCall call) {
             submit.setMethod(call.method()).setPath(call.path()).setContentType(call.contentType());
         }
@@ -123,6 +130,27 @@
                 .build();
     }
 
+    private static ClaimTerms encodeTerms(String bodyDigest, long era) {
+        return ClaimTerms.newBuilder()
+                .setBodyDigest(bodyDigest)
+                .setStoreEra(era)
+                .build();
+    }
+
+    private static ClaimReport encodeClaimReport(Frame.ClaimReport report) {
+        ClaimReport.Builder builder = ClaimReport.newBuilder();
+        for (StoredClaim claim : report.claims()) {
+            ClaimEntry entry = claim.entry();
+            builder.addClaims(org.tanagerhinge.wire.proto.StoredClaim.newBuilder()
+                    .setExecution(encodeExecution(entry.execution()))
+                    .setTerms(encodeTerms(entry.bodyDigest(), claim.era()))
+                    .setExecutor(entry.executor().value())
+                    .setExecutorIncarnation(entry.executorIncarnation())
+                    .setOwner(entry.owner().value()));
+        }
+        return builder.build();
+    }
+
     private static Attempt encodeAttempt(long number) {
         return Attempt.newBuilder().setAttempt(number).build();
     }
