--- a/core/src/main/java/org/tanagerhinge/core/router/ServerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ServerTable.java
@@ -72,11 +72,13 @@
 
     /**
      * Returns the linked agent that is to keep a claim beside its executor, preferably in another failure domain; the
-     * same one for the same key as long as the links are the same.
+     * same one for the same key as long as the links are the same. An agent that is stopping is not chosen.
      */
     Optional<ServerId> otherClaimKeeper(BackendServer executor, KeyDigest digest) {
         List<BackendServer> keepers = views.values().stream()
-                .filter(view -> view.linked() && view.acceptsClaimReports())
+                .filter(view -> view.linked()
+                        && view.acceptsClaimReports()
+                        && view.load().accepting())
                 .map(ServerView::server)
                 .filter(server -> !server.id().equals(executor.id()))
                 .toList();
