Routers learn of a restored store from heartbeats, not only from their own calls

A router without keyed traffic learned of a restore by its poll of the configuration alone, whose interval grows with the number of routers: beyond about 260 of them later than the hold time of the others, which then grant keys whose claims it alone would have written again. It holds reported claims now, so that this concerns every router.

Heartbeats state the latest era that their sender knows, and agents pass a later one on at once. What an agent states is a reason to ask the store, whose answer alone counts; an era that it does not confirm is asked for once. Processes of the version before send none and ignore it.

--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
@@ -23,6 +23,7 @@
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.ResultCode;
+import org.tanagerhinge.core.store.StoreEra;
 
 /**
  * Admits, orders, dispatches and ends the requests of one backend server, as a single-threaded event handler.
@@ -50,6 +51,7 @@
     private final ClaimReports claimReports;
     private ClusterConfig config = ClusterConfig.EMPTY;
     private long nextRunId = 1;
+    private long storeEra = StoreEra.UNKNOWN;
     private boolean stopping;
     private final BackendHealth health = new BackendHealth();
 
@@ -191,6 +193,7 @@
     }
 
     private void onHeartbeat(RouterId router, Frame.Heartbeat heartbeat) {
+        onStoreEra(heartbeat.storeEra());
         if (heartbeat.acceptsClaimReports()) {
             claimReports.addRouter(router);
         }
@@ -227,6 +230,19 @@
         }
     }
 
+    /** Tells all routers of a later era of the store than known, since most learn of a restore only by a poll. */
+    private void onStoreEra(long stated) {
+        if (stated > storeEra) {
+            storeEra = stated;
+            broadcastHeartbeat();
+        }
+    }
+
+    private void broadcastHeartbeat() {
+        Frame.Heartbeat heartbeat = Frame.Heartbeat.of(config.revision(), storeEra);
+        links.routers().forEach(router -> send(router, heartbeat));
+    }
+
     private Optional<StoredClaim> claim(Frame.Submit submit) {
         return submit.claim().map(terms -> {
             Execution execution = submit.execution().orElseThrow();
@@ -600,8 +616,7 @@
         if (wasAccepting != isAccepting()) {
             broadcastLoad();
         }
-        Frame.Heartbeat heartbeat = Frame.Heartbeat.of(config.revision());
-        links.routers().forEach(router -> send(router, heartbeat));
+        broadcastHeartbeat();
     }
 
     private Duration minInterTokenTarget() {
@@ -657,7 +672,7 @@
     }
 
     private void sendStatus(RouterId router) {
-        send(router, Frame.Heartbeat.of(config.revision()));
+        send(router, Frame.Heartbeat.of(config.revision(), storeEra));
         send(router, new Frame.LoadReport(load()));
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/message/Frame.java
+++ b/core/src/main/java/org/tanagerhinge/core/message/Frame.java
@@ -7,6 +7,7 @@
 import org.tanagerhinge.core.config.ConfigRevision;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.result.ResultCode;
+import org.tanagerhinge.core.store.StoreEra;
 
 /**
  * Defines the messages between a router and an agent.
@@ -106,11 +107,12 @@
      * Signals that the sender is alive and which configuration it has.
      *
      * @param acceptsClaimReports whether the sender handles a {@link ClaimReport}, as earlier versions don't
+     * @param storeEra latest era of the platform's store that the sender knows of, or {@link StoreEra#UNKNOWN}
      */
-    record Heartbeat(ConfigRevision revision, boolean acceptsClaimReports) implements FromEither {
+    record Heartbeat(ConfigRevision revision, boolean acceptsClaimReports, long storeEra) implements FromEither {
         /** Returns the heartbeat of a process of this version. */
-        public static Heartbeat of(ConfigRevision revision) {
-            return new Heartbeat(revision, true);
+        public static Heartbeat of(ConfigRevision revision, long storeEra) {
+            return new Heartbeat(revision, true, storeEra);
         }
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/router/AgentLinks.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/AgentLinks.java
@@ -70,7 +70,7 @@
 
     /** Sends all linked agents the revision of this router's configuration. */
     void broadcastRevision() {
-        Frame.Heartbeat heartbeat = Frame.Heartbeat.of(config.revision());
+        Frame.Heartbeat heartbeat = Frame.Heartbeat.of(config.revision(), port.storeEra());
         for (ServerView view : List.copyOf(servers.all())) {
             if (view.linked()) {
                 port.send(view.server().id(), heartbeat);
@@ -117,7 +117,7 @@
                     || !view.lastHeartbeatAt().plus(heartbeatInterval).isAfter(now);
             if (view.linked() && due) {
                 view.lastHeartbeatAt(now);
-                port.send(view.server().id(), Frame.Heartbeat.of(config.revision()));
+                port.send(view.server().id(), Frame.Heartbeat.of(config.revision(), port.storeEra()));
             }
         }
     }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -349,7 +349,7 @@
         view.incarnation(incarnation);
         view.machine().fire(ServerEvent.LINK);
         view.lastUsedAt(now());
-        port.send(server, Frame.Heartbeat.of(config.revision()));
+        port.send(server, Frame.Heartbeat.of(config.revision(), port.storeEra()));
         exchanges.all().stream()
                 .filter(exchange -> exchange.in(ExchangeState.UNCERTAIN) && server.equals(exchange.server()))
                 .forEach(claims::attach);
@@ -444,6 +444,9 @@
             case Frame.ClaimReport report -> port.keepClaims(report.claims());
             case Frame.Heartbeat heartbeat -> {
                 view.acceptsClaimReports(heartbeat.acceptsClaimReports());
+                if (heartbeat.storeEra() > port.storeEra()) {
+                    port.checkStoreEra(heartbeat.storeEra());
+                }
                 if (config.revision().isBehind(heartbeat.revision())) {
                     port.send(server, new Frame.ConfigPull());
                 }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterPort.java
@@ -33,6 +33,12 @@
     /** Keeps claims of other routers, to be written again if the platform's store loses them. */
     void keepClaims(List<StoredClaim> claims);
 
+    /** Returns the latest era that the platform's store has stated to this router. */
+    long storeEra();
+
+    /** Asks the platform's store for its era, since an agent stated a later one than known. */
+    void checkStoreEra(long stated);
+
     /** Opens a connection to an agent and reconnects until {@link #unlink}. */
     void link(BackendServer server);
 
--- a/core/src/test/java/org/tanagerhinge/core/agent/ClaimReportsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/agent/ClaimReportsTest.java
@@ -81,7 +81,7 @@
     void routerThatDoesNotAcceptReportsGetsNone() {
         connect("router-0");
         agent.onRouterConnected(router("router-1"));
-        agent.onFrame(router("router-1"), new Frame.Heartbeat(ConfigRevision.NONE, false));
+        agent.onFrame(router("router-1"), new Frame.Heartbeat(ConfigRevision.NONE, false, ERA));
         submit("router-0", 1);
         assertEquals(List.of(), port.claimsOf("router-1"));
     }
@@ -106,6 +106,17 @@
         assertEquals(List.of(), port.claimsOf("router-1"));
     }
 
+    /** Guards against a router that learns too late of a restore, by its poll alone. */
+    @Test
+    void laterEraOfTheStoreIsToldToAllRouters() {
+        connect("router-0");
+        connect("router-1");
+        agent.onFrame(router("router-0"), Frame.Heartbeat.of(ConfigRevision.NONE, ERA + 1));
+        assertEquals(
+                Frame.Heartbeat.of(ConfigRevision.NONE, ERA + 1),
+                port.frames.get("router-1").getLast());
+    }
+
     /** Guards against reports of requests that are not repeated under a key, which no restore endangers. */
     @Test
     void requestWithoutClaimIsNotReported() {
@@ -125,7 +136,7 @@
 
     private void connect(String name) {
         agent.onRouterConnected(router(name));
-        agent.onFrame(router(name), Frame.Heartbeat.of(ConfigRevision.NONE));
+        agent.onFrame(router(name), Frame.Heartbeat.of(ConfigRevision.NONE, ERA));
     }
 
     private void submit(String name, int key) {
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
@@ -34,6 +34,7 @@
 import org.tanagerhinge.core.router.ExchangeOutcome;
 import org.tanagerhinge.core.router.IncomingRequest;
 import org.tanagerhinge.core.router.RouterPort;
+import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.wire.FrameEncoder;
 
 /** Creates configurations, messages and counting ports for measurements of the decision code. */
@@ -70,6 +71,14 @@
         @Override
         public void keepClaims(List<StoredClaim> claims) {}
 
+        @Override
+        public long storeEra() {
+            return StoreEra.UNKNOWN;
+        }
+
+        @Override
+        public void checkStoreEra(long stated) {}
+
         @Override
         public void releaseClaim(ClaimEntry claim) {}
 
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/ControlTrafficCost.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/ControlTrafficCost.java
@@ -69,8 +69,8 @@
             core.onLinkUp(CapacityFixture.serverId(i), i);
         }
         int linkedAgents = core.linkedAgents();
-        byte[] heartbeat =
-                FrameEncoder.encode(Frame.Heartbeat.of(ConfigRevision.of(1, 1))).toByteArray();
+        byte[] heartbeat = FrameEncoder.encode(Frame.Heartbeat.of(ConfigRevision.of(1, 1), 1))
+                .toByteArray();
         byte[] load = FrameEncoder.encode(new Frame.LoadReport(CapacityFixture.agentLoad()))
                 .toByteArray();
         long receivedBytes = 0;
@@ -102,8 +102,8 @@
         for (int i = 0; i < routers; i++) {
             core.onRouterConnected(RouterId.of("router-" + i, i));
         }
-        byte[] heartbeat =
-                FrameEncoder.encode(Frame.Heartbeat.of(ConfigRevision.of(1, 1))).toByteArray();
+        byte[] heartbeat = FrameEncoder.encode(Frame.Heartbeat.of(ConfigRevision.of(1, 1), 1))
+                .toByteArray();
         long receivedBytes = 0;
         port.bytes = 0;
         long cpuNanos = ResourceProbe.ownCpuNanos();
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimRouter.java
@@ -215,6 +215,16 @@
         reported.forEach(claims::keep);
     }
 
+    @Override
+    public long storeEra() {
+        return storeClient.era();
+    }
+
+    @Override
+    public void checkStoreEra(long stated) {
+        sim.store.recoverClaims(storeClient, claims);
+    }
+
     @Override
     public void link(BackendServer server) {
         linkedServers.put(server.id(), true);
--- a/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
@@ -138,6 +138,18 @@
         }
     }
 
+    /** Returns the latest era that the store has stated to this process. */
+    public long era() {
+        recovery.observe(store.era());
+        return recovery.era();
+    }
+
+    /** Asks the store for its era. */
+    public void refreshEra() throws PlatformException {
+        store.read(SETTLED_ERA_KEY);
+        recovery.observe(store.era());
+    }
+
     /** Keeps a claim that an agent reported, to be written again if the store loses it. */
     public void keep(StoredClaim claim) {
         recovery.keep(claim);
--- a/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
+++ b/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
@@ -11,6 +11,7 @@
 import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.StoredClaim;
+import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 import org.tanagerhinge.node.platform.ClaimStore;
 import org.tanagerhinge.node.platform.PlatformException;
@@ -24,8 +25,11 @@
     private final ExecutorService executor = Executors.newFixedThreadPool(
             CONCURRENT_CALLS, Thread.ofPlatform().name("claims-", 0).daemon().factory());
     private final AtomicBoolean recovering = new AtomicBoolean();
+    private final AtomicBoolean checkingEra = new AtomicBoolean();
     private final ClaimStore store;
     private final NodeMetrics metrics;
+    /** Latest era stated by an agent for which the store was asked. */
+    private volatile long checkedEra = StoreEra.UNKNOWN;
 
     AsyncClaimStore(ClaimStore store, NodeMetrics metrics) {
         this.store = store;
@@ -54,6 +58,34 @@
         claims.forEach(store::keep);
     }
 
+    /** Returns the latest era that the store has stated. */
+    long era() {
+        return store.era();
+    }
+
+    /**
+     * Asks the store for its era and recovers claims if it was restored. An era that the store does not confirm is not
+     * asked for again.
+     */
+    void checkEra(long stated) {
+        if (stated > checkedEra && checkingEra.compareAndSet(false, true)) {
+            submit(() -> checkEraNow(stated));
+        }
+    }
+
+    private void checkEraNow(long stated) {
+        try {
+            store.refreshEra();
+            checkedEra = stated;
+        } catch (PlatformException e) {
+            metrics.count("platform_call_failed");
+            LOG.log(Level.INFO, "the store's era could not be read: " + e.getMessage());
+        } finally {
+            checkingEra.set(false);
+        }
+        recover();
+    }
+
     /** Writes claims again if the store was restored; does nothing while an earlier call is running. */
     void recover() {
         if (store.recoveryDue() && recovering.compareAndSet(false, true)) {
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -337,6 +337,16 @@
             claims.keep(reported);
         }
 
+        @Override
+        public long storeEra() {
+            return claims.era();
+        }
+
+        @Override
+        public void checkStoreEra(long stated) {
+            claims.checkEra(stated);
+        }
+
         @Override
         public void link(BackendServer server) {
             String address = server.agentAddress();
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
@@ -90,7 +90,8 @@
                         ConfigRevision.of(
                                 packet.getHeartbeat().getProfiles(),
                                 packet.getHeartbeat().getServers()),
-                        packet.getHeartbeat().getAcceptsClaimReports());
+                        packet.getHeartbeat().getAcceptsClaimReports(),
+                        packet.getHeartbeat().getStoreEra());
             case CLAIM_REPORT ->
                 new Frame.ClaimReport(packet.getClaimReport().getClaimsList().stream()
                         .map(FrameDecoder::decodeClaim)
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
@@ -84,7 +84,8 @@
                 packet.setHeartbeat(Revision.newBuilder()
                         .setProfiles(heartbeat.revision().profiles())
                         .setServers(heartbeat.revision().servers())
-                        .setAcceptsClaimReports(heartbeat.acceptsClaimReports()));
+                        .setAcceptsClaimReports(heartbeat.acceptsClaimReports())
+                        .setStoreEra(heartbeat.storeEra()));
             case Frame.ClaimReport report -> packet.setClaimReport(encodeClaimReport(report));
             case Frame.ConfigPull pull -> packet.setConfigPull(Empty.getDefaultInstance());
             case Frame.ConfigPush push ->
--- a/wire/src/test/java/org/tanagerhinge/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/tanagerhinge/wire/FrameCodecTest.java
@@ -35,8 +35,8 @@
 
     static Stream<Frame> frames() {
         return Stream.of(
-                Frame.Heartbeat.of(ConfigRevision.of(3, 4)),
-                new Frame.Heartbeat(ConfigRevision.of(3, 4), false),
+                Frame.Heartbeat.of(ConfigRevision.of(3, 4), 5),
+                new Frame.Heartbeat(ConfigRevision.of(3, 4), false, 0),
                 new Frame.ClaimReport(List.of()),
                 new Frame.ClaimReport(List.of(claim("r1", 1, 0), claim("r2", 7, 9))));
     }
@@ -65,7 +65,7 @@
         Packet packet = Packet.newBuilder()
                 .setHeartbeat(Revision.newBuilder().setProfiles(1).setServers(1))
                 .build();
-        assertEquals(new Frame.Heartbeat(ConfigRevision.of(1, 1), false), FrameDecoder.decode(packet));
+        assertEquals(new Frame.Heartbeat(ConfigRevision.of(1, 1), false, 0), FrameDecoder.decode(packet));
     }
 
     @Test
