After a restore routers read the claims they keep many at a time

A router wrote each of its claims again by a conditional write of its own, also those that the store still had: up to 4,096 calls one after the other, which outlast the hold time of the other routers. Most of 90 s of claims are older than the copy. They are read in transactions of 128 keys now, and only those that are missing are written: 1,280 claims of which the store lost one take 11 calls in place of 1,280 (ClaimStoreTest).

--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -203,6 +204,15 @@
         return Optional.ofNullable(claim == null ? values.get(key) : claim);
     }
 
+    @Override
+    public Map<String, Versioned> readEach(List<String> keys) throws PlatformException {
+        Map<String, Versioned> found = new TreeMap<>();
+        for (String key : keys) {
+            read(key).ifPresent(value -> found.put(key, value));
+        }
+        return found;
+    }
+
     @Override
     public Map<String, Versioned> readAll(String prefix) throws PlatformException {
         throwIfDown("read");
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimStoreClient.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimStoreClient.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.bench.soak;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.tanagerhinge.core.store.StoreEra;
@@ -21,6 +22,11 @@
         return answered(store.read(key));
     }
 
+    @Override
+    public Map<String, Versioned> readEach(List<String> keys) throws PlatformException {
+        return answered(store.readEach(keys));
+    }
+
     @Override
     public Map<String, Versioned> readAll(String prefix) throws PlatformException {
         return answered(store.readAll(prefix));
--- a/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.claim.ClaimRecovery;
@@ -76,7 +78,7 @@
         try {
             Optional<ClaimEntry> pending = recovery.pending(requested.digest());
             if (pending.isPresent()) {
-                restore(pending.get(), era);
+                restore(pending.get(), Optional.empty(), era);
             }
             ClaimDecision decision = decide(requested, expectedGeneration, era);
             recovery.observe(store.era());
@@ -172,10 +174,7 @@
         if (!recoveryDue()) {
             return;
         }
-        long era = recovery.era();
-        for (ClaimEntry entry : recovery.pending()) {
-            restore(entry, era);
-        }
+        restorePending(recovery.era());
         if (recovery.settling()) {
             return;
         }
@@ -188,8 +187,23 @@
         }
     }
 
-    private void restore(ClaimEntry entry, long era) throws PlatformException {
-        Optional<PlatformStore.Versioned> current = Optional.empty();
+    /** Reads the pending claims many at a time, since most of them are in the store, and writes those that it lost. */
+    private void restorePending(long era) throws PlatformException {
+        List<ClaimEntry> pending = recovery.pending();
+        for (int from = 0; from < pending.size(); from += PlatformStore.MAX_KEYS_PER_READ) {
+            int to = Math.min(pending.size(), from + PlatformStore.MAX_KEYS_PER_READ);
+            List<ClaimEntry> chunk = pending.subList(from, to);
+            Map<String, PlatformStore.Versioned> stored = store.readEach(
+                    chunk.stream().map(entry -> key(entry.digest())).toList());
+            for (ClaimEntry entry : chunk) {
+                restore(entry, Optional.ofNullable(stored.get(key(entry.digest()))), era);
+            }
+        }
+    }
+
+    private void restore(ClaimEntry entry, Optional<PlatformStore.Versioned> stored, long era)
+            throws PlatformException {
+        Optional<PlatformStore.Versioned> current = stored;
         for (int attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt++) {
             ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
             if (!ClaimDecision.restores(held, entry)) {
--- a/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
@@ -2,12 +2,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Base64;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
@@ -48,6 +50,18 @@
         return Optional.ofNullable(range(request).get(key));
     }
 
+    @Override
+    public Map<String, Versioned> readEach(List<String> keys) throws PlatformException {
+        ObjectNode request = JSON.createObjectNode();
+        ArrayNode operations = request.putArray("success");
+        keys.forEach(key -> operations.addObject().putObject("request_range").put("key", encode(key)));
+        Map<String, Versioned> values = new LinkedHashMap<>();
+        for (JsonNode response : call("/v3/kv/txn", request).path("responses")) {
+            putValues(response.path("response_range"), values);
+        }
+        return values;
+    }
+
     @Override
     public Map<String, Versioned> readAll(String prefix) throws PlatformException {
         String end = prefix.substring(0, prefix.length() - 1) + (char) (prefix.charAt(prefix.length() - 1) + 1);
@@ -57,10 +71,14 @@
 
     private Map<String, Versioned> range(ObjectNode request) throws PlatformException {
         Map<String, Versioned> values = new LinkedHashMap<>();
-        for (JsonNode kv : call("/v3/kv/range", request).path("kvs")) {
+        putValues(call("/v3/kv/range", request), values);
+        return values;
+    }
+
+    private static void putValues(JsonNode range, Map<String, Versioned> values) {
+        for (JsonNode kv : range.path("kvs")) {
             values.put(decode(kv.path("key").asText()), versioned(kv));
         }
-        return values;
     }
 
     @Override
--- a/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/PlatformStore.java
@@ -1,18 +1,25 @@
 package org.tanagerhinge.node.platform;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.tanagerhinge.core.store.StoreEra;
 
 /** Blocking client of the platform's key-value store, with compare-and-swap and leases. */
 public interface PlatformStore {
+    /** Maximum number of keys of one {@link #readEach}; etcd takes no more operations in a transaction by default. */
+    int MAX_KEYS_PER_READ = 128;
+
     /** A value and its version, for compare-and-swap. */
     record Versioned(String value, long version) {}
 
     /** Returns the value of a key, or empty if the key does not exist. */
     Optional<Versioned> read(String key) throws PlatformException;
 
+    /** Returns the values of those of the keys that exist, in one call; at most {@link #MAX_KEYS_PER_READ} keys. */
+    Map<String, Versioned> readEach(List<String> keys) throws PlatformException;
+
     /** Returns all values by key whose keys start with a prefix, in one call. */
     Map<String, Versioned> readAll(String prefix) throws PlatformException;
 
--- a/node/src/test/java/org/tanagerhinge/node/platform/ClaimStoreTest.java
+++ b/node/src/test/java/org/tanagerhinge/node/platform/ClaimStoreTest.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -22,8 +23,7 @@
 
 /** Tests claims of two processes across restores of the store they share. */
 class ClaimStoreTest {
-    private static final KeyDigest KEY =
-            new KeyDigest(KeyDigest.sha256Hex("key").substring(0, 32));
+    private static final KeyDigest KEY = digest("key");
 
     private Instant now = Instant.EPOCH;
     private final RestorableStore store = new RestorableStore();
@@ -110,6 +110,22 @@
         assertEquals(4, granted(first.claim(request("r1"), 3)).generation());
     }
 
+    /** Guards against a router that takes longer to write its claims again than others wait for it. */
+    @Test
+    void claimsThatTheStoreStillHasAreReadManyAtATime() throws PlatformException {
+        settle();
+        int claims = 10 * PlatformStore.MAX_KEYS_PER_READ;
+        for (int key = 0; key < claims; key++) {
+            granted(first.claim(request("r" + key, digest("key " + key)), 0));
+        }
+        store.restore();
+        store.values.remove("tanagerhinge/claims/" + digest("key 3"));
+        store.calls = 0;
+        first.recover();
+        assertEquals(10 + 1, store.calls);
+        assertTrue(store.values.containsKey("tanagerhinge/claims/" + digest("key 3")));
+    }
+
     /** Guards against refusing keys for good in a store that states no era. */
     @Test
     void storeWithoutErasIsUsedAtOnce() {
@@ -131,7 +147,15 @@
     }
 
     private static ClaimEntry request(String id) {
-        return ClaimEntry.requested(KEY, "body", ServerId.of("engine-0"), 1, RequestId.of(id));
+        return request(id, KEY);
+    }
+
+    private static ClaimEntry request(String id, KeyDigest digest) {
+        return ClaimEntry.requested(digest, "body", ServerId.of("engine-0"), 1, RequestId.of(id));
+    }
+
+    private static KeyDigest digest(String key) {
+        return new KeyDigest(KeyDigest.sha256Hex(key).substring(0, 32));
     }
 
     /** Store whose content is lost in a restore. */
@@ -142,9 +166,14 @@
         private long era = 1;
         private long version;
         private long nextLease = 1;
+        private int calls;
 
         void restoreEmpty() {
             values.clear();
+            restore();
+        }
+
+        void restore() {
             leases.clear();
             era++;
         }
@@ -154,6 +183,14 @@
             return Optional.ofNullable(values.get(key));
         }
 
+        @Override
+        public Map<String, Versioned> readEach(List<String> keys) {
+            calls++;
+            Map<String, Versioned> found = new HashMap<>(values);
+            found.keySet().retainAll(keys);
+            return found;
+        }
+
         @Override
         public Map<String, Versioned> readAll(String prefix) {
             return values;
@@ -167,6 +204,7 @@
 
         @Override
         public Swap swap(String key, String value, long expectedVersion, long leaseId) {
+            calls++;
             Versioned current = values.get(key);
             if ((current == null ? 0 : current.version()) != expectedVersion) {
                 return new Swap.Differs(Optional.ofNullable(current));
