Fleet runs say why requests are lost, by rank and for the largest tenth of each kind

Each outcome states its cause now: the reason of the last rejection, or that the caller left, by the deadline or by a gap, before the first event or in the stream.

--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetBounds.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetBounds.java
@@ -73,9 +73,7 @@
     }
 
     private void checkSizes(List<RequestOutcome> ofKind) {
-        List<RequestOutcome> bySize = ofKind.stream()
-                .sorted(Comparator.comparingInt(RequestOutcome::inputTokens).reversed())
-                .toList();
+        List<RequestOutcome> bySize = largestFirst(ofKind);
         int largestEnd = (int) (LARGEST_SHARE * bySize.size());
         int nextEnd = (int) ((LARGEST_SHARE + NEXT_LARGEST_SHARE) * bySize.size());
         String kind = ofKind.getFirst().kind();
@@ -83,6 +81,17 @@
         checkServed(Bound.SIZE, kind + ", fifth below", bySize.subList(largestEnd, nextEnd), ofKind, MIN_SIZE_RATIO);
     }
 
+    /** Returns the largest tenth of the requests of a kind. */
+    static List<RequestOutcome> largest(List<RequestOutcome> ofKind) {
+        return largestFirst(ofKind).subList(0, (int) (LARGEST_SHARE * ofKind.size()));
+    }
+
+    private static List<RequestOutcome> largestFirst(List<RequestOutcome> ofKind) {
+        return ofKind.stream()
+                .sorted(Comparator.comparingInt(RequestOutcome::inputTokens).reversed())
+                .toList();
+    }
+
     private void checkServed(
             Bound bound, String name, List<RequestOutcome> members, List<RequestOutcome> all, double minRatio) {
         double share = servedShare(members);
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -251,7 +251,7 @@
         if (call.ended) {
             return;
         }
-        end(call, RequestOutcome.Result.LOST);
+        end(call, RequestOutcome.Result.LOST, disconnectCause(call));
         if (call.engine != null) {
             call.engine.remove(call);
             call.gateway.settle(call, Double.isNaN(call.firstEventAtMillis));
@@ -262,9 +262,17 @@
         }
     }
 
-    private void end(ModelCall call, RequestOutcome.Result how) {
+    private String disconnectCause(ModelCall call) {
+        String limit = nowMillis >= call.deadlineMillis ? "deadline" : "gap";
+        if (call.engine == null) {
+            return limit + " while waiting to come back";
+        }
+        return limit + (Double.isNaN(call.firstEventAtMillis) ? " before the first event" : " in the stream");
+    }
+
+    private void end(ModelCall call, RequestOutcome.Result how, String lossCause) {
         call.ended = true;
-        result.recordOutcome(call, how, nowMillis);
+        result.recordOutcome(call, how, lossCause, nowMillis);
     }
 
     /**
@@ -277,7 +285,7 @@
         call.engine = null;
         call.sends = 0;
         if (call.rejections > (call.impatient ? scenario.callers().maxRepeats() : 1)) {
-            end(call, RequestOutcome.Result.LOST);
+            end(call, RequestOutcome.Result.LOST, reason);
             result.recordFailure(call);
             return;
         }
@@ -311,7 +319,7 @@
         }
         call.lastEventAtMillis = nowMillis;
         if (last) {
-            end(call, RequestOutcome.Result.SERVED);
+            end(call, RequestOutcome.Result.SERVED, "");
             call.gateway.settle(call, false);
             result.recordCompletion(call);
         }
@@ -329,7 +337,7 @@
                     call.gateway.server(engine.id).health().recordUnreachable((long) nowMillis);
                     call.gateway.dispatch(call, Set.of(engine.id));
                 } else {
-                    end(call, RequestOutcome.Result.CRASHED);
+                    end(call, RequestOutcome.Result.CRASHED, "crash");
                     result.recordFailure(call);
                 }
             }
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetResult.java
@@ -173,8 +173,12 @@
         }
     }
 
-    /** Records how and when a request ended; called once for each request. */
-    void recordOutcome(ModelCall call, RequestOutcome.Result result, double nowMillis) {
+    /**
+     * Records how and when a request ended; called once for each request.
+     *
+     * @param lossCause why it was lost; empty if it was served
+     */
+    void recordOutcome(ModelCall call, RequestOutcome.Result result, String lossCause, double nowMillis) {
         outcomes.add(new RequestOutcome(
                 call.kind.name(),
                 call.kind.rank(),
@@ -183,7 +187,8 @@
                 call.requestedAtMillis,
                 call.sentAtMillis,
                 nowMillis,
-                result));
+                result,
+                lossCause));
     }
 
     void recordRejection(ModelCall call, String reason) {
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetSoak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetSoak.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 
 /** Runs small random fleet scenarios, one per seed, and checks bounds on how unevenly requests are served. */
@@ -19,8 +20,9 @@
      * @param requests requests that callers sent
      * @param served of these, requests that were answered completely
      * @param violations violated bounds and details, empty if none
+     * @param counts requests by rank and outcome, and those of the largest tenth of each kind
      */
-    public record Result(long seed, int requests, int served, List<String> violations) {
+    public record Result(long seed, int requests, int served, List<String> violations, Map<String, Long> counts) {
         /** Returns whether no bound was violated. */
         public boolean passed() {
             return violations.isEmpty();
@@ -38,7 +40,26 @@
         FleetBounds.violations(outcomes)
                 .forEach(violation -> violations.add(violation.bound() + " " + violation.detail()));
         int served = (int) outcomes.stream().filter(RequestOutcome::served).count();
-        return new Result(seed, fleetResult.requests(), served, violations);
+        return new Result(seed, fleetResult.requests(), served, violations, counts(outcomes));
+    }
+
+    private static Map<String, Long> counts(List<RequestOutcome> outcomes) {
+        Map<String, Long> counts = new TreeMap<>();
+        for (RequestOutcome outcome : outcomes) {
+            counts.merge("rank " + outcome.rank() + " " + describe(outcome), 1L, Long::sum);
+        }
+        Map<String, List<RequestOutcome>> byKind =
+                outcomes.stream().collect(Collectors.groupingBy(RequestOutcome::kind));
+        for (List<RequestOutcome> ofKind : byKind.values()) {
+            for (RequestOutcome outcome : FleetBounds.largest(ofKind)) {
+                counts.merge("largest tenth, rank " + outcome.rank() + " " + describe(outcome), 1L, Long::sum);
+            }
+        }
+        return counts;
+    }
+
+    private static String describe(RequestOutcome outcome) {
+        return outcome.served() ? "served" : "lost: " + outcome.lossCause();
     }
 
     /** Runs consecutive seeds in parallel and returns their results in order. */
@@ -65,7 +86,9 @@
         List<String> lines = new ArrayList<>();
         lines.add(scenario.toString());
         lines.add(FleetModel.simulate(scenario, seed, Set.of()).summary());
-        lines.addAll(run(seed).violations());
+        Result result = run(seed);
+        result.counts().forEach((outcome, count) -> lines.add("  " + count + "  " + outcome));
+        lines.addAll(result.violations());
         return lines;
     }
 
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/RequestOutcome.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/RequestOutcome.java
@@ -7,6 +7,7 @@
  * @param workspace name of its workspace; empty if its caller has none
  * @param startedAtMillis when it was last sent to an engine; not a number if never
  * @param endedAtMillis when it was answered completely or lost
+ * @param lossCause why it was lost, such as the reason of its last rejection; empty if it was served
  */
 record RequestOutcome(
         String kind,
@@ -16,7 +17,8 @@
         double requestedAtMillis,
         double startedAtMillis,
         double endedAtMillis,
-        Result result) {
+        Result result,
+        String lossCause) {
     /** Says how a request ended. */
     enum Result {
         /** Answered completely, on time or late. */
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -102,6 +102,9 @@
         failed.stream()
                 .limit(MAX_SHOWN_FAILURES)
                 .forEach(result -> System.out.println("seed " + result.seed() + " FAILED: " + result.violations()));
+        Map<String, Long> counts = new TreeMap<>();
+        results.forEach(result -> result.counts().forEach((outcome, count) -> counts.merge(outcome, count, Long::sum)));
+        counts.forEach((outcome, count) -> System.out.println("  " + count + "  " + outcome));
         int requests = results.stream().mapToInt(FleetSoak.Result::requests).sum();
         int served = results.stream().mapToInt(FleetSoak.Result::served).sum();
         System.out.println(seeds + " seeds, " + served + " of " + requests + " requests served, " + failed.size()
--- a/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetBoundsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/fleet/FleetBoundsTest.java
@@ -28,7 +28,8 @@
                     10.0 * i,
                     isLost ? Double.NaN : 10.0 * i,
                     10.0 * i + 5,
-                    isLost ? RequestOutcome.Result.LOST : RequestOutcome.Result.SERVED));
+                    isLost ? RequestOutcome.Result.LOST : RequestOutcome.Result.SERVED,
+                    ""));
         }
     }
 
@@ -88,7 +89,7 @@
         add("digest", 1, "a", 400, i -> false);
         for (int i = 0; i < 100; i++) {
             outcomes.add(new RequestOutcome(
-                    "draft", 0, "b", 100, 10.0 * i, 10.0 * i, 10.0 * i, RequestOutcome.Result.CRASHED));
+                    "draft", 0, "b", 100, 10.0 * i, 10.0 * i, 10.0 * i, RequestOutcome.Result.CRASHED, ""));
         }
         assertEquals(List.of(), violatedBounds());
     }
