--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutySoak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutySoak.java
@@ -39,6 +39,11 @@
         public boolean passed() {
             return failure.isEmpty();
         }
+
+        /** Returns whether the platform of this run rejected outdated fencing tokens. */
+        public boolean fencingEnforced() {
+            return DutySoak.fencingEnforced(seed);
+        }
     }
 
     /** Runs one seed without restores of the store; the platform enforces fencing tokens for even seeds only. */
@@ -70,8 +75,12 @@
         return log;
     }
 
+    private static boolean fencingEnforced(long seed) {
+        return seed % 2 == 0;
+    }
+
     private static Result simulate(long seed, DeliberateBug bug, boolean restores, List<String> log) {
-        DutySimulation simulation = new DutySimulation(seed, seed % 2 == 0, bug);
+        DutySimulation simulation = new DutySimulation(seed, fencingEnforced(seed), bug);
         TreeMap<Long, Map<String, Long>> actualCounts = addNodes(simulation, (int) simulation.randomBetween(2, 8));
         int faultCount = 0;
         for (long atMillis = FIRST_FAULT_MILLIS;
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -127,14 +127,21 @@
         long failed = results.stream().filter(result -> !result.passed()).count();
         int faults = results.stream().mapToInt(DutySoak.Result::faults).sum();
         int reports = results.stream().mapToInt(DutySoak.Result::reports).sum();
-        int windows = results.stream().mapToInt(DutySoak.Result::windows).sum();
-        int correctWindows =
-                results.stream().mapToInt(DutySoak.Result::correctWindows).sum();
-        System.out.println(seeds + " seeds, " + faults + " faults, " + reports + " reports received, " + correctWindows
-                + " of " + windows + " windows correct and in time, " + failed + " seeds failed");
+        System.out.println(seeds + " seeds, " + faults + " faults, " + reports + " reports received, "
+                + correctWindows(results, true)
+                + " of the windows correct and in time where fencing tokens are enforced, "
+                + correctWindows(results, false) + " where not, " + failed + " seeds failed");
         return failed == 0 ? 0 : 1;
     }
 
+    private static String correctWindows(List<DutySoak.Result> results, boolean fencingEnforced) {
+        List<DutySoak.Result> chosen = results.stream()
+                .filter(result -> result.fencingEnforced() == fencingEnforced)
+                .toList();
+        return chosen.stream().mapToInt(DutySoak.Result::correctWindows).sum() + " of "
+                + chosen.stream().mapToInt(DutySoak.Result::windows).sum();
+    }
+
     private static String listOf(List<Long> failedSeeds) {
         return failedSeeds.isEmpty() ? "" : ": " + failedSeeds;
     }
