Routers log a restore of the store and count the keyed calls that wait for it

claim_unsettled was counted alike while the store was away and while claims were written again after a restore, and nothing in a router's log told of the restore.

--- a/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
+++ b/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
@@ -12,6 +12,9 @@
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.store.StoreEra;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 import org.tanagerhinge.node.platform.ClaimStore;
 import org.tanagerhinge.node.platform.PlatformException;
@@ -28,6 +31,7 @@
     private final AtomicBoolean checkingEra = new AtomicBoolean();
     private final ClaimStore store;
     private final NodeMetrics metrics;
+    private volatile long loggedEra = StoreEra.UNKNOWN;
     /** Latest era stated by an agent for which the store was asked. */
     private volatile long checkedEra = StoreEra.UNKNOWN;
 
@@ -38,7 +42,13 @@
 
     /** Claims a key; {@code onDecision} is called with the result on one of the store's threads. */
     void claim(ClaimEntry requested, long expectedGeneration, Consumer<ClaimDecision> onDecision) {
-        submit(() -> onDecision.accept(store.claim(requested, expectedGeneration)));
+        submit(() -> {
+            ClaimDecision decision = store.claim(requested, expectedGeneration);
+            if (decision instanceof ClaimDecision.Unsettled && store.recoveryDue()) {
+                metrics.count("claim_held_after_restore");
+            }
+            onDecision.accept(decision);
+        });
     }
 
     /** Releases a claim; a failed call is counted and logged, and the claim then ends with its lease. */
@@ -94,6 +104,7 @@
     }
 
     private void recoverNow() {
+        logRestore();
         try {
             store.recover();
         } catch (PlatformException e) {
@@ -104,6 +115,18 @@
         }
     }
 
+    /** Writes a log line for each era after the first one known; called by one thread at a time. */
+    private void logRestore() {
+        long era = store.era();
+        if (loggedEra != StoreEra.UNKNOWN && era > loggedEra) {
+            LogLine.of(LogEvent.STORE_RESTORED)
+                    .with(LogField.ERA, era)
+                    .with(LogField.WHY, "claims are written again; keyed requests are refused until they are settled")
+                    .write();
+        }
+        loggedEra = era;
+    }
+
     private void submit(Runnable call) {
         try {
             executor.execute(() -> {
