--- a/core/src/main/java/org/tanagerhinge/core/claim/ClaimRecovery.java
+++ b/core/src/main/java/org/tanagerhinge/core/claim/ClaimRecovery.java
@@ -21,7 +21,7 @@
 public final class ClaimRecovery {
     /** A restore brings back a copy that is at most 60 s old; the rest is time for a router to learn of the restore. */
     public static final Duration RETENTION = Duration.ofSeconds(90);
-    /** Limits memory to about 2 MB. One router writes them again one by one, which may outlast the hold time of others. */
+    /** Limits memory to about 2 MB. */
     public static final int MAX_RETAINED = 4_096;
     /** Time for other routers to learn of a restore and write their claims; longer than a pause of 6 s and a poll. */
     static final Duration HOLD_TIME = Duration.ofSeconds(10);
