Random runs: the operators' last edits come early enough to be in force at the end

Traced: with few faults the time to the next one may be as long as the run, and the edits that set all servers to serving came with it, at 89.743 s of 90. A node has 4 s for a configuration. The edits come 30 s after the end of traffic at the latest now, which changes no seed in which they came before; the check is as it was and all nodes must have the newest revision 15 s later.

--- a/harness/src/main/java/org/tanagerhinge/bench/soak/FaultInjector.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/FaultInjector.java
@@ -13,6 +13,8 @@
 /** Injects random, possibly overlapping faults into a simulated run. */
 final class FaultInjector {
     private static final Duration MAX_STORE_OUTAGE = Duration.ofSeconds(20);
+    /** Longest time from the end of traffic to the operators' last edits, so that these can come into force. */
+    private static final Duration MAX_LAST_EDIT_DELAY = Duration.ofSeconds(30);
 
     private final Simulation sim;
     private final double faultsPerSecond;
@@ -36,8 +38,10 @@
     }
 
     private void scheduleNext(Duration trafficDuration) {
-        double gap = -Math.log(1 - sim.random.nextDouble()) / Math.max(0.02, faultsPerSecond);
-        sim.scheduler.after(Duration.ofNanos((long) (gap * 1e9)), () -> {
+        double gapSeconds = -Math.log(1 - sim.random.nextDouble()) / Math.max(0.02, faultsPerSecond);
+        Duration gap = Duration.ofNanos((long) (gapSeconds * 1e9));
+        Duration untilLastEdit = trafficDuration.plus(MAX_LAST_EDIT_DELAY).minus(sim.scheduler.elapsed());
+        sim.scheduler.after(gap.compareTo(untilLastEdit) < 0 ? gap : untilLastEdit, () -> {
             if (sim.scheduler.elapsed().compareTo(trafficDuration) > 0) {
                 restoreServing();
                 return;
--- a/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
@@ -64,6 +64,12 @@
         assertEquals("", Soak.run(seed, true).failure());
     }
 
+    /** Guards against a run that ends 0.3 s after the operators' last edits and reports nodes that are behind. */
+    @Test
+    void lastEditsLeaveTimeToComeIntoForce() {
+        assertEquals("", Soak.run(1831, true).failure());
+    }
+
     @Test
     void sameSeedReproducesTheRun() {
         assertEquals(Soak.run(7), Soak.run(7));
