Log lines tell the software version of a stream's servers and which streams callers resume

No logic changes.

- Registrations keep the software version, also those that peers pass on.
- `sent` and `server_seen` lines have `software`; a new line `taken_up` has the id of the attempt that brought the first event of the stream (`resumes`) and the event after which the caller resumes it; counter `taken_up`.
- Stand-ins of servers state a version, and write it into each event.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
@@ -35,6 +35,11 @@
         return instanceId;
     }
 
+    /** Returns the version of the server's software; empty if unknown. */
+    public String softwareVersion() {
+        return registration.softwareVersion();
+    }
+
     public String service() {
         return registration.service();
     }
@@ -70,6 +75,7 @@
         registration = new ServerRegistration(
                 newer.id(),
                 newer.startedAtMillis(),
+                newer.softwareVersion(),
                 newer.service(),
                 newer.address(),
                 newer.domain(),
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerRegistration.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerRegistration.java
@@ -7,6 +7,7 @@
  *
  * @param id name of the server; a restarted server has a new one, or the same one with another start time
  * @param startedAtMillis start of the server's process, in milliseconds since 1970; 0 if unknown
+ * @param softwareVersion version of the server's software, not of its model weights; empty if unknown
  * @param domain failure domain
  * @param slots requests that the server runs at once
  * @param draining whether the server has announced that it is leaving
@@ -14,6 +15,7 @@
 public record ServerRegistration(
         String id,
         long startedAtMillis,
+        String softwareVersion,
         String service,
         InetSocketAddress address,
         String domain,
--- a/core/src/test/java/org/tanagerhinge/core/relay/AdmissionControlTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/AdmissionControlTest.java
@@ -84,8 +84,8 @@
     @Test
     void expectsNoWaitUntilThePrefillRateIsMeasured() {
         PromptAwarePlacement placement = PromptAwarePlacement.create();
-        ServerInstance engine = ServerInstance.of(
-                new ServerRegistration("a", 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
+        ServerInstance engine = ServerInstance.of(new ServerRegistration(
+                "a", 0, "v1", "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
         engine.updatePeerLoad(3, 100_000);
         Prompt prompt = Prompt.of(9_000, 80, List.of(new PromptPart("own", 9_000)));
         PlacementRequest request =
--- a/core/src/test/java/org/tanagerhinge/core/relay/AdmissionPolicyTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/AdmissionPolicyTest.java
@@ -22,7 +22,7 @@
     private static final Map<String, WorkspaceConfig> WORKSPACES = Map.of("k1", HOT, "k2", SMALL);
 
     private final ServerInstance server = ServerInstance.of(
-            new ServerRegistration("a", 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
+            new ServerRegistration("a", 0, "v1", "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
 
     private static Route route() {
         return new Route(
--- a/core/src/test/java/org/tanagerhinge/core/relay/PrefixAffinityTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/PrefixAffinityTest.java
@@ -24,7 +24,7 @@
         List<ServerInstance> engines = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             engines.add(ServerInstance.of(new ServerRegistration(
-                    "i-" + i, 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false)));
+                    "i-" + i, 0, "v1", "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false)));
         }
         return engines;
     }
--- a/core/src/test/java/org/tanagerhinge/core/relay/RelayFixture.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RelayFixture.java
@@ -8,12 +8,13 @@
     private RelayFixture() {}
 
     static ServerRegistration registration(String id, boolean draining) {
-        return new ServerRegistration(id, 0, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
+        return new ServerRegistration(
+                id, 0, "v1", "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, draining);
     }
 
     static ServerRegistration registration(String id, long startedAtMillis) {
         return new ServerRegistration(
-                id, startedAtMillis, "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false);
+                id, startedAtMillis, "v1", "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false);
     }
 
     static Route route(RouteKind kind, boolean resumable, int attempts) {
--- a/core/src/test/java/org/tanagerhinge/core/relay/ShareSimulation.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ShareSimulation.java
@@ -32,7 +32,7 @@
     private static final long TIMEOUT_MILLIS = 8_000;
     private static final ServiceConfig ENGINES = ServiceConfig.of(SERVICE, 300, 48, 300_000);
     private static final ServerInstance ENGINE = ServerInstance.of(
-            new ServerRegistration("a", 0, SERVICE, new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
+            new ServerRegistration("a", 0, "v1", SERVICE, new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
 
     /** Draws the arrivals, which are the same with and without shares. */
     private final Random arrivalRandom;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerMetadata.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerMetadata.java
@@ -12,6 +12,12 @@
  * @param key the caller's key, if present
  * @param prompt what the head says about the prompt
  * @param lastEventId id of the event after which a stream resumes; 0 for its beginning
+ * @param resumedAttemptId id of the caller's attempt that brought the first event of the stream that it resumes
  */
 public record CallerMetadata(
-        String attemptId, OptionalLong timeoutMillis, Optional<String> key, Prompt prompt, long lastEventId) {}
+        String attemptId,
+        OptionalLong timeoutMillis,
+        Optional<String> key,
+        Prompt prompt,
+        long lastEventId,
+        Optional<String> resumedAttemptId) {}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -361,6 +361,7 @@
             LogLine.of(event(change.kind()))
                     .with(LogField.SERVER, change.id())
                     .with(LogField.SERVICE, change.service())
+                    .with(LogField.SOFTWARE, change.softwareVersion())
                     .write();
             if (change.kind() == ServerChange.Kind.REMOVED) {
                 placement.forgetInstance(change.instanceId());
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -224,6 +224,14 @@
         return loop.next().submit(gateway::configVersion).awaitUninterruptibly().getNow();
     }
 
+    /** Returns the number of peers that reported recently. */
+    public int peersPresent() {
+        return loop.next()
+                .submit(() -> gateway.peersPresent())
+                .awaitUninterruptibly()
+                .getNow();
+    }
+
     /** Returns the address at which callers connect. */
     public InetSocketAddress address() {
         return (InetSocketAddress) callerListener.localAddress();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -203,6 +203,7 @@
             list.addServers(ServerEntry.newBuilder()
                     .setId(server.id())
                     .setBorn(server.startedAtMillis())
+                    .setSoftwareVersion(server.softwareVersion())
                     .setService(server.service())
                     .setAddress(text(server.address()))
                     .setDomain(server.domain())
@@ -219,6 +220,7 @@
             servers.add(new ServerRegistration(
                     entry.getId(),
                     entry.getBorn(),
+                    entry.getSoftwareVersion(),
                     entry.getService(),
                     address(entry.getAddress()),
                     entry.getDomain(),
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -123,6 +123,7 @@
         service = route.service(metadata.attemptId().hashCode());
         gateway.budget().recordRequest(service, gateway.nowMillis());
         telemetry.routed(route, workspace, service, rank(), remainingMillis());
+        metadata.resumedAttemptId().ifPresent(id -> telemetry.takenUp(id, metadata.lastEventId()));
         startAttempt();
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -58,6 +58,15 @@
                 .write();
     }
 
+    /** Logs that the caller resumes a stream of which an earlier attempt of its own brought the first events. */
+    void takenUp(String resumedAttemptId, long lastEventId) {
+        gateway.count("taken_up");
+        logLine(LogEvent.TAKEN_UP, false)
+                .with(LogField.RESUMES, resumedAttemptId)
+                .with(LogField.EVENT_ID, lastEventId)
+                .write();
+    }
+
     /** Logs the start of an attempt, with the server's load at the time of the decision. */
     void sent(PlacementPolicy.Decision decision, int candidates, int level) {
         attempts++;
@@ -65,6 +74,7 @@
         server = chosen.id();
         LogLine line = logLine(LogEvent.SENT, false)
                 .with(LogField.SERVER, server)
+                .with(LogField.SOFTWARE, chosen.softwareVersion())
                 .with(LogField.ATTEMPT, attempts)
                 .with(LogField.CANDIDATES, candidates)
                 .with(LogField.RUNNING, chosen.totalInFlight())
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -123,7 +123,7 @@
     private static final class NoDialect implements Dialect {
         @Override
         public CallerMetadata callerMetadata(HttpRequest request) {
-            return new CallerMetadata("", OptionalLong.empty(), Optional.empty(), Prompt.NONE, 0);
+            return new CallerMetadata("", OptionalLong.empty(), Optional.empty(), Prompt.NONE, 0, Optional.empty());
         }
 
         @Override
--- a/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
@@ -46,7 +46,7 @@
             NodeMetrics.create(),
             LeastInFlightPlacement.create());
     private final ServerRegistration registration =
-            new ServerRegistration("a", 0, SERVICE, new InetSocketAddress("127.0.0.1", 1), "north", 6, false);
+            new ServerRegistration("a", 0, "v1", SERVICE, new InetSocketAddress("127.0.0.1", 1), "north", 6, false);
     private final ServerInstance server = ServerInstance.of(registration);
 
     @AfterEach
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -69,7 +69,7 @@
             instanceById.put(
                     id,
                     ServerInstance.of(new ServerRegistration(
-                            id, 0, "model", new InetSocketAddress("127.0.0.1", 1), "d", engine.slots(), false)));
+                            id, 0, "v1", "model", new InetSocketAddress("127.0.0.1", 1), "d", engine.slots(), false)));
         }
     }
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -244,8 +244,8 @@
         CountDownLatch never = new CountDownLatch(1);
         ServerStandin silent = scene.server("e-1", "model", (server, request, connection) -> {
             ServerStandin.beginStream(server, request, connection);
-            ServerStandin.writeEvent(connection, 1);
-            ServerStandin.writeEvent(connection, 2);
+            ServerStandin.writeEvent(server, connection, 1);
+            ServerStandin.writeEvent(server, connection, 2);
             never.await();
         });
         scene.server("e-2", "model", ServerStandin.events(4, 1));
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -34,7 +34,12 @@
 
     /** Starts a server and registers it. */
     ServerStandin server(String id, String service, ServerStandin.ResponseScript script) {
-        ServerStandin server = ServerStandin.start(id, script);
+        return server(id, service, "", script);
+    }
+
+    /** Starts a server of a software version and registers it. */
+    ServerStandin server(String id, String service, String softwareVersion, ServerStandin.ResponseScript script) {
+        ServerStandin server = ServerStandin.start(id, softwareVersion, script);
         servers.add(server);
         platform.register(server, service, "ready");
         return server;
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/ServersWordTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/ServersWordTest.java
@@ -76,7 +76,7 @@
         ServerStandin.ResponseScript stream = (server, request, connection) -> {
             connection.write("HTTP/1.1 200 OK\r\n" + server.headers(request) + LEAVING
                     + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-            ServerStandin.writeEvent(connection, 1);
+            ServerStandin.writeEvent(server, connection, 1);
             connection.write("0\r\n\r\n");
         };
         return Stream.of(
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -5,6 +5,7 @@
 /** Events that log lines report. */
 public enum LogEvent {
     ROUTED(Subject.REQUEST),
+    TAKEN_UP(Subject.REQUEST),
     SENT(Subject.REQUEST),
     ATTEMPT_FAILED(Subject.REQUEST),
     REPEATED(Subject.REQUEST),
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -14,6 +14,10 @@
     SERVICE,
     /** Backend server or peer that the line is about. */
     SERVER,
+    /** Version of the backend server's software. */
+    SOFTWARE,
+    /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
+    RESUMES,
     /** Version of the configuration that the decision used. */
     CONFIG,
     /** Age of the server list that the decision used: time since it was requested. */
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
@@ -94,6 +94,9 @@
                 .put(PlatformNames.ZONE, "north")
                 .put("slots", 8)
                 .put("state", state);
+        if (!server.softwareVersion().isEmpty()) {
+            entry.put(PlatformNames.SOFTWARE_VERSION, server.softwareVersion());
+        }
         store.put(PlatformNames.SERVERS_PREFIX + server.id(), entry.toString());
     }
 
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
@@ -17,27 +17,39 @@
     }
 
     private final String id;
+    private final String softwareVersion;
     private final RawServer server;
     private final AtomicReference<ResponseScript> script;
     private final List<RawServer.Request> receivedRequests = new CopyOnWriteArrayList<>();
     private final AtomicInteger brokenResponses = new AtomicInteger();
     private volatile boolean closed;
 
-    private ServerStandin(int port, String id, ResponseScript script) {
+    private ServerStandin(int port, String id, String softwareVersion, ResponseScript script) {
         this.id = id;
+        this.softwareVersion = softwareVersion;
         this.script = new AtomicReference<>(script);
         this.server = RawServer.start(port, this::answer);
     }
 
     /** Starts a server on a free port that answers by a script. */
     public static ServerStandin start(String id, ResponseScript script) {
-        return new ServerStandin(0, id, script);
+        return start(id, "", script);
+    }
+
+    /** Starts a server of a software version, which is part of each event that it streams, on a free port. */
+    public static ServerStandin start(String id, String softwareVersion, ResponseScript script) {
+        return new ServerStandin(0, id, softwareVersion, script);
     }
 
     public String id() {
         return id;
     }
 
+    /** Returns the version of this server's software; empty if it states none. */
+    public String softwareVersion() {
+        return softwareVersion;
+    }
+
     public InetSocketAddress address() {
         return server.address();
     }
@@ -104,7 +116,7 @@
         return (server, request, connection) -> {
             beginStream(server, request, connection);
             for (int event = firstEvent(request); event <= events; event++) {
-                writeEvent(connection, event);
+                writeEvent(server, connection, event);
                 Thread.sleep(pauseMillis);
             }
             connection.write("0\r\n\r\n");
@@ -116,7 +128,7 @@
         return (server, request, connection) -> {
             beginStream(server, request, connection);
             for (int i = firstEvent(request); i < event; i++) {
-                writeEvent(connection, i);
+                writeEvent(server, connection, i);
             }
             connection.write("6\r\nid: " + event + "\n\r\n");
             Thread.sleep(50);
@@ -132,8 +144,9 @@
     }
 
     /** Writes one event as a chunk. */
-    public static void writeEvent(RawServer.Connection connection, int event) throws IOException {
-        String text = "id: " + event + "\ndata: piece " + event + "\n\n";
+    public static void writeEvent(ServerStandin server, RawServer.Connection connection, int event) throws IOException {
+        String writer = server.softwareVersion.isEmpty() ? "" : " of " + server.softwareVersion;
+        String text = "id: " + event + "\ndata: piece " + event + writer + "\n\n";
         connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
