A gateway continues a broken stream only at the software version that began it

What callers saw: where two software versions of a backend server serve side by side, one answer held events of both.

Cause: candidates for a further attempt are all servers of the service that the stream was not at; gateways kept no software version.

The version of the server whose event is the first to be forwarded now restricts the candidates of all further attempts, also in the counts by which ejected servers are used again. A stream of which no server is left ends as a cut one. Such a stream is no probe of an ejected server while a sound one of its version is there.

Why it holds: the version is taken from the registration of the very instance that wrote the event, before the event is forwarded, and a request names the instance that it means.

SoftwareVersionsTest: both cases of a gateway's own resumption pass; 9 of 13 still fail, all of them resumptions by callers.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
@@ -402,9 +403,12 @@
      * Returns the servers of a service that a request may be sent to, without those that leave or want no requests.
      * Ejected servers are skipped while at least half of the servers are healthy; if most seem to fail, the cause is
      * probably elsewhere and skipping them would overload the rest.
+     *
+     * @param softwareVersion the software version that began the stream which the request continues
      */
-    List<ServerInstance> candidates(String service, Set<String> triedServers, long nowMillis) {
-        List<ServerInstance> open = directory.available(service).stream()
+    List<ServerInstance> candidates(
+            String service, Optional<String> softwareVersion, Set<String> triedServers, long nowMillis) {
+        List<ServerInstance> open = available(service, softwareVersion)
                 .filter(server -> serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis))
                 .toList();
         List<ServerInstance> usable = new ArrayList<>();
@@ -421,7 +425,8 @@
                 }
             }
         }
-        for (ServerInstance server : untried) {
+        boolean continues = softwareVersion.isPresent() && !usable.isEmpty();
+        for (ServerInstance server : continues ? List.<ServerInstance>of() : untried) {
             if (enabled(Mechanism.EJECTION) && server.health().probeDue(nowMillis)) {
                 if (enabled(Mechanism.PROBING)) {
                     server.health().recordProbe(nowMillis);
@@ -433,6 +438,11 @@
         return usable.isEmpty() || healthyCount * 2 < open.size() ? untried : usable;
     }
 
+    private Stream<ServerInstance> available(String service, Optional<String> softwareVersion) {
+        return directory.available(service).stream()
+                .filter(server -> softwareVersion.isEmpty() || softwareVersion.get().equals(server.softwareVersion()));
+    }
+
     private boolean silent(ServerInstance server, long nowMillis) {
         return nowMillis - lastSweepMillis < STALL_MILLIS && server.silenceMillis(nowMillis) > SILENT_SERVER_MILLIS;
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -222,6 +222,7 @@
                 continue;
             }
             if (!progress.headForwarded()) {
+                exchange.streamBegins(server);
                 forwardHead();
             }
             progress.forwarded(event.id(), nowMillis);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -57,6 +57,9 @@
     private RelayAttempt attempt;
     private AttemptHistory history;
     private RequestFingerprint fingerprint;
+    /** Software version of the server that began the stream. */
+    private Optional<String> softwareVersion = Optional.empty();
+
     private boolean executionStarted;
     private boolean finished;
 
@@ -137,7 +140,7 @@
                     Refusal.notExecuted(ResultCode.REQUEST_HELD, quarantinedMillis.getAsLong()));
             return;
         }
-        List<ServerInstance> candidates = gateway.candidates(service, triedServers, nowMillis);
+        List<ServerInstance> candidates = gateway.candidates(service, softwareVersion, triedServers, nowMillis);
         PlacementRequest request =
                 new PlacementRequest(route, config.service(service), metadata.prompt(), gateway.domain());
         Optional<PlacementPolicy.Decision> decision = gateway.placement().place(request, candidates, nowMillis);
@@ -316,6 +319,11 @@
         return route.resumable() && gateway.enabled(Mechanism.RESUME);
     }
 
+    /** Records what began the stream, before its first event is forwarded to the caller. */
+    void streamBegins(ServerInstance server) {
+        softwareVersion = Optional.of(server.softwareVersion());
+    }
+
     /** Records that a server has probably started to execute the request: it responded, or its connection broke. */
     void markExecutionStarted() {
         if (!executionStarted) {
