--- a/core/src/main/java/org/tanagerhinge/core/agent/ClaimReports.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/ClaimReports.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import org.tanagerhinge.core.claim.ClaimRecovery;
-import org.tanagerhinge.core.claim.RendezvousHash;
+import org.tanagerhinge.core.hash.RendezvousHash;
 import org.tanagerhinge.core.id.RouterId;
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.message.Frame;
--- a/core/src/main/java/org/tanagerhinge/core/claim/RendezvousHash.java
+++ b/core/src/main/java/org/tanagerhinge/core/hash/RendezvousHash.java
@@ -1,4 +1,4 @@
-package org.tanagerhinge.core.claim;
+package org.tanagerhinge.core.hash;
 
 import java.util.Collection;
 import java.util.Comparator;
--- a/core/src/main/java/org/tanagerhinge/core/router/LoadBalancer.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/LoadBalancer.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.tanagerhinge.core.claim.RendezvousHash;
 import org.tanagerhinge.core.config.ServerKind;
+import org.tanagerhinge.core.hash.RendezvousHash;
 import org.tanagerhinge.core.id.FailureDomain;
 import org.tanagerhinge.core.message.AgentLoad;
 
