Prefixes are fetched only from engines of the same software version

An engine could be told to fetch the memory of a prompt's prefix from an engine of another software version and continue it: the same class as streams that continue at another version. Found by reading.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PrefixFetchPlanner.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PrefixFetchPlanner.java
@@ -50,7 +50,10 @@
         return decision.withFetch(found.get(), tokensToPrefill);
     }
 
-    /** Returns the largest prefix that another engine has and the chosen one lacks, if it is worth a fetch. */
+    /**
+     * Returns the largest prefix that another engine of the same software version has and the chosen one lacks, if it is
+     * worth a fetch.
+     */
     private Optional<PlacementPolicy.PrefixFetch> source(
             PlacementRequest request,
             PlacementPolicy.Decision decision,
@@ -61,7 +64,9 @@
         ServerInstance source = null;
         for (ServerInstance server : candidates) {
             int fetchableTokens = prefixCaches.fetchableTokens(server.instanceId(), request.prompt(), nowMillis);
-            if (server != decision.server() && fetchableTokens > maxFetchableTokens) {
+            if (server != decision.server()
+                    && server.softwareVersion().equals(decision.server().softwareVersion())
+                    && fetchableTokens > maxFetchableTokens) {
                 source = server;
                 maxFetchableTokens = fetchableTokens;
             }
--- a/core/src/test/java/org/tanagerhinge/core/relay/PrefixPlacementTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/PrefixPlacementTest.java
@@ -177,6 +177,18 @@
                 fetchFromBusyHolder(PromptAwarePlacement.create(), LINKED, others, leaving, PREFILLED_MILLIS));
     }
 
+    /** Guards against a prefix that was computed by one software version and is continued by another one. */
+    @Test
+    void nothingIsFetchedFromAnEngineOfAnotherSoftwareVersion() {
+        List<ServerInstance> engines = engines(6);
+        ServerInstance holder = ServerInstance.of(new ServerRegistration(
+                "i-2", 0, "v2", "model", new InetSocketAddress("127.0.0.1", 1), "north", 48, false));
+        engines.set(2, holder);
+        assertEquals(
+                Optional.empty(),
+                fetchFromBusyHolder(PromptAwarePlacement.create(), LINKED, engines, holder, PREFILLED_MILLIS));
+    }
+
     /**
      * Guards against a fetch from a new instance of a server for a prefix that only the previous instance had cached.
      */
