A stream that its caller resumes goes on at the software version and service that began it, at any gateway

What callers saw: a stream that they took up after a broken connection went on at another software version than the one that began it, or on a split route at another service.

Cause: a resumption has an id of its own, so it was a new request with an event to start after; the id that it names was not read, and what a gateway knew of a stream ended with the answer, or with the gateway, whose end is the usual reason to resume. The service of a split route was drawn by the new id.

- The gateway reports what began a stream (service and software version) to three peers, chosen by a rendezvous hash of workspace and first id, before the first event goes to the caller: a caller that has an event can be served by whoever asks them, and a process that ends in between has shown its caller nothing.
- A gateway that gets a resumption looks in its own table, then asks the witnesses, then all peers after 50 and 150 ms, and gives up after 400 ms.
Origins are kept for 60 s, those of open streams are recorded again.
- Where only one version has served for 60 s nothing is reported or asked, except on split routes.
Streams that are open when a second version appears are reported then, and again when peers come or go.
- Which versions have left is known by the list of servers, from peers, and after a loss of all gateways from the store, where the reader keeps versions that serve side by side: a call or two a version in two minutes, none with one version.
- The rest of a stream was admitted with its beginning: with fewer servers to choose from it is not refused as late.
- A stream that nobody knows is refused as not run (2013), one whose version has left too (2012).

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -86,6 +87,11 @@
         return peer != null && present(peer, nowMillis) ? peer.report().loads() : Map.of();
     }
 
+    /** Returns the address of a peer, as IP:PORT, if it isn't forgotten. */
+    public Optional<String> address(String name) {
+        return Optional.ofNullable(peers.get(name)).map(peer -> peer.report().address());
+    }
+
     /** Forgets peers that have been silent for too long. */
     public void forgetSilent(long nowMillis) {
         peers.values().removeIf(peer -> nowMillis - peer.receivedAtMillis() > FORGET_AFTER_MILLIS);
--- a/core/src/main/java/org/tanagerhinge/core/relay/Route.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Route.java
@@ -40,6 +40,16 @@
         return kind == RouteKind.SAFE || (kind == RouteKind.STREAM && resumable);
     }
 
+    /** Returns whether requests are divided between services. */
+    public boolean isSplit() {
+        return weightedServices.size() > 1;
+    }
+
+    /** Returns whether requests may go to a service. */
+    public boolean leadsTo(String service) {
+        return weightedServices.stream().anyMatch(share -> share.service().equals(service));
+    }
+
     /** Returns the limits on the attempts of one request. */
     public AttemptLimits attemptLimits() {
         return new AttemptLimits(idempotent(), maxAttempts, Integer.MAX_VALUE, maxAttempts + EXTRA_SENDS);
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Tracks the backend servers that this node knows.
@@ -43,6 +44,8 @@
     /** When instances departed, by instance id. */
     private final Map<String, Long> departedAtMillis = new HashMap<>();
 
+    private final SoftwareVersions softwareVersions = SoftwareVersions.create();
+
     private ServerDirectory() {}
 
     /** Creates an empty directory. */
@@ -66,6 +69,7 @@
             keepMissingUntilMillis = requestedAtMillis + REGISTRATION_RECOVERY_MILLIS;
         }
         newestListMillis = Math.max(newestListMillis, requestedAtMillis);
+        softwareVersions.trackedSince(requestedAtMillis);
         Map<String, ServerRegistration> listed = new HashMap<>();
         for (ServerRegistration registration : registrations) {
             listed.put(registration.id(), registration);
@@ -74,8 +78,7 @@
                 continue;
             }
             ServerInstance current = instanceByServerId.get(registration.id());
-            boolean sameInstance =
-                    current == null || current.registration().startedAtMillis() == registration.startedAtMillis();
+            boolean sameInstance = current == null || current.registration().sameInstance(registration);
             if (!sameInstance && !newest) {
                 continue;
             }
@@ -116,6 +119,7 @@
         server.markRemoved();
         departedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > MAX_COPY_AGE_MILLIS);
         departedAtMillis.put(server.instanceId(), nowMillis);
+        softwareVersions.recordDeparture(server.service(), server.softwareVersion(), nowMillis);
     }
 
     /** Records that the platform's store was restored from an older copy, at a time in milliseconds. */
@@ -140,7 +144,8 @@
     public long digest() {
         long digest = 0;
         for (ServerInstance server : instanceByServerId.values()) {
-            digest += mixBits(server.instanceId().hashCode() * 31L + (server.available() ? 1 : 0));
+            long identity = server.instanceId().hashCode() * 31L + (server.available() ? 1 : 0);
+            digest += mixBits(identity + ((long) server.softwareVersion().hashCode() << Integer.SIZE));
         }
         return digest;
     }
@@ -157,6 +162,25 @@
                 .toList();
     }
 
+    /** Returns the services that have servers. */
+    public Set<String> services() {
+        return Set.copyOf(instancesByService.keySet());
+    }
+
+    /** Returns the software versions of a service that serve or have left recently. */
+    public Set<String> softwareVersions(String service, long nowMillis) {
+        Set<String> versions = softwareVersions.departed(service, nowMillis);
+        for (ServerInstance server : instancesByService.getOrDefault(service, List.of())) {
+            versions.add(server.softwareVersion());
+        }
+        return versions;
+    }
+
+    /** Returns the history of software versions that have left. */
+    public SoftwareVersions versionHistory() {
+        return softwareVersions;
+    }
+
     public Collection<ServerInstance> all() {
         return instanceByServerId.values();
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
@@ -75,7 +75,7 @@
         registration = new ServerRegistration(
                 newer.id(),
                 newer.startedAtMillis(),
-                newer.softwareVersion(),
+                newer.softwareVersion().isEmpty() ? registration.softwareVersion() : newer.softwareVersion(),
                 newer.service(),
                 newer.address(),
                 newer.domain(),
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerRegistration.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerRegistration.java
@@ -28,4 +28,15 @@
     public String instanceId() {
         return startedAtMillis == 0 ? id : id + "@" + startedAtMillis;
     }
+
+    /**
+     * Returns whether a later registration under the same id is of the same instance. Servers that don't state their
+     * start time show a restart by another software version; a node that passes on no version shows nothing.
+     */
+    boolean sameInstance(ServerRegistration later) {
+        return startedAtMillis == later.startedAtMillis()
+                && (softwareVersion.equals(later.softwareVersion())
+                        || softwareVersion.isEmpty()
+                        || later.softwareVersion().isEmpty());
+    }
 }
--- a/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
+++ b/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
@@ -35,6 +35,8 @@
     RETRY_BUDGET_SPENT(2009, 503, "the class has no retries left for now"),
     SERVER_DOWN(2010, 503, "the backend server does not answer its agent"),
     REQUEST_HELD(2011, 503, "backend servers ended under this request; it is not sent for now"),
+    NO_SERVER_OF_VERSION(2012, 503, "no backend server of the software version that began the stream is reachable"),
+    STREAM_UNKNOWN(2013, 503, "which software version began the resumed stream is not known here"),
     CONNECTION_LOST(3001, 502, "the connection to the agent was lost while the request may have been running"),
     ENGINE_FAILED(3002, 502, "the backend server failed while it ran the request"),
     ANSWER_CUT(3003, 502, "the answer ended before it was whole"),
@@ -99,6 +101,8 @@
                     RETRY_BUDGET_SPENT,
                     SERVER_DOWN,
                     REQUEST_HELD,
+                    NO_SERVER_OF_VERSION,
+                    STREAM_UNKNOWN,
                     IN_PROGRESS,
                     CLAIMS_UNSETTLED,
                     NOT_READY -> true;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
@@ -32,6 +33,7 @@
 import org.tanagerhinge.core.relay.ServerDirectory;
 import org.tanagerhinge.core.relay.ServerInstance;
 import org.tanagerhinge.core.relay.ServerRegistration;
+import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
@@ -70,6 +72,7 @@
     private final ServerAnnouncements serverAnnouncements = ServerAnnouncements.create();
     private final RequestQuarantine quarantine = RequestQuarantine.create();
     private final CrashDetector crashDetector = new CrashDetector(this);
+    private final StreamTracker streams = StreamTracker.of(this);
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private Optional<RelayConfig> config = Optional.empty();
@@ -186,6 +189,10 @@
         return quarantine;
     }
 
+    StreamTracker streams() {
+        return streams;
+    }
+
     CrashDetector crashDetector() {
         return crashDetector;
     }
@@ -368,10 +375,19 @@
                 placement.forgetInstance(change.instanceId());
             }
         }
+        streams.serversChanged(changes.stream().map(ServerChange::service).collect(Collectors.toSet()));
         notifyInitialized(wasInitialized);
         return !changes.isEmpty();
     }
 
+    /** Adds the software versions that have left lately, as a peer or the platform's store knows them. */
+    void softwareVersionHistory(List<SoftwareVersions.Departed> departed) {
+        directory.versionHistory().recordHistory(departed, nowMillis());
+        streams.serversChanged(
+                departed.stream().map(SoftwareVersions.Departed::service).collect(Collectors.toSet()));
+        streams.historyReceived();
+    }
+
     private static LogEvent event(ServerChange.Kind kind) {
         return switch (kind) {
             case ADDED -> LogEvent.SERVER_SEEN;
@@ -438,9 +454,18 @@
         return usable.isEmpty() || healthyCount * 2 < open.size() ? untried : usable;
     }
 
+    /** Returns whether there is a server that {@link #candidates} may return. */
+    boolean hasUntriedServer(String service, Optional<String> softwareVersion, Set<String> triedServers) {
+        long nowMillis = nowMillis();
+        return available(service, softwareVersion)
+                .anyMatch(server -> !triedServers.contains(server.id())
+                        && serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis));
+    }
+
     private Stream<ServerInstance> available(String service, Optional<String> softwareVersion) {
         return directory.available(service).stream()
-                .filter(server -> softwareVersion.isEmpty() || softwareVersion.get().equals(server.softwareVersion()));
+                .filter(server ->
+                        softwareVersion.isEmpty() || softwareVersion.get().equals(server.softwareVersion()));
     }
 
     private boolean silent(ServerInstance server, long nowMillis) {
@@ -519,9 +544,9 @@
      * Returns how long a caller should wait until the first server of a service accepts requests again, in
      * milliseconds.
      */
-    long retryAfterMillis(String service) {
+    long retryAfterMillis(String service, Optional<String> softwareVersion) {
         long nowMillis = nowMillis();
-        long firstMillis = directory.available(service).stream()
+        long firstMillis = available(service, softwareVersion)
                 .filter(server -> !serverAnnouncements.isLeaving(server.instanceId(), nowMillis))
                 .mapToLong(server -> serverAnnouncements.backoffMillis(server.instanceId(), nowMillis))
                 .min()
@@ -598,6 +623,8 @@
         } else {
             Set.copyOf(exchanges).forEach(exchange -> exchange.abandonSilentServer(ABANDON_STREAM_MILLIS));
         }
+        exchanges.forEach(exchange -> exchange.refreshOrigin(nowMillis));
+        streams.removeExpired();
         Set.copyOf(callers).forEach(caller -> caller.sweep(nowMillis));
         pool.sweep(server -> serverAnnouncements.isLeaving(server.instanceId(), nowMillis));
         quarantine.evictExpired(nowMillis);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
@@ -76,4 +76,15 @@
     public void listQuarantined(Consumer<Reply<List<RequestFingerprint>>> onReply) {
         store.listQuarantined(timed("held", onReply));
     }
+
+    @Override
+    public void recordSoftwareVersion(
+            String service, String softwareVersion, Duration duration, Consumer<Reply<Long>> onReply) {
+        store.recordSoftwareVersion(service, softwareVersion, duration, timed("record_software", onReply));
+    }
+
+    @Override
+    public void listSoftwareVersions(long timeoutMillis, Consumer<Reply<List<ServiceVersion>>> onReply) {
+        store.listSoftwareVersions(timeoutMillis, timed("software", onReply));
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -50,6 +50,16 @@
     /** Lists the quarantined requests. */
     void listQuarantined(Consumer<Reply<List<RequestFingerprint>>> onReply);
 
+    /** Stores for a time that a software version of a service serves beside others. */
+    void recordSoftwareVersion(
+            String service, String softwareVersion, Duration duration, Consumer<Reply<Long>> onReply);
+
+    /** Lists the software versions that are stored as serving beside others. */
+    void listSoftwareVersions(long timeoutMillis, Consumer<Reply<List<ServiceVersion>>> onReply);
+
+    /** A software version of a service. */
+    record ServiceVersion(String service, String softwareVersion) {}
+
     /**
      * Holds the server registrations in the store.
      *
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -14,7 +14,9 @@
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.ServerRegistration;
+import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.relay.WorkspaceUses;
+import org.tanagerhinge.wire.peer.DepartedVersion;
 import org.tanagerhinge.wire.peer.KeptParts;
 import org.tanagerhinge.wire.peer.Part;
 import org.tanagerhinge.wire.peer.PeerState;
@@ -56,8 +58,18 @@
         }
     }
 
-    /** Holds a server list and its age in milliseconds. */
-    record ServerSnapshot(List<ServerRegistration> list, long ageMillis) {}
+    /**
+     * Holds a server list.
+     *
+     * @param ageMillis time since the list was requested
+     * @param departed software versions of which servers have left lately
+     * @param departedComplete whether no such version is missing
+     */
+    record ServerSnapshot(
+            List<ServerRegistration> list,
+            long ageMillis,
+            List<SoftwareVersions.Departed> departed,
+            boolean departedComplete) {}
 
     static byte[] encodeState(PeerMessage message) {
         PeerReport report = message.report();
@@ -197,8 +209,15 @@
     }
 
     static byte[] encodeServers(ServerSnapshot servers) {
-        ServerList.Builder list =
-                ServerList.newBuilder().setAgeMillis((int) Math.min(Integer.MAX_VALUE, servers.ageMillis()));
+        ServerList.Builder list = ServerList.newBuilder()
+                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, servers.ageMillis()))
+                .setDepartedComplete(servers.departedComplete());
+        for (SoftwareVersions.Departed version : servers.departed()) {
+            list.addDeparted(DepartedVersion.newBuilder()
+                    .setService(version.service())
+                    .setSoftwareVersion(version.softwareVersion())
+                    .setAgeMillis((int) version.ageMillis()));
+        }
         for (ServerRegistration server : servers.list()) {
             list.addServers(ServerEntry.newBuilder()
                     .setId(server.id())
@@ -227,7 +246,11 @@
                     entry.getSlots(),
                     entry.getDraining()));
         }
-        return new ServerSnapshot(servers, list.getAgeMillis());
+        List<SoftwareVersions.Departed> departed = list.getDepartedList().stream()
+                .map(version -> new SoftwareVersions.Departed(
+                        version.getService(), version.getSoftwareVersion(), version.getAgeMillis()))
+                .toList();
+        return new ServerSnapshot(servers, list.getAgeMillis(), departed, list.getDepartedComplete());
     }
 
     /** Formats an address as IP:PORT. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerRequestHandler.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerRequestHandler.java
@@ -63,7 +63,9 @@
                         .toList(),
                 gateway.directory().hasList()
                         ? gateway.nowMillis() - gateway.directory().newestListMillis()
-                        : Integer.MAX_VALUE));
+                        : Integer.MAX_VALUE,
+                gateway.directory().versionHistory().history(gateway.nowMillis()),
+                gateway.directory().versionHistory().complete(gateway.nowMillis())));
     }
 
     @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -103,6 +103,7 @@
                 .syncUninterruptibly()
                 .channel();
         gateway.onSuspicion(peers::reportSoon);
+        gateway.streams().connect(peers.new StreamPeers());
         loop.next().execute(() -> gateway.repeat(peers::reportPeriodically, peers::intervalMillis));
         return peers;
     }
@@ -342,8 +343,12 @@
                 LogLine.failure(LogEvent.PEER_LOST).with(LogField.SERVER, name).write();
             }
         }
+        boolean changed = !presentPeers.equals(nowPresent);
         presentPeers = nowPresent;
         gateway.peersPresent(nowPresent.size());
+        if (changed) {
+            gateway.streams().peersChanged();
+        }
     }
 
     /** Returns the age of the oldest report of a present peer in seconds, or NaN if there is none. */
@@ -407,6 +412,9 @@
             if (body != null) {
                 try {
                     PeerCodec.ServerSnapshot servers = PeerCodec.decodeServers(body);
+                    if (servers.departedComplete()) {
+                        gateway.softwareVersionHistory(servers.departed());
+                    }
                     gateway.apply(servers.list(), requestedAtMillis - servers.ageMillis());
                 } catch (IOException e) {
                     LOG.log(
@@ -417,13 +425,42 @@
         });
     }
 
-    /** Receives the state reports of peers. */
+    private void send(InetSocketAddress address, StreamMessage message) {
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message.encode()), address));
+    }
+
+    /** Sends messages about streams to peers. */
+    private final class StreamPeers implements StreamTracker.Peers {
+        @Override
+        public Set<String> present() {
+            return table.present(gateway.nowMillis());
+        }
+
+        @Override
+        public void send(String peer, StreamMessage message) {
+            table.address(peer).ifPresent(address -> {
+                try {
+                    PeerSynchronizer.this.send(PeerCodec.address(address), message);
+                } catch (InvalidProtocolBufferException e) {
+                    LOG.log(Level.WARNING, "cannot reach peer " + peer + ": " + e.getMessage());
+                }
+            });
+        }
+    }
+
+    /** Receives the messages of peers. */
     private final class ReportHandler extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             byte[] bytes = new byte[packet.content().readableBytes()];
             packet.content().readBytes(bytes);
             try {
+                if (StreamMessage.isIn(bytes)) {
+                    gateway.streams()
+                            .receive(StreamMessage.decode(bytes))
+                            .ifPresent(response -> send(packet.sender(), response));
+                    return;
+                }
                 receive(PeerCodec.decodeState(bytes));
             } catch (InvalidProtocolBufferException e) {
                 gateway.count("peer_report_unreadable");
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -25,6 +25,9 @@
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.ServerInstance;
+import org.tanagerhinge.core.relay.StreamId;
+import org.tanagerhinge.core.relay.StreamOrigin;
+import org.tanagerhinge.core.relay.StreamOrigins;
 import org.tanagerhinge.core.relay.WorkspaceConfig;
 import org.tanagerhinge.core.result.ResultCode;
 
@@ -57,9 +60,10 @@
     private RelayAttempt attempt;
     private AttemptHistory history;
     private RequestFingerprint fingerprint;
-    /** Software version of the server that began the stream. */
-    private Optional<String> softwareVersion = Optional.empty();
+    /** What began the stream: at an earlier attempt of the caller, or at the server of the first event. */
+    private Optional<StreamOrigin> origin = Optional.empty();
 
+    private long originRecordedAtMillis;
     private boolean executionStarted;
     private boolean finished;
 
@@ -123,13 +127,59 @@
         deadlineMillis = arrivedAtMillis + timeoutMillis;
         timer = gateway.schedule(this::deadlineExpired, Math.max(1, remainingMillis()));
         history = AttemptHistory.of(route.attemptLimits());
-        service = route.service(metadata.attemptId().hashCode());
+        if (resumesStream()) {
+            findOrigin();
+        } else {
+            begin(route.service(metadata.attemptId().hashCode()));
+        }
+    }
+
+    private void begin(String foundService) {
+        service = foundService;
         gateway.budget().recordRequest(service, gateway.nowMillis());
         telemetry.routed(route, workspace, service, rank(), remainingMillis());
-        metadata.resumedAttemptId().ifPresent(id -> telemetry.takenUp(id, metadata.lastEventId()));
         startAttempt();
     }
 
+    private boolean resumesStream() {
+        return route.resumable() && (metadata.resumedAttemptId().isPresent() || metadata.lastEventId() > 0);
+    }
+
+    private void findOrigin() {
+        String resumedId = metadata.resumedAttemptId().orElse("");
+        telemetry.takenUp(route, resumedId, metadata.lastEventId());
+        gateway.streams()
+                .find(metadata.resumedAttemptId().map(this::streamId), route, resumedId.hashCode(), this::originFound);
+    }
+
+    private void originFound(OriginMatch match) {
+        if (finished) {
+            return;
+        }
+        telemetry.matched(match);
+        switch (match) {
+            case OriginMatch.Unknown unknown ->
+                refuse(Refusal.notExecuted(ResultCode.STREAM_UNKNOWN, gateway.retryAfterMillis()));
+            case OriginMatch.Found found -> {
+                origin = Optional.of(found.origin());
+                if (route.leadsTo(found.origin().service())) {
+                    begin(found.origin().service());
+                } else {
+                    telemetry.withoutService(found.origin().service());
+                    refuse(Refusal.notExecuted(ResultCode.NO_SERVER_OF_VERSION, gateway.retryAfterMillis()));
+                }
+            }
+        }
+    }
+
+    private StreamId streamId(String attemptId) {
+        return StreamId.of(workspace.map(WorkspaceConfig::name).orElse(""), attemptId);
+    }
+
+    private Optional<String> softwareVersion() {
+        return origin.map(StreamOrigin::softwareVersion);
+    }
+
     private void startAttempt() {
         long nowMillis = gateway.nowMillis();
         OptionalLong quarantinedMillis = quarantineMillis(nowMillis);
@@ -140,7 +190,7 @@
                     Refusal.notExecuted(ResultCode.REQUEST_HELD, quarantinedMillis.getAsLong()));
             return;
         }
-        List<ServerInstance> candidates = gateway.candidates(service, softwareVersion, triedServers, nowMillis);
+        List<ServerInstance> candidates = gateway.candidates(service, softwareVersion(), triedServers, nowMillis);
         PlacementRequest request =
                 new PlacementRequest(route, config.service(service), metadata.prompt(), gateway.domain());
         Optional<PlacementPolicy.Decision> decision = gateway.placement().place(request, candidates, nowMillis);
@@ -161,6 +211,10 @@
 
     /** Refuses a request that the admission policy rejects; returns whether it did. */
     private boolean rejected(PlacementRequest request, PlacementPolicy.Decision decision) {
+        if (origin.isPresent() && gateway.streams().mixed(service)) {
+            admission.admitRest(new AdmissionPolicy.Request(config, request, workspace, remainingMillis()), decision);
+            return false;
+        }
         Optional<AdmissionPolicy.Rejection> rejection = admission.rejection(
                 new AdmissionPolicy.Request(config, request, workspace, remainingMillis()), decision);
         rejection.ifPresent(found -> {
@@ -177,9 +231,20 @@
     }
 
     private void failWithoutServer() {
-        endWithoutResponse(
-                "no server available for another attempt",
-                Refusal.notExecuted(ResultCode.NO_SERVER, gateway.retryAfterMillis(service)));
+        if (origin.isPresent() && gateway.streams().mixed(service)) {
+            telemetry.withoutServerOfVersion(service, origin.get().softwareVersion());
+            endWithoutResponse(
+                    "no server of the stream's software version available for another attempt",
+                    Refusal.notExecuted(ResultCode.NO_SERVER_OF_VERSION, retryAfterMillis()));
+        } else {
+            endWithoutResponse(
+                    "no server available for another attempt",
+                    Refusal.notExecuted(ResultCode.NO_SERVER, retryAfterMillis()));
+        }
+    }
+
+    private long retryAfterMillis() {
+        return gateway.retryAfterMillis(service, softwareVersion());
     }
 
     /**
@@ -312,7 +377,7 @@
             startAttempt();
             return;
         }
-        endWithoutResponse(reason, Refusal.notExecuted(ResultCode.NO_SERVER, gateway.retryAfterMillis(service)));
+        endWithoutResponse(reason, Refusal.notExecuted(ResultCode.NO_SERVER, retryAfterMillis()));
     }
 
     private boolean canResume() {
@@ -321,7 +386,32 @@
 
     /** Records what began the stream, before its first event is forwarded to the caller. */
     void streamBegins(ServerInstance server) {
-        softwareVersion = Optional.of(server.softwareVersion());
+        if (!route.resumable()) {
+            return;
+        }
+        if (origin.isEmpty()) {
+            origin = Optional.of(new StreamOrigin(service, server.softwareVersion()));
+        } else if (resumesStream()) {
+            telemetry.takenUpContinues();
+        }
+        recordOrigin();
+    }
+
+    private void recordOrigin() {
+        originRecordedAtMillis = gateway.nowMillis();
+        String firstAttemptId = metadata.resumedAttemptId().orElse(metadata.attemptId());
+        if (!firstAttemptId.isEmpty()) {
+            gateway.streams().begun(streamId(firstAttemptId), origin.get(), route);
+        }
+    }
+
+    /** Records the origin of an open stream again before it expires. */
+    void refreshOrigin(long nowMillis) {
+        if (origin.isPresent()
+                && progress.headForwarded()
+                && nowMillis - originRecordedAtMillis > StreamOrigins.REFRESH_MILLIS) {
+            recordOrigin();
+        }
     }
 
     /** Records that a server has probably started to execute the request: it responded, or its connection broke. */
@@ -381,7 +471,7 @@
 
     /** Moves a resumable stream to another server if the current one has been silent for a time. */
     void abandonSilentServer(long silentMillis) {
-        if (attempt != null && canResume()) {
+        if (attempt != null && canResume() && gateway.hasUntriedServer(service, softwareVersion(), triedServers)) {
             attempt.abandonIfSilent(silentMillis);
         }
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestAdmission.java
@@ -46,6 +46,20 @@
                         () -> ThreadLocalRandom.current().nextDouble());
     }
 
+    /** Admits the rest of a stream, which was admitted when it began. */
+    void admitRest(AdmissionPolicy.Request request, PlacementPolicy.Decision decision) {
+        if (decided) {
+            admitAgain();
+            return;
+        }
+        decided = true;
+        recordAsk(request, decision.tokensToPrefill());
+        ask.ifPresent(found -> {
+            shares().recordAsked(found, gateway.nowMillis());
+            shares().recordAdmitted(found, gateway.nowMillis());
+        });
+    }
+
     private void recordAsk(AdmissionPolicy.Request request, int tokensToPrefill) {
         if (gateway.admission().sharesApply(request)) {
             ask = Optional.of(gateway.admission().ask(request, tokensToPrefill));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.tanagerhinge.core.attempt.AttemptFailure;
@@ -59,14 +60,57 @@
     }
 
     /** Logs that the caller resumes a stream of which an earlier attempt of its own brought the first events. */
-    void takenUp(String resumedAttemptId, long lastEventId) {
+    void takenUp(Route found, String resumedAttemptId, long lastEventId) {
+        route = Optional.of(found);
         gateway.count("taken_up");
         logLine(LogEvent.TAKEN_UP, false)
+                .with(LogField.ROUTE, found.name())
                 .with(LogField.RESUMES, resumedAttemptId)
                 .with(LogField.EVENT_ID, lastEventId)
                 .write();
     }
 
+    /** Logs what is known of the beginning of the stream that the caller resumes. */
+    void matched(OriginMatch match) {
+        switch (match) {
+            case OriginMatch.Found found ->
+                logLine(LogEvent.MATCHED, false)
+                        .with(LogField.SERVICE, found.origin().service())
+                        .with(LogField.SOFTWARE, found.origin().softwareVersion())
+                        .with(LogField.SOURCE, found.basis().name().toLowerCase(Locale.ROOT))
+                        .with(LogField.AGE_MS, found.ageMillis())
+                        .with(LogField.MS, gateway.nowMillis() - arrivedAtMillis)
+                        .write();
+            case OriginMatch.Unknown unknown -> {
+                gateway.count("taken_up_unknown");
+                reason = "no gateway in reach knows what began the stream";
+            }
+        }
+    }
+
+    /** Notes that no server of the software version that began the stream can be chosen, and why. */
+    void withoutServerOfVersion(String service, String softwareVersion) {
+        gateway.count("no_server_of_version");
+        List<ServerInstance> servers = gateway.directory().all().stream()
+                .filter(known -> known.service().equals(service)
+                        && known.softwareVersion().equals(softwareVersion))
+                .toList();
+        long available = servers.stream().filter(ServerInstance::available).count();
+        reason = "none of the " + servers.size() + " servers of software version '" + softwareVersion
+                + "' can be chosen, of which " + available + " are ready";
+    }
+
+    /** Notes that the route no longer leads to the service that began the stream. */
+    void withoutService(String service) {
+        gateway.count("no_server_of_version");
+        reason = "the route does not lead to '" + service + "' any more, where the stream began";
+    }
+
+    /** Counts a stream that goes on after its caller has resumed it. */
+    void takenUpContinues() {
+        gateway.count("taken_up_continued");
+    }
+
     /** Logs the start of an attempt, with the server's load at the time of the decision. */
     void sent(PlacementPolicy.Decision decision, int candidates, int level) {
         attempts++;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -4,11 +4,15 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
+import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
@@ -59,6 +63,9 @@
     /** Maximum number of unreadable entries that are logged for one listing; other writers may leave any number. */
     private static final int MAX_UNREADABLE_LOGGED = 20;
 
+    /** Time for which the store keeps a software version that serves beside others. */
+    private static final Duration SOFTWARE_TTL = Duration.ofMillis(3 * SoftwareVersions.RETENTION_MILLIS);
+
     private static final Duration LEASE_TTL = Duration.ofSeconds(12);
     /** Renewal interval of the lease; a few renewals may fail before it expires. */
     private static final int KEEP_ALIVE_MILLIS = 3_000;
@@ -80,6 +87,8 @@
     private long nextCatchUpMillis = Long.MIN_VALUE;
     private boolean storeReachable = true;
     private List<MetadataStore.UnreadableEntry> loggedUnreadable = List.of();
+    /** When this gateway recorded that a software version serves beside others. */
+    private final Map<MetadataStore.ServiceVersion, Long> versionRecordedAtMillis = new HashMap<>();
 
     private StoreSynchronizer(Gateway gateway, MetadataStore store, PeerSynchronizer peers) {
         this.gateway = gateway;
@@ -101,6 +110,7 @@
         synchronizer.runGuarded(synchronizer::readConfig);
         synchronizer.runGuarded(synchronizer::register);
         synchronizer.runGuarded(synchronizer::readServers);
+        synchronizer.runGuarded(synchronizer::readSoftwareVersions);
         synchronizer.runGuarded(synchronizer::readQuarantine);
         gateway.onQuarantine(synchronizer::quarantine);
         return synchronizer;
@@ -182,6 +192,7 @@
                 if (gateway.apply(success.value().servers(), requestedAtMillis)) {
                     peers.reportNow();
                 }
+                recordSoftwareVersions();
                 boolean empty = gateway.directory().all().isEmpty();
                 schedule(this::pollServers, empty ? RETRY_MILLIS : SERVERS_POLL_MILLIS);
                 return;
@@ -347,6 +358,52 @@
         }));
     }
 
+    /**
+     * Reads which software versions have served beside others lately. Without it, after a simultaneous loss of all
+     * gateways, a stream of a version that has left would be taken for one of the version that serves.
+     */
+    private void readSoftwareVersions() {
+        store.listSoftwareVersions(timeoutMillis(), guarded(this::readSoftwareVersions, reply -> {
+            if (reply instanceof MetadataStore.Success<List<MetadataStore.ServiceVersion>> success) {
+                markReachable();
+                gateway.softwareVersionHistory(success.value().stream()
+                        .map(version -> new SoftwareVersions.Departed(version.service(), version.softwareVersion(), 0))
+                        .toList());
+            } else {
+                schedule(this::readSoftwareVersions, retryMillis());
+            }
+        }));
+    }
+
+    /** Records the software versions of services that have several, if this gateway is the reader. */
+    private void recordSoftwareVersions() {
+        if (!isReader()) {
+            return;
+        }
+        long nowMillis = gateway.nowMillis();
+        versionRecordedAtMillis
+                .values()
+                .removeIf(
+                        atMillis -> nowMillis - atMillis > SOFTWARE_TTL.toMillis() - SoftwareVersions.RETENTION_MILLIS);
+        for (String service : gateway.directory().services()) {
+            Set<String> versions = gateway.directory().softwareVersions(service, nowMillis);
+            for (String version : versions.size() > 1 ? versions : Set.<String>of()) {
+                recordSoftwareVersion(new MetadataStore.ServiceVersion(service, version), nowMillis);
+            }
+        }
+    }
+
+    private void recordSoftwareVersion(MetadataStore.ServiceVersion version, long nowMillis) {
+        if (version.softwareVersion().isEmpty() || versionRecordedAtMillis.putIfAbsent(version, nowMillis) != null) {
+            return;
+        }
+        store.recordSoftwareVersion(version.service(), version.softwareVersion(), SOFTWARE_TTL, reply -> {
+            if (!(reply instanceof MetadataStore.Success<Long>)) {
+                versionRecordedAtMillis.remove(version);
+            }
+        });
+    }
+
     private void quarantine(RequestFingerprint request) {
         if (gateway.quarantine().remainingMillis(request, gateway.nowMillis()).isEmpty()) {
             return;
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -117,6 +117,17 @@
         public void listQuarantined(Consumer<Reply<List<RequestFingerprint>>> onReply) {
             reply("held", List.of(), onReply);
         }
+
+        @Override
+        public void recordSoftwareVersion(
+                String service, String softwareVersion, Duration time, Consumer<Reply<Long>> onReply) {
+            reply("record_software", 7L, onReply);
+        }
+
+        @Override
+        public void listSoftwareVersions(long timeoutMillis, Consumer<Reply<List<ServiceVersion>>> onReply) {
+            reply("software", List.of(), onReply);
+        }
     }
 
     /** Reads and writes no headers. */
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RawCaller.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RawCaller.java
@@ -26,8 +26,13 @@
     }
 
     static RawCaller to(InetSocketAddress address) throws IOException {
+        return to(address, READ_MILLIS);
+    }
+
+    /** Returns a connection on which a read fails after a time without a byte, in milliseconds. */
+    static RawCaller to(InetSocketAddress address, int readMillis) throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
-        socket.setSoTimeout(READ_MILLIS);
+        socket.setSoTimeout(readMillis);
         socket.setTcpNoDelay(true);
         return new RawCaller(socket);
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayControlTest.java
@@ -176,7 +176,7 @@
         ServerStandin server = scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
         GatewayDaemon gateway = scene.gateway();
         ServerRegistration registration =
-                new ServerRegistration("s-1", 0, "v1", "plain", server.address(), "north", 8, false);
+                new ServerRegistration("s-1", 0, "", "plain", server.address(), "north", 8, false);
         try (PeerStandin peer = PeerStandin.telling(scene.peerAddress(gateway), List.of(registration), silent)) {
             RelayScene.await(() -> gateway.metrics().text().contains("tanagerhinge_peers_present 1.0"));
             Thread.sleep(LONGEST_WATCH_MILLIS);
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -22,7 +22,7 @@
 class SoftwareVersionsTest {
     private static final int EVENTS = 12;
     private static final int STREAMS = 8;
-    private static final long EVENT_GAP_MILLIS = 40;
+    private static final long EVENT_GAP_MILLIS = 10;
 
     private RelayScene scene;
     private ObjectNode route;
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/StreamCaller.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/StreamCaller.java
@@ -10,6 +10,8 @@
 /** A caller that reads a stream event by event, and takes it up at any gateway after a broken connection. */
 final class StreamCaller implements AutoCloseable {
     private static final String DATA = "data: piece ";
+    /** Longest gap between two events, in milliseconds, after which a caller gives up. */
+    private static final int MAX_GAP_MILLIS = 5_000;
 
     private final String path;
     private final String firstAttempt;
@@ -34,7 +36,7 @@
     int send(GatewayDaemon gateway) throws IOException {
         close();
         attempts++;
-        connection = RawCaller.to(gateway.address());
+        connection = RawCaller.to(gateway.address(), MAX_GAP_MILLIS);
         String id = attempts == 1 ? firstAttempt : firstAttempt + "-" + attempts;
         String resumption = lastEvent == 0
                 ? ""
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -6,6 +6,7 @@
 public enum LogEvent {
     ROUTED(Subject.REQUEST),
     TAKEN_UP(Subject.REQUEST),
+    MATCHED(Subject.REQUEST),
     SENT(Subject.REQUEST),
     ATTEMPT_FAILED(Subject.REQUEST),
     REPEATED(Subject.REQUEST),
