--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimBackend.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimBackend.java
@@ -18,6 +18,7 @@
     private final Simulation sim;
     private final SimAgent agent;
     private final Map<Long, Stream> streams = new LinkedHashMap<>();
+    private String softwareVersion;
     private double slowdown = 1;
     private boolean stalled;
     private boolean down;
@@ -56,7 +57,8 @@
                 agent.deliver(agentStart, () -> agent.core().onCompleted(run.id(), "stop"));
                 return;
             }
-            byte[] data = SimRequest.token(request.number(), nextToken).getBytes(StandardCharsets.UTF_8);
+            byte[] data = SimRequest.token(request.number(), nextToken, softwareVersion)
+                    .getBytes(StandardCharsets.UTF_8);
             nextToken++;
             agent.deliver(agentStart, () -> agent.core().onOutput(run.id(), 1, data));
             if (nextToken >= request.length()) {
@@ -78,6 +80,7 @@
     SimBackend(Simulation sim, SimAgent agent) {
         this.sim = sim;
         this.agent = agent;
+        this.softwareVersion = sim.drawSoftwareVersion();
     }
 
     void start(Run run) {
@@ -109,7 +112,7 @@
     }
 
     private void runServiceCall(Run run, SimRequest request, int agentStart) {
-        byte[] body = SimRequest.token(request.number(), 0).getBytes(StandardCharsets.UTF_8);
+        byte[] body = SimRequest.token(request.number(), 0, "").getBytes(StandardCharsets.UTF_8);
         sim.scheduler.after(Duration.ofMillis((long) (SERVICE_CALL_MILLIS * slowdown)), () -> {
             agent.deliver(agentStart, () -> agent.core().onResponseHead(run.id(), 200, "text/plain"));
             agent.deliver(agentStart, () -> agent.core().onOutput(run.id(), body.length, body));
@@ -147,7 +150,10 @@
                     () -> agent.core().onFailed(stream.run.id(), true, ResultCode.ENGINE_FAILED, "crashed"));
         }
         streams.clear();
-        sim.scheduler.after(duration, () -> down = false);
+        sim.scheduler.after(duration, () -> {
+            down = false;
+            softwareVersion = sim.drawSoftwareVersion();
+        });
     }
 
     void slow(double factor, Duration duration) {
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimCall.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimCall.java
@@ -74,14 +74,14 @@
         text.append(new String(data, StandardCharsets.UTF_8));
         sim.checks.check(
                 Invariant.WHOLE_ANSWER,
-                request.expectedAnswer().startsWith(text.toString()),
+                request.isBeginning(text.toString()),
                 () -> request + " received '" + text + "'");
     }
 
     void receiveCompletion() {
         sim.checks.check(
                 Invariant.WHOLE_ANSWER,
-                request.expectedAnswer().contentEquals(text),
+                request.isAnswer(text.toString()),
                 () -> request + " received '" + text + "' as complete answer");
         end(RunOutcome.COMPLETE);
     }
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimRequest.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimRequest.java
@@ -32,15 +32,27 @@
         this.length = length;
     }
 
-    static String token(long number, int index) {
-        return index == 0 ? "#" + number : " " + index;
+    /** Returns a token of an answer as an engine of a software version writes it. */
+    static String token(long number, int index, String softwareVersion) {
+        return (index == 0 ? "#" + number : " " + index) + softwareVersion;
     }
 
-    /** Returns the complete answer that the caller must receive. */
-    String expectedAnswer() {
+    /** Returns whether a text is the beginning of the answer of one software version. */
+    boolean isBeginning(String text) {
+        return Simulation.SOFTWARE_VERSIONS.stream()
+                .anyMatch(version -> expectedAnswer(version).startsWith(text));
+    }
+
+    /** Returns whether a text is the complete answer of one software version. */
+    boolean isAnswer(String text) {
+        return Simulation.SOFTWARE_VERSIONS.stream()
+                .anyMatch(version -> expectedAnswer(version).equals(text));
+    }
+
+    private String expectedAnswer(String softwareVersion) {
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < (service ? 1 : length); i++) {
-            text.append(token(number, i));
+            text.append(token(number, i, softwareVersion));
         }
         return text.toString();
     }
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
@@ -59,7 +59,11 @@
     private final Map<String, Long> counts = new TreeMap<>();
     private final Set<String> partitions = new LinkedHashSet<>();
     private final FaultInjector faultInjector;
+    /** Software versions of engines; the first stands for engines that state none. */
+    static final List<String> SOFTWARE_VERSIONS = List.of("", "v1", "v2");
+
     private final Optional<SplittableRandom> restoreRandom;
+    private final Optional<SplittableRandom> versionRandom;
     private final double requestsPerSecond;
     private double lossRate;
     private double duplicationRate;
@@ -67,16 +71,18 @@
     private int completeAnswers;
 
     Simulation(long seed, boolean logging) {
-        this(seed, logging, false);
+        this(seed, logging, Soak.Variant.NONE);
     }
 
-    /** Creates a run; with {@code restores}, the store is restored from older copies as well. */
-    Simulation(long seed, boolean logging, boolean restores) {
+    /** Creates a run in a variant; what it adds has a generator of its own, so that the other faults are as without. */
+    Simulation(long seed, boolean logging, Soak.Variant variant) {
         this.scheduler = new VirtualTimeScheduler(logging);
         this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         this.requestsPerSecond = 5 + random.nextInt(40);
         this.faultInjector = new FaultInjector(this);
-        this.restoreRandom = restores ? Optional.of(new SplittableRandom(~seed)) : Optional.empty();
+        this.restoreRandom = variant.restores() ? Optional.of(new SplittableRandom(~seed)) : Optional.empty();
+        this.versionRandom =
+                variant.softwareVersions() ? Optional.of(new SplittableRandom(seed * 31 + 7)) : Optional.empty();
     }
 
     /** Runs to the end; throws {@link SoakFailure} if an invariant is violated. */
@@ -90,6 +96,13 @@
         checkConfigurationConverged();
     }
 
+    /** Draws the software version of an engine that starts; empty in runs without versions. */
+    String drawSoftwareVersion() {
+        return versionRandom
+                .map(versions -> SOFTWARE_VERSIONS.get(1 + versions.nextInt(SOFTWARE_VERSIONS.size() - 1)))
+                .orElse(SOFTWARE_VERSIONS.get(0));
+    }
+
     /** Schedules restores from a generator of their own, so that the other faults of a seed are as without them. */
     private void scheduleRestores(SplittableRandom restores) {
         int count = restores.nextInt(1, MAX_RESTORES + 1);
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Soak.java
@@ -41,18 +41,28 @@
         }
     }
 
+    /**
+     * What may happen in a run beside the faults of its seed.
+     *
+     * @param restores whether the store is restored from older copies
+     * @param softwareVersions whether engines have several software versions, which change when they crash
+     */
+    public record Variant(boolean restores, boolean softwareVersions) {
+        static final Variant NONE = new Variant(false, false);
+        static final Variant RESTORES = new Variant(true, false);
+        static final Variant SOFTWARE_VERSIONS = new Variant(false, true);
+    }
+
     private Soak() {}
 
     /** Runs one seed; the same seed gives the same run. */
     public static Result run(long seed) {
-        return run(seed, false);
+        return run(seed, Variant.NONE);
     }
 
-    /**
-     * Runs one seed like {@link #run(long)}; with {@code restores}, the store is restored from older copies as well.
-     */
-    public static Result run(long seed, boolean restores) {
-        Simulation simulation = new Simulation(seed, false, restores);
+    /** Runs one seed like {@link #run(long)}, in a variant. */
+    public static Result run(long seed, Variant variant) {
+        Simulation simulation = new Simulation(seed, false, variant);
         String failure = "";
         try {
             simulation.run();
@@ -74,8 +84,8 @@
     }
 
     /** Reruns a seed with its event log; returns the lines about the failed request or node, then the last lines. */
-    public static List<String> explain(long seed, boolean restores) {
-        Simulation simulation = new Simulation(seed, true, restores);
+    public static List<String> explain(long seed, Variant variant) {
+        Simulation simulation = new Simulation(seed, true, variant);
         List<String> lines = new ArrayList<>();
         try {
             simulation.run();
@@ -132,17 +142,17 @@
 
     /** Runs consecutive seeds on several threads and returns their results in order. */
     public static List<Result> runAll(long firstSeed, int seedCount, int threads) {
-        return runAll(firstSeed, seedCount, threads, false);
+        return runAll(firstSeed, seedCount, threads, Variant.NONE);
     }
 
-    /** Runs consecutive seeds like {@link #runAll(long, int, int)}, with or without restores of the store. */
-    public static List<Result> runAll(long firstSeed, int seedCount, int threads, boolean restores) {
+    /** Runs consecutive seeds like {@link #runAll(long, int, int)}, in a variant. */
+    public static List<Result> runAll(long firstSeed, int seedCount, int threads, Variant variant) {
         ExecutorService executor = Executors.newFixedThreadPool(threads);
         try {
             List<Future<Result>> futures = new ArrayList<>();
             for (int i = 0; i < seedCount; i++) {
                 long seed = firstSeed + i;
-                futures.add(executor.submit(() -> run(seed, restores)));
+                futures.add(executor.submit(() -> run(seed, variant)));
             }
             List<Result> results = new ArrayList<>();
             for (Future<Result> future : futures) {
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -62,6 +62,11 @@
             description = "Restore the store from older copies as well")
     private boolean restores;
 
+    @Option(
+            name = {"--software-versions"},
+            description = "Let engines have several software versions, which change when they crash")
+    private boolean softwareVersions;
+
     @Option(
             name = {"--bug"},
             description = "Inject a deliberate bug, named in lower case, into the runs of duties")
@@ -84,13 +89,17 @@
             return runDuties();
         }
         if (explain != null) {
-            Soak.explain(explain, restores).forEach(System.out::println);
+            Soak.explain(explain, variant()).forEach(System.out::println);
             return 0;
         }
-        List<Soak.Result> results = Soak.runAll(first, seeds, threads, restores);
+        List<Soak.Result> results = Soak.runAll(first, seeds, threads, variant());
         return report(results);
     }
 
+    private Soak.Variant variant() {
+        return new Soak.Variant(restores, softwareVersions);
+    }
+
     private int runFleet() {
         if (explain != null) {
             FleetSoak.explain(explain).forEach(System.out::println);
--- a/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/soak/SoakTest.java
@@ -50,7 +50,7 @@
     @ParameterizedTest
     @ValueSource(longs = {2, 3, 5, 8, 25, 27, 52})
     void keyRunsOnceAcrossRestoresOfTheStore(long seed) {
-        assertEquals("", Soak.run(seed, true).failure());
+        assertEquals("", Soak.run(seed, Soak.Variant.RESTORES).failure());
     }
 
     /**
@@ -61,13 +61,22 @@
     @ParameterizedTest
     @ValueSource(longs = {56, 115, 203, 274, 286, 382, 572, 736})
     void keyRunsOnceAcrossRestoresAfterItsRouterHasEnded(long seed) {
-        assertEquals("", Soak.run(seed, true).failure());
+        assertEquals("", Soak.run(seed, Soak.Variant.RESTORES).failure());
     }
 
     /** Guards against a run that ends 0.3 s after the operators' last edits and reports nodes that are behind. */
     @Test
     void lastEditsLeaveTimeToComeIntoForce() {
-        assertEquals("", Soak.run(1831, true).failure());
+        assertEquals("", Soak.run(1831, Soak.Variant.RESTORES).failure());
+    }
+
+    /** Guards against a router that resumes an answer at an engine of another software version. */
+    @Test
+    void answersHoldTokensOfOneSoftwareVersion() {
+        List<Soak.Result> results = Soak.runAll(1, 24, 4, Soak.Variant.SOFTWARE_VERSIONS);
+        for (Soak.Result result : results) {
+            assertTrue(result.passed(), () -> "seed " + result.seed() + ": " + result.failure());
+        }
     }
 
     @Test
