A gateway with an outdated server list doesn't take a stream for one of the only version that it knows

What callers could see: a gateway that was cut off, or had just woken, continued a stream at the version of its old list though another gateway had begun it at a version that came since.

Cause: "only one version serves" was read off a list of any age. Now it holds only while the list is recent or all peers have the same one; otherwise peers are asked, and a stream that nobody knows is refused as not run. So that this refuses nothing during an outage of the store, streams are reported to their witnesses while the list is outdated, those that are open at that moment too.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -87,6 +87,12 @@
         return peer != null && present(peer, nowMillis) ? peer.report().loads() : Map.of();
     }
 
+    /** Returns whether all peers that aren't forgotten are present and have a server list with a digest. */
+    public boolean allHaveServerList(long digest, long nowMillis) {
+        return peers.values().stream()
+                .allMatch(peer -> present(peer, nowMillis) && peer.report().serverListDigest() == digest);
+    }
+
     /** Returns the address of a peer, as IP:PORT, if it isn't forgotten. */
     public Optional<String> address(String name) {
         return Optional.ofNullable(peers.get(name)).map(peer -> peer.report().address());
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -624,7 +624,7 @@
             Set.copyOf(exchanges).forEach(exchange -> exchange.abandonSilentServer(ABANDON_STREAM_MILLIS));
         }
         exchanges.forEach(exchange -> exchange.refreshOrigin(nowMillis));
-        streams.removeExpired();
+        streams.sweep();
         Set.copyOf(callers).forEach(caller -> caller.sweep(nowMillis));
         pool.sweep(server -> serverAnnouncements.isLeaving(server.instanceId(), nowMillis));
         quarantine.evictExpired(nowMillis);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -55,6 +55,8 @@
 
     /** Delay that collects the broken connections of one crash in a single report. */
     private static final long BATCH_DELAY_MILLIS = 20;
+    /** Age, added to two report intervals, up to which a server list counts as current: two polls have failed. */
+    private static final long CURRENT_LIST_MILLIS = 2_000;
     /** Minimum age difference at which a peer's newer server list is requested. */
     private static final long MIN_AGE_GAIN_MILLIS = 50;
 
@@ -436,6 +438,15 @@
             return table.present(gateway.nowMillis());
         }
 
+        @Override
+        public boolean serverListCurrent() {
+            long nowMillis = gateway.nowMillis();
+            long ageMillis = nowMillis - gateway.directory().newestListMillis();
+            boolean alone = !addresses.isEmpty() && !table.anyPresent(nowMillis);
+            return ageMillis <= CURRENT_LIST_MILLIS + 2 * intervalMillis()
+                    || (!alone && table.allHaveServerList(gateway.directory().digest(), nowMillis));
+        }
+
         @Override
         public void send(String peer, StreamMessage message) {
             table.address(peer).ifPresent(address -> {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
@@ -20,7 +20,8 @@
  * <p>Where several software versions serve, each gateway reports the origin of a stream to a few peers, its witnesses,
  * before the stream's first event is forwarded to the caller. Witnesses are chosen by a hash of the stream's id, so
  * that the gateway at which the caller resumes knows whom to ask when the first gateway has ended. Nothing is reported
- * where a single version serves; streams that are open when a second one appears are reported then.
+ * where a single version serves, as far as a current list of servers shows; streams that are open when a second one
+ * appears or the list gets outdated are reported then.
  */
 final class StreamTracker {
     /** Number of peers to which an origin is reported; all of them may end together with the first gateway. */
@@ -35,6 +36,7 @@
     private final Map<StreamId, List<Search>> searches = new HashMap<>();
     private final Set<String> mixedServices = new HashSet<>();
     private Peers peers = new NoPeers();
+    private boolean serverListWasCurrent = true;
 
     private StreamTracker(Gateway gateway) {
         this.gateway = gateway;
@@ -49,6 +51,12 @@
         /** Returns the names of the peers that reported recently. */
         Set<String> present();
 
+        /**
+         * Returns whether no other gateway can have a newer server list: this one's is recent, or all peers have the
+         * same.
+         */
+        boolean serverListCurrent();
+
         /** Sends a message to a peer; it may get lost. */
         void send(String peer, StreamMessage message);
     }
@@ -59,6 +67,11 @@
             return Set.of();
         }
 
+        @Override
+        public boolean serverListCurrent() {
+            return true;
+        }
+
         @Override
         public void send(String peer, StreamMessage message) {}
     }
@@ -75,7 +88,7 @@
 
     /** Records what began a stream, and reports it to the stream's witnesses if they may be asked for it. */
     void begun(StreamId stream, StreamOrigin origin, Route route) {
-        boolean reported = mixed(origin.service()) || route.isSplit();
+        boolean reported = mixed(origin.service()) || route.isSplit() || !peers.serverListCurrent();
         origins.recordLocal(stream, origin, reported, gateway.nowMillis());
         if (reported) {
             report(List.of(new StreamOrigins.Begun(stream, origin)));
@@ -139,6 +152,18 @@
         }
     }
 
+    /** Reports the open streams when this gateway's server list gets outdated: another version may have appeared. */
+    private void checkServerList() {
+        boolean current = peers.serverListCurrent();
+        if (serverListWasCurrent && !current) {
+            report(origins.resumable(gateway.nowMillis()).stream()
+                    .filter(stream -> !stream.reported())
+                    .map(StreamOrigins.Resumable::begun)
+                    .toList());
+        }
+        serverListWasCurrent = current;
+    }
+
     // ---- streams that callers resume
 
     /**
@@ -173,7 +198,7 @@
         String service = route.service(serviceSelector);
         Set<String> versions = softwareVersions(service);
         boolean complete = gateway.directory().versionHistory().complete(gateway.nowMillis());
-        return versions.size() == 1 && complete
+        return versions.size() == 1 && complete && peers.serverListCurrent()
                 ? new OriginMatch.Found(
                         new StreamOrigin(service, versions.iterator().next()), OriginMatch.Basis.ONLY_VERSION, 0)
                 : new OriginMatch.Unknown();
@@ -240,8 +265,9 @@
         return known.isEmpty() ? Optional.empty() : Optional.of(StreamMessage.telling(known));
     }
 
-    /** Removes origins that no caller will ask for any more. */
-    void removeExpired() {
+    /** Removes origins that no caller will ask for any more, and checks the age of the server list. */
+    void sweep() {
+        checkServerList();
         origins.removeExpired(gateway.nowMillis());
         mixedServices.removeIf(service -> !mixed(service));
         gateway.directory().versionHistory().removeExpired(gateway.nowMillis());
