Routers resume an answer only at engines of the software version that began it

What callers saw: where engines of two software versions serve a model, an answer whose engine crashed went on at the other version: 58 tokens of one, the rest of the other.

A router hands the text of a broken answer to any other engine; neither routers nor agents knew of versions. Engines state theirs in each event of a completion (`system_fingerprint`). Agents take it from there, report a new one with their load before the output that stated it, and routers restrict the engines of a resumption to the version that wrote the first part. An agent whose engine turns out to have another version than a resumption asks for, since it was replaced meanwhile, fails the run before any output. Engines that state none are treated as before. Callers of routers can't resume a stream under a new id, so nothing has to be known beyond the router that holds the answer.

--- a/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
@@ -261,6 +261,11 @@
             control.post(() -> core.onResponseHead(runId, status, contentType));
         }
 
+        @Override
+        public void onSoftwareVersion(long runId, String softwareVersion) {
+            control.post(() -> core.onSoftwareVersion(runId, softwareVersion));
+        }
+
         @Override
         public void onOutput(long runId, long units, byte[] data) {
             control.post(() -> core.onOutput(runId, units, data));
--- a/agent/src/main/java/org/tanagerhinge/agent/BackendClient.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/BackendClient.java
@@ -126,6 +126,7 @@
                 }
             } else if (response.getStatus() < MIN_ERROR_STATUS) {
                 stream.feed(data);
+                stream.takeSoftwareVersion().ifPresent(version -> listener.onSoftwareVersion(run.id(), version));
                 CompletionStreamParser.Output output = stream.takeOutput();
                 if (output.tokens() > 0) {
                     listener.onOutput(run.id(), output.tokens(), output.text());
--- a/agent/src/main/java/org/tanagerhinge/agent/BackendListener.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/BackendListener.java
@@ -6,6 +6,9 @@
 interface BackendListener {
     void onHead(long runId, int status, String contentType);
 
+    /** Reports the software version that the backend server states in an answer, before the output. */
+    void onSoftwareVersion(long runId, String softwareVersion);
+
     void onOutput(long runId, long units, byte[] data);
 
     void onFinished(long runId, String finishReason);
--- a/agent/src/main/java/org/tanagerhinge/agent/CompletionStreamParser.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/CompletionStreamParser.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 /** Parses the server-sent events of a chat completion: text, token count, finish reason and end marker. */
 final class CompletionStreamParser {
@@ -18,6 +19,8 @@
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private final ByteArrayOutputStream text = new ByteArrayOutputStream();
     private long tokens;
+    private String softwareVersion = "";
+    private boolean softwareVersionTaken;
     private String finishReason;
     private boolean endMarkerSeen;
     private boolean malformed;
@@ -54,6 +57,9 @@
             malformed = true;
             return;
         }
+        if (softwareVersion.isEmpty()) {
+            softwareVersion = event.path("system_fingerprint").asText("");
+        }
         JsonNode choice = event.path("choices").path(0);
         String content = choice.path("delta").path("content").asText("");
         if (!content.isEmpty()) {
@@ -65,6 +71,15 @@
         }
     }
 
+    /** Returns the software version that the answer states as its system fingerprint, once. */
+    Optional<String> takeSoftwareVersion() {
+        if (softwareVersion.isEmpty() || softwareVersionTaken) {
+            return Optional.empty();
+        }
+        softwareVersionTaken = true;
+        return Optional.of(softwareVersion);
+    }
+
     /** Returns the output parsed since the last call. */
     Output takeOutput() {
         Output output = new Output(tokens, text.toByteArray());
--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
@@ -52,6 +52,7 @@
     private ClusterConfig config = ClusterConfig.EMPTY;
     private long nextRunId = 1;
     private long storeEra = StoreEra.UNKNOWN;
+    private String softwareVersion = "";
     private boolean stopping;
     private final BackendHealth health = new BackendHealth();
 
@@ -383,6 +384,31 @@
         }
     }
 
+    /**
+     * Handles the software version that the backend server states in the answer of a run, before its first output.
+     *
+     * <p>Routers are told of a new version before they get the output. A run that was to continue an answer of another
+     * version fails: the backend server has changed its version since it last stated one.
+     */
+    public void onSoftwareVersion(long runId, String statedVersion) {
+        Run run = runsInFlight.get(runId);
+        if (run == null) {
+            return;
+        }
+        if (!statedVersion.equals(softwareVersion)) {
+            softwareVersion = statedVersion;
+            broadcastLoad();
+        }
+        String resumeVersion = run.submit().resumeVersion();
+        if (!resumeVersion.isEmpty() && !resumeVersion.equals(statedVersion)) {
+            abort(
+                    run,
+                    ResultCode.NO_SERVER_OF_VERSION,
+                    "the answer began at software version '" + resumeVersion + "', the backend server has '"
+                            + statedVersion + "'");
+        }
+    }
+
     /**
      * Handles a piece of output of a run.
      *
@@ -571,7 +597,8 @@
                 throughputMeter.unitsPerSecond(),
                 throughputMeter.streamUnitsPerSecond(),
                 queue.size(),
-                isAccepting());
+                isAccepting(),
+                softwareVersion);
     }
 
     private boolean isAccepting() {
--- a/core/src/main/java/org/tanagerhinge/core/message/AgentLoad.java
+++ b/core/src/main/java/org/tanagerhinge/core/message/AgentLoad.java
@@ -13,6 +13,7 @@
  * @param streamUnitsPerSecond measured rate of one stream; zero when not yet measured
  * @param queueLength number of queued requests
  * @param accepting whether the agent takes new requests
+ * @param softwareVersion software version that the backend server stated last; empty if it has stated none
  */
 public record AgentLoad(
         int inFlight,
@@ -22,14 +23,15 @@
         double unitsPerSecond,
         double streamUnitsPerSecond,
         int queueLength,
-        boolean accepting) {
+        boolean accepting,
+        String softwareVersion) {
     public AgentLoad {
         queuedUnitsByTier = List.copyOf(queuedUnitsByTier);
     }
 
     /** Returns the load assumed for an agent that has not reported yet. */
     public static AgentLoad initial() {
-        return new AgentLoad(0, 1, List.of(), 0, 0, 0, 0, true);
+        return new AgentLoad(0, 1, List.of(), 0, 0, 0, 0, true, "");
     }
 
     /** Returns the expected units queued ahead of a new request of a tier. */
--- a/core/src/main/java/org/tanagerhinge/core/message/Frame.java
+++ b/core/src/main/java/org/tanagerhinge/core/message/Frame.java
@@ -34,6 +34,7 @@
      * @param claim the claim of the caller's idempotency key, if the execution is permitted by one
      * @param resumeText text that the caller already has and that is to be continued; empty for a new answer
      * @param resumeFromUnits units that the caller already has
+     * @param resumeVersion software version of the engine that wrote that text and must write the rest; empty if unknown
      * @param expectedUnits units that the router expects in the rest of the answer
      */
     record Submit(
@@ -45,6 +46,7 @@
             Optional<ClaimTerms> claim,
             String resumeText,
             long resumeFromUnits,
+            String resumeVersion,
             long expectedUnits)
             implements FromRouter {}
 
--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -51,6 +51,7 @@
     private Instant lastQueriedAt = Instant.MIN;
     private long deliveredUnits;
     private long uncreditedUnits;
+    private String softwareVersion = "";
     private boolean headSent;
     private boolean attemptUnresolved;
     private boolean attached;
@@ -171,6 +172,20 @@
         return Optional.ofNullable(lastFailure);
     }
 
+    /** Returns the software version of the engine that began the answer; empty before, or if it states none. */
+    String softwareVersion() {
+        return softwareVersion;
+    }
+
+    void softwareVersion(String version) {
+        softwareVersion = version;
+    }
+
+    /** Returns whether the next attempt continues an answer of which the caller has a part. */
+    boolean resumes() {
+        return idempotent() && deliveredUnits > 0;
+    }
+
     ServerId server() {
         return server;
     }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -272,6 +272,9 @@
         List<ServerView> candidates = servers.accepting(exchange.request().kind(), exchange.target()).stream()
                 .filter(view -> !exchange.triedServers().contains(view.server().id()))
                 .toList();
+        if (exchange.resumes() && !exchange.softwareVersion().isEmpty()) {
+            candidates = ofVersion(candidates, exchange.softwareVersion());
+        }
         Optional<ServerView> chosen = switch (options.policy()) {
             case RouterOptions.Policy.LeastTime any -> loadBalancer.leastExpectedTime(candidates, exchange, now());
             case RouterOptions.Policy.RoundRobin any -> loadBalancer.roundRobin(candidates);
@@ -289,6 +292,23 @@
         }
     }
 
+    /**
+     * Returns the servers of a software version, or those that haven't stated one yet if there is none; the agent of such
+     * a server fails the run if the version turns out to be another.
+     */
+    private List<ServerView> ofVersion(List<ServerView> candidates, String softwareVersion) {
+        List<ServerView> matching = candidates.stream()
+                .filter(view -> view.load().softwareVersion().equals(softwareVersion))
+                .toList();
+        if (!matching.isEmpty()) {
+            return matching;
+        }
+        port.countDecision("no_server_of_version");
+        return candidates.stream()
+                .filter(view -> view.load().softwareVersion().isEmpty())
+                .toList();
+    }
+
     private static RequestFailure noServer(Exchange exchange) {
         return RequestFailure.notRun(
                 ResultCode.NO_SERVER,
@@ -304,7 +324,7 @@
         ServerView view = servers.find(exchange.server()).orElseThrow();
         exchange.machine().fire(ExchangeEvent.SUBMIT);
         exchanges.startAttempt(exchange, now());
-        boolean resumes = exchange.idempotent() && exchange.deliveredUnits() > 0;
+        boolean resumes = exchange.resumes();
         long expectedUnits = exchange.expectedUnits();
         view.recordSubmission(expectedUnits + exchange.request().promptUnits() / PROMPT_TOKENS_PER_UNIT, now());
         exchange.storedClaim().ifPresent(claim -> reportClaim(view, claim));
@@ -319,6 +339,7 @@
                         exchange.claimTerms(),
                         resumes ? exchange.deliveredText() : "",
                         resumes ? exchange.deliveredUnits() : 0,
+                        resumes ? exchange.softwareVersion() : "",
                         expectedUnits));
     }
 
@@ -532,6 +553,10 @@
                             + " was expected");
             return;
         }
+        if (deliveredUnits == 0) {
+            servers.find(exchange.server())
+                    .ifPresent(view -> exchange.softwareVersion(view.load().softwareVersion()));
+        }
         exchange.delivered(chunk.units(), chunk.data(), now());
         port.deliverChunk(exchange.id(), chunk.units(), chunk.data());
     }
--- a/core/src/test/java/org/tanagerhinge/core/agent/ClaimReportsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/agent/ClaimReportsTest.java
@@ -153,7 +153,16 @@
                 0);
         Execution execution = Execution.of(digest(key), 1);
         return new Frame.Submit(
-                key, RequestId.of("r" + key), work, Duration.ofSeconds(10), Optional.of(execution), claim, "", 0, 10);
+                key,
+                RequestId.of("r" + key),
+                work,
+                Duration.ofSeconds(10),
+                Optional.of(execution),
+                claim,
+                "",
+                0,
+                "",
+                10);
     }
 
     private static StoredClaim claim(int key) {
--- a/core/src/test/java/org/tanagerhinge/core/agent/TestRuns.java
+++ b/core/src/test/java/org/tanagerhinge/core/agent/TestRuns.java
@@ -43,7 +43,8 @@
                 0);
         return new Run(
                 id,
-                new Frame.Submit(id, RequestId.of("r" + id), work, timeLeft, execution, Optional.empty(), "", 0, cost),
+                new Frame.Submit(
+                        id, RequestId.of("r" + id), work, timeLeft, execution, Optional.empty(), "", 0, "", cost),
                 NOW);
     }
 }
--- a/core/src/test/java/org/tanagerhinge/core/router/ServerTableTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/router/ServerTableTest.java
@@ -45,7 +45,7 @@
     /** Guards against a claim that is forgotten since the agent that keeps it is stopping. */
     @Test
     void agentThatIsStoppingIsNotChosen() {
-        remote.recordLoad(new AgentLoad(0, 1, List.of(), 0, 0, 0, 0, false), Instant.EPOCH);
+        remote.recordLoad(new AgentLoad(0, 1, List.of(), 0, 0, 0, 0, false, ""), Instant.EPOCH);
         assertEquals(Optional.of(neighbor.server().id()), keeper());
     }
 
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
@@ -200,7 +200,7 @@
     }
 
     static AgentLoad agentLoad() {
-        return new AgentLoad(20, 24, List.of(0L, 120L, 0L, 0L, 300L, 0L), 1800, 900, 38, 4, true);
+        return new AgentLoad(20, 24, List.of(0L, 120L, 0L, 0L, 300L, 0L), 1800, 900, 38, 4, true, "v1");
     }
 
     static IncomingRequest incomingRequest(int number, int workspace) {
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/DecisionCost.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/DecisionCost.java
@@ -73,6 +73,7 @@
                 Optional.empty(),
                 "",
                 0,
+                "",
                 100);
     }
 
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimBackend.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimBackend.java
@@ -59,6 +59,10 @@
             }
             byte[] data = SimRequest.token(request.number(), nextToken, softwareVersion)
                     .getBytes(StandardCharsets.UTF_8);
+            if (nextToken == (int) run.submit().resumeFromUnits() && !softwareVersion.isEmpty()) {
+                String stated = softwareVersion;
+                agent.deliver(agentStart, () -> agent.core().onSoftwareVersion(run.id(), stated));
+            }
             nextToken++;
             agent.deliver(agentStart, () -> agent.core().onOutput(run.id(), 1, data));
             if (nextToken >= request.length()) {
@@ -150,10 +154,8 @@
                     () -> agent.core().onFailed(stream.run.id(), true, ResultCode.ENGINE_FAILED, "crashed"));
         }
         streams.clear();
-        sim.scheduler.after(duration, () -> {
-            down = false;
-            softwareVersion = sim.drawSoftwareVersion();
-        });
+        softwareVersion = sim.drawSoftwareVersion();
+        sim.scheduler.after(duration, () -> down = false);
     }
 
     void slow(double factor, Duration duration) {
--- a/standin/src/main/java/org/tanagerhinge/standin/AnswerSequence.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/AnswerSequence.java
@@ -16,6 +16,7 @@
 
     private final StandinServer.Exchange exchange;
     private final String model;
+    private final String softwareVersion;
     private final String message;
     private final String mark;
     private final String prefix;
@@ -31,7 +32,8 @@
     private boolean written;
     private volatile boolean clientGone;
 
-    AnswerSequence(JsonNode request, StandinServer.Exchange exchange, EngineModel engine) {
+    AnswerSequence(JsonNode request, StandinServer.Exchange exchange, EngineModel engine, String softwareVersion) {
+        this.softwareVersion = softwareVersion;
         this.exchange = exchange;
         this.model = request.path("model").asText();
         JsonNode messages = request.path("messages");
@@ -129,10 +131,15 @@
     private String chunk(String content, String finish) {
         String reason = finish == null ? "null" : "\"" + finish + "\"";
         return "data: {\"id\":\"" + mark + "\",\"object\":\"chat.completion.chunk\",\"model\":\"" + model
-                + "\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + content + "\"},\"finish_reason\":" + reason
+                + "\"," + fingerprint() + "\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + content
+                + "\"},\"finish_reason\":" + reason
                 + "}]}\n\n";
     }
 
+    private String fingerprint() {
+        return softwareVersion.isEmpty() ? "" : "\"system_fingerprint\":\"" + softwareVersion + "\",";
+    }
+
     /** Aborts the stream as in a crash of the engine. */
     void crash() {
         clientGone = true;
--- a/standin/src/main/java/org/tanagerhinge/standin/EngineStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/EngineStandin.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -48,6 +49,8 @@
     private volatile long fatalCrashMillis;
     private volatile boolean closed;
     private volatile String laggedReport = "{}";
+    private volatile String softwareVersion = "";
+    private final Set<String> continuedAnswers = ConcurrentHashMap.newKeySet();
 
     private record QueuedSequence(AnswerSequence sequence, long number) {}
 
@@ -67,6 +70,16 @@
         return server.url();
     }
 
+    /** Sets the software version that answers state as their system fingerprint from now on. */
+    public void softwareVersion(String version) {
+        softwareVersion = version;
+    }
+
+    /** Returns the marks of the answers that this engine continued from a part that the request held. */
+    public Set<String> continuedAnswers() {
+        return Set.copyOf(continuedAnswers);
+    }
+
     /** Returns how often each message was started from its first token, by the mark of its answer. */
     public Map<String, Integer> runs() {
         return runs;
@@ -140,7 +153,7 @@
             exchange.abort();
             return;
         }
-        AnswerSequence sequence = new AnswerSequence(request, exchange, model);
+        AnswerSequence sequence = new AnswerSequence(request, exchange, model, softwareVersion);
         if (sequence.kvTokens() > model.kvTokens()) {
             ObjectNode error = StandinServer.JSON.createObjectNode();
             error.putObject("error").put("message", "the prompt exceeds the capacity of the KV memory");
@@ -190,7 +203,9 @@
             usedKvTokens += first.kvTokens();
             first.remainingPrefillTokens(lookUpPrefix(first) ? first.promptTokens() / 10 : first.promptTokens());
             first.begin();
-            if (!first.resumed()) {
+            if (first.resumed()) {
+                continuedAnswers.add(first.mark());
+            } else {
                 runs.merge(first.mark(), 1, Integer::sum);
             }
             batch.add(first);
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameDecoder.java
@@ -137,6 +137,7 @@
                         : Optional.empty(),
                 submit.getResumeText(),
                 submit.getResumeFrom(),
+                submit.getResumeVersion(),
                 submit.getExpectedUnits());
     }
 
@@ -165,7 +166,8 @@
                 load.getUnitsPerSecond(),
                 load.getStreamUnitsPerSecond(),
                 load.getQueued(),
-                load.getAccepting());
+                load.getAccepting(),
+                load.getSoftwareVersion());
     }
 
     private static ResultCode decodeResultCode(int number) {
--- a/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/FrameEncoder.java
@@ -114,6 +114,7 @@
                 .setTimeLeftMillis(Math.max(0, frame.timeLeft().toMillis()))
                 .setResumeText(frame.resumeText())
                 .setResumeFrom(frame.resumeFromUnits())
+                .setResumeVersion(frame.resumeVersion())
                 .setExpectedUnits(frame.expectedUnits())
                 .setBody(wrapBytes(work.call().body()));
         frame.execution().ifPresent(execution -> submit.setExecution(encodeExecution(execution)));
@@ -166,6 +167,7 @@
                 .setStreamUnitsPerSecond((float) load.streamUnitsPerSecond())
                 .setQueued(load.queueLength())
                 .setAccepting(load.accepting())
+                .setSoftwareVersion(load.softwareVersion())
                 .build();
     }
 
--- a/wire/src/test/java/org/tanagerhinge/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/tanagerhinge/wire/FrameCodecTest.java
@@ -97,8 +97,9 @@
                 Duration.ofSeconds(2),
                 Optional.of(Execution.of(DIGEST, 2)),
                 claim,
-                "",
-                0,
+                "so far",
+                2,
+                "v1",
                 10);
     }
 }
