--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -399,7 +399,7 @@
 
     private void recordOrigin() {
         originRecordedAtMillis = gateway.nowMillis();
-        String firstAttemptId = metadata.resumedAttemptId().orElse(metadata.attemptId());
+        String firstAttemptId = metadata.resumedAttemptId().orElseGet(metadata::attemptId);
         if (!firstAttemptId.isEmpty()) {
             gateway.streams().begun(streamId(firstAttemptId), origin.get(), route);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
@@ -30,6 +30,8 @@
     private static final long[] REPEAT_MILLIS = {50, 150};
     /** Time after which a search is given up, in milliseconds. */
     private static final long GIVE_UP_MILLIS = 400;
+    /** Minimum time between two reports of all open streams. */
+    private static final long MIN_REPORT_INTERVAL_MILLIS = 1_000;
 
     private final Gateway gateway;
     private final StreamOrigins origins = StreamOrigins.create();
@@ -37,6 +39,8 @@
     private final Set<String> mixedServices = new HashSet<>();
     private Peers peers = new NoPeers();
     private boolean serverListWasCurrent = true;
+    private boolean witnessesChanged;
+    private long nextReportMillis = Long.MIN_VALUE;
 
     private StreamTracker(Gateway gateway) {
         this.gateway = gateway;
@@ -124,10 +128,21 @@
         return RendezvousHash.top(stream.toString(), present, WITNESSES);
     }
 
-    /** Reports the open streams again, since other peers are their witnesses now, and asks all peers again. */
+    /** Handles that other peers are present: they are asked at once, and become witnesses of open streams soon. */
     void peersChanged() {
         List.copyOf(searches.keySet()).forEach(this::askAll);
-        report(origins.resumable(gateway.nowMillis()).stream()
+        witnessesChanged = true;
+    }
+
+    /** Reports the open streams to their new witnesses; not at each change, since the presence of peers may flap. */
+    private void reportAgain() {
+        long nowMillis = gateway.nowMillis();
+        if (!witnessesChanged || nowMillis < nextReportMillis) {
+            return;
+        }
+        witnessesChanged = false;
+        nextReportMillis = nowMillis + MIN_REPORT_INTERVAL_MILLIS;
+        report(origins.resumable(nowMillis).stream()
                 .filter(stream ->
                         stream.reported() || mixed(stream.begun().origin().service()))
                 .map(StreamOrigins.Resumable::begun)
@@ -178,13 +193,13 @@
                 match -> onResult.accept(
                         match instanceof OriginMatch.Unknown ? onlyVersion(route, serviceSelector) : match));
         Optional<OriginMatch> known = stream.flatMap(id -> recorded(id, OriginMatch.Basis.RECORDED));
+        boolean mustAsk = route.isSplit() || onlyVersion(route, serviceSelector) instanceof OriginMatch.Unknown;
         if (known.isPresent()) {
             search.onResult().accept(known.get());
-        } else if (stream.isEmpty()
-                || !route.isSplit() && onlyVersion(route, serviceSelector) instanceof OriginMatch.Found) {
-            search.onResult().accept(new OriginMatch.Unknown());
-        } else {
+        } else if (stream.isPresent() && mustAsk) {
             start(stream.get(), search);
+        } else {
+            search.onResult().accept(new OriginMatch.Unknown());
         }
     }
 
@@ -265,9 +280,10 @@
         return known.isEmpty() ? Optional.empty() : Optional.of(StreamMessage.telling(known));
     }
 
-    /** Removes origins that no caller will ask for any more, and checks the age of the server list. */
+    /** Does periodic work: reports open streams that must be known elsewhere, and removes those that nobody resumes. */
     void sweep() {
         checkServerList();
+        reportAgain();
         origins.removeExpired(gateway.nowMillis());
         mixedServices.removeIf(service -> !mixed(service));
         gateway.directory().versionHistory().removeExpired(gateway.nowMillis());
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/Simulation.java
@@ -100,7 +100,7 @@
     String drawSoftwareVersion() {
         return versionRandom
                 .map(versions -> SOFTWARE_VERSIONS.get(1 + versions.nextInt(SOFTWARE_VERSIONS.size() - 1)))
-                .orElse(SOFTWARE_VERSIONS.get(0));
+                .orElseGet(SOFTWARE_VERSIONS::getFirst);
     }
 
     /** Schedules restores from a generator of their own, so that the other faults of a seed are as without them. */
