--- a/harness/src/test/java/org/tanagerhinge/bench/ResumedAnswersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/ResumedAnswersTest.java
@@ -65,7 +65,7 @@
         try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
             for (int i = 0; i < CALLS; i++) {
                 int number = i;
-                callers.submit(() -> ask(number));
+                callers.execute(() -> ask(number));
             }
             while (running() < CALLS) {
                 Thread.sleep(10);
