A resumed stream whose route has moved goes on at the route's service, at the software version that began it

Searches ask all peers once more, after 350 ms, and are given up after 600 ms in place of 400: a gateway that has just started hears of its peers within 250 ms.

SoftwareVersionsTest.callerResumesAfterItsRouteHasMovedToAnotherService.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -161,13 +161,11 @@
             case OriginMatch.Unknown unknown ->
                 refuse(Refusal.notExecuted(ResultCode.STREAM_UNKNOWN, gateway.retryAfterMillis()));
             case OriginMatch.Found found -> {
-                origin = Optional.of(found.origin());
-                if (route.leadsTo(found.origin().service())) {
-                    begin(found.origin().service());
-                } else {
-                    telemetry.withoutService(found.origin().service());
-                    refuse(Refusal.notExecuted(ResultCode.NO_SERVER_OF_VERSION, gateway.retryAfterMillis()));
-                }
+                String serviceNow = route.leadsTo(found.origin().service())
+                        ? found.origin().service()
+                        : route.service(metadata.resumedAttemptId().orElse("").hashCode());
+                origin = Optional.of(new StreamOrigin(serviceNow, found.origin().softwareVersion()));
+                begin(serviceNow);
             }
         }
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -100,12 +100,6 @@
                 + "' can be chosen, of which " + available + " are ready";
     }
 
-    /** Notes that the route no longer leads to the service that began the stream. */
-    void withoutService(String service) {
-        gateway.count("no_server_of_version");
-        reason = "the route does not lead to '" + service + "' any more, where the stream began";
-    }
-
     /** Counts a stream that goes on after its caller has resumed it. */
     void takenUpContinues() {
         gateway.count("taken_up_continued");
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
@@ -27,9 +27,9 @@
     /** Number of peers to which an origin is reported; all of them may end together with the first gateway. */
     static final int WITNESSES = 3;
     /** Times at which peers are asked, in milliseconds after the first time, when only the witnesses are asked. */
-    private static final long[] REPEAT_MILLIS = {50, 150};
+    private static final long[] REPEAT_MILLIS = {50, 150, 350};
     /** Time after which a search is given up, in milliseconds. */
-    private static final long GIVE_UP_MILLIS = 400;
+    private static final long GIVE_UP_MILLIS = 600;
     /** Minimum time between two reports of all open streams. */
     private static final long MIN_REPORT_INTERVAL_MILLIS = 1_000;
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -184,6 +184,23 @@
         }
     }
 
+    /** Guards against streams that are refused since a configuration has moved their route to another service. */
+    @Test
+    void callerResumesAfterItsRouteHasMovedToAnotherService() throws IOException {
+        sound("e-1", "v1");
+        scene.server("e-2", "other", "v1", ServerStandin.events(EVENTS, EVENT_GAP_MILLIS));
+        scene.server("e-3", "other", "v2", ServerStandin.events(EVENTS, EVENT_GAP_MILLIS));
+        List<GatewayDaemon> gateways = gateways(2);
+        List<StreamCaller> callers = begin(gateways.get(0));
+        route.put("service", "other");
+        long version = scene.platform.publish();
+        RelayScene.await(() -> gateways.get(1).configVersion() == version);
+        for (StreamCaller caller : callers) {
+            assertContinues(caller, gateways.get(1));
+            caller.close();
+        }
+    }
+
     /** Guards against a stream that continues at another software version after all gateways have ended. */
     @Test
     void callerResumesAfterAllGatewaysHaveEnded() throws IOException {
