--- a/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
@@ -95,7 +95,7 @@
                 .put("slots", 8)
                 .put("state", state);
         if (!server.softwareVersion().isEmpty()) {
-            entry.put(PlatformNames.SOFTWARE_VERSION, server.softwareVersion());
+            entry.put("version", server.softwareVersion());
         }
         store.put(PlatformNames.SERVERS_PREFIX + server.id(), entry.toString());
     }
