--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -41,8 +41,9 @@
 import org.tanagerhinge.node.log.LogLine;
 
 /**
- * Exchanges state reports with peer gateways over UDP: load, demand, cached prefixes, and the versions of configuration
- * and server list. A gateway with an older version requests the newer one from the peer over TCP.
+ * Exchanges datagrams with peer gateways: messages about streams ({@link StreamTracker}), and state reports with load,
+ * demand, cached prefixes, and the versions of configuration and server list. A gateway with an older version requests
+ * the newer one from the peer over TCP.
  */
 final class PeerSynchronizer {
     private static final Logger LOG = System.getLogger(PeerSynchronizer.class.getName());
@@ -442,9 +443,10 @@
         public boolean serverListCurrent() {
             long nowMillis = gateway.nowMillis();
             long ageMillis = nowMillis - gateway.directory().newestListMillis();
-            boolean alone = !addresses.isEmpty() && !table.anyPresent(nowMillis);
+            // Peers are known from the store, but none is heard: this gateway may be cut off from all of them.
+            boolean cutOff = !addresses.isEmpty() && !table.anyPresent(nowMillis);
             return ageMillis <= CURRENT_LIST_MILLIS + 2 * intervalMillis()
-                    || (!alone && table.allHaveServerList(gateway.directory().digest(), nowMillis));
+                    || (!cutOff && table.allHaveServerList(gateway.directory().digest(), nowMillis));
         }
 
         @Override
