Log lines tell crashed servers, the prompt parts of requests in flight there, and cleared suspicions

The lines of the incident could not tell whether a crash was taken for one, which parts of a prompt the requests in flight had in common, what cleared a suspicion, or which peer reported one.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashDetector.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashDetector.java
@@ -7,6 +7,9 @@
 import java.util.Set;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.ServerInstance;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 
 /**
  * Distinguishes crashed servers from broken connections, and reports the requests that were in flight at a crash.
@@ -61,10 +64,21 @@
     private void probeCompleted(ServerInstance server, BackendConnection connection) {
         Set<RequestFingerprint> suspects = suspectsByProbe.remove(server.instanceId());
         if (connection != null) {
+            gateway.count("broken_at_running_server");
             gateway.pool().release(connection);
             return;
         }
         crashedAtMillis.put(server.instanceId(), gateway.nowMillis());
+        logCrash(server, suspects.size());
         gateway.serverCrashed(server, suspects);
     }
+
+    private void logCrash(ServerInstance server, int requests) {
+        gateway.count("server_crashed");
+        LogLine.failure(LogEvent.SERVER_CRASHED)
+                .with(LogField.SERVER, server.id())
+                .with(LogField.SERVICE, server.service())
+                .with(LogField.COUNT, requests)
+                .write();
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -228,9 +228,21 @@
     }
 
     /** Merges a peer's suspicion against a request. */
-    void suspicionReceived(RequestQuarantine.Suspicion suspicion) {
+    void suspicionReceived(String peer, RequestQuarantine.Suspicion suspicion) {
         if (quarantine.merge(suspicion, nowMillis())) {
-            logQuarantine(suspicion.request(), "reported by a peer");
+            logQuarantine(suspicion.request(), "reported by " + peer);
+        }
+    }
+
+    /** Records that a server completed a request, which clears it of earlier crashes. */
+    void requestCompleted(RequestFingerprint request, ServerInstance server) {
+        if (quarantine.recordCompletedRun(request, nowMillis())) {
+            count("suspicion_cleared");
+            LogLine.of(LogEvent.SUSPICION_CLEARED)
+                    .with(LogField.FINGERPRINT, request.toString())
+                    .with(LogField.SERVER, server.id())
+                    .with(LogField.WHY, "completed by the server")
+                    .write();
         }
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -288,7 +288,7 @@
         for (PeerCodec.CachedPrefix parts : message.cachedPrefixes()) {
             gateway.promptSentByPeer(parts.instanceId(), parts.parts());
         }
-        message.suspicions().forEach(gateway::suspicionReceived);
+        message.suspicions().forEach(suspicion -> gateway.suspicionReceived(report.name(), suspicion));
         message.leavingInstances().forEach(gateway::serverLeavingReported);
         gateway.admission().shares().accept(report.name(), message.workspaceUses(), nowMillis);
         applyLoadChange(before, report.loads());
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -359,7 +359,9 @@
                 reason,
                 ended.startedAtMillis(),
                 progress,
-                failure.connectionBroken() ? Optional.of(fingerprint()) : Optional.empty());
+                failure.connectionBroken()
+                        ? Optional.of(new RequestTelemetry.Suspect(fingerprint(), metadata.prompt()))
+                        : Optional.empty());
         attempt = null;
         if (failure.connectionBroken()) {
             gateway.crashDetector().connectionBroke(ended.server(), fingerprint());
@@ -425,7 +427,7 @@
         attempt = null;
         gateway.responseReceived(server, status);
         if (status < MIN_ERROR_STATUS && !gateway.quarantine().isEmpty()) {
-            gateway.quarantine().recordCompletedRun(fingerprint(), gateway.nowMillis());
+            gateway.requestCompleted(fingerprint(), server);
         }
         admission.completed(status, gateway.nowMillis() - arrivedAtMillis);
         telemetry.completed(status, progress);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -4,10 +4,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.PlacementPolicy;
+import org.tanagerhinge.core.relay.Prompt;
+import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.Route;
 import org.tanagerhinge.core.relay.RouteKind;
 import org.tanagerhinge.core.relay.ServerInstance;
@@ -20,6 +23,8 @@
 
 /** Records the log lines and metrics of one request: each decision, its inputs, and the outcome. */
 final class RequestTelemetry {
+    private static final int MAX_LOGGED_PARTS = 32;
+
     private final Gateway gateway;
     private final String id;
     private final long arrivedAtMillis;
@@ -131,13 +136,23 @@
         line.with(LogField.PEERS, gateway.peersPresent()).write();
     }
 
-    /** Logs a failed attempt; {@code suspect} holds the request's fingerprint if its connection broke. */
+    /** A request during which a server may have crashed. */
+    record Suspect(RequestFingerprint fingerprint, Prompt prompt) {
+        private String parts() {
+            return prompt.sharedParts().stream()
+                    .limit(MAX_LOGGED_PARTS)
+                    .map(PromptPart::id)
+                    .collect(Collectors.joining(","));
+        }
+    }
+
+    /** Logs a failed attempt; {@code suspect} is present if its connection broke. */
     void attemptFailed(
             AttemptFailure failure,
             String reason,
             long startedAtMillis,
             ResponseProgress progress,
-            Optional<RequestFingerprint> suspect) {
+            Optional<Suspect> suspect) {
         LogLine line = logLine(LogEvent.ATTEMPT_FAILED, true)
                 .with(LogField.SERVER, server)
                 .with(LogField.ATTEMPT, attempts)
@@ -146,7 +161,8 @@
                 .with(LogField.RUN, failure.mayHaveRun() ? "unknown" : "not_run")
                 .with(LogField.EVENT_ID, progress.lastEventId())
                 .with(LogField.MS, gateway.nowMillis() - startedAtMillis);
-        suspect.ifPresent(fingerprint -> line.with(LogField.FINGERPRINT, fingerprint.toString()));
+        suspect.ifPresent(found ->
+                line.with(LogField.FINGERPRINT, found.fingerprint().toString()).with(LogField.PARTS, found.parts()));
         line.write();
     }
 
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -8,6 +8,8 @@
     ID,
     /** Equal for requests with the same content, whatever their ids. */
     FINGERPRINT,
+    /** Ids of the prompt parts that other requests may share, in order. */
+    PARTS,
     ROUTE,
     WORKSPACE,
     PROFILE,
