--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -115,11 +115,15 @@
             if (System.nanoTime() - until > 0) {
                 throw new AssertionError("did not come to hold");
             }
-            try {
-                Thread.sleep(10);
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
+            sleep(10);
+        }
+    }
+
+    static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
         }
     }
 
