--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -0,0 +1,337 @@
+package org.tanagerhinge.core.attempt;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tanagerhinge.core.attempt.SuspectTable.Crash;
+
+/**
+ * Finds the parts of prompts that crash the servers on which they run, and quarantines the requests with them.
+ *
+ * <p>Different requests share parts, so a crash makes suspects of all parts that were in flight there, although one of
+ * them at most is at fault. The others are told apart by:
+ *
+ * <ul>
+ *   <li>sound runs: a server that goes on with an answer, or stays up after it, clears the parts of its prompt of
+ *       earlier crashes, and of those within {@link #SOUND_MILLIS} after it;
+ *   <li>the crashes that they explain: each crash counts for the part that was in flight at most crashes;
+ *   <li>the requests: retries of one request are no evidence against the parts of its prompt.
+ * </ul>
+ *
+ * <p>{@value #CRASHES_TO_QUARANTINE} crashes quarantine a part. Parts that were in flight at just the same crashes can't
+ * be told apart; a request is refused only if it has all of them, so that requests with some can clear these.
+ *
+ * <p>Nodes report suspicions and sound runs to each other. The number of suspects is bounded, and they expire as those
+ * of {@link RequestQuarantine} do.
+ */
+public final class PartQuarantine {
+    /** Number of crashes that quarantine a part; one or two may coincide with an unrelated part. */
+    static final int CRASHES_TO_QUARANTINE = 3;
+    /** Number of different requests that must have been in flight with a part at these crashes. */
+    static final int MIN_REQUESTS = 2;
+    /** Time for which an answer must go on, or its server stay up after it, to show that the prompt's parts are sound. */
+    public static final long SOUND_RUN_MILLIS = 1_000;
+    /**
+     * Time after a sound run for which crashes don't count against its parts. Without it, parts that all prompts share
+     * would be quarantined when all servers crash together.
+     */
+    static final long SOUND_MILLIS = 5_000;
+
+    static final int MAX_SUSPECTS = 2_048;
+    /** Number of crashes that are kept of one suspect. */
+    static final int MAX_CRASHES = 8;
+
+    private static final int MAX_SOUND_PARTS = 4_096;
+    static final int MAX_UPDATES_PER_REPORT = 30;
+    /** Maximum number of refreshes in one report, for nodes that missed the updates. */
+    static final int MAX_REFRESHES_PER_REPORT = 4;
+
+    private final SuspectTable<PartId> suspects = new SuspectTable<>(MAX_SUSPECTS, MAX_CRASHES);
+    private final Map<PartId, Long> soundAtMillis = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<PartId, Long> eldest) {
+            return size() > MAX_SOUND_PARTS;
+        }
+    };
+    private List<Culprit> culprits = List.of();
+    private boolean evidenceChanged;
+
+    private PartQuarantine() {}
+
+    /** Creates an empty quarantine. */
+    public static PartQuarantine create() {
+        return new PartQuarantine();
+    }
+
+    /**
+     * Reports a server crash that a part may have caused.
+     *
+     * @param instanceHash hash of the server's instance id
+     * @param requestHash hash of the request that was in flight there with the part
+     * @param ageMillis time since the crash
+     */
+    public record PartCrash(int instanceHash, int requestHash, long ageMillis) {}
+
+    /**
+     * Reports to another node what is known of a suspected part.
+     *
+     * @param crashes the newest crashes of servers at which it was in flight
+     * @param soundAgeMillis time since a run has shown it to be sound; empty if none did
+     * @param remainingMillis remaining time of a quarantine that is known from the platform's store; 0 if it is in none
+     */
+    public record Suspicion(
+            PartId part, List<PartCrash> crashes, Optional<Long> soundAgeMillis, long remainingMillis) {}
+
+    /**
+     * Parts of which one crashes servers.
+     *
+     * @param parts one part, or several that were in flight at the same crashes
+     * @param crashCount number of these crashes; 0 if it is known from the platform's store
+     */
+    public record Culprit(Set<PartId> parts, int crashCount, long untilMillis) {
+        /** Returns the part at fault; empty if the evidence doesn't tell which it is. */
+        public Optional<PartId> single() {
+            return parts.size() == 1 ? Optional.of(parts.iterator().next()) : Optional.empty();
+        }
+    }
+
+    /** Returns whether there are no suspects. */
+    public boolean isEmpty() {
+        return suspects.isEmpty();
+    }
+
+    /** Returns the number of suspects. */
+    public int size() {
+        return suspects.size();
+    }
+
+    /** Returns the number of known crashes at which a part was in flight, since it was last cleared. */
+    public int crashCount(PartId part) {
+        SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+        return suspect == null ? 0 : suspect.crashes().size();
+    }
+
+    /** Returns what quarantines a request with these parts; empty if it may be sent. */
+    public Optional<Culprit> culpritAmong(List<PartId> parts, long nowMillis) {
+        if (suspects.isEmpty() || parts.isEmpty()) {
+            return Optional.empty();
+        }
+        for (PartId part : parts) {
+            SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+            if (suspect != null && suspect.isQuarantined(nowMillis)) {
+                return Optional.of(
+                        new Culprit(Set.of(part), suspect.crashes().size(), suspect.quarantinedUntilMillis()));
+            }
+        }
+        return culprits().stream()
+                .filter(culprit -> culprit.untilMillis() > nowMillis && parts.containsAll(culprit.parts()))
+                .findFirst();
+    }
+
+    /** Returns the culprits that the known crashes point to. */
+    public List<Culprit> culprits() {
+        if (evidenceChanged) {
+            evidenceChanged = false;
+            culprits = findCulprits();
+        }
+        return culprits;
+    }
+
+    /** Returns the parts that are quarantined by themselves. */
+    public List<PartId> quarantined(long nowMillis) {
+        Set<PartId> parts = new HashSet<>(suspects.quarantined(nowMillis));
+        culprits().stream()
+                .filter(culprit -> culprit.untilMillis() > nowMillis)
+                .forEach(culprit -> culprit.single().ifPresent(parts::add));
+        return List.copyOf(parts);
+    }
+
+    /** Records that a server crashed while a run with these parts was in flight there. */
+    public void recordCrash(SuspectRun run, String instanceId, long nowMillis) {
+        for (PartId part : run.parts()) {
+            if (soundUntilMillis(part) >= nowMillis) {
+                continue;
+            }
+            SuspectTable<PartId>.Suspect suspect = suspects.findOrAdd(part);
+            evidenceChanged |= suspect.addCrash(
+                    new Crash(instanceId.hashCode(), run.request().hashCode(), nowMillis));
+            suspect.report();
+        }
+    }
+
+    /** A part that was suspected of several crashes, or quarantined, and has been shown to be sound. */
+    public record Cleared(PartId part, boolean wasQuarantined) {}
+
+    /** Records a run that shows these parts to be sound; returns those that it clears of several crashes. */
+    public List<Cleared> recordSoundRun(Collection<PartId> parts, long nowMillis) {
+        List<Cleared> cleared = new ArrayList<>();
+        for (PartId part : parts) {
+            rememberSound(part, nowMillis);
+            SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+            if (suspect != null && (!suspect.crashes().isEmpty() || suspect.isQuarantined(nowMillis))) {
+                boolean wasQuarantined = culpritAmong(List.of(part), nowMillis).isPresent();
+                if (suspect.crashes().size() > 1 || wasQuarantined) {
+                    cleared.add(new Cleared(part, wasQuarantined));
+                }
+                clear(part, suspect);
+                suspect.report();
+            }
+        }
+        return cleared;
+    }
+
+    private void rememberSound(PartId part, long atMillis) {
+        Long known = soundAtMillis.remove(part);
+        soundAtMillis.put(part, known == null ? atMillis : Math.max(known, atMillis));
+    }
+
+    private long soundUntilMillis(PartId part) {
+        Long atMillis = soundAtMillis.get(part);
+        return atMillis == null ? Long.MIN_VALUE : atMillis + SOUND_MILLIS;
+    }
+
+    private void clear(PartId part, SuspectTable<PartId>.Suspect suspect) {
+        suspect.clearUntil(soundUntilMillis(part));
+        suspect.endQuarantine();
+        evidenceChanged = true;
+    }
+
+    /** Restores a quarantine read from the platform's store; returns whether it was not known here. */
+    public boolean restore(PartId part, long nowMillis) {
+        boolean wasQuarantined = culpritAmong(List.of(part), nowMillis).isPresent();
+        suspects.findOrAdd(part).quarantineUntil(nowMillis + RequestQuarantine.QUARANTINE_MILLIS);
+        return !wasQuarantined;
+    }
+
+    /** Merges a report from another node; returns whether the part has been cleared of several crashes by it. */
+    public boolean merge(Suspicion update, long nowMillis) {
+        update.soundAgeMillis().ifPresent(ageMillis -> rememberSound(update.part(), nowMillis - ageMillis));
+        if (suspects.find(update.part()) == null && update.crashes().isEmpty() && update.remainingMillis() == 0) {
+            return false;
+        }
+        SuspectTable<PartId>.Suspect suspect = suspects.findOrAdd(update.part());
+        boolean wasSuspected = suspect.crashes().size() > 1 || suspect.isQuarantined(nowMillis);
+        boolean added = false;
+        for (PartCrash crash : update.crashes()) {
+            long atMillis = nowMillis - crash.ageMillis();
+            if (atMillis > soundUntilMillis(update.part())) {
+                added |= suspect.addCrash(new Crash(crash.instanceHash(), crash.requestHash(), atMillis));
+            }
+        }
+        evidenceChanged |= added;
+        if (soundSince(update, nowMillis)) {
+            if (!suspect.crashes().isEmpty() || suspect.isQuarantined(nowMillis)) {
+                clear(update.part(), suspect);
+            }
+            if (update.soundAgeMillis().isEmpty() && (update.crashes().size() > 1 || update.remainingMillis() > 0)) {
+                suspect.report();
+            }
+            return wasSuspected;
+        }
+        if (update.remainingMillis() > 0) {
+            suspect.quarantineUntil(
+                    nowMillis + Math.min(RequestQuarantine.QUARANTINE_MILLIS, update.remainingMillis()));
+        }
+        return false;
+    }
+
+    /** Returns whether the part has been shown to be sound since the evidence in an update. */
+    private boolean soundSince(Suspicion update, long nowMillis) {
+        long quarantinedAtMillis = nowMillis - (RequestQuarantine.QUARANTINE_MILLIS - update.remainingMillis());
+        long newestMillis = update.crashes().stream()
+                .mapToLong(crash -> nowMillis - crash.ageMillis())
+                .max()
+                .orElse(quarantinedAtMillis);
+        return soundUntilMillis(update.part()) >= newestMillis;
+    }
+
+    /** Removes expired suspects. */
+    public void evictExpired(long nowMillis) {
+        evidenceChanged |= suspects.evictExpired(nowMillis);
+    }
+
+    /** Returns the updates to be reported now, those with the most crashes first. */
+    public List<Suspicion> pendingUpdates(long nowMillis) {
+        return suspects.takePendingUpdates(MAX_UPDATES_PER_REPORT).stream()
+                .map(part -> toSuspicion(part, nowMillis))
+                .toList();
+    }
+
+    /** Returns the next suspects with several crashes or a quarantine, in rotation, for nodes that missed the updates. */
+    public List<Suspicion> nextRefreshes(long nowMillis) {
+        return suspects.takeRefreshes(MAX_REFRESHES_PER_REPORT, nowMillis).stream()
+                .map(part -> toSuspicion(part, nowMillis))
+                .toList();
+    }
+
+    private Suspicion toSuspicion(PartId part, long nowMillis) {
+        SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+        return new Suspicion(
+                part,
+                suspect.crashes().stream()
+                        .map(crash -> new PartCrash(
+                                crash.instanceHash(), crash.requestHash(), Math.max(0, nowMillis - crash.atMillis())))
+                        .toList(),
+                Optional.ofNullable(soundAtMillis.get(part)).map(atMillis -> nowMillis - atMillis),
+                suspect.isQuarantined(nowMillis) ? suspect.quarantinedUntilMillis() - nowMillis : 0);
+    }
+
+    // ---- which part it is
+
+    /** Attributes each crash to the part that explains the most crashes, and returns the parts with enough of them. */
+    private List<Culprit> findCulprits() {
+        Map<PartId, List<Crash>> unexplained = new HashMap<>();
+        suspects.forEach((part, suspect) -> {
+            if (suspect.crashes().size() >= CRASHES_TO_QUARANTINE && requestCount(suspect.crashes()) >= MIN_REQUESTS) {
+                unexplained.put(part, List.copyOf(suspect.crashes()));
+            }
+        });
+        List<Culprit> found = new ArrayList<>();
+        while (true) {
+            Optional<PartId> strongest = unexplained.keySet().stream().max(strength(unexplained));
+            if (strongest.isEmpty() || unexplained.get(strongest.get()).size() < CRASHES_TO_QUARANTINE) {
+                return found;
+            }
+            List<Crash> crashes = unexplained.get(strongest.get());
+            Set<PartId> parts = sameCrashes(crashes, unexplained);
+            long newestMillis = crashes.get(crashes.size() - 1).atMillis();
+            found.add(new Culprit(parts, crashes.size(), newestMillis + RequestQuarantine.QUARANTINE_MILLIS));
+            unexplained.keySet().removeAll(parts);
+            unexplained.replaceAll((part, own) -> own.stream()
+                    .filter(crash -> crashes.stream().noneMatch(crash::isSameAs))
+                    .toList());
+        }
+    }
+
+    private static long requestCount(List<Crash> crashes) {
+        return crashes.stream().mapToInt(Crash::requestHash).distinct().count();
+    }
+
+    /** Orders parts by the number of crashes, then by the time of the newest one, then by id. */
+    private static Comparator<PartId> strength(Map<PartId, List<Crash>> crashes) {
+        return Comparator.<PartId>comparingInt(part -> crashes.get(part).size())
+                .thenComparingLong(part -> crashes.get(part).stream()
+                        .mapToLong(Crash::atMillis)
+                        .max()
+                        .orElse(Long.MIN_VALUE))
+                .thenComparing(PartId::value);
+    }
+
+    private static Set<PartId> sameCrashes(List<Crash> crashes, Map<PartId, List<Crash>> crashesByPart) {
+        Set<PartId> parts = new HashSet<>();
+        crashesByPart.forEach((part, own) -> {
+            if (own.size() == crashes.size()
+                    && own.stream().allMatch(crash -> crashes.stream().anyMatch(crash::isSameAs))) {
+                parts.add(part);
+            }
+        });
+        return Set.copyOf(parts);
+    }
+}
--- a/core/src/main/java/org/tanagerhinge/core/attempt/RequestFingerprint.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RequestFingerprint.java
@@ -4,8 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.Optional;
-import java.util.zip.CRC32;
-import java.util.zip.CRC32C;
+import org.tanagerhinge.core.hash.ContentHash;
 
 /**
  * Identifies equal requests: same workspace, method, host, path with query, and body.
@@ -16,9 +15,9 @@
  * body with the fingerprint of another workspace's request and have that quarantined.
  *
  * @param workspaceHash hash of the name of the caller's workspace
- * @param contentHash CRC-32 and CRC-32C of method, host, path with query, and body
+ * @param contentHash {@link ContentHash} of method, host, path with query, and body
  */
-public record RequestFingerprint(int workspaceHash, long contentHash) {
+public record RequestFingerprint(int workspaceHash, long contentHash) implements CrashSuspect {
     private static final int WORKSPACE_HEX_DIGITS = 8;
     private static final int HEX_DIGITS = 24;
 
@@ -31,13 +30,8 @@
      */
     public static RequestFingerprint of(String workspace, String method, String host, String target, ByteBuffer body) {
         byte[] prefix = String.join("\n", method, host, target, "").getBytes(StandardCharsets.UTF_8);
-        CRC32 crc32 = new CRC32();
-        crc32.update(prefix);
-        crc32.update(body.duplicate());
-        CRC32C crc32c = new CRC32C();
-        crc32c.update(prefix);
-        crc32c.update(body.duplicate());
-        return new RequestFingerprint(workspace.hashCode(), crc32.getValue() << Integer.SIZE | crc32c.getValue());
+        return new RequestFingerprint(
+                workspace.hashCode(), ContentHash.of(prefix, body).value());
     }
 
     /** Parses a fingerprint from 24 hexadecimal digits; returns empty for any other text. */
--- a/core/src/main/java/org/tanagerhinge/core/attempt/RequestQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RequestQuarantine.java
@@ -1,12 +1,6 @@
 package org.tanagerhinge.core.attempt;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -27,26 +21,12 @@
     public static final long QUARANTINE_MILLIS = 600_000;
 
     static final long CRASH_RETENTION_MILLIS = 2 * QUARANTINE_MILLIS;
-    /** How long a cleared request is remembered; longer than a report about it may be under way. */
-    private static final long CLEARED_RETENTION_MILLIS = 30_000;
-    /** Reports of a server's crash within this time are the same crash; shorter than a server's start. */
-    private static final long SAME_CRASH_WINDOW_MILLIS = 2_000;
-    /** Maximum number of suspects; those with the least evidence are evicted first. */
     static final int MAX_SUSPECTS = 512;
-    /** Number of times that an update is reported, since datagrams may be lost. */
-    private static final int REPORT_REPETITIONS = 3;
-
     static final int MAX_UPDATES_PER_REPORT = 32;
     /** Maximum number of refreshes in one report, for nodes that missed the updates. */
     static final int MAX_REFRESHES_PER_REPORT = 4;
 
-    private static final Comparator<Map.Entry<RequestFingerprint, Suspect>> MOST_CRASHES_FIRST =
-            Comparator.<Map.Entry<RequestFingerprint, Suspect>>comparingInt(
-                            entry -> -entry.getValue().crashes.size())
-                    .thenComparingInt(entry -> -entry.getValue().pendingReports);
-
-    private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
-    private final Deque<RequestFingerprint> refreshQueue = new ArrayDeque<>();
+    private final SuspectTable<RequestFingerprint> suspects = new SuspectTable<>(MAX_SUSPECTS, CRASHES_TO_QUARANTINE);
 
     private RequestQuarantine() {}
 
@@ -76,76 +56,6 @@
             Optional<Long> clearedAgeMillis,
             long remainingMillis) {}
 
-    private record Crash(int instanceHash, long atMillis) {
-        /** Returns whether another report is about this crash. A later crash of the same server is a new one. */
-        private boolean isSameCrash(int otherInstanceHash, long otherAtMillis) {
-            return instanceHash == otherInstanceHash && Math.abs(atMillis - otherAtMillis) <= SAME_CRASH_WINDOW_MILLIS;
-        }
-    }
-
-    private static final class Suspect {
-        private final List<Crash> crashes = new ArrayList<>();
-
-        private long clearedAtMillis = Long.MIN_VALUE;
-        private long quarantinedUntilMillis = Long.MIN_VALUE;
-        private int pendingReports;
-
-        private void recordCrash(int instanceHash, long atMillis) {
-            if (atMillis > clearedAtMillis
-                    && crashes.stream().noneMatch(known -> known.isSameCrash(instanceHash, atMillis))) {
-                crashes.add(new Crash(instanceHash, atMillis));
-                crashes.sort(Comparator.comparingLong(Crash::atMillis));
-            }
-            if (crashes.size() > CRASHES_TO_QUARANTINE) {
-                crashes.remove(0);
-            }
-            if (crashes.size() >= CRASHES_TO_QUARANTINE) {
-                quarantinedUntilMillis = Math.max(quarantinedUntilMillis, newestCrashMillis() + QUARANTINE_MILLIS);
-            }
-        }
-
-        private long newestCrashMillis() {
-            return crashes.isEmpty()
-                    ? Long.MIN_VALUE
-                    : crashes.get(crashes.size() - 1).atMillis();
-        }
-
-        private void clearUntil(long atMillis) {
-            clearedAtMillis = Math.max(clearedAtMillis, atMillis);
-            crashes.removeIf(crash -> crash.atMillis() <= clearedAtMillis);
-            if (crashes.size() < CRASHES_TO_QUARANTINE) {
-                quarantinedUntilMillis = Long.MIN_VALUE;
-            }
-        }
-
-        /** Returns whether a server completed the request after all crashes in an update. */
-        private boolean clearedSince(Suspicion update, long nowMillis) {
-            return clearedAtMillis != Long.MIN_VALUE
-                    && update.crashes().stream().noneMatch(crash -> nowMillis - crash.ageMillis() > clearedAtMillis);
-        }
-
-        private boolean isQuarantined(long nowMillis) {
-            return nowMillis < quarantinedUntilMillis;
-        }
-
-        private boolean isExpired(long nowMillis) {
-            crashes.removeIf(crash -> nowMillis - crash.atMillis() > CRASH_RETENTION_MILLIS);
-            return crashes.isEmpty()
-                    && !isQuarantined(nowMillis)
-                    && (clearedAtMillis == Long.MIN_VALUE || nowMillis - clearedAtMillis > CLEARED_RETENTION_MILLIS);
-        }
-
-        private Suspicion toSuspicion(RequestFingerprint request, long nowMillis) {
-            return new Suspicion(
-                    request,
-                    crashes.stream()
-                            .map(crash -> new CrashReport(crash.instanceHash(), nowMillis - crash.atMillis()))
-                            .toList(),
-                    clearedAtMillis == Long.MIN_VALUE ? Optional.empty() : Optional.of(nowMillis - clearedAtMillis),
-                    isQuarantined(nowMillis) ? quarantinedUntilMillis - nowMillis : 0);
-        }
-    }
-
     /** Returns whether there are no suspects, so that no fingerprint needs to be computed. */
     public boolean isEmpty() {
         return suspects.isEmpty();
@@ -158,18 +68,15 @@
 
     /** Returns the remaining time of a request's quarantine, in milliseconds; empty if it may be sent. */
     public OptionalLong remainingMillis(RequestFingerprint request, long nowMillis) {
-        Suspect suspect = suspects.get(request);
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.find(request);
         return suspect != null && suspect.isQuarantined(nowMillis)
-                ? OptionalLong.of(suspect.quarantinedUntilMillis - nowMillis)
+                ? OptionalLong.of(suspect.quarantinedUntilMillis() - nowMillis)
                 : OptionalLong.empty();
     }
 
     /** Returns the quarantined requests. */
     public List<RequestFingerprint> quarantined(long nowMillis) {
-        return suspects.entrySet().stream()
-                .filter(suspect -> suspect.getValue().isQuarantined(nowMillis))
-                .map(Map.Entry::getKey)
-                .toList();
+        return suspects.quarantined(nowMillis);
     }
 
     /**
@@ -179,103 +86,95 @@
      * @return whether the request is newly quarantined
      */
     public boolean recordCrash(RequestFingerprint request, String instanceId, long nowMillis) {
-        Suspect suspect = suspect(request);
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.findOrAdd(request);
         boolean wasQuarantined = suspect.isQuarantined(nowMillis);
-        suspect.recordCrash(instanceId.hashCode(), nowMillis);
-        suspect.pendingReports = REPORT_REPETITIONS;
+        addCrash(suspect, instanceId.hashCode(), nowMillis);
+        suspect.report();
         return suspect.isQuarantined(nowMillis) && !wasQuarantined;
     }
 
+    private static void addCrash(SuspectTable<RequestFingerprint>.Suspect suspect, int instanceHash, long atMillis) {
+        suspect.addCrash(new SuspectTable.Crash(instanceHash, 0, atMillis));
+        if (suspect.crashes().size() >= CRASHES_TO_QUARANTINE) {
+            suspect.quarantineUntil(suspect.newestCrashMillis() + QUARANTINE_MILLIS);
+        }
+    }
+
     /** Records that a server completed a request; returns whether the request was suspected. */
     public boolean recordCompletedRun(RequestFingerprint request, long nowMillis) {
-        Suspect suspect = suspects.get(request);
-        if (suspect == null || suspect.crashes.isEmpty()) {
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.find(request);
+        if (suspect == null || suspect.crashes().isEmpty()) {
             return false;
         }
-        suspect.clearUntil(nowMillis);
-        suspect.pendingReports = REPORT_REPETITIONS;
+        clearUntil(suspect, nowMillis);
+        suspect.report();
         return true;
     }
 
+    private static void clearUntil(SuspectTable<RequestFingerprint>.Suspect suspect, long atMillis) {
+        suspect.clearUntil(atMillis);
+        if (suspect.crashes().size() < CRASHES_TO_QUARANTINE) {
+            suspect.endQuarantine();
+        }
+    }
+
     /** Restores a quarantine read from the platform's store; returns whether it was not known here. */
     public boolean restore(RequestFingerprint request, long nowMillis) {
-        Suspect suspect = suspect(request);
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.findOrAdd(request);
         boolean wasQuarantined = suspect.isQuarantined(nowMillis);
-        suspect.quarantinedUntilMillis = Math.max(suspect.quarantinedUntilMillis, nowMillis + QUARANTINE_MILLIS);
+        suspect.quarantineUntil(nowMillis + QUARANTINE_MILLIS);
         return !wasQuarantined;
     }
 
     /** Merges a report from another node; returns whether the request is newly quarantined. */
     public boolean merge(Suspicion update, long nowMillis) {
-        Suspect suspect = suspect(update.request());
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.findOrAdd(update.request());
         boolean wasQuarantined = suspect.isQuarantined(nowMillis);
-        update.clearedAgeMillis().ifPresent(ageMillis -> suspect.clearUntil(nowMillis - ageMillis));
-        update.crashes().forEach(crash -> suspect.recordCrash(crash.instanceHash(), nowMillis - crash.ageMillis()));
-        if (update.remainingMillis() > 0 && !suspect.clearedSince(update, nowMillis)) {
-            suspect.quarantinedUntilMillis = Math.max(
-                    suspect.quarantinedUntilMillis, nowMillis + Math.min(QUARANTINE_MILLIS, update.remainingMillis()));
+        update.clearedAgeMillis().ifPresent(ageMillis -> clearUntil(suspect, nowMillis - ageMillis));
+        update.crashes().forEach(crash -> addCrash(suspect, crash.instanceHash(), nowMillis - crash.ageMillis()));
+        if (update.remainingMillis() > 0 && !clearedSince(suspect, update, nowMillis)) {
+            suspect.quarantineUntil(nowMillis + Math.min(QUARANTINE_MILLIS, update.remainingMillis()));
         }
         return suspect.isQuarantined(nowMillis) && !wasQuarantined;
     }
 
-    private Suspect suspect(RequestFingerprint request) {
-        Suspect known = suspects.get(request);
-        if (known != null) {
-            return known;
-        }
-        if (suspects.size() >= MAX_SUSPECTS) {
-            suspects.entrySet().stream()
-                    .min(Comparator.<Map.Entry<RequestFingerprint, Suspect>>comparingLong(
-                                    entry -> entry.getValue().quarantinedUntilMillis)
-                            .thenComparingInt(entry -> entry.getValue().crashes.size())
-                            .thenComparingLong(entry -> entry.getValue().newestCrashMillis()))
-                    .ifPresent(weakest -> suspects.remove(weakest.getKey()));
-        }
-        Suspect added = new Suspect();
-        suspects.put(request, added);
-        return added;
+    /** Returns whether a server completed the request after all crashes in an update. */
+    private static boolean clearedSince(
+            SuspectTable<RequestFingerprint>.Suspect suspect, Suspicion update, long nowMillis) {
+        return suspect.clearedUntilMillis() != Long.MIN_VALUE
+                && update.crashes().stream()
+                        .noneMatch(crash -> nowMillis - crash.ageMillis() > suspect.clearedUntilMillis());
     }
 
     /** Removes expired suspects. */
     public void evictExpired(long nowMillis) {
-        suspects.values().removeIf(suspect -> suspect.isExpired(nowMillis));
+        suspects.evictExpired(nowMillis);
     }
 
     /** Returns the updates to be reported now, those with the most crashes first. */
     public List<Suspicion> pendingUpdates(long nowMillis) {
-        List<Map.Entry<RequestFingerprint, Suspect>> unreported = new ArrayList<>();
-        for (Map.Entry<RequestFingerprint, Suspect> entry : suspects.entrySet()) {
-            if (entry.getValue().pendingReports > 0) {
-                unreported.add(entry);
-            }
-        }
-        unreported.sort(MOST_CRASHES_FIRST);
-        List<Suspicion> updates = new ArrayList<>();
-        for (Map.Entry<RequestFingerprint, Suspect> entry :
-                unreported.subList(0, Math.min(MAX_UPDATES_PER_REPORT, unreported.size()))) {
-            entry.getValue().pendingReports--;
-            updates.add(entry.getValue().toSuspicion(entry.getKey(), nowMillis));
-        }
-        return updates;
+        return suspects.takePendingUpdates(MAX_UPDATES_PER_REPORT).stream()
+                .map(request -> toSuspicion(request, nowMillis))
+                .toList();
     }
 
     /** Returns the next suspects with several crashes or a quarantine, in rotation, for nodes that missed the updates. */
     public List<Suspicion> nextRefreshes(long nowMillis) {
-        if (refreshQueue.isEmpty()) {
-            suspects.forEach((request, suspect) -> {
-                if (suspect.isQuarantined(nowMillis) || suspect.crashes.size() > 1) {
-                    refreshQueue.add(request);
-                }
-            });
-        }
-        List<Suspicion> refreshes = new ArrayList<>();
-        while (refreshes.size() < MAX_REFRESHES_PER_REPORT && !refreshQueue.isEmpty()) {
-            RequestFingerprint request = refreshQueue.poll();
-            Suspect suspect = suspects.get(request);
-            if (suspect != null) {
-                refreshes.add(suspect.toSuspicion(request, nowMillis));
-            }
-        }
-        return refreshes;
+        return suspects.takeRefreshes(MAX_REFRESHES_PER_REPORT, nowMillis).stream()
+                .map(request -> toSuspicion(request, nowMillis))
+                .toList();
+    }
+
+    private Suspicion toSuspicion(RequestFingerprint request, long nowMillis) {
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.find(request);
+        return new Suspicion(
+                request,
+                suspect.crashes().stream()
+                        .map(crash -> new CrashReport(crash.instanceHash(), nowMillis - crash.atMillis()))
+                        .toList(),
+                suspect.clearedUntilMillis() == Long.MIN_VALUE
+                        ? Optional.empty()
+                        : Optional.of(nowMillis - suspect.clearedUntilMillis()),
+                suspect.isQuarantined(nowMillis) ? suspect.quarantinedUntilMillis() - nowMillis : 0);
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/Prompt.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Prompt.java
@@ -1,6 +1,8 @@
 package org.tanagerhinge.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
+import org.tanagerhinge.core.attempt.PartId;
 
 /**
  * Describes a prompt as its request states it.
@@ -13,11 +15,25 @@
     /** Prompt of a request that doesn't describe it. */
     public static final Prompt NONE = new Prompt(0, 0, List.of());
 
+    private static final int MAX_SHARED_PART_IDS = 128;
+
     /** Returns the parts that other requests may share: all but the last one. */
     public List<PromptPart> sharedParts() {
         return parts.subList(0, Math.max(0, parts.size() - 1));
     }
 
+    /** Returns the ids of the first distinct parts that other requests may share. */
+    public List<PartId> sharedPartIds() {
+        List<PartId> ids = new ArrayList<>();
+        for (PromptPart part : sharedParts()) {
+            PartId id = PartId.of(part.id());
+            if (ids.size() < MAX_SHARED_PART_IDS && !ids.contains(id)) {
+                ids.add(id);
+            }
+        }
+        return ids;
+    }
+
     /** Returns the tokens of the parts that other requests may share. */
     public int sharedTokens() {
         int tokens = 0;
--- a/core/src/main/java/org/tanagerhinge/core/relay/StreamId.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/StreamId.java
@@ -2,8 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
-import java.util.zip.CRC32;
-import java.util.zip.CRC32C;
+import org.tanagerhinge.core.hash.ContentHash;
 
 /**
  * Identifies a stream by its workspace and the id of the caller's attempt that brought its first event.
@@ -12,7 +11,7 @@
  * id that is equal to one of another workspace.
  *
  * @param workspaceHash hash of the name of the caller's workspace
- * @param attemptHash CRC-32 and CRC-32C of the attempt's id
+ * @param attemptHash {@link ContentHash} of the attempt's id
  */
 public record StreamId(int workspaceHash, long attemptHash) {
     /**
@@ -21,12 +20,9 @@
      * @param workspace name of the caller's workspace, empty if it has none
      */
     public static StreamId of(String workspace, String attemptId) {
-        byte[] bytes = attemptId.getBytes(StandardCharsets.UTF_8);
-        CRC32 crc32 = new CRC32();
-        crc32.update(bytes);
-        CRC32C crc32c = new CRC32C();
-        crc32c.update(bytes);
-        return new StreamId(workspace.hashCode(), crc32.getValue() << Integer.SIZE | crc32c.getValue());
+        return new StreamId(
+                workspace.hashCode(),
+                ContentHash.of(attemptId.getBytes(StandardCharsets.UTF_8)).value());
     }
 
     /** Returns the id as hexadecimal digits. */
--- /dev/null
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
@@ -0,0 +1,193 @@
+package org.tanagerhinge.core.attempt;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against prompt parts that crash server after server, and against quarantining sound parts beside them. */
+class PartQuarantineTest {
+    private static final PartId CULPRIT = PartId.of("bad");
+    private static final PartId COMMON = PartId.of("common");
+    private static final PartId RARE = PartId.of("rare");
+
+    private final PartQuarantine quarantine = PartQuarantine.create();
+    private int nextRequest;
+
+    private SuspectRun run(PartId... parts) {
+        return new SuspectRun(new RequestFingerprint(1, nextRequest++), Arrays.asList(parts));
+    }
+
+    private static boolean isRefused(PartQuarantine node, long nowMillis, PartId... parts) {
+        return node.culpritAmong(Arrays.asList(parts), nowMillis).isPresent();
+    }
+
+    private static void report(PartQuarantine from, PartQuarantine to, long nowMillis) {
+        from.pendingUpdates(nowMillis).forEach(update -> to.merge(update, nowMillis));
+    }
+
+    @Test
+    void differentRequestsWithOnePartAddUp() {
+        quarantine.recordCrash(run(CULPRIT), "a", 0);
+        quarantine.recordCrash(run(CULPRIT), "b", 1_000);
+        assertFalse(isRefused(quarantine, 1_000, CULPRIT));
+        quarantine.recordCrash(run(CULPRIT), "c", 2_000);
+        assertTrue(isRefused(quarantine, 2_000, COMMON, CULPRIT));
+        assertFalse(isRefused(quarantine, 2_000, COMMON));
+        assertEquals(List.of(CULPRIT), quarantine.quarantined(2_000));
+        assertFalse(isRefused(quarantine, 2_000 + RequestQuarantine.QUARANTINE_MILLIS, CULPRIT));
+    }
+
+    /** Guards against holding the parts of a request that happens to be retried at servers which crash. */
+    @Test
+    void retriesOfOneRequestAreNoEvidenceAgainstItsParts() {
+        SuspectRun retried = run(RARE);
+        quarantine.recordCrash(retried, "a", 0);
+        quarantine.recordCrash(retried, "b", 1_000);
+        quarantine.recordCrash(retried, "c", 2_000);
+        assertFalse(isRefused(quarantine, 2_000, RARE));
+    }
+
+    /** Guards against refusing all requests since a part that all share was in flight wherever a server crashed. */
+    @Test
+    void partOfSoundRunsIsNotSuspected() {
+        for (int i = 0; i < 5; i++) {
+            quarantine.recordSoundRun(List.of(COMMON), 1_000L * i);
+            quarantine.recordCrash(run(COMMON, CULPRIT), "s-" + i, 1_000L * i + 500);
+        }
+        assertFalse(isRefused(quarantine, 5_000, COMMON));
+        assertTrue(isRefused(quarantine, 5_000, COMMON, CULPRIT));
+    }
+
+    /** Guards against refusing all requests after all servers have crashed together. */
+    @Test
+    void crashOfAllServersQuarantinesNoPartThatWasInUse() {
+        quarantine.recordSoundRun(List.of(COMMON), 0);
+        for (int i = 0; i < 6; i++) {
+            quarantine.recordCrash(run(COMMON), "s-" + i, 1_000 + i);
+        }
+        assertFalse(isRefused(quarantine, 1_100, COMMON));
+    }
+
+    @Test
+    void soundRunEndsQuarantine() {
+        quarantine.restore(RARE, 0);
+        assertTrue(isRefused(quarantine, 1, RARE));
+        assertEquals(List.of(new PartQuarantine.Cleared(RARE, true)), quarantine.recordSoundRun(List.of(RARE), 1_000));
+        assertFalse(isRefused(quarantine, 1_000, RARE));
+    }
+
+    /** Guards against refusing sound requests with a part that each request of the culprit has had too. */
+    @Test
+    void partsThatCannotBeToldApartAreRefusedOnlyTogether() {
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(run(RARE, CULPRIT), "s-" + i, 1_000L * i);
+        }
+        assertTrue(isRefused(quarantine, 3_000, RARE, CULPRIT));
+        assertFalse(isRefused(quarantine, 3_000, RARE, COMMON));
+        assertTrue(quarantine.quarantined(3_000).isEmpty(), "neither is known to be at fault");
+        quarantine.recordSoundRun(List.of(RARE, COMMON), 3_000);
+        assertTrue(isRefused(quarantine, 3_000, CULPRIT));
+        assertEquals(List.of(CULPRIT), quarantine.quarantined(3_000));
+    }
+
+    /** Guards against holding a part whose crashes two culprits explain. */
+    @Test
+    void crashesCountOnlyForThePartThatExplainsMost() {
+        PartId second = PartId.of("bad2");
+        for (int i = 0; i < 4; i++) {
+            quarantine.recordCrash(run(CULPRIT), "a-" + i, 1_000L * i);
+            quarantine.recordCrash(run(second), "b-" + i, 1_000L * i + 500);
+        }
+        quarantine.recordCrash(run(RARE), "a-0", 0);
+        quarantine.recordCrash(run(RARE), "a-2", 2_000);
+        quarantine.recordCrash(run(RARE), "b-2", 2_500);
+        assertEquals(Set.of(CULPRIT, second), Set.copyOf(quarantine.quarantined(4_000)));
+        assertFalse(isRefused(quarantine, 4_000, RARE));
+    }
+
+    @Test
+    void crashesSeenByDifferentNodesAddUp() {
+        PartQuarantine other = PartQuarantine.create();
+        quarantine.recordCrash(run(CULPRIT), "a", 0);
+        other.recordCrash(run(CULPRIT), "a", 10);
+        other.recordCrash(run(CULPRIT), "b", 1_000);
+        report(other, quarantine, 1_000);
+        assertFalse(isRefused(quarantine, 1_000, CULPRIT), "both have seen the first crash");
+        quarantine.recordCrash(run(CULPRIT), "c", 2_000);
+        report(quarantine, other, 2_000);
+        assertTrue(isRefused(quarantine, 2_000, CULPRIT));
+        assertTrue(isRefused(other, 2_000, CULPRIT));
+    }
+
+    /** Guards against a node without memory, just started, that has a part held which runs well everywhere else. */
+    @Test
+    void nodeThatKnowsAPartToBeSoundObjects() {
+        PartQuarantine cold = PartQuarantine.create();
+        for (int i = 0; i < 3; i++) {
+            cold.recordCrash(run(COMMON), "s-" + i, 1_000L * i);
+        }
+        quarantine.recordSoundRun(List.of(COMMON), 1_900);
+        report(cold, quarantine, 2_100);
+        assertFalse(isRefused(quarantine, 2_100, COMMON));
+        report(quarantine, cold, 2_200);
+        assertFalse(isRefused(cold, 2_200, COMMON));
+    }
+
+    @Test
+    void nodeThatStartsLaterLearnsOfStandingQuarantines() {
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(run(CULPRIT), "s-" + i, 1_000L * i);
+        }
+        quarantine.restore(RARE, 3_000);
+        PartQuarantine later = PartQuarantine.create();
+        quarantine.nextRefreshes(60_000).forEach(update -> later.merge(update, 60_000));
+        assertTrue(isRefused(later, 60_000, CULPRIT));
+        assertTrue(isRefused(later, 60_000, RARE));
+    }
+
+    /** Guards against evicting the culprit by prompts with many parts that are in flight beside it. */
+    @Test
+    void partWithSeveralCrashesIsEvictedLast() {
+        quarantine.recordCrash(run(CULPRIT), "a", 0);
+        quarantine.recordCrash(run(CULPRIT), "b", 1_000);
+        for (int i = 0; i < 2 * PartQuarantine.MAX_SUSPECTS; i++) {
+            quarantine.recordCrash(run(PartId.of("p" + i)), "b", 1_000);
+        }
+        assertEquals(PartQuarantine.MAX_SUSPECTS, quarantine.size());
+        quarantine.recordCrash(run(CULPRIT), "c", 2_000);
+        assertTrue(isRefused(quarantine, 2_000, CULPRIT));
+        assertEquals(
+                PartQuarantine.MAX_UPDATES_PER_REPORT,
+                quarantine.pendingUpdates(2_000).size());
+    }
+
+    @Test
+    void suspectsExpire() {
+        quarantine.recordCrash(run(CULPRIT), "a", 0);
+        quarantine.evictExpired(RequestQuarantine.CRASH_RETENTION_MILLIS + 1);
+        assertTrue(quarantine.isEmpty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"5c1e07a2", "a.b-c_D9"})
+    void plainIdsAreKept(String text) {
+        assertEquals(text, PartId.of(text).value());
+        assertEquals(PartId.of(text), PartId.parse(text).orElseThrow());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "a/b", "ü", "~0123", "123456789012345678901234567890123"})
+    void otherIdsAreHashed(String text) {
+        PartId id = PartId.of(text);
+        assertEquals(17, id.value().length());
+        assertEquals(id, PartId.parse(id.toString()).orElseThrow());
+        assertTrue(PartId.parse("a/b").isEmpty());
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashDetector.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashDetector.java
@@ -5,21 +5,18 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.SuspectRun;
 import org.tanagerhinge.core.relay.ServerInstance;
-import org.tanagerhinge.node.log.LogEvent;
-import org.tanagerhinge.node.log.LogField;
-import org.tanagerhinge.node.log.LogLine;
 
 /**
- * Distinguishes crashed servers from broken connections, and reports the requests that were in flight at a crash.
+ * Distinguishes crashed servers from broken connections, and reports the runs that were in flight at a crash.
  *
- * <p>A connection also breaks if a server loses or corrupts a response or closes while idle; the affected requests are
- * not suspects then. So the server is probed with a new connection, which a crashed server refuses; a successful
- * connection goes to the pool.
+ * <p>A connection also breaks if a server loses or corrupts a response or closes while idle; the affected runs are not
+ * suspects then. So the server is probed with a new connection, which a crashed server refuses; a successful connection
+ * goes to the pool.
  */
 final class CrashDetector {
-    /** Maximum number of requests that become suspects of one crash: as many as a large server runs at once. */
+    /** Maximum number of runs that become suspects of one crash: as many as a large server has at once. */
     private static final int MAX_SUSPECTS = 128;
     /** Time after the first broken connection within which further ones count for the same crash. */
     private static final long CRASH_WINDOW_MILLIS = 1_000;
@@ -27,7 +24,7 @@
     private static final int MAX_CRASHES_REMEMBERED = 64;
 
     private final Gateway gateway;
-    private final Map<String, Set<RequestFingerprint>> suspectsByProbe = new HashMap<>();
+    private final Map<String, Set<SuspectRun>> suspectsByProbe = new HashMap<>();
     private final Map<String, Long> crashedAtMillis = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
@@ -39,20 +36,20 @@
         this.gateway = gateway;
     }
 
-    /** Records that a connection broke with a request in flight, and probes the server unless a probe is pending. */
-    void connectionBroke(ServerInstance server, RequestFingerprint request) {
+    /** Records that a connection broke with a run in flight, and probes the server unless a probe is pending. */
+    void connectionBroke(ServerInstance server, SuspectRun run) {
         if (crashedRecently(server)) {
-            gateway.serverCrashed(server, Set.of(request));
+            gateway.crashQuarantine().serverCrashed(server, Set.of(run));
             return;
         }
-        Set<RequestFingerprint> suspects = suspectsByProbe.get(server.instanceId());
+        Set<SuspectRun> suspects = suspectsByProbe.get(server.instanceId());
         if (suspects != null) {
             if (suspects.size() < MAX_SUSPECTS) {
-                suspects.add(request);
+                suspects.add(run);
             }
             return;
         }
-        suspectsByProbe.put(server.instanceId(), new LinkedHashSet<>(Set.of(request)));
+        suspectsByProbe.put(server.instanceId(), new LinkedHashSet<>(Set.of(run)));
         gateway.pool().connect(server, connection -> probeCompleted(server, connection));
     }
 
@@ -62,23 +59,14 @@
     }
 
     private void probeCompleted(ServerInstance server, BackendConnection connection) {
-        Set<RequestFingerprint> suspects = suspectsByProbe.remove(server.instanceId());
+        Set<SuspectRun> suspects = suspectsByProbe.remove(server.instanceId());
         if (connection != null) {
             gateway.count("broken_at_running_server");
             gateway.pool().release(connection);
             return;
         }
-        crashedAtMillis.put(server.instanceId(), gateway.nowMillis());
-        logCrash(server, suspects.size());
-        gateway.serverCrashed(server, suspects);
-    }
-
-    private void logCrash(ServerInstance server, int requests) {
         gateway.count("server_crashed");
-        LogLine.failure(LogEvent.SERVER_CRASHED)
-                .with(LogField.SERVER, server.id())
-                .with(LogField.SERVICE, server.service())
-                .with(LogField.COUNT, requests)
-                .write();
+        crashedAtMillis.put(server.instanceId(), gateway.nowMillis());
+        gateway.crashQuarantine().serverCrashed(server, suspects);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -0,0 +1,295 @@
+package org.tanagerhinge.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.tanagerhinge.core.attempt.CrashSuspect;
+import org.tanagerhinge.core.attempt.EndedRuns;
+import org.tanagerhinge.core.attempt.PartId;
+import org.tanagerhinge.core.attempt.PartQuarantine;
+import org.tanagerhinge.core.attempt.RecentCrashes;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.RequestQuarantine;
+import org.tanagerhinge.core.attempt.SuspectRun;
+import org.tanagerhinge.core.relay.ServerInstance;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
+
+/**
+ * Quarantines the requests that crash backend servers, from what this gateway sees and its peers report: requests that
+ * are repeated ({@link RequestQuarantine}), and different ones that share a part of their prompts ({@link
+ * PartQuarantine}).
+ */
+final class CrashQuarantine {
+    private static final int MAX_LOGGED_SUSPECTS = 16;
+
+    private final Gateway gateway;
+    private final RequestQuarantine requests = RequestQuarantine.create();
+    private final PartQuarantine parts = PartQuarantine.create();
+    private final EndedRuns endedRuns = EndedRuns.create();
+    private final RecentCrashes recentCrashes = RecentCrashes.create();
+    private final Set<Set<PartId>> knownCulprits = new HashSet<>();
+    private Runnable suspicionListener = () -> {};
+    private Optional<StoreListener> storeListener = Optional.empty();
+
+    CrashQuarantine(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    /** Is told of what the platform's store should keep. */
+    interface StoreListener {
+        /**
+         * Called when a request or a part of prompts is newly quarantined.
+         *
+         * @param seenHere whether a crash that this gateway saw has led to it
+         */
+        void quarantined(CrashSuspect suspect, boolean seenHere);
+
+        /** Called when a run at this gateway has shown to be sound what was quarantined. */
+        void released(CrashSuspect suspect);
+    }
+
+    /** Why a request is not sent. */
+    record Held(String reason, long remainingMillis) {}
+
+    /** Registers the listener for new suspicions and clearings. */
+    void onSuspicion(Runnable listener) {
+        suspicionListener = listener;
+    }
+
+    void connectStore(StoreListener listener) {
+        storeListener = Optional.of(listener);
+    }
+
+    RequestQuarantine requests() {
+        return requests;
+    }
+
+    PartQuarantine parts() {
+        return parts;
+    }
+
+    /** Returns why a request must not be sent; empty if it may. */
+    Optional<Held> held(Supplier<RequestFingerprint> fingerprint, List<PartId> sharedParts) {
+        long nowMillis = gateway.nowMillis();
+        Optional<PartQuarantine.Culprit> culprit = parts.culpritAmong(sharedParts, nowMillis);
+        if (culprit.isPresent()) {
+            String reason = culprit.get().crashCount() + " servers crashed while running prompts with "
+                    + joined(culprit.get().parts());
+            return Optional.of(new Held(reason, culprit.get().untilMillis() - nowMillis));
+        }
+        if (requests.isEmpty()) {
+            return Optional.empty();
+        }
+        OptionalLong remainingMillis = requests.remainingMillis(fingerprint.get(), nowMillis);
+        return remainingMillis.isPresent()
+                ? Optional.of(
+                        new Held("servers crashed while running " + fingerprint.get(), remainingMillis.getAsLong()))
+                : Optional.empty();
+    }
+
+    /** Returns the suspected ones of some parts, each with its number of crashes; empty without any. */
+    String suspected(Collection<PartId> sharedParts) {
+        if (parts.isEmpty()) {
+            return "";
+        }
+        return sharedParts.stream()
+                .filter(part -> parts.crashCount(part) > 0)
+                .limit(MAX_LOGGED_SUSPECTS)
+                .map(part -> part + ":" + parts.crashCount(part))
+                .collect(Collectors.joining(","));
+    }
+
+    // ---- evidence of this gateway
+
+    /** Records that a server crashed with these runs in flight. */
+    void serverCrashed(ServerInstance server, Collection<SuspectRun> inFlight) {
+        recentCrashes.add(server.instanceId(), gateway.nowMillis());
+        List<EndedRuns.Ended> ended = endedRuns.takeCrashed(server.instanceId()::equals);
+        inFlight.forEach(run -> recordCrash(run, true, server.instanceId()));
+        ended.forEach(run -> recordCrash(run.run(), !run.completed(), server.instanceId()));
+        Set<PartId> inFlightParts = new HashSet<>();
+        inFlight.forEach(run -> inFlightParts.addAll(run.parts()));
+        ended.forEach(run -> inFlightParts.addAll(run.run().parts()));
+        LogLine.failure(LogEvent.SERVER_CRASHED)
+                .with(LogField.SERVER, server.id())
+                .with(LogField.SERVICE, server.service())
+                .with(LogField.COUNT, inFlight.size())
+                .with(LogField.SUSPECTS, suspected(inFlightParts))
+                .write();
+        announceCulprits("seen here; " + server.id() + " was the last server", true);
+        suspicionListener.run();
+    }
+
+    private void recordCrash(SuspectRun run, boolean againstRequest, String instanceId) {
+        long nowMillis = gateway.nowMillis();
+        if (againstRequest && requests.recordCrash(run.request(), instanceId, nowMillis)) {
+            requestQuarantined(
+                    run.request(), "servers crashed while running it; " + instanceId + " was the last", true);
+        }
+        parts.recordCrash(run, instanceId, nowMillis);
+    }
+
+    /** Records that a run ended for which a server may still crash; {@code completed} tells whether it has answered. */
+    void runEnded(ServerInstance server, SuspectRun run, boolean completed) {
+        endedRuns.add(server.instanceId(), run, completed, gateway.nowMillis());
+    }
+
+    /** Records that a server went on with an answer to a prompt with these parts. */
+    void runIsSound(ServerInstance server, List<PartId> sharedParts) {
+        List<PartQuarantine.Cleared> cleared = parts.recordSoundRun(sharedParts, gateway.nowMillis());
+        for (PartQuarantine.Cleared found : cleared) {
+            logCleared(LogField.PART, found.part().toString(), server.id(), "run by the server");
+            if (found.wasQuarantined()) {
+                storeListener.ifPresent(store -> store.released(found.part()));
+            }
+        }
+        if (!cleared.isEmpty()) {
+            announceCulprits("another one is cleared", true);
+            suspicionListener.run();
+        }
+    }
+
+    /** Clears what completed runs show to be sound, and removes what has expired. */
+    void sweep() {
+        long nowMillis = gateway.nowMillis();
+        for (EndedRuns.Ended ended : endedRuns.takeSound(nowMillis)) {
+            ServerInstance server = gateway.directory().instance(ended.instanceId());
+            String serverId = server == null ? ended.instanceId() : server.id();
+            if (requests.recordCompletedRun(ended.run().request(), nowMillis)) {
+                logCleared(LogField.FINGERPRINT, ended.run().request().toString(), serverId, "completed by the server");
+            }
+            if (server != null) {
+                runIsSound(server, ended.run().parts());
+            }
+        }
+        requests.evictExpired(nowMillis);
+        parts.evictExpired(nowMillis);
+    }
+
+    // ---- evidence of others
+
+    /** Merges a peer's suspicion against a request. */
+    void suspicionReceived(String peer, RequestQuarantine.Suspicion suspicion) {
+        if (requests.merge(suspicion, gateway.nowMillis())) {
+            requestQuarantined(suspicion.request(), "reported by " + peer, false);
+        }
+    }
+
+    /** Merges what a peer reports of crashes and suspected parts of prompts. */
+    void receive(CrashMessage message) {
+        message.crashes().forEach(crash -> addEndedRuns(crash.instanceHash()));
+        for (PartQuarantine.Suspicion suspicion : message.suspicions()) {
+            if (parts.merge(suspicion, gateway.nowMillis())) {
+                logCleared(LogField.PART, suspicion.part().toString(), message.sender(), "reported by the peer");
+            }
+        }
+        announceCulprits("reported by " + message.sender(), false);
+    }
+
+    /** Takes the messages about what is new, for all peers. */
+    List<CrashMessage> takeUpdates() {
+        long nowMillis = gateway.nowMillis();
+        return CrashMessage.split(
+                gateway.options().name(), parts.pendingUpdates(nowMillis), recentCrashes.takePendingReports(nowMillis));
+    }
+
+    /** Takes the next messages about standing suspicions, for a peer that may have missed the updates. */
+    List<CrashMessage> takeRefreshes() {
+        return CrashMessage.split(gateway.options().name(), parts.nextRefreshes(gateway.nowMillis()), List.of());
+    }
+
+    /** Suspects the runs of this gateway that ended at a server before a peer saw it crash. */
+    private void addEndedRuns(int instanceHash) {
+        for (EndedRuns.Ended ended : endedRuns.takeCrashed(instanceId -> instanceId.hashCode() == instanceHash)) {
+            recordCrash(ended.run(), !ended.completed(), ended.instanceId());
+            suspicionListener.run();
+        }
+    }
+
+    /** Quarantines what the platform's store lists as quarantined. */
+    void quarantinedInStore(List<CrashSuspect> stored) {
+        for (CrashSuspect suspect : stored) {
+            switch (suspect) {
+                case RequestFingerprint request -> {
+                    if (requests.restore(request, gateway.nowMillis())) {
+                        logRequestHeld(request, "listed in the store");
+                    }
+                }
+                case PartId part -> {
+                    if (parts.restore(part, gateway.nowMillis())) {
+                        logPartsHeld(Set.of(part), 0, "listed in the store");
+                    }
+                }
+            }
+        }
+    }
+
+    /** Returns what is quarantined; without parts of which one is at fault, but it isn't known which. */
+    List<CrashSuspect> quarantined() {
+        List<CrashSuspect> suspects = new ArrayList<>(requests.quarantined(gateway.nowMillis()));
+        suspects.addAll(parts.quarantined(gateway.nowMillis()));
+        return suspects;
+    }
+
+    boolean quarantines(CrashSuspect suspect) {
+        return quarantined().contains(suspect);
+    }
+
+    // ---- what follows
+
+    private void requestQuarantined(RequestFingerprint request, String reason, boolean seenHere) {
+        logRequestHeld(request, reason);
+        storeListener.ifPresent(store -> store.quarantined(request, seenHere));
+    }
+
+    /** Logs culprits that are new, and has those stored that are known for sure. */
+    private void announceCulprits(String reason, boolean seenHere) {
+        List<PartQuarantine.Culprit> culprits = parts.culprits();
+        knownCulprits.retainAll(
+                culprits.stream().map(PartQuarantine.Culprit::parts).collect(Collectors.toSet()));
+        for (PartQuarantine.Culprit culprit : new ArrayList<>(culprits)) {
+            if (knownCulprits.add(culprit.parts())) {
+                logPartsHeld(culprit.parts(), culprit.crashCount(), reason);
+                storeListener.ifPresent(store -> culprit.single().ifPresent(part -> store.quarantined(part, seenHere)));
+            }
+        }
+    }
+
+    private void logRequestHeld(RequestFingerprint request, String reason) {
+        gateway.count("request_held");
+        LogLine.failure(LogEvent.REQUEST_HELD)
+                .with(LogField.FINGERPRINT, request.toString())
+                .with(LogField.WHY, reason)
+                .write();
+    }
+
+    private void logPartsHeld(Set<PartId> culprits, int crashCount, String reason) {
+        gateway.count("part_held");
+        LogLine.failure(LogEvent.PART_HELD)
+                .with(LogField.PART, joined(culprits))
+                .with(LogField.COUNT, crashCount)
+                .with(LogField.WHY, reason)
+                .write();
+    }
+
+    private void logCleared(LogField field, String suspect, String source, String reason) {
+        gateway.count("suspicion_cleared");
+        LogLine.of(LogEvent.SUSPICION_CLEARED)
+                .with(field, suspect)
+                .with(LogField.SERVER, source)
+                .with(LogField.WHY, reason)
+                .write();
+    }
+
+    private static String joined(Set<PartId> ids) {
+        return ids.stream().map(PartId::toString).sorted().collect(Collectors.joining(","));
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -17,8 +17,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tanagerhinge.core.attempt.AttemptFailure;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
-import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.CallerLimits;
@@ -70,7 +68,7 @@
     private final StoreEra storeEra = StoreEra.create();
     private final AdmissionPolicy admission;
     private final ServerAnnouncements serverAnnouncements = ServerAnnouncements.create();
-    private final RequestQuarantine quarantine = RequestQuarantine.create();
+    private final CrashQuarantine crashQuarantine = new CrashQuarantine(this);
     private final CrashDetector crashDetector = new CrashDetector(this);
     private final StreamTracker streams = StreamTracker.of(this);
     private final Set<CallerConnection> callers = new HashSet<>();
@@ -82,8 +80,6 @@
     private int peersPresent;
     private long lastSweepMillis;
     private BiConsumer<ServerInstance, Prompt> sentListener = (server, prompt) -> {};
-    private Consumer<RequestFingerprint> quarantineListener = request -> {};
-    private Runnable suspicionListener = () -> {};
     private Consumer<String> executionListener = workspace -> {};
     private volatile boolean draining;
     private volatile int inFlight;
@@ -185,8 +181,8 @@
                 .write();
     }
 
-    RequestQuarantine quarantine() {
-        return quarantine;
+    CrashQuarantine crashQuarantine() {
+        return crashQuarantine;
     }
 
     StreamTracker streams() {
@@ -197,16 +193,6 @@
         return crashDetector;
     }
 
-    /** Registers the listener for each request that this node quarantines after repeated crashes. */
-    void onQuarantine(Consumer<RequestFingerprint> listener) {
-        quarantineListener = listener;
-    }
-
-    /** Registers the listener for new suspicions against requests. */
-    void onSuspicion(Runnable listener) {
-        suspicionListener = listener;
-    }
-
     /** Registers the listener for the workspace of each request that a server starts to execute. */
     void onExecutionStarted(Consumer<String> listener) {
         executionListener = listener;
@@ -216,51 +202,6 @@
         executionListener.accept(workspace);
     }
 
-    /** Records that a server crashed with these requests in flight, and quarantines repeated suspects. */
-    void serverCrashed(ServerInstance server, Set<RequestFingerprint> requests) {
-        for (RequestFingerprint request : requests) {
-            if (quarantine.recordCrash(request, server.instanceId(), nowMillis())) {
-                logQuarantine(request, "servers crashed while running it; " + server.id() + " was the last");
-                quarantineListener.accept(request);
-            }
-        }
-        suspicionListener.run();
-    }
-
-    /** Merges a peer's suspicion against a request. */
-    void suspicionReceived(String peer, RequestQuarantine.Suspicion suspicion) {
-        if (quarantine.merge(suspicion, nowMillis())) {
-            logQuarantine(suspicion.request(), "reported by " + peer);
-        }
-    }
-
-    /** Records that a server completed a request, which clears it of earlier crashes. */
-    void requestCompleted(RequestFingerprint request, ServerInstance server) {
-        if (quarantine.recordCompletedRun(request, nowMillis())) {
-            count("suspicion_cleared");
-            LogLine.of(LogEvent.SUSPICION_CLEARED)
-                    .with(LogField.FINGERPRINT, request.toString())
-                    .with(LogField.SERVER, server.id())
-                    .with(LogField.WHY, "completed by the server")
-                    .write();
-        }
-    }
-
-    /** Quarantines a request that the platform's store lists as quarantined. */
-    void quarantinedInStore(RequestFingerprint request) {
-        if (quarantine.restore(request, nowMillis())) {
-            logQuarantine(request, "listed in the store");
-        }
-    }
-
-    private void logQuarantine(RequestFingerprint request, String reason) {
-        count("request_held");
-        LogLine.failure(LogEvent.REQUEST_HELD)
-                .with(LogField.FINGERPRINT, request.toString())
-                .with(LogField.WHY, reason)
-                .write();
-    }
-
     String domain() {
         return options.domain();
     }
@@ -639,7 +580,7 @@
         streams.sweep();
         Set.copyOf(callers).forEach(caller -> caller.sweep(nowMillis));
         pool.sweep(server -> serverAnnouncements.isLeaving(server.instanceId(), nowMillis));
-        quarantine.evictExpired(nowMillis);
+        crashQuarantine.sweep();
         serverAnnouncements.removeExpired(nowMillis);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
@@ -68,12 +68,17 @@
     }
 
     @Override
-    public void quarantine(RequestFingerprint request, Duration duration, Consumer<Reply<Long>> onReply) {
-        store.quarantine(request, duration, timed("hold", onReply));
+    public void quarantine(CrashSuspect suspect, Duration duration, Consumer<Reply<Long>> onReply) {
+        store.quarantine(suspect, duration, timed("hold", onReply));
     }
 
     @Override
-    public void listQuarantined(Consumer<Reply<List<RequestFingerprint>>> onReply) {
+    public void endQuarantine(CrashSuspect suspect, Consumer<Reply<Boolean>> onReply) {
+        store.endQuarantine(suspect, timed("unhold", onReply));
+    }
+
+    @Override
+    public void listQuarantined(Consumer<Reply<List<CrashSuspect>>> onReply) {
         store.listQuarantined(timed("held", onReply));
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.store.StorePosition;
@@ -44,11 +44,14 @@
     /** Lists the peer addresses of all gateways, as IP:PORT. */
     void listGateways(Consumer<Reply<List<String>>> onReply);
 
-    /** Stores a request as quarantined for a time, also for gateways that start later. */
-    void quarantine(RequestFingerprint request, Duration duration, Consumer<Reply<Long>> onReply);
+    /** Stores what is quarantined for a time, also for gateways that start later. */
+    void quarantine(CrashSuspect suspect, Duration duration, Consumer<Reply<Long>> onReply);
 
-    /** Lists the quarantined requests. */
-    void listQuarantined(Consumer<Reply<List<RequestFingerprint>>> onReply);
+    /** Removes what is not quarantined any more. */
+    void endQuarantine(CrashSuspect suspect, Consumer<Reply<Boolean>> onReply);
+
+    /** Lists what is quarantined. */
+    void listQuarantined(Consumer<Reply<List<CrashSuspect>>> onReply);
 
     /** Stores for a time that a software version of a service serves beside others. */
     void recordSoftwareVersion(
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -81,6 +81,7 @@
     private boolean configRequestInFlight;
     private long loggedConfigVersion;
     private int fullReportTurn;
+    private int partRefreshTurn;
     private boolean reportScheduled;
     private boolean serversRequestInFlight;
 
@@ -105,7 +106,7 @@
                 .bind(gateway.options().peerAddress())
                 .syncUninterruptibly()
                 .channel();
-        gateway.onSuspicion(peers::reportSoon);
+        gateway.crashQuarantine().onSuspicion(peers::reportSoon);
         gateway.streams().connect(peers.new StreamPeers());
         loop.next().execute(() -> gateway.repeat(peers::reportPeriodically, peers::intervalMillis));
         return peers;
@@ -174,7 +175,8 @@
         table.forgetSilent(gateway.nowMillis());
         logPresenceChanges(gateway.nowMillis());
         refreshTotals();
-        sendReport(gateway.quarantine().nextRefreshes(gateway.nowMillis()));
+        sendReport(gateway.crashQuarantine().requests().nextRefreshes(gateway.nowMillis()));
+        refreshPartSuspicions();
     }
 
     /** Returns the interval between reports while the load hardly changes; it grows with the number of peers. */
@@ -214,7 +216,8 @@
      */
     private void sendReport(List<RequestQuarantine.Suspicion> standing) {
         PeerReport state = currentReport();
-        List<RequestQuarantine.Suspicion> unreported = gateway.quarantine().pendingUpdates(gateway.nowMillis());
+        List<RequestQuarantine.Suspicion> unreported =
+                gateway.crashQuarantine().requests().pendingUpdates(gateway.nowMillis());
         List<String> leaving = gateway.serverAnnouncements().nextLeavingReport();
         PeerCodec.PeerMessage message = new PeerCodec.PeerMessage(
                 state,
@@ -240,9 +243,29 @@
                     new DatagramPacket(Unpooled.wrappedBuffer(index == fullReportIndex ? fullBytes : bytes), address));
             index++;
         }
+        reportCrashes();
         channel.flush();
     }
 
+    /** Sends what is new of crashed servers and suspected prompt parts to all peers. */
+    private void reportCrashes() {
+        for (CrashMessage message : gateway.crashQuarantine().takeUpdates()) {
+            byte[] bytes = message.encode();
+            addresses.forEach(address -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address)));
+        }
+    }
+
+    /** Sends some standing suspicions against prompt parts to one peer in turn, which may have missed the updates. */
+    private void refreshPartSuspicions() {
+        if (addresses.isEmpty()) {
+            return;
+        }
+        partRefreshTurn = (partRefreshTurn + 1) % addresses.size();
+        InetSocketAddress address =
+                addresses.stream().skip(partRefreshTurn).findFirst().orElseThrow();
+        gateway.crashQuarantine().takeRefreshes().forEach(message -> send(address, message.encode()));
+    }
+
     private PeerReport currentReport() {
         long nowMillis = gateway.nowMillis();
         Map<String, PeerReport.InstanceLoad> uses = new HashMap<>();
@@ -288,7 +311,8 @@
         for (PeerCodec.CachedPrefix parts : message.cachedPrefixes()) {
             gateway.promptSentByPeer(parts.instanceId(), parts.parts());
         }
-        message.suspicions().forEach(suspicion -> gateway.suspicionReceived(report.name(), suspicion));
+        message.suspicions()
+                .forEach(suspicion -> gateway.crashQuarantine().suspicionReceived(report.name(), suspicion));
         message.leavingInstances().forEach(gateway::serverLeavingReported);
         gateway.admission().shares().accept(report.name(), message.workspaceUses(), nowMillis);
         applyLoadChange(before, report.loads());
@@ -428,8 +452,8 @@
         });
     }
 
-    private void send(InetSocketAddress address, StreamMessage message) {
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message.encode()), address));
+    private void send(InetSocketAddress address, byte[] datagram) {
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
     }
 
     /** Sends messages about streams to peers. */
@@ -453,7 +477,7 @@
         public void send(String peer, StreamMessage message) {
             table.address(peer).ifPresent(address -> {
                 try {
-                    PeerSynchronizer.this.send(PeerCodec.address(address), message);
+                    PeerSynchronizer.this.send(PeerCodec.address(address), message.encode());
                 } catch (InvalidProtocolBufferException e) {
                     LOG.log(Level.WARNING, "cannot reach peer " + peer + ": " + e.getMessage());
                 }
@@ -471,7 +495,11 @@
                 if (StreamMessage.isIn(bytes)) {
                     gateway.streams()
                             .receive(StreamMessage.decode(bytes))
-                            .ifPresent(response -> send(packet.sender(), response));
+                            .ifPresent(response -> send(packet.sender(), response.encode()));
+                    return;
+                }
+                if (CrashMessage.isIn(bytes)) {
+                    gateway.crashQuarantine().receive(CrashMessage.decode(bytes));
                     return;
                 }
                 receive(PeerCodec.decodeState(bytes));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -16,7 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import org.tanagerhinge.core.attempt.AttemptFailure;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.PartQuarantine;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.PlacementRequest;
 import org.tanagerhinge.core.relay.RankGate;
@@ -37,6 +37,8 @@
      */
     private static final long MAX_IDLE_NON_IDEMPOTENT_MILLIS = 1_500;
 
+    private static final long NOT_BEGUN = -1;
+
     private final Gateway gateway;
     private final RelayExchange exchange;
     private final CallerConnection caller;
@@ -52,6 +54,8 @@
     private boolean finished;
     private boolean retryBudgetTaken;
     private boolean streaming;
+    private long answerBeganAtMillis = NOT_BEGUN;
+    private boolean sound;
     private Future<?> responseTimer;
     private RankGate.PendingRequest firstOutputWait;
     private HttpResponse response;
@@ -84,6 +88,11 @@
         return sent;
     }
 
+    /** Returns whether the server has gone on with the answer for long enough to show that the prompt is sound. */
+    boolean sound() {
+        return sound;
+    }
+
     /** Takes a pooled connection or opens one, and sends the request. */
     void start() {
         gateway.requestSent(request, decision);
@@ -215,6 +224,7 @@
     private void forwardEvents(ByteBuf bytes) {
         long nowMillis = gateway.nowMillis();
         server.recordReceived(nowMillis);
+        noteProgress(nowMillis);
         for (EventSplitter.Event event : events.feed(bytes)) {
             noteFirstOutput();
             if (finished || progress.alreadyForwarded(event.id())) {
@@ -234,6 +244,16 @@
         }
     }
 
+    /** Records that bytes of the answer have arrived, which show the prompt to be sound once it has gone on for long. */
+    private void noteProgress(long nowMillis) {
+        if (answerBeganAtMillis == NOT_BEGUN) {
+            answerBeganAtMillis = nowMillis;
+        } else if (!sound && nowMillis - answerBeganAtMillis >= PartQuarantine.SOUND_RUN_MILLIS) {
+            sound = true;
+            exchange.runIsSound(server);
+        }
+    }
+
     private void forwardHead() {
         HttpHeaders headers = response.headers().copy();
         HopByHopHeaders.remove(headers);
@@ -304,8 +324,7 @@
             return;
         }
         if (route.kind() == RouteKind.UNSAFE) {
-            RequestFingerprint fingerprint = exchange.fingerprint();
-            connection.detach(() -> gateway.crashDetector().connectionBroke(server, fingerprint));
+            connection.detach(exchange.detachedConnectionBroke(this));
             connection.setReading(true);
         } else {
             connection.abort();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -13,11 +13,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.AttemptHistory;
+import org.tanagerhinge.core.attempt.PartId;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.SuspectRun;
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.PlacementPolicy;
@@ -60,6 +61,7 @@
     private RelayAttempt attempt;
     private AttemptHistory history;
     private RequestFingerprint fingerprint;
+    private List<PartId> sharedParts;
     /** What began the stream: at an earlier attempt of the caller, or at the server of the first event. */
     private Optional<StreamOrigin> origin = Optional.empty();
 
@@ -180,12 +182,12 @@
 
     private void startAttempt() {
         long nowMillis = gateway.nowMillis();
-        OptionalLong quarantinedMillis = quarantineMillis(nowMillis);
-        if (quarantinedMillis.isPresent()) {
-            telemetry.quarantined(fingerprint());
+        Optional<CrashQuarantine.Held> held = gateway.crashQuarantine().held(this::fingerprint, sharedParts());
+        if (held.isPresent()) {
+            telemetry.quarantined(held.get().reason());
             endWithoutResponse(
-                    "request is quarantined: servers crashed while running it",
-                    Refusal.notExecuted(ResultCode.REQUEST_HELD, quarantinedMillis.getAsLong()));
+                    "request is quarantined: " + held.get().reason(),
+                    Refusal.notExecuted(ResultCode.REQUEST_HELD, held.get().remainingMillis()));
             return;
         }
         List<ServerInstance> candidates = gateway.candidates(service, softwareVersion(), triedServers, nowMillis);
@@ -202,7 +204,11 @@
         }
         triedServers.add(decision.get().server().id());
         history.recordSend();
-        telemetry.sent(decision.get(), candidates.size(), level(decision.get()));
+        telemetry.sent(
+                decision.get(),
+                candidates.size(),
+                level(decision.get()),
+                gateway.crashQuarantine().suspected(sharedParts()));
         attempt = new RelayAttempt(gateway, this, request, decision.get());
         attempt.start();
     }
@@ -222,12 +228,6 @@
         return rejection.isPresent();
     }
 
-    private OptionalLong quarantineMillis(long nowMillis) {
-        return gateway.quarantine().isEmpty()
-                ? OptionalLong.empty()
-                : gateway.quarantine().remainingMillis(fingerprint(), nowMillis);
-    }
-
     private void failWithoutServer() {
         if (origin.isPresent() && gateway.streams().mixed(service)) {
             telemetry.withoutServerOfVersion(service, origin.get().softwareVersion());
@@ -290,6 +290,40 @@
         return fingerprint;
     }
 
+    private List<PartId> sharedParts() {
+        if (sharedParts == null) {
+            sharedParts = metadata.prompt().sharedPartIds();
+        }
+        return sharedParts;
+    }
+
+    /**
+     * Returns what may crash the server on which this request runs.
+     *
+     * @param sound whether an answer has shown the prompt to be sound
+     */
+    private SuspectRun suspectRun(boolean sound) {
+        return new SuspectRun(fingerprint(), sound ? List.of() : sharedParts());
+    }
+
+    /** Records that a server has gone on with the answer, which shows the prompt to be sound. */
+    void runIsSound(ServerInstance server) {
+        gateway.crashQuarantine().runIsSound(server, sharedParts());
+    }
+
+    /** Records that an attempt ended that may have begun to run; {@code completed} tells whether the server answered. */
+    private void runEnded(RelayAttempt ended, boolean completed) {
+        if (!sharedParts().isEmpty() || !gateway.crashQuarantine().requests().isEmpty()) {
+            gateway.crashQuarantine().runEnded(ended.server(), suspectRun(ended.sound()), completed);
+        }
+    }
+
+    /** Returns what to do if a connection breaks on which the server finishes an attempt for no caller. */
+    Runnable detachedConnectionBroke(RelayAttempt detached) {
+        SuspectRun run = suspectRun(detached.sound());
+        return () -> gateway.crashDetector().connectionBroke(detached.server(), run);
+    }
+
     int rank() {
         return config.rank(workspace, route);
     }
@@ -364,7 +398,9 @@
                         : Optional.empty());
         attempt = null;
         if (failure.connectionBroken()) {
-            gateway.crashDetector().connectionBroke(ended.server(), fingerprint());
+            gateway.crashDetector().connectionBroke(ended.server(), suspectRun(ended.sound()));
+        } else if (failure.mayHaveRun()) {
+            runEnded(ended, false);
         }
         boolean retry = history.mayRetry(failure.mayHaveRun(), remainingMillis())
                 && (!failure.mayHaveRun() || gateway.enabled(Mechanism.RETRIES))
@@ -424,11 +460,9 @@
 
     /** Ends the exchange after a complete response, whose last part is written next. */
     void responseCompleted(int status, ServerInstance server) {
-        attempt = null;
         gateway.responseReceived(server, status);
-        if (status < MIN_ERROR_STATUS && !gateway.quarantine().isEmpty()) {
-            gateway.requestCompleted(fingerprint(), server);
-        }
+        runEnded(attempt, status < MIN_ERROR_STATUS);
+        attempt = null;
         admission.completed(status, gateway.nowMillis() - arrivedAtMillis);
         telemetry.completed(status, progress);
         finish();
@@ -465,6 +499,9 @@
     private void cancelAttempt() {
         if (attempt != null) {
             attempt.cancel();
+            if (attempt.sent()) {
+                runEnded(attempt, false);
+            }
             attempt = null;
         }
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -110,8 +110,12 @@
         gateway.count("taken_up_continued");
     }
 
-    /** Logs the start of an attempt, with the server's load at the time of the decision. */
-    void sent(PlacementPolicy.Decision decision, int candidates, int level) {
+    /**
+     * Logs the start of an attempt, with the server's load at the time of the decision.
+     *
+     * @param suspects parts of the prompt that are suspected of crashing servers, with the number of crashes
+     */
+    void sent(PlacementPolicy.Decision decision, int candidates, int level, String suspects) {
         attempts++;
         ServerInstance chosen = decision.server();
         server = chosen.id();
@@ -133,6 +137,9 @@
         if (chosen.workTime().known()) {
             line.with(LogField.WORK_TIME, Math.round(100 * chosen.workTime().current(gateway.nowMillis())));
         }
+        if (!suspects.isEmpty()) {
+            line.with(LogField.SUSPECTS, suspects);
+        }
         line.with(LogField.PEERS, gateway.peersPresent()).write();
     }
 
@@ -199,10 +206,10 @@
         };
     }
 
-    /** Notes that the request is quarantined, since servers crashed while running it. */
-    void quarantined(RequestFingerprint fingerprint) {
+    /** Notes why the request is quarantined. */
+    void quarantined(String quarantineReason) {
         server = "";
-        reason = "servers crashed while running " + fingerprint;
+        reason = quarantineReason;
     }
 
     void refused(Refusal refusal) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.store.StorePosition;
@@ -112,7 +112,7 @@
         synchronizer.runGuarded(synchronizer::readServers);
         synchronizer.runGuarded(synchronizer::readSoftwareVersions);
         synchronizer.runGuarded(synchronizer::readQuarantine);
-        gateway.onQuarantine(synchronizer::quarantine);
+        gateway.crashQuarantine().connectStore(synchronizer.new QuarantineStore());
         return synchronizer;
     }
 
@@ -129,7 +129,7 @@
     /** Writes the quarantined requests, which the store may have lost, unless another gateway does so as the reader. */
     private void storeQuarantineAgain() {
         if (isReader()) {
-            gateway.quarantine().quarantined(gateway.nowMillis()).forEach(this::quarantine);
+            gateway.crashQuarantine().quarantined().forEach(this::quarantine);
         }
     }
 
@@ -349,9 +349,9 @@
     /** Reads the quarantined requests from the store, where they survive a simultaneous loss of all gateways. */
     private void readQuarantine() {
         store.listQuarantined(guarded(this::readQuarantine, reply -> {
-            if (reply instanceof MetadataStore.Success<List<RequestFingerprint>> success) {
+            if (reply instanceof MetadataStore.Success<List<CrashSuspect>> success) {
                 markReachable();
-                success.value().forEach(gateway::quarantinedInStore);
+                gateway.crashQuarantine().quarantinedInStore(success.value());
             } else {
                 schedule(this::readQuarantine, RETRY_MILLIS * 2);
             }
@@ -404,19 +404,48 @@
         });
     }
 
-    private void quarantine(RequestFingerprint request) {
-        if (gateway.quarantine().remainingMillis(request, gateway.nowMillis()).isEmpty()) {
+    private void quarantine(CrashSuspect suspect) {
+        if (!gateway.crashQuarantine().quarantines(suspect)) {
             return;
         }
-        store.quarantine(request, Duration.ofMillis(RequestQuarantine.QUARANTINE_MILLIS), reply -> {
+        store.quarantine(suspect, Duration.ofMillis(RequestQuarantine.QUARANTINE_MILLIS), reply -> {
             if (reply instanceof MetadataStore.Success<Long>) {
                 markReachable();
             } else {
-                schedule(() -> quarantine(request), RETRY_MILLIS * 4);
+                schedule(() -> quarantine(suspect), RETRY_MILLIS * 4);
             }
         });
     }
 
+    private void endQuarantine(CrashSuspect suspect) {
+        if (gateway.crashQuarantine().quarantines(suspect)) {
+            return;
+        }
+        store.endQuarantine(suspect, reply -> {
+            if (reply instanceof MetadataStore.Success<Boolean>) {
+                markReachable();
+            } else {
+                schedule(() -> endQuarantine(suspect), RETRY_MILLIS * 4);
+            }
+        });
+    }
+
+    /** Stores what is quarantined, for gateways that start later. */
+    private final class QuarantineStore implements CrashQuarantine.StoreListener {
+        @Override
+        public void quarantined(CrashSuspect suspect, boolean seenHere) {
+            // Gateways may learn of all crashes from each other, so that none has seen the decisive one itself.
+            if (seenHere || isReader()) {
+                quarantine(suspect);
+            }
+        }
+
+        @Override
+        public void released(CrashSuspect suspect) {
+            endQuarantine(suspect);
+        }
+    }
+
     private void readGateways() {
         store.listGateways(reply -> {
             if (reply instanceof MetadataStore.Success<List<String>> success) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StreamMessage.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StreamMessage.java
@@ -38,11 +38,7 @@
                     .setSoftwareVersion(stream.origin().softwareVersion()));
         }
         asked.forEach(stream -> report.addAsked(encode(stream)));
-        byte[] message = report.build().toByteArray();
-        byte[] datagram = new byte[message.length + 1];
-        datagram[0] = MARK;
-        System.arraycopy(message, 0, datagram, 1, message.length);
-        return datagram;
+        return Datagrams.withMark(MARK, report.build());
     }
 
     private static StreamKey encode(StreamId stream) {
@@ -54,7 +50,7 @@
 
     /** Returns whether a datagram holds such a message. */
     static boolean isIn(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == MARK;
+        return Datagrams.hasMark(MARK, datagram);
     }
 
     static StreamMessage decode(byte[] datagram) throws InvalidProtocolBufferException {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.duty.DutyClient;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.LeastInFlightPlacement;
@@ -109,12 +109,17 @@
         }
 
         @Override
-        public void quarantine(RequestFingerprint request, Duration time, Consumer<Reply<Long>> onReply) {
+        public void quarantine(CrashSuspect suspect, Duration time, Consumer<Reply<Long>> onReply) {
             reply("hold", 7L, onReply);
         }
 
         @Override
-        public void listQuarantined(Consumer<Reply<List<RequestFingerprint>>> onReply) {
+        public void endQuarantine(CrashSuspect suspect, Consumer<Reply<Boolean>> onReply) {
+            reply("unhold", true, onReply);
+        }
+
+        @Override
+        public void listQuarantined(Consumer<Reply<List<CrashSuspect>>> onReply) {
             reply("held", List.of(), onReply);
         }
 
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -28,6 +28,7 @@
     SERVER_CRASHED(Subject.BELIEF),
     SUSPICION_CLEARED(Subject.BELIEF),
     REQUEST_HELD(Subject.BELIEF),
+    PART_HELD(Subject.BELIEF),
     ENTRY_UNREADABLE(Subject.BELIEF),
     CONFIGURATION(Subject.BELIEF),
     STORE_LOST(Subject.BELIEF),
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -10,6 +10,10 @@
     FINGERPRINT,
     /** Ids of the prompt parts that other requests may share, in order. */
     PARTS,
+    /** Id of a prompt part, or ids of several that can't be told apart. */
+    PART,
+    /** Parts that are suspected of crashing servers, each with its number of crashes. */
+    SUSPECTS,
     ROUTE,
     WORKSPACE,
     PROFILE,
