An answer without framing that a server's crash ends is broken, not complete

What callers saw: a stream without length and chunks ended as complete after the events that its server had written before it crashed, and one that may be resumed did not go on elsewhere; a plain answer was passed on as whole.

Cause: such an answer ends with its connection, and a crash closes connections in the same way. The same end counted as a run to its end, which spoke for the request and its prompt, and no probe told that the server had crashed.

Why it works: when such an answer ends, the server is asked for another connection, which goes to the pool. If it refuses, and isn't leaving, the answer was broken off, and the crash is attributed as any other.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -54,6 +54,8 @@
     private boolean skipping;
     private boolean broken;
     private boolean closeAfter;
+    private boolean unframed;
+    private boolean leaving;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
 
@@ -163,6 +165,7 @@
         }
         skipping = false;
         responding = true;
+        leaving = metadata.leaving();
         readKeepAlive(response);
         activeListener.responseHead(response, metadata);
     }
@@ -185,8 +188,33 @@
             activeListener.responseBody(bytes);
         }
         if (last && activeListener != null) {
-            finish();
+            if (unframed && !channel.isActive()) {
+                finishUnframed();
+            } else {
+                finish();
+            }
+        }
+    }
+
+    /**
+     * Finishes a response that has ended with its connection. A crashing server closes its connections in the same way,
+     * so the response counts as complete only if the server doesn't refuse another connection. One that is leaving may
+     * end after its last response without a crash.
+     */
+    private void finishUnframed() {
+        AttemptListener listener = activeListener;
+        activeListener = null;
+        if (leaving) {
+            listener.responseCompleted();
+            return;
         }
+        pool.checkNotCrashed(server, running -> {
+            if (running) {
+                listener.responseCompleted();
+            } else {
+                listener.attemptFailed(AttemptFailure.BROKEN, "server crashed at the end of an unframed response");
+            }
+        });
     }
 
     private void finish() {
@@ -203,7 +231,8 @@
     }
 
     private void readKeepAlive(HttpResponse response) {
-        closeAfter = !HttpUtil.isKeepAlive(response) || !hasBodyFraming(response);
+        unframed = !hasBodyFraming(response);
+        closeAfter = !HttpUtil.isKeepAlive(response) || unframed;
         String line = response.headers().get("Keep-Alive");
         int at = line == null ? -1 : line.indexOf("timeout=");
         if (at < 0) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
@@ -4,9 +4,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -98,6 +100,30 @@
 
     /** Opens a connection; {@code onConnected} receives it, or null if the connection failed. */
     void connect(ServerInstance server, Consumer<BackendConnection> onConnected) {
+        connect(server, onConnected, failure -> onConnected.accept(null));
+    }
+
+    /**
+     * Opens a connection, which goes to the pool, to find out whether a server has crashed; {@code onResult} receives
+     * false if it refuses the connection and isn't known to be leaving.
+     */
+    void checkNotCrashed(ServerInstance server, Consumer<Boolean> onResult) {
+        if (!server.available()) {
+            onResult.accept(true);
+            return;
+        }
+        connect(
+                server,
+                connection -> {
+                    release(connection);
+                    onResult.accept(true);
+                },
+                failure -> onResult.accept(
+                        !(failure instanceof ConnectException) || failure instanceof ConnectTimeoutException));
+    }
+
+    private void connect(
+            ServerInstance server, Consumer<BackendConnection> onConnected, Consumer<Throwable> onFailure) {
         BackendConnection connection = new BackendConnection(this, server);
         connectionsByInstance
                 .computeIfAbsent(server.instanceId(), id -> new HashSet<>())
@@ -123,7 +149,7 @@
                         onConnected.accept(connection);
                     } else {
                         connectionClosed(connection);
-                        onConnected.accept(null);
+                        onFailure.accept(future.cause());
                     }
                 });
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -267,6 +267,9 @@
 
     @Override
     public void responseCompleted() {
+        if (finished) {
+            return;
+        }
         if (events != null && events.hasPartialEvent()) {
             fail(progress.headForwarded() ? AttemptFailure.CUT : AttemptFailure.BROKEN, "stream ended inside an event");
             return;
