--- a/harness/src/test/java/org/tanagerhinge/bench/Callers.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/Callers.java
@@ -33,6 +33,13 @@
                 + ", \"messages\": [{\"role\": \"user\", \"content\": \"" + message + "\"}]}";
     }
 
+    /** Returns a completion with a system message before the one of the user. */
+    static String completion(String system, String message, boolean stream) {
+        return "{\"model\": \"tanager-8b\", \"stream\": " + stream
+                + ", \"messages\": [{\"role\": \"system\", \"content\": \"" + system
+                + "\"}, {\"role\": \"user\", \"content\": \"" + message + "\"}]}";
+    }
+
     static Request post(HttpClient http, String url, String profile, String body, Map<String, String> headers) {
         return http.POST(url)
                 .timeout(40, TimeUnit.SECONDS)
--- a/standin/src/main/java/org/tanagerhinge/standin/AnswerSequence.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/AnswerSequence.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.util.IteratingCallback;
 
@@ -20,6 +22,7 @@
     private final String message;
     private final String mark;
     private final String prefix;
+    private final Set<String> earlierMessages = new HashSet<>();
     private final int promptTokens;
     private final int priority;
     private final int length;
@@ -43,6 +46,7 @@
         for (JsonNode each : messages) {
             String content = each.path("content").asText();
             chars += content.length();
+            earlierMessages.add(content);
             if (each.path("role").asText().equals("user")) {
                 lastUser = content;
             }
@@ -50,6 +54,7 @@
         if (request.path("continue_final_message").asBoolean(false)) {
             partialAnswer = messages.get(messages.size() - 1).path("content").asText();
         }
+        earlierMessages.remove(lastUser);
         this.message = lastUser;
         this.mark = Answers.mark(lastUser);
         this.prefix = messages.path(0).path("content").asText();
@@ -69,6 +74,11 @@
         return resumed;
     }
 
+    /** Returns whether the prompt has a message with some content before the one that is answered. */
+    boolean hasEarlierMessage(String content) {
+        return earlierMessages.contains(content);
+    }
+
     String prefix() {
         return prefix;
     }
--- a/standin/src/main/java/org/tanagerhinge/standin/EngineStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/EngineStandin.java
@@ -12,6 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
@@ -46,6 +47,8 @@
     private volatile boolean stalled;
     private volatile long crashedUntilNanos;
     private volatile String fatalMark = "";
+    private volatile String fatalEarlierMessage = "";
+    private final AtomicInteger crashes = new AtomicInteger();
     private volatile long fatalCrashMillis;
     private volatile boolean closed;
     private volatile String laggedReport = "{}";
@@ -85,6 +88,11 @@
         return runs;
     }
 
+    /** Returns how often the engine crashed since a fatal message started. */
+    public int crashes() {
+        return crashes.get();
+    }
+
     /** Returns the number of tokens computed so far. */
     public long tokens() {
         return tokens.get();
@@ -106,6 +114,12 @@
         fatalMark = mark;
     }
 
+    /** Makes the engine crash for a time whenever a prompt starts that has a message before the last one. */
+    public void fatalEarlierMessage(String content, long millis) {
+        fatalCrashMillis = millis;
+        fatalEarlierMessage = content;
+    }
+
     /** Aborts all answers and rejects requests for a time. */
     public void crash(long millis) {
         crashedUntilNanos = System.nanoTime() + millis * 1_000_000;
@@ -209,7 +223,8 @@
                 runs.merge(first.mark(), 1, Integer::sum);
             }
             batch.add(first);
-            if (first.mark().equals(fatalMark)) {
+            if (first.mark().equals(fatalMark) || first.hasEarlierMessage(fatalEarlierMessage)) {
+                crashes.incrementAndGet();
                 crash(fatalCrashMillis);
                 return;
             }
