Routers find the messages of conversations that crash engines

CrashAttribution counted crashes by the fingerprint of the whole call.

Why it works: the messages before the last one are the shared parts of a call's prompt, by a hash of their content, and count in the same PartQuarantine; a completed call clears its own. Routers still don't tell each other.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -44,6 +44,9 @@
      */
     static final long SOUND_MILLIS = 5_000;
 
+    /** Number of parts of one prompt that are considered. */
+    public static final int MAX_PARTS_PER_PROMPT = 128;
+
     static final int MAX_SUSPECTS = 2_048;
     /** Number of crashes that are kept of one suspect. */
     static final int MAX_CRASHES = 8;
--- a/core/src/main/java/org/tanagerhinge/core/relay/Prompt.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/Prompt.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.tanagerhinge.core.attempt.PartId;
+import org.tanagerhinge.core.attempt.PartQuarantine;
 
 /**
  * Describes a prompt as its request states it.
@@ -15,8 +16,6 @@
     /** Prompt of a request that doesn't describe it. */
     public static final Prompt NONE = new Prompt(0, 0, List.of());
 
-    private static final int MAX_SHARED_PART_IDS = 128;
-
     /** Returns the parts that other requests may share: all but the last one. */
     public List<PromptPart> sharedParts() {
         return parts.subList(0, Math.max(0, parts.size() - 1));
@@ -27,7 +26,7 @@
         List<PartId> ids = new ArrayList<>();
         for (PromptPart part : sharedParts()) {
             PartId id = PartId.of(part.id());
-            if (ids.size() < MAX_SHARED_PART_IDS && !ids.contains(id)) {
+            if (ids.size() < PartQuarantine.MAX_PARTS_PER_PROMPT && !ids.contains(id)) {
                 ids.add(id);
             }
         }
--- a/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
@@ -8,13 +8,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.PartQuarantine;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
+import org.tanagerhinge.core.attempt.SuspectRun;
 import org.tanagerhinge.core.id.ServerId;
 
 /**
- * Attributes crashes of backend servers to the requests that were running there, and quarantines requests with several
- * crashes.
+ * Attributes crashes of backend servers to the requests that were running there and to the parts of their prompts, and
+ * quarantines those with several crashes.
  *
  * <p>A failed run counts against its request only if the server's agent reports the server down shortly afterwards;
  * otherwise the server itself may be at fault.
@@ -28,57 +29,68 @@
 
     private static final int MAX_PENDING_RUNS_PER_SERVER = 128;
 
-    private record FailedRun(RequestFingerprint request, Instant failedAt) {}
+    private record FailedRun(SuspectRun run, Instant failedAt) {}
 
-    private final RequestQuarantine quarantine = RequestQuarantine.create();
+    private final RequestQuarantine requests = RequestQuarantine.create();
+    private final PartQuarantine parts = PartQuarantine.create();
     private final Map<ServerId, Deque<FailedRun>> pendingRuns = new HashMap<>();
 
-    /** Returns whether no request is suspected. */
+    /** Returns whether nothing is suspected. */
     boolean isEmpty() {
-        return quarantine.isEmpty();
+        return requests.isEmpty() && parts.isEmpty();
     }
 
     /** Returns for how long a request stays quarantined; empty if it may be sent. */
-    Optional<Duration> quarantinedFor(RequestFingerprint request, Instant now) {
-        OptionalLong remainingMillis = quarantine.remainingMillis(request, now.toEpochMilli());
+    Optional<Duration> quarantinedFor(SuspectRun run, Instant now) {
+        long nowMillis = now.toEpochMilli();
+        Optional<PartQuarantine.Culprit> culprit = parts.culpritAmong(run.parts(), nowMillis);
+        if (culprit.isPresent()) {
+            return Optional.of(Duration.ofMillis(culprit.get().untilMillis() - nowMillis));
+        }
+        OptionalLong remainingMillis = requests.remainingMillis(run.request(), nowMillis);
         return remainingMillis.isPresent()
                 ? Optional.of(Duration.ofMillis(remainingMillis.getAsLong()))
                 : Optional.empty();
     }
 
-    /** Records that a run of a request failed at a server. */
-    void recordFailedRun(ServerId server, RequestFingerprint request, Instant now) {
+    /** Records that a run failed at a server. */
+    void recordFailedRun(ServerId server, SuspectRun run, Instant now) {
         Deque<FailedRun> runs = pendingRuns.computeIfAbsent(server, _ -> new ArrayDeque<>());
-        runs.addLast(new FailedRun(request, now));
+        runs.addLast(new FailedRun(run, now));
         if (runs.size() > MAX_PENDING_RUNS_PER_SERVER) {
             runs.removeFirst();
         }
     }
 
-    /** Records that a server is down; returns how many requests are newly quarantined. */
+    /** Records that a server is down; returns how many requests and parts of prompts are newly quarantined. */
     int recordServerDown(ServerId server, Instant now) {
         Deque<FailedRun> runs = pendingRuns.remove(server);
         if (runs == null) {
             return 0;
         }
+        int culpritsBefore = parts.culprits().size();
         int quarantinedCount = 0;
-        for (FailedRun run : runs) {
-            boolean newlyQuarantined =
-                    run.failedAt().plus(CRASH_DETECTION_WINDOW).isAfter(now)
-                            && quarantine.recordCrash(run.request(), server.value(), now.toEpochMilli());
-            quarantinedCount += newlyQuarantined ? 1 : 0;
+        for (FailedRun failed : runs) {
+            if (failed.failedAt().plus(CRASH_DETECTION_WINDOW).isAfter(now)) {
+                boolean newlyQuarantined =
+                        requests.recordCrash(failed.run().request(), server.value(), now.toEpochMilli());
+                parts.recordCrash(failed.run(), server.value(), now.toEpochMilli());
+                quarantinedCount += newlyQuarantined ? 1 : 0;
+            }
         }
-        return quarantinedCount;
+        return quarantinedCount + Math.max(0, parts.culprits().size() - culpritsBefore);
     }
 
-    /** Records that a server completed a run of a request. */
-    void recordCompletedRun(RequestFingerprint request, Instant now) {
-        quarantine.recordCompletedRun(request, now.toEpochMilli());
+    /** Records that a server completed a run. */
+    void recordCompletedRun(SuspectRun run, Instant now) {
+        requests.recordCompletedRun(run.request(), now.toEpochMilli());
+        parts.recordSoundRun(run.parts(), now.toEpochMilli());
     }
 
     /** Removes expired entries. */
     void evictExpired(Instant now) {
-        quarantine.evictExpired(now.toEpochMilli());
+        requests.evictExpired(now.toEpochMilli());
+        parts.evictExpired(now.toEpochMilli());
         pendingRuns
                 .values()
                 .removeIf(runs ->
--- a/core/src/main/java/org/tanagerhinge/core/router/IncomingRequest.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/IncomingRequest.java
@@ -1,6 +1,8 @@
 package org.tanagerhinge.core.router;
 
+import java.util.List;
 import java.util.Optional;
+import org.tanagerhinge.core.attempt.PartId;
 import org.tanagerhinge.core.config.ServerKind;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.message.BackendCall;
@@ -14,6 +16,7 @@
  * @param idempotencyKey the caller's key for a request that must not run twice
  * @param bodyDigest digest of the request body
  * @param promptUnits estimated prompt size in tokens; zero for a plain service
+ * @param sharedParts parts of the prompt that other requests may share: the messages before the last one
  * @param affinity identifies the prompt prefix, so that requests sharing it can go to the same engine; empty if none
  */
 public record IncomingRequest(
@@ -26,4 +29,5 @@
         Optional<String> idempotencyKey,
         String bodyDigest,
         long promptUnits,
+        List<PartId> sharedParts,
         String affinity) {}
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -14,6 +14,7 @@
 import org.tanagerhinge.core.attempt.AttemptHistory;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RetryBudget;
+import org.tanagerhinge.core.attempt.SuspectRun;
 import org.tanagerhinge.core.claim.ClaimDecision;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigRevision;
@@ -206,26 +207,27 @@
         dispatch(exchange);
     }
 
-    /** Returns the fingerprint of a request, which is equal for repeats of it under other ids. */
-    private static RequestFingerprint fingerprint(IncomingRequest request, Workspace workspace) {
+    /** Returns what may crash the server on which a request runs; equal for repeats of it under other ids. */
+    private static SuspectRun suspectRun(IncomingRequest request, Workspace workspace) {
         String path = request.call() instanceof BackendCall.ServiceCall call ? call.method() + " " + call.path() : "";
-        return RequestFingerprint.of(
+        RequestFingerprint fingerprint = RequestFingerprint.of(
                 workspace.id().value(),
                 request.kind().name(),
                 request.target(),
                 path,
                 ByteBuffer.wrap(request.bodyDigest().getBytes(StandardCharsets.UTF_8)));
+        return new SuspectRun(fingerprint, request.sharedParts());
     }
 
-    private static RequestFingerprint fingerprint(Exchange exchange) {
-        return fingerprint(exchange.request(), exchange.workspace());
+    private static SuspectRun suspectRun(Exchange exchange) {
+        return suspectRun(exchange.request(), exchange.workspace());
     }
 
-    /** Returns for how long a request stays quarantined; computes its fingerprint only if any request is suspected. */
+    /** Returns for how long a request stays quarantined; computes its fingerprint only if anything is suspected. */
     private Optional<Duration> quarantinedFor(IncomingRequest request, Workspace workspace) {
         return crashAttribution.isEmpty()
                 ? Optional.empty()
-                : crashAttribution.quarantinedFor(fingerprint(request, workspace), now());
+                : crashAttribution.quarantinedFor(suspectRun(request, workspace), now());
     }
 
     private static RequestFailure quarantineFailure(Duration wait) {
@@ -580,8 +582,8 @@
             return;
         }
         monitor.recordHeld(Invariant.WHOLE_ANSWER);
-        if (!crashAttribution.isEmpty()) {
-            crashAttribution.recordCompletedRun(fingerprint(exchange), now());
+        if (!crashAttribution.isEmpty() || !exchange.request().sharedParts().isEmpty()) {
+            crashAttribution.recordCompletedRun(suspectRun(exchange), now());
         }
         exchange.machine().fire(ExchangeEvent.FINISH);
         exchanges.remove(exchange);
@@ -650,7 +652,7 @@
 
     private void onFailed(Exchange exchange, Frame.Failed failed) {
         exchanges.forgetAttempt(exchange);
-        crashAttribution.recordFailedRun(exchange.server(), fingerprint(exchange), now());
+        crashAttribution.recordFailedRun(exchange.server(), suspectRun(exchange), now());
         servers.find(exchange.server()).ifPresent(this::recordIfDown);
         port.attemptFailed(exchange.id(), exchange.server(), failed.code(), RunOutcome.UNKNOWN, failed.detail());
         if (exchange.idempotent()) {
--- a/core/src/test/java/org/tanagerhinge/core/router/CrashAttributionTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/router/CrashAttributionTest.java
@@ -4,15 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Instant;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.tanagerhinge.core.attempt.PartId;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.SuspectRun;
 import org.tanagerhinge.core.id.ServerId;
 
 /** Guards against quarantining a request for failures that are not server crashes, and against missing real ones. */
 class CrashAttributionTest {
     private static final Instant START = Instant.ofEpochSecond(1_000);
 
-    private final RequestFingerprint request = new RequestFingerprint(1, 7);
+    private final SuspectRun request = new SuspectRun(new RequestFingerprint(1, 7), List.of());
     private final CrashAttribution attribution = new CrashAttribution();
 
     private void failAt(String server, long second) {
@@ -62,4 +65,17 @@
         }
         assertTrue(attribution.quarantinedFor(request, START.plusSeconds(4)).isEmpty());
     }
+
+    @Test
+    void quarantinesPartOfPromptsAfterThreeServersWentDownUnderDifferentRequests() {
+        List<PartId> parts = List.of(PartId.of("part"));
+        for (int i = 0; i < 3; i++) {
+            SuspectRun run = new SuspectRun(new RequestFingerprint(1, i), parts);
+            attribution.recordFailedRun(new ServerId("engine-" + i), run, START.plusSeconds(i));
+            assertEquals(i == 2 ? 1 : 0, downAt("engine-" + i, i));
+        }
+        SuspectRun next = new SuspectRun(new RequestFingerprint(1, 9), parts);
+        assertTrue(attribution.quarantinedFor(next, START.plusSeconds(3)).isPresent());
+        assertTrue(attribution.quarantinedFor(request, START.plusSeconds(3)).isEmpty());
+    }
 }
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/CapacityFixture.java
@@ -214,6 +214,7 @@
                 Optional.empty(),
                 "body",
                 500,
+                List.of(),
                 "prefix-" + number % 50);
     }
 }
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SimCall.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SimCall.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.tanagerhinge.core.config.ServerKind;
 import org.tanagerhinge.core.id.RequestId;
@@ -65,6 +66,7 @@
                 request.keyed() ? Optional.of("key-" + request.number()) : Optional.empty(),
                 "body-" + request.number(),
                 50,
+                List.of(),
                 "prefix-" + request.number() % 5);
     }
 
--- a/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
@@ -3,6 +3,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
@@ -163,6 +164,7 @@
                 header(request, KEY_HEADER),
                 requestDigest(COMPLETIONS, body),
                 call.promptUnits(),
+                call.sharedParts(),
                 call.affinity());
         return new ParsedCall(incoming, format);
     }
@@ -190,6 +192,7 @@
                 header(request, KEY_HEADER),
                 requestDigest(request.getMethod() + " " + pathAndQuery, body),
                 0,
+                List.of(),
                 "");
         return new ParsedCall(incoming, new ResponseFormat.PassThrough("application/octet-stream"));
     }
--- a/router/src/main/java/org/tanagerhinge/router/CompletionBody.java
+++ b/router/src/main/java/org/tanagerhinge/router/CompletionBody.java
@@ -4,6 +4,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.tanagerhinge.core.attempt.PartId;
+import org.tanagerhinge.core.attempt.PartQuarantine;
 import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.result.ResultCode;
@@ -12,9 +17,10 @@
  * The fields of a chat completion's body that the router uses.
  *
  * @param promptUnits estimated tokens of the prompt
+ * @param sharedParts the messages before the last one, which other conversations may share; the first distinct ones
  * @param affinity digest of the model and the beginning of the first message, equal for requests with a common prefix
  */
-record CompletionBody(String model, boolean stream, long promptUnits, String affinity) {
+record CompletionBody(String model, boolean stream, long promptUnits, List<PartId> sharedParts, String affinity) {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int CHARS_PER_TOKEN = 4;
     private static final int AFFINITY_PREFIX_CHARS = 1024;
@@ -42,7 +48,20 @@
             chars += message.path("content").toString().length();
         }
         return new CompletionBody(
-                model.asText(), stream.asBoolean(false), chars / CHARS_PER_TOKEN, affinity(model.asText(), messages));
+                model.asText(),
+                stream.asBoolean(false),
+                chars / CHARS_PER_TOKEN,
+                sharedParts(messages),
+                affinity(model.asText(), messages));
+    }
+
+    private static List<PartId> sharedParts(JsonNode messages) {
+        Set<PartId> parts = new LinkedHashSet<>();
+        for (int i = 0; i < messages.size() - 1 && parts.size() < PartQuarantine.MAX_PARTS_PER_PROMPT; i++) {
+            JsonNode message = messages.get(i);
+            parts.add(PartId.ofContent(message.path("role").asText() + "\n" + message.path("content")));
+        }
+        return List.copyOf(parts);
     }
 
     private static JsonNode parseObject(byte[] body) throws MalformedCallException {
