--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.tanagerhinge.core.duty.DutySettings;
+import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.PromptAwarePlacement;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.gateway.GatewayOptions;
@@ -52,22 +53,36 @@
         return gateway;
     }
 
+    /** Starts a gateway that places requests by a policy, and waits until it is ready. */
+    GatewayDaemon gateway(PlacementPolicy placement) throws IOException {
+        GatewayDaemon gateway = start("gateway-" + gateways.size(), store.address(), Optional.empty(), placement);
+        await(gateway::ready);
+        return gateway;
+    }
+
     /** Starts a gateway that may never become ready, at a store of its own choice. */
     GatewayDaemon start(String name, InetSocketAddress storeAddress) throws IOException {
-        return start(name, storeAddress, Optional.empty());
+        return start(name, storeAddress, Optional.empty(), PromptAwarePlacement.create());
     }
 
     /** Starts a gateway that takes part in duties, and waits until it is ready. */
     GatewayDaemon gatewayWithDuties(String name, Duration lease, Duration window) throws IOException {
         DutySettings terms =
                 new DutySettings(name, lease, lease, true, Duration.ofSeconds(13), window, window.multipliedBy(4));
-        GatewayDaemon gateway = start(name, store.address(), Optional.of(new GatewayOptions.DutyOptions(terms, 100)));
+        GatewayDaemon gateway = start(
+                name,
+                store.address(),
+                Optional.of(new GatewayOptions.DutyOptions(terms, 100)),
+                PromptAwarePlacement.create());
         await(gateway::ready);
         return gateway;
     }
 
     private GatewayDaemon start(
-            String name, InetSocketAddress storeAddress, Optional<GatewayOptions.DutyOptions> dutyOptions)
+            String name,
+            InetSocketAddress storeAddress,
+            Optional<GatewayOptions.DutyOptions> dutyOptions,
+            PlacementPolicy placement)
             throws IOException {
         GatewayOptions options = new GatewayOptions(
                 name,
@@ -80,9 +95,7 @@
                 dutyOptions,
                 Set.of());
         GatewayDaemon gateway = PlatformGateway.start(
-                options,
-                PromptAwarePlacement.create(),
-                new PlatformGateway.Addresses(storeAddress, Optional.of(duties.address())));
+                options, placement, new PlatformGateway.Addresses(storeAddress, Optional.of(duties.address())));
         gateways.add(gateway);
         peerAddresses.put(gateway, options.peerAddress());
         return gateway;
