A gateway that gets most new connections closes those that it cannot serve, unread

What callers saw: while most new connections went to one gateway, their requests were read and then answered too late or not at all, although the other gateways had room.

Cause: a gateway took every connection and read every request. Nothing knew how far its event loop was behind, nor how many connections the others got. Class: work that is accepted without regard to what can be done with it in time.

Why it works: gateways report their rate of new connections. One that gets over twice the mean of the others and whose event loop is late closes a share of new connections before it reads from them; their callers reach others at once. The share follows the delay, and nothing is closed where all are alike.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -17,6 +17,7 @@
  * @param reportIntervalMillis longest time until the node's next report
  * @param loads load by instance id of the backend server
  * @param demands demand of the node's callers by service
+ * @param connectionsPerSecond rate of new connections of callers, including those that the node closed unread
  * @param workTimes work times that servers stated recently, by instance id
  */
 public record PeerReport(
@@ -33,6 +34,7 @@
         long reportIntervalMillis,
         Map<String, InstanceLoad> loads,
         Map<String, LaneDemand> demands,
+        double connectionsPerSecond,
         Map<String, StatedWorkTime> workTimes) {
     /**
      * Requests that a node has in flight at a backend server, and prompt tokens that the server still has to prefill
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -166,6 +167,14 @@
                 a.inFlight() + b.inFlight(), a.pendingPrefillTokens() + b.pendingPrefillTokens());
     }
 
+    /** Returns the mean rate of new connections of callers at the present peers; empty without any. */
+    public OptionalDouble meanConnectionsPerSecond(long nowMillis) {
+        return peers.values().stream()
+                .filter(peer -> present(peer, nowMillis))
+                .mapToDouble(peer -> peer.report().connectionsPerSecond())
+                .average();
+    }
+
     /** Returns the demand of the present peers' callers, summed by service. */
     public Map<String, LaneDemand> demands(long nowMillis) {
         Map<String, LaneDemand> totals = new HashMap<>();
--- a/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
@@ -29,6 +29,7 @@
                 intervalMillis,
                 Map.of("a", new PeerReport.InstanceLoad(2, 100)),
                 Map.of("model", new LaneDemand(1, 2, 3)),
+                0,
                 Map.of());
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -68,6 +68,12 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         idleSinceMillis = gateway.nowMillis();
+        if (gateway.shedding().recordConnection(idleSinceMillis)) {
+            gateway.count("connection_shed");
+            closing = true;
+            channel.close();
+            return;
+        }
         gateway.callerConnected(this);
     }
 
@@ -241,7 +247,7 @@
     }
 
     private void setConnectionHeader(HttpResponse response) {
-        if (gateway.draining()) {
+        if (gateway.draining() || gateway.shedding().dispersesCallers()) {
             keepAlive = false;
         }
         if (!keepAlive) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.CallerLimits;
+import org.tanagerhinge.core.relay.ConnectionShedding;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.PlacementRequest;
@@ -54,6 +55,8 @@
     private static final long SILENT_SERVER_MILLIS = 500;
     /** Resumable streams move to another server after this long without an event. */
     private static final long ABANDON_STREAM_MILLIS = 900;
+    /** Interval at which the delay of the event loop is measured. */
+    private static final long LOOP_DELAY_INTERVAL_MILLIS = 50;
     /** If a sweep is this late, the event loop was stalled and the silence of servers cannot be measured. */
     private static final long STALL_MILLIS = 2 * SWEEP_MILLIS;
 
@@ -71,6 +74,7 @@
     private final CrashQuarantine crashQuarantine = new CrashQuarantine(this);
     private final CrashDetector crashDetector = new CrashDetector(this);
     private final StreamTracker streams = StreamTracker.of(this);
+    private final ConnectionShedding shedding = ConnectionShedding.create();
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private Optional<RelayConfig> config = Optional.empty();
@@ -79,6 +83,7 @@
     private boolean peerLoadAvailable;
     private int peersPresent;
     private long lastSweepMillis;
+    private boolean measuringLoopDelay;
     private BiConsumer<ServerInstance, Prompt> sentListener = (server, prompt) -> {};
     private Consumer<String> executionListener = workspace -> {};
     private volatile boolean draining;
@@ -202,6 +207,37 @@
         executionListener.accept(workspace);
     }
 
+    ConnectionShedding shedding() {
+        return shedding;
+    }
+
+    /** Measures the delay of the event loop while this node gets far more new connections than others. */
+    private void measureLoopDelay() {
+        if (measuringLoopDelay || !shedding.skewed(nowMillis())) {
+            return;
+        }
+        measuringLoopDelay = true;
+        long dueMillis = nowMillis() + LOOP_DELAY_INTERVAL_MILLIS;
+        schedule(
+                () -> {
+                    measuringLoopDelay = false;
+                    recordLoopDelay(nowMillis() - dueMillis);
+                    measureLoopDelay();
+                },
+                LOOP_DELAY_INTERVAL_MILLIS);
+    }
+
+    private void recordLoopDelay(long delayMillis) {
+        boolean wasShedding = shedding.closedShare() > 0;
+        shedding.recordLoopDelay(delayMillis, nowMillis());
+        if (wasShedding != shedding.closedShare() > 0) {
+            LogLine.of(wasShedding ? LogEvent.SHEDDING_ENDED : LogEvent.SHEDDING, !wasShedding)
+                    .with(LogField.MS, delayMillis)
+                    .with(LogField.CONNECTIONS, Math.round(shedding.connectionsPerSecond(nowMillis())))
+                    .write();
+        }
+    }
+
     String domain() {
         return options.domain();
     }
@@ -576,6 +612,7 @@
         } else {
             Set.copyOf(exchanges).forEach(exchange -> exchange.abandonSilentServer(ABANDON_STREAM_MILLIS));
         }
+        measureLoopDelay();
         exchanges.forEach(exchange -> exchange.refreshOrigin(nowMillis));
         streams.sweep();
         Set.copyOf(callers).forEach(caller -> caller.sweep(nowMillis));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -84,7 +84,8 @@
                 .setConfigAgeMillis((int) Math.min(Integer.MAX_VALUE, report.configAgeMillis()))
                 .setServersAgeMillis((int) Math.min(Integer.MAX_VALUE, report.serverListAgeMillis()))
                 .setServersDigest(report.serverListDigest())
-                .setIntervalMillis((int) report.reportIntervalMillis());
+                .setIntervalMillis((int) report.reportIntervalMillis())
+                .setConnectionsPerSecond((int) Math.round(report.connectionsPerSecond()));
         report.loads().forEach((server, load) -> state.addUses(encodeUse(server, load, report.workTimes())));
         report.demands()
                 .forEach((service, demand) -> state.addDemands(ServiceDemand.newBuilder()
@@ -164,6 +165,7 @@
                 state.getIntervalMillis(),
                 uses,
                 demands,
+                state.getConnectionsPerSecond(),
                 workTimes);
         List<RequestQuarantine.Suspicion> suspicions = state.getSuspectedList().stream()
                 .map(PeerCodec::decodeSuspicion)
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -294,6 +294,7 @@
                 intervalMillis(),
                 uses,
                 gateway.placement().localDemands(nowMillis),
+                gateway.shedding().connectionsPerSecond(nowMillis),
                 workTimes);
     }
 
@@ -350,6 +351,7 @@
         long nowMillis = gateway.nowMillis();
         boolean anyPresent = table.anyPresent(nowMillis) && gateway.enabled(Mechanism.PEER_LOAD);
         gateway.peerLoadAvailable(anyPresent);
+        gateway.shedding().updatePeerRate(table.meanConnectionsPerSecond(nowMillis));
         if (!anyPresent) {
             return;
         }
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -20,8 +20,8 @@
     /** Limit of a node's control traffic, in bytes per second. */
     private static final int CONTROL_BYTES_PER_SECOND = 21_000;
 
-    private static final PeerReport REPORT =
-            new PeerReport("gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, Map.of(), Map.of(), Map.of());
+    private static final PeerReport REPORT = new PeerReport(
+            "gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, Map.of(), Map.of(), 40, Map.of());
 
     private static PeerCodec.PeerMessage message(List<RequestQuarantine.Suspicion> suspicions, List<String> leaving) {
         return new PeerCodec.PeerMessage(
@@ -82,7 +82,7 @@
                 "slow", new PeerReport.InstanceLoad(3, 100),
                 "silent", new PeerReport.InstanceLoad(1, 0));
         PeerReport report = new PeerReport(
-                "gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, loads, Map.of(), workTimes);
+                "gateway-0", 1, 2, "127.0.0.1:7200", true, 6, 3, 7, 4, 5, 250, loads, Map.of(), 40, workTimes);
         return PeerCodec.encodeState(
                 new PeerCodec.PeerMessage(report, List.of(), List.of(), List.of(), DutyAnnouncement.NONE, List.of()));
     }
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
@@ -50,6 +50,7 @@
                 250,
                 Map.of(),
                 Map.of(),
+                0,
                 Map.of());
         return PeerCodec.encodeState(
                 new PeerCodec.PeerMessage(report, List.of(), List.of(), List.of(), DutyAnnouncement.NONE, List.of()));
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -234,6 +234,7 @@
                 intervalMillis,
                 loads,
                 placement.localDemands(floorMillis(fleet.nowMillis())),
+                0,
                 workTimes);
         List<CachedPrompt> prompts = List.copyOf(cachedPrompts);
         List<WorkspaceUses> uses = admission.shares().nextReport(peerCount(), floorMillis(fleet.nowMillis()));
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -36,6 +36,8 @@
     STORE_RESTORED(Subject.BELIEF),
     CONFIG_READ(Subject.BELIEF),
     CONFIG_WATCH(Subject.BELIEF),
+    SHEDDING(Subject.BELIEF),
+    SHEDDING_ENDED(Subject.BELIEF),
     PEER_LOST(Subject.BELIEF),
     PEER_BACK(Subject.BELIEF),
     PEER_ASK_FAILED(Subject.BELIEF),
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -99,6 +99,8 @@
     KNOWN,
     /** Minimum remaining time of the duty's lease. */
     LEASE_LEFT_MS,
+    /** New connections of callers per second. */
+    CONNECTIONS,
     UNITS,
     ROUTES,
     COUNT;
