A part that most prompts share isn't held for the crashes of rarer ones beside it

Cause: right after a loss of all gateways nobody knows which parts have run well, and while two parts crash all engines no answer goes on for a second. The common part was then in flight at all crashes, more than either culprit, and was taken for the explanation. Holding it also stopped the crashes that would have told, and the runs that would have cleared it.

Why it works: gateways measure in which share of their prompts a part occurs. A part of more than half is suspected only if prompts without it run well, or if nothing rarer was in flight at three of the crashes. A part that came with a rarer suspect in the same requests isn't suspected for these. A sound run that a peer reports clears older crashes known here even if the peer knows newer ones.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -1,8 +1,9 @@
 package org.tanagerhinge.core.attempt;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -21,12 +22,15 @@
  * <ul>
  *   <li>sound runs: a server that goes on with an answer, or stays up after it, clears the parts of its prompt of
  *       earlier crashes, and of those within {@link #SOUND_MILLIS} after it;
- *   <li>the crashes that they explain: each crash counts for the part that was in flight at most crashes;
- *   <li>the requests: retries of one request are no evidence against the parts of its prompt.
+ *   <li>their frequency: a part of most prompts is in flight wherever a server crashes, so it is suspected only of
+ *       crashes without a rarer suspect, or if prompts without it run well;
+ *   <li>the requests: retries of one request are no evidence against the parts of its prompt, and a part that came with
+ *       a rarer suspect in the same requests isn't suspected for these;
+ *   <li>the crashes that they explain: each crash counts for the part that was in flight at most crashes.
  * </ul>
  *
- * <p>{@value #CRASHES_TO_QUARANTINE} crashes quarantine a part. Parts that were in flight at just the same crashes can't
- * be told apart; a request is refused only if it has all of them, so that requests with some can clear these.
+ * <p>Parts that were in flight at just the same crashes can't be told apart; a request is refused only if it has all of
+ * them, so that requests with some can clear these.
  *
  * <p>Nodes report suspicions and sound runs to each other. The number of suspects is bounded, and they expire as those
  * of {@link RequestQuarantine} do.
@@ -34,6 +38,10 @@
 public final class PartQuarantine {
     /** Number of crashes that quarantine a part; one or two may coincide with an unrelated part. */
     static final int CRASHES_TO_QUARANTINE = 3;
+    /** Share of the latest prompts above which a part is one of most prompts. */
+    private static final double DOMINANT_SHARE = 0.5;
+    /** Number of sound runs without a part, since its first crash, that count as prompts without it running well. */
+    private static final int MIN_SOUND_RUNS_WITHOUT = 3;
     /** Number of different requests that must have been in flight with a part at these crashes. */
     static final int MIN_REQUESTS = 2;
     /** Time for which an answer must go on, or its server stay up after it, to show that the prompt's parts are sound. */
@@ -52,6 +60,7 @@
     static final int MAX_CRASHES = 8;
 
     private static final int MAX_SOUND_PARTS = 4_096;
+    private static final int MAX_SOUND_RUNS = 64;
     static final int MAX_UPDATES_PER_REPORT = 30;
     /** Maximum number of refreshes in one report, for nodes that missed the updates. */
     static final int MAX_REFRESHES_PER_REPORT = 4;
@@ -63,6 +72,10 @@
             return size() > MAX_SOUND_PARTS;
         }
     };
+    private final PartFrequency frequency = new PartFrequency();
+    /** Latest sound runs, newest last. */
+    private final Deque<SoundRun> soundRuns = new ArrayDeque<>();
+
     private List<Culprit> culprits = List.of();
     private boolean evidenceChanged;
 
@@ -105,6 +118,15 @@
         }
     }
 
+    private record SoundRun(List<PartId> parts, long atMillis) {}
+
+    /** Records the parts of a prompt that has arrived, whether or not it is sent. */
+    public void recordArrival(List<PartId> parts) {
+        if (!parts.isEmpty()) {
+            frequency.record(parts);
+        }
+    }
+
     /** Returns whether there are no suspects. */
     public boolean isEmpty() {
         return suspects.isEmpty();
@@ -173,8 +195,12 @@
     public record Cleared(PartId part, boolean wasQuarantined) {}
 
     /** Records a run that shows these parts to be sound; returns those that it clears of several crashes. */
-    public List<Cleared> recordSoundRun(Collection<PartId> parts, long nowMillis) {
+    public List<Cleared> recordSoundRun(List<PartId> parts, long nowMillis) {
         List<Cleared> cleared = new ArrayList<>();
+        soundRuns.addLast(new SoundRun(parts, nowMillis));
+        if (soundRuns.size() > MAX_SOUND_RUNS) {
+            soundRuns.removeFirst();
+        }
         for (PartId part : parts) {
             rememberSound(part, nowMillis);
             SuspectTable<PartId>.Suspect suspect = suspects.find(part);
@@ -221,28 +247,23 @@
         }
         SuspectTable<PartId>.Suspect suspect = suspects.findOrAdd(update.part());
         boolean wasSuspected = suspect.crashes().size() > 1 || suspect.isQuarantined(nowMillis);
-        boolean added = false;
+        suspect.clearUntil(soundUntilMillis(update.part()));
         for (PartCrash crash : update.crashes()) {
-            long atMillis = nowMillis - crash.ageMillis();
-            if (atMillis > soundUntilMillis(update.part())) {
-                added |= suspect.addCrash(new Crash(crash.instanceHash(), crash.requestHash(), atMillis));
-            }
+            suspect.addCrash(new Crash(crash.instanceHash(), crash.requestHash(), nowMillis - crash.ageMillis()));
         }
-        evidenceChanged |= added;
-        if (soundSince(update, nowMillis)) {
-            if (!suspect.crashes().isEmpty() || suspect.isQuarantined(nowMillis)) {
-                clear(update.part(), suspect);
-            }
-            if (update.soundAgeMillis().isEmpty() && (update.crashes().size() > 1 || update.remainingMillis() > 0)) {
-                suspect.report();
+        evidenceChanged = true;
+        if (!soundSince(update, nowMillis)) {
+            if (update.remainingMillis() > 0) {
+                suspect.quarantineUntil(
+                        nowMillis + Math.min(RequestQuarantine.QUARANTINE_MILLIS, update.remainingMillis()));
             }
-            return wasSuspected;
+            return false;
         }
-        if (update.remainingMillis() > 0) {
-            suspect.quarantineUntil(
-                    nowMillis + Math.min(RequestQuarantine.QUARANTINE_MILLIS, update.remainingMillis()));
+        suspect.endQuarantine();
+        if (update.soundAgeMillis().isEmpty() && (update.crashes().size() > 1 || update.remainingMillis() > 0)) {
+            suspect.report();
         }
-        return false;
+        return wasSuspected && suspect.crashes().isEmpty();
     }
 
     /** Returns whether the part has been shown to be sound since the evidence in an update. */
@@ -255,9 +276,10 @@
         return soundUntilMillis(update.part()) >= newestMillis;
     }
 
-    /** Removes expired suspects. */
+    /** Removes expired suspects, and has the others judged anew, since frequencies change. */
     public void evictExpired(long nowMillis) {
-        evidenceChanged |= suspects.evictExpired(nowMillis);
+        suspects.evictExpired(nowMillis);
+        evidenceChanged = true;
     }
 
     /** Returns the updates to be reported now, those with the most crashes first. */
@@ -290,16 +312,13 @@
 
     /** Attributes each crash to the part that explains the most crashes, and returns the parts with enough of them. */
     private List<Culprit> findCulprits() {
-        Map<PartId, List<Crash>> unexplained = new HashMap<>();
-        suspects.forEach((part, suspect) -> {
-            if (suspect.crashes().size() >= CRASHES_TO_QUARANTINE && requestCount(suspect.crashes()) >= MIN_REQUESTS) {
-                unexplained.put(part, List.copyOf(suspect.crashes()));
-            }
-        });
+        Map<PartId, List<Crash>> unexplained = strongSuspects();
         List<Culprit> found = new ArrayList<>();
         while (true) {
-            Optional<PartId> strongest = unexplained.keySet().stream().max(strength(unexplained));
-            if (strongest.isEmpty() || unexplained.get(strongest.get()).size() < CRASHES_TO_QUARANTINE) {
+            Optional<PartId> strongest = unexplained.keySet().stream()
+                    .filter(part -> unexplained.get(part).size() >= CRASHES_TO_QUARANTINE)
+                    .max(strength(unexplained));
+            if (strongest.isEmpty()) {
                 return found;
             }
             List<Crash> crashes = unexplained.get(strongest.get());
@@ -313,8 +332,53 @@
         }
     }
 
-    private static long requestCount(List<Crash> crashes) {
-        return crashes.stream().mapToInt(Crash::requestHash).distinct().count();
+    /** Returns the parts with enough evidence, each with its crashes that no rarer one of them explains. */
+    private Map<PartId, List<Crash>> strongSuspects() {
+        Map<PartId, List<Crash>> strong = new HashMap<>();
+        suspects.forEach((part, suspect) -> {
+            if (isStrong(part, suspect.crashes())) {
+                strong.put(part, List.copyOf(suspect.crashes()));
+            }
+        });
+        Map<PartId, List<Crash>> unexplained = new HashMap<>();
+        strong.forEach((part, crashes) -> unexplained.put(
+                part,
+                crashes.stream()
+                        .filter(crash -> !cameWithRarer(part, crash, strong))
+                        .toList()));
+        return unexplained;
+    }
+
+    private boolean isStrong(PartId part, List<Crash> crashes) {
+        return crashes.size() >= CRASHES_TO_QUARANTINE
+                && crashes.stream().mapToInt(Crash::requestHash).distinct().count() >= MIN_REQUESTS
+                && (frequency.share(part) <= DOMINANT_SHARE
+                        || soundRunsWithout(part, crashes.get(0).atMillis()) >= MIN_SOUND_RUNS_WITHOUT
+                        || crashesWithoutRarer(part, crashes) >= CRASHES_TO_QUARANTINE);
+    }
+
+    private long crashesWithoutRarer(PartId part, List<Crash> crashes) {
+        Set<Crash> unexplained = new HashSet<>(crashes);
+        suspects.forEach((other, suspect) -> {
+            if (frequency.share(other) < frequency.share(part)) {
+                unexplained.removeIf(crash -> suspect.crashes().stream().anyMatch(crash::isSameAs));
+            }
+        });
+        return unexplained.size();
+    }
+
+    private long soundRunsWithout(PartId part, long sinceMillis) {
+        return soundRuns.stream()
+                .filter(run -> run.atMillis() > sinceMillis && !run.parts().contains(part))
+                .count();
+    }
+
+    /** Returns whether the request that was in flight with a part at a crash has a rarer one of these parts. */
+    private boolean cameWithRarer(PartId part, Crash crash, Map<PartId, List<Crash>> strong) {
+        return strong.entrySet().stream()
+                .anyMatch(other -> frequency.share(other.getKey()) < frequency.share(part)
+                        && other.getValue().stream()
+                                .anyMatch(own -> own.isSameAs(crash) && own.requestHash() == crash.requestHash()));
     }
 
     /** Orders parts by the number of crashes, then by the time of the newest one, then by id. */
--- a/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
@@ -5,9 +5,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.tanagerhinge.core.attempt.PartId;
 import org.tanagerhinge.core.attempt.PartQuarantine;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.attempt.SuspectRun;
@@ -40,6 +42,11 @@
         return requests.isEmpty() && parts.isEmpty();
     }
 
+    /** Records the parts of a prompt that has arrived. */
+    void requestArrived(List<PartId> sharedParts) {
+        parts.recordArrival(sharedParts);
+    }
+
     /** Returns for how long a request stays quarantined; empty if it may be sent. */
     Optional<Duration> quarantinedFor(SuspectRun run, Instant now) {
         long nowMillis = now.toEpochMilli();
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -173,6 +173,7 @@
                             "this router is at its limit of requests in flight"));
             return;
         }
+        crashAttribution.requestArrived(request.sharedParts());
         Optional<Duration> quarantinedFor = quarantinedFor(request, resolved.workspace());
         if (quarantinedFor.isPresent()) {
             reject(request, quarantineFailure(quarantinedFor.get()));
--- a/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
@@ -112,6 +112,67 @@
         assertFalse(isRefused(quarantine, 4_000, RARE));
     }
 
+    /** Guards against refusing all requests while two parts crash all servers before any answer has gone on. */
+    @Test
+    void partOfMostPromptsIsHeldOnlyIfOthersRunWell() {
+        PartId second = PartId.of("bad2");
+        for (int i = 0; i < 100; i++) {
+            quarantine.recordArrival(i % 10 == 0 ? List.of(COMMON, CULPRIT) : List.of(COMMON));
+        }
+        for (int i = 0; i < 2; i++) {
+            quarantine.recordCrash(run(COMMON, CULPRIT), "a-" + i, 1_000L * i);
+            quarantine.recordCrash(run(COMMON, second), "b-" + i, 1_000L * i + 500);
+        }
+        assertFalse(isRefused(quarantine, 2_000, COMMON));
+        quarantine.recordCrash(run(COMMON, CULPRIT), "a-2", 2_000);
+        quarantine.recordCrash(run(COMMON, second), "b-2", 2_500);
+        assertEquals(Set.of(CULPRIT, second), Set.copyOf(quarantine.quarantined(2_500)));
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordSoundRun(List.of(RARE), 2_600);
+            quarantine.recordCrash(run(COMMON), "c-" + i, 3_000L + i);
+        }
+        assertTrue(isRefused(quarantine, 3_100, COMMON), "only prompts without it run well");
+    }
+
+    /** Guards against sending on what crashes servers since there is nothing else to compare it with. */
+    @Test
+    void partOfAllPromptsIsHeldIfItIsTheOnlySuspect() {
+        for (int i = 0; i < 100; i++) {
+            quarantine.recordArrival(List.of(CULPRIT));
+        }
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(run(CULPRIT), "s-" + i, 1_000L * i);
+        }
+        assertTrue(isRefused(quarantine, 3_000, CULPRIT));
+    }
+
+    /** Guards against holding a part that came with the culprit, and was in flight at one more crash. */
+    @Test
+    void partIsNotSuspectedForRequestsThatHaveARarerSuspect() {
+        for (int i = 0; i < 20; i++) {
+            quarantine.recordArrival(i % 2 == 0 ? List.of(RARE, CULPRIT) : List.of(RARE));
+        }
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(run(RARE, CULPRIT), "s-" + i, 1_000L * i);
+        }
+        quarantine.recordCrash(run(RARE), "t", 4_000);
+        assertEquals(List.of(CULPRIT), quarantine.quarantined(4_000));
+        assertFalse(isRefused(quarantine, 4_000, RARE));
+    }
+
+    /** Guards against evidence that stays after another node has shown a part to be sound since. */
+    @Test
+    void soundRunOfAnotherNodeClearsOlderCrashes() {
+        PartQuarantine other = PartQuarantine.create();
+        quarantine.recordCrash(run(RARE), "a", 0);
+        quarantine.recordCrash(run(RARE), "b", 100);
+        other.recordCrash(run(RARE), "a", 0);
+        other.recordSoundRun(List.of(RARE), 1_000);
+        other.recordCrash(run(RARE), "c", 7_000);
+        report(other, quarantine, 7_000);
+        assertEquals(1, quarantine.crashCount(RARE));
+    }
+
     @Test
     void crashesSeenByDifferentNodesAddUp() {
         PartQuarantine other = PartQuarantine.create();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -76,6 +76,11 @@
         return parts;
     }
 
+    /** Records the parts of a prompt that has arrived. */
+    void requestArrived(List<PartId> sharedParts) {
+        parts.recordArrival(sharedParts);
+    }
+
     /** Returns why a request must not be sent; empty if it may. */
     Optional<Held> held(Supplier<RequestFingerprint> fingerprint, List<PartId> sharedParts) {
         long nowMillis = gateway.nowMillis();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -139,6 +139,7 @@
     private void begin(String foundService) {
         service = foundService;
         gateway.budget().recordRequest(service, gateway.nowMillis());
+        gateway.crashQuarantine().requestArrived(sharedParts());
         telemetry.routed(route, workspace, service, rank(), remainingMillis());
         startAttempt();
     }
