Parts that turn out not to be at fault leave the store, and culprits are judged anew at intervals

Found by reading. A part that was held and then explained by another one stayed in the store for ten minutes, so that gateways which all started anew would have held it without anybody who knew better; and a part that frequencies alone had made a culprit was neither logged nor stored until the next crash. PromptPartCrashesServersTest.heldPartOutlastsALossOfAllGateways covers the store's entry: it names the culprit only, and holds at a gateway that starts after all have ended.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -52,8 +52,12 @@
          */
         void quarantined(CrashSuspect suspect, boolean seenHere);
 
-        /** Called when a run at this gateway has shown to be sound what was quarantined. */
-        void released(CrashSuspect suspect);
+        /**
+         * Called when something is not quarantined any more since it isn't at fault.
+         *
+         * @param seenHere whether a run at this gateway has shown it
+         */
+        void released(CrashSuspect suspect, boolean seenHere);
     }
 
     /** Why a request is not sent. */
@@ -153,7 +157,7 @@
         for (PartQuarantine.Cleared found : cleared) {
             logCleared(LogField.PART, found.part().toString(), server.id(), "run by the server");
             if (found.wasQuarantined()) {
-                storeListener.ifPresent(store -> store.released(found.part()));
+                storeListener.ifPresent(store -> store.released(found.part(), true));
             }
         }
         if (!cleared.isEmpty()) {
@@ -177,6 +181,7 @@
         }
         requests.evictExpired(nowMillis);
         parts.evictExpired(nowMillis);
+        announceCulprits("crashes explained anew", false);
     }
 
     // ---- evidence of others
@@ -255,15 +260,22 @@
         storeListener.ifPresent(store -> store.quarantined(request, seenHere));
     }
 
-    /** Logs culprits that are new, and has those stored that are known for sure. */
+    /** Logs culprits that are new, and has the store keep those that are known for sure, and no others. */
     private void announceCulprits(String reason, boolean seenHere) {
         List<PartQuarantine.Culprit> culprits = parts.culprits();
-        knownCulprits.retainAll(
-                culprits.stream().map(PartQuarantine.Culprit::parts).collect(Collectors.toSet()));
-        for (PartQuarantine.Culprit culprit : new ArrayList<>(culprits)) {
+        Set<Set<PartId>> dismissed = new HashSet<>(knownCulprits);
+        culprits.forEach(culprit -> dismissed.remove(culprit.parts()));
+        knownCulprits.removeAll(dismissed);
+        for (Set<PartId> found : dismissed) {
+            logCleared(LogField.PART, joined(found), gateway.options().name(), reason);
+            if (found.size() == 1) {
+                storeListener.ifPresent(store -> store.released(found.iterator().next(), false));
+            }
+        }
+        for (PartQuarantine.Culprit culprit : culprits) {
             if (knownCulprits.add(culprit.parts())) {
                 logPartsHeld(culprit.parts(), culprit.crashCount(), reason);
-                storeListener.ifPresent(store -> culprit.single().ifPresent(part -> store.quarantined(part, seenHere)));
+                culprit.single().ifPresent(part -> storeListener.ifPresent(store -> store.quarantined(part, seenHere)));
             }
         }
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -441,8 +441,10 @@
         }
 
         @Override
-        public void released(CrashSuspect suspect) {
-            endQuarantine(suspect);
+        public void released(CrashSuspect suspect, boolean seenHere) {
+            if (seenHere || isReader()) {
+                endQuarantine(suspect);
+            }
         }
     }
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/PromptPartCrashesServersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/PromptPartCrashesServersTest.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.bench.relay;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -7,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.tanagerhinge.gateway.GatewayDaemon;
@@ -77,6 +80,25 @@
         }
     }
 
+    /** Guards against crashes that begin anew after a loss of all gateways. */
+    @Test
+    void heldPartOutlastsALossOfAllGateways() throws IOException {
+        engines.crashOn(CRASHING_PART, CrashingEngines.Written.NOTHING);
+        List<String> crashingParts = List.of("5afe0001", CRASHING_PART);
+        for (int i = 0; i < 3; i++) {
+            PromptCaller.begins(gateways.get(i), crashingParts, "");
+        }
+        PromptCaller.begins(gateways.get(0), List.of("5afe0001"), "");
+        RelayScene.await(() -> scene.store.keys("held/part/").equals(List.of("held/part/" + CRASHING_PART)));
+        List.copyOf(gateways).forEach(scene::stop);
+        GatewayDaemon later = scene.gateway();
+        RelayScene.await(() -> later.metrics().text().contains("reason=\"part_held\""));
+        int crashes = engines.crashes(CRASHING_PART);
+        assertFalse(PromptCaller.begins(later, crashingParts, ""));
+        assertEquals(crashes, engines.crashes(CRASHING_PART));
+        assertTrue(PromptCaller.begins(later, List.of("5afe0001"), ""), "others are served");
+    }
+
     @ParameterizedTest
     @CsvSource({"0, NOTHING", "1, HEAD", "2, EVENT", "1, EVENT_WITHOUT_FRAMING"})
     void partThatCrashesServersIsSentNoMoreAndRequestsWithoutItAreServed(int place, CrashingEngines.Written written)
