--- a/harness/src/test/java/org/tanagerhinge/bench/relay/MostConnectionsAtOneGatewayTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/MostConnectionsAtOneGatewayTest.java
@@ -83,11 +83,12 @@
                 });
     }
 
-    /** Sends a request over a new connection, and again to other gateways as long as it is closed unread. */
-    private void call(int first, PromptCaller.Tally tally) {
-        for (int i = 0; i < GATEWAYS; i++) {
-            try (RawCaller caller =
-                    RawCaller.to(gateways.get((first + i) % GATEWAYS).address(), PATIENCE_MILLIS)) {
+    /** Sends a request over a new connection, and again to any other gateway as long as it is closed unread. */
+    private void call(int first, SplittableRandom random, PromptCaller.Tally tally) {
+        List<GatewayDaemon> untried = new ArrayList<>(gateways);
+        GatewayDaemon gateway = untried.remove(first);
+        while (true) {
+            try (RawCaller caller = RawCaller.to(gateway.address(), PATIENCE_MILLIS)) {
                 String id = "attempt-" + nextId.getAndIncrement();
                 tally.count(caller.exchange(RawCaller.request("POST", "/plain/x", id, "", "{}"))
                                 .status()
@@ -95,6 +96,10 @@
                 return;
             } catch (EOFException | SocketException e) {
                 closedUnread.incrementAndGet();
+                if (untried.isEmpty()) {
+                    return;
+                }
+                gateway = untried.remove(random.nextInt(untried.size()));
             } catch (IOException e) {
                 tally.count(false);
                 return;
@@ -116,7 +121,8 @@
             }
             int gateway = random.nextDouble() < hotShare ? 0 : random.nextInt(GATEWAYS);
             PromptCaller.Tally current = dueMillis < uncountedMillis ? uncounted : tally;
-            callers.add(Thread.ofVirtual().start(() -> call(gateway, current)));
+            SplittableRandom callerRandom = random.split();
+            callers.add(Thread.ofVirtual().start(() -> call(gateway, callerRandom, current)));
         }
         for (Thread caller : callers) {
             caller.join();
