A part that is held stays held in a storm of crashes, and has a way back

Cause: while no answer went on for a second, sound parts gathered as many crashes as the culprits. A culprit that was held had no new ones, so that others explained its crashes and it was released. Parts held by mistake could not show that they are sound.

Why it works: a held part of up to a quarter of all prompts is released by sound runs only, and its crashes no longer count for others. An answer that goes on for half a second shows its prompt to be sound; crashes came 33 to 115 ms after their request had begun. One gateway sends one request a quarantine with a part that it has seen run well, or while it can't know; after that the part is sound for all, or stays held.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -40,12 +40,19 @@
     static final int CRASHES_TO_QUARANTINE = 3;
     /** Share of the latest prompts above which a part is one of most prompts. */
     private static final double DOMINANT_SHARE = 0.5;
+    /**
+     * Share of the latest prompts up to which a part stays quarantined although others explain its crashes as well. One
+     * that is released so would crash servers again.
+     */
+    private static final double RARE_SHARE = 0.25;
+    /** Time without a crash after which one request may show that a quarantined part is sound. */
+    static final long TRIAL_DELAY_MILLIS = 5_000;
     /** Number of sound runs without a part, since its first crash, that count as prompts without it running well. */
     private static final int MIN_SOUND_RUNS_WITHOUT = 3;
     /** Number of different requests that must have been in flight with a part at these crashes. */
     static final int MIN_REQUESTS = 2;
     /** Time for which an answer must go on, or its server stay up after it, to show that the prompt's parts are sound. */
-    public static final long SOUND_RUN_MILLIS = 1_000;
+    public static final long SOUND_RUN_MILLIS = 500;
     /**
      * Time after a sound run for which crashes don't count against its parts. Without it, parts that all prompts share
      * would be quarantined when all servers crash together.
@@ -160,15 +167,36 @@
                 .findFirst();
     }
 
-    /** Returns the culprits that the known crashes point to. */
+    /** Returns the culprits that the known crashes point to, and those that are known from the platform's store. */
     public List<Culprit> culprits() {
         if (evidenceChanged) {
             evidenceChanged = false;
             culprits = findCulprits();
+            for (Culprit culprit : culprits) {
+                culprit.single()
+                        .filter(part -> frequency.share(part) <= RARE_SHARE)
+                        .ifPresent(part -> suspects.find(part).quarantineUntil(culprit.untilMillis()));
+            }
         }
         return culprits;
     }
 
+    /**
+     * Returns whether a request may be sent although one of its parts is quarantined, to show that the part is sound; a
+     * part has one such trial in each quarantine. At most one node should ask.
+     *
+     * @param unknownToo whether also parts have a trial of which this node knows no sound run
+     */
+    public boolean takeTrial(Culprit culprit, boolean unknownToo, long nowMillis) {
+        return culprit.parts().stream().allMatch(part -> {
+            SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+            return suspect != null
+                    && (unknownToo || soundAtMillis.containsKey(part))
+                    && suspect.newestCrashMillis() + TRIAL_DELAY_MILLIS < nowMillis
+                    && suspect.takeTrial(nowMillis);
+        });
+    }
+
     /** Returns the parts that are quarantined by themselves. */
     public List<PartId> quarantined(long nowMillis) {
         Set<PartId> parts = new HashSet<>(suspects.quarantined(nowMillis));
@@ -188,6 +216,14 @@
             evidenceChanged |= suspect.addCrash(
                     new Crash(instanceId.hashCode(), run.request().hashCode(), nowMillis));
             suspect.report();
+            renew(suspect, nowMillis);
+        }
+    }
+
+    /** Renews a quarantine, which may have expired, after one more crash. */
+    private static void renew(SuspectTable<PartId>.Suspect suspect, long crashMillis) {
+        if (suspect.quarantinedUntilMillis() != Long.MIN_VALUE) {
+            suspect.quarantineUntil(crashMillis + RequestQuarantine.QUARANTINE_MILLIS);
         }
     }
 
@@ -236,6 +272,7 @@
     public boolean restore(PartId part, long nowMillis) {
         boolean wasQuarantined = culpritAmong(List.of(part), nowMillis).isPresent();
         suspects.findOrAdd(part).quarantineUntil(nowMillis + RequestQuarantine.QUARANTINE_MILLIS);
+        evidenceChanged = true;
         return !wasQuarantined;
     }
 
@@ -249,7 +286,10 @@
         boolean wasSuspected = suspect.crashes().size() > 1 || suspect.isQuarantined(nowMillis);
         suspect.clearUntil(soundUntilMillis(update.part()));
         for (PartCrash crash : update.crashes()) {
-            suspect.addCrash(new Crash(crash.instanceHash(), crash.requestHash(), nowMillis - crash.ageMillis()));
+            long atMillis = nowMillis - crash.ageMillis();
+            if (suspect.addCrash(new Crash(crash.instanceHash(), crash.requestHash(), atMillis))) {
+                renew(suspect, atMillis);
+            }
         }
         evidenceChanged = true;
         if (!soundSince(update, nowMillis)) {
@@ -312,8 +352,17 @@
 
     /** Attributes each crash to the part that explains the most crashes, and returns the parts with enough of them. */
     private List<Culprit> findCulprits() {
-        Map<PartId, List<Crash>> unexplained = strongSuspects();
         List<Culprit> found = new ArrayList<>();
+        List<Crash> explained = new ArrayList<>();
+        suspects.forEach((part, suspect) -> {
+            if (suspect.quarantinedUntilMillis() != Long.MIN_VALUE) {
+                found.add(new Culprit(Set.of(part), suspect.crashes().size(), suspect.quarantinedUntilMillis()));
+                explained.addAll(suspect.crashes());
+            }
+        });
+        Map<PartId, List<Crash>> unexplained = strongSuspects();
+        found.forEach(culprit -> unexplained.keySet().removeAll(culprit.parts()));
+        removeExplained(unexplained, explained);
         while (true) {
             Optional<PartId> strongest = unexplained.keySet().stream()
                     .filter(part -> unexplained.get(part).size() >= CRASHES_TO_QUARANTINE)
@@ -326,12 +375,16 @@
             long newestMillis = crashes.get(crashes.size() - 1).atMillis();
             found.add(new Culprit(parts, crashes.size(), newestMillis + RequestQuarantine.QUARANTINE_MILLIS));
             unexplained.keySet().removeAll(parts);
-            unexplained.replaceAll((part, own) -> own.stream()
-                    .filter(crash -> crashes.stream().noneMatch(crash::isSameAs))
-                    .toList());
+            removeExplained(unexplained, crashes);
         }
     }
 
+    private static void removeExplained(Map<PartId, List<Crash>> crashesByPart, List<Crash> explained) {
+        crashesByPart.replaceAll((part, crashes) -> crashes.stream()
+                .filter(crash -> explained.stream().noneMatch(crash::isSameAs))
+                .toList());
+    }
+
     /** Returns the parts with enough evidence, each with its crashes that no rarer one of them explains. */
     private Map<PartId, List<Crash>> strongSuspects() {
         Map<PartId, List<Crash>> strong = new HashMap<>();
--- a/core/src/main/java/org/tanagerhinge/core/attempt/SuspectTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/SuspectTable.java
@@ -59,6 +59,7 @@
         private final List<Crash> crashes = new ArrayList<>();
         private long clearedUntilMillis = Long.MIN_VALUE;
         private long quarantinedUntilMillis = Long.MIN_VALUE;
+        private long trialTakenUntilMillis = Long.MIN_VALUE;
         private int pendingReports;
 
         /** Returns the known crashes since it was last cleared, oldest first. */
@@ -104,6 +105,15 @@
             quarantinedUntilMillis = Long.MIN_VALUE;
         }
 
+        /** Takes the only trial of the current quarantine; returns whether there was one left. */
+        boolean takeTrial(long nowMillis) {
+            if (nowMillis < trialTakenUntilMillis) {
+                return false;
+            }
+            trialTakenUntilMillis = nowMillis + RequestQuarantine.QUARANTINE_MILLIS;
+            return true;
+        }
+
         long quarantinedUntilMillis() {
             return quarantinedUntilMillis;
         }
--- a/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
@@ -146,6 +146,39 @@
         assertTrue(isRefused(quarantine, 3_000, CULPRIT));
     }
 
+    /** Guards against releasing a culprit, whose crashes others explain later since it is not sent any more. */
+    @Test
+    void rarePartStaysQuarantinedWhateverElseExplainsItsCrashes() {
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(run(CULPRIT), "s-" + i, 1_000L * i);
+        }
+        assertTrue(isRefused(quarantine, 2_000, CULPRIT));
+        for (int i = 0; i < 8; i++) {
+            quarantine.recordCrash(run(RARE), "s-" + i, 1_000L * i);
+        }
+        assertTrue(isRefused(quarantine, 8_000, CULPRIT));
+    }
+
+    /** Guards against a part that is held by mistake and cannot show that it is sound. */
+    @Test
+    void partThatHasRunWellHasOneTrialInAQuarantine() {
+        quarantine.recordSoundRun(List.of(RARE), 0);
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(run(RARE), "a-" + i, 10_000 + i);
+            quarantine.recordCrash(run(CULPRIT), "b-" + i, 10_000 + i);
+        }
+        long laterMillis = 10_003 + PartQuarantine.TRIAL_DELAY_MILLIS;
+        PartQuarantine.Culprit rare =
+                quarantine.culpritAmong(List.of(RARE), laterMillis).orElseThrow();
+        PartQuarantine.Culprit culprit =
+                quarantine.culpritAmong(List.of(CULPRIT), laterMillis).orElseThrow();
+        assertFalse(quarantine.takeTrial(rare, false, 10_100), "too early");
+        assertFalse(quarantine.takeTrial(culprit, false, laterMillis), "never seen to run well");
+        assertTrue(quarantine.takeTrial(rare, false, laterMillis));
+        assertFalse(quarantine.takeTrial(rare, false, laterMillis + 1));
+        assertTrue(quarantine.takeTrial(culprit, true, laterMillis), "nobody can know yet what runs well");
+    }
+
     /** Guards against holding a part that came with the culprit, and was in flight at one more crash. */
     @Test
     void partIsNotSuspectedForRequestsThatHaveARarerSuspect() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -30,7 +30,11 @@
 final class CrashQuarantine {
     private static final int MAX_LOGGED_SUSPECTS = 16;
 
+    /** Time after its start for which a gateway can't know which parts have run well. */
+    private static final long COLD_MILLIS = 20_000;
+
     private final Gateway gateway;
+    private final long startedAtMillis;
     private final RequestQuarantine requests = RequestQuarantine.create();
     private final PartQuarantine parts = PartQuarantine.create();
     private final EndedRuns endedRuns = EndedRuns.create();
@@ -41,6 +45,7 @@
 
     CrashQuarantine(Gateway gateway) {
         this.gateway = gateway;
+        this.startedAtMillis = gateway.nowMillis();
     }
 
     /** Is told of what the platform's store should keep. */
@@ -58,6 +63,9 @@
          * @param seenHere whether a run at this gateway has shown it
          */
         void released(CrashSuspect suspect, boolean seenHere);
+
+        /** Returns whether this gateway acts for all in what one of them should do. */
+        boolean actsForAll();
     }
 
     /** Why a request is not sent. */
@@ -89,7 +97,7 @@
     Optional<Held> held(Supplier<RequestFingerprint> fingerprint, List<PartId> sharedParts) {
         long nowMillis = gateway.nowMillis();
         Optional<PartQuarantine.Culprit> culprit = parts.culpritAmong(sharedParts, nowMillis);
-        if (culprit.isPresent()) {
+        if (culprit.isPresent() && !takeTrial(culprit.get(), nowMillis)) {
             String reason = culprit.get().crashCount() + " servers crashed while running prompts with "
                     + joined(culprit.get().parts());
             return Optional.of(new Held(reason, culprit.get().untilMillis() - nowMillis));
@@ -104,6 +112,15 @@
                 : Optional.empty();
     }
 
+    private boolean takeTrial(PartQuarantine.Culprit culprit, long nowMillis) {
+        boolean taken = storeListener.map(StoreListener::actsForAll).orElse(false)
+                && parts.takeTrial(culprit, nowMillis - startedAtMillis < COLD_MILLIS, nowMillis);
+        if (taken) {
+            gateway.count("part_tried");
+        }
+        return taken;
+    }
+
     /** Returns the suspected ones of some parts, each with its number of crashes; empty without any. */
     String suspected(Collection<PartId> sharedParts) {
         if (parts.isEmpty()) {
@@ -234,12 +251,11 @@
                     }
                 }
                 case PartId part -> {
-                    if (parts.restore(part, gateway.nowMillis())) {
-                        logPartsHeld(Set.of(part), 0, "listed in the store");
-                    }
+                    parts.restore(part, gateway.nowMillis());
                 }
             }
         }
+        announceCulprits("listed in the store", false);
     }
 
     /** Returns what is quarantined; without parts of which one is at fault, but it isn't known which. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -457,8 +457,13 @@
                         softwareVersion.isEmpty() || softwareVersion.get().equals(server.softwareVersion()));
     }
 
+    /** Returns whether the event loop was stalled, so that what is read now may have arrived long before. */
+    boolean stalled() {
+        return nowMillis() - lastSweepMillis >= STALL_MILLIS;
+    }
+
     private boolean silent(ServerInstance server, long nowMillis) {
-        return nowMillis - lastSweepMillis < STALL_MILLIS && server.silenceMillis(nowMillis) > SILENT_SERVER_MILLIS;
+        return !stalled() && server.silenceMillis(nowMillis) > SILENT_SERVER_MILLIS;
     }
 
     void attemptFailed(ServerInstance server, AttemptFailure failure) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -248,7 +248,7 @@
     private void noteProgress(long nowMillis) {
         if (answerBeganAtMillis == NOT_BEGUN) {
             answerBeganAtMillis = nowMillis;
-        } else if (!sound && nowMillis - answerBeganAtMillis >= PartQuarantine.SOUND_RUN_MILLIS) {
+        } else if (!sound && !gateway.stalled() && nowMillis - answerBeganAtMillis >= PartQuarantine.SOUND_RUN_MILLIS) {
             sound = true;
             exchange.runIsSound(server);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -440,6 +440,11 @@
             }
         }
 
+        @Override
+        public boolean actsForAll() {
+            return isReader();
+        }
+
         @Override
         public void released(CrashSuspect suspect, boolean seenHere) {
             if (seenHere || isReader()) {
