--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -268,12 +268,10 @@
         evidenceChanged = true;
     }
 
-    /** Restores a quarantine read from the platform's store; returns whether it was not known here. */
-    public boolean restore(PartId part, long nowMillis) {
-        boolean wasQuarantined = culpritAmong(List.of(part), nowMillis).isPresent();
+    /** Restores a quarantine read from the platform's store. */
+    public void restore(PartId part, long nowMillis) {
         suspects.findOrAdd(part).quarantineUntil(nowMillis + RequestQuarantine.QUARANTINE_MILLIS);
         evidenceChanged = true;
-        return !wasQuarantined;
     }
 
     /** Merges a report from another node; returns whether the part has been cleared of several crashes by it. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -250,9 +250,7 @@
                         logRequestHeld(request, "listed in the store");
                     }
                 }
-                case PartId part -> {
-                    parts.restore(part, gateway.nowMillis());
-                }
+                case PartId part -> parts.restore(part, gateway.nowMillis());
             }
         }
         announceCulprits("listed in the store", false);
@@ -291,11 +289,18 @@
         for (PartQuarantine.Culprit culprit : culprits) {
             if (knownCulprits.add(culprit.parts())) {
                 logPartsHeld(culprit.parts(), culprit.crashCount(), reason);
-                culprit.single().ifPresent(part -> storeListener.ifPresent(store -> store.quarantined(part, seenHere)));
+                store(culprit, seenHere);
             }
         }
     }
 
+    private void store(PartQuarantine.Culprit culprit, boolean seenHere) {
+        boolean readFromStore = culprit.crashCount() == 0;
+        if (!readFromStore) {
+            culprit.single().ifPresent(part -> storeListener.ifPresent(store -> store.quarantined(part, seenHere)));
+        }
+    }
+
     private void logRequestHeld(RequestFingerprint request, String reason) {
         gateway.count("request_held");
         LogLine.failure(LogEvent.REQUEST_HELD)
