--- a/harness/src/test/java/org/tanagerhinge/bench/relay/PromptPartSoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/PromptPartSoakTest.java
@@ -20,11 +20,13 @@
  * crashes of other causes and a store that fails. Guards against parts that go on crashing servers, and against sound
  * requests that are refused with them.
  *
- * <p>{@code -Dparts.first=1 -Dparts.seeds=50} runs other seeds.
+ * <p>{@code -Dparts.first=1 -Dparts.seeds=50} runs other seeds than those that failed once.
  */
 class PromptPartSoakTest {
     private static final int FIRST_SEED = Integer.getInteger("parts.first", 1);
-    private static final int SEEDS = Integer.getInteger("parts.seeds", 3);
+    private static final int SEEDS = Integer.getInteger("parts.seeds", 0);
+    /** Seeds that failed: a part of all prompts was held, and parts were held and released by turns. */
+    private static final List<Integer> FAILED_SEEDS = List.of(8, 25);
 
     private static final int GATEWAYS = 4;
     private static final int ENGINES = 6;
@@ -43,7 +45,9 @@
     private static final int MAX_LATE_ARRIVALS = 3;
 
     static Stream<Integer> seeds() {
-        return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS).boxed();
+        return SEEDS == 0
+                ? FAILED_SEEDS.stream()
+                : IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS).boxed();
     }
 
     private record Started(GatewayDaemon daemon, long atNanos) {
