--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,17 +15,9 @@
  * Finds the parts of prompts that crash the servers on which they run, and quarantines the requests with them.
  *
  * <p>Different requests share parts, so a crash makes suspects of all parts that were in flight there, although one of
- * them at most is at fault. The others are told apart by:
- *
- * <ul>
- *   <li>sound runs: a server that goes on with an answer, or stays up after it, clears the parts of its prompt of
- *       earlier crashes, and of those within {@link #SOUND_MILLIS} after it;
- *   <li>their frequency: a part of most prompts is in flight wherever a server crashes, so it is suspected only of
- *       crashes without a rarer suspect, or if prompts without it run well;
- *   <li>the requests: retries of one request are no evidence against the parts of its prompt, and a part that came with
- *       a rarer suspect in the same requests isn't suspected for these;
- *   <li>the crashes that they explain: each crash counts for the part that was in flight at most crashes.
- * </ul>
+ * them at most is at fault. A sound run clears the parts of its prompt: a server goes on with the answer, or stays up
+ * after it. It clears them of earlier crashes, and of those within {@link #SOUND_MILLIS} after it. Among the others,
+ * {@link CulpritSearch} finds the parts at fault.
  *
  * <p>Parts that were in flight at just the same crashes can't be told apart; a request is refused only if it has all of
  * them, so that requests with some can clear these.
@@ -38,8 +28,6 @@
 public final class PartQuarantine {
     /** Number of crashes that quarantine a part; one or two may coincide with an unrelated part. */
     static final int CRASHES_TO_QUARANTINE = 3;
-    /** Share of the latest prompts above which a part is one of most prompts. */
-    private static final double DOMINANT_SHARE = 0.5;
     /**
      * Share of the latest prompts up to which a part stays quarantined although others explain its crashes as well. One
      * that is released so would crash servers again.
@@ -47,10 +35,6 @@
     private static final double RARE_SHARE = 0.25;
     /** Time without a crash after which one request may show that a quarantined part is sound. */
     static final long TRIAL_DELAY_MILLIS = 5_000;
-    /** Number of sound runs without a part, since its first crash, that count as prompts without it running well. */
-    private static final int MIN_SOUND_RUNS_WITHOUT = 3;
-    /** Number of different requests that must have been in flight with a part at these crashes. */
-    static final int MIN_REQUESTS = 2;
     /** Time for which an answer must go on, or its server stay up after it, to show that the prompt's parts are sound. */
     public static final long SOUND_RUN_MILLIS = 500;
     /**
@@ -125,7 +109,8 @@
         }
     }
 
-    private record SoundRun(List<PartId> parts, long atMillis) {}
+    /** A run that showed the parts of its prompt to be sound. */
+    record SoundRun(List<PartId> parts, long atMillis) {}
 
     /** Records the parts of a prompt that has arrived, whether or not it is sent. */
     public void recordArrival(List<PartId> parts) {
@@ -171,7 +156,7 @@
     public List<Culprit> culprits() {
         if (evidenceChanged) {
             evidenceChanged = false;
-            culprits = findCulprits();
+            culprits = new CulpritSearch(suspects, frequency, soundRuns).culprits();
             for (Culprit culprit : culprits) {
                 culprit.single()
                         .filter(part -> frequency.share(part) <= RARE_SHARE)
@@ -345,111 +330,4 @@
                 Optional.ofNullable(soundAtMillis.get(part)).map(atMillis -> nowMillis - atMillis),
                 suspect.isQuarantined(nowMillis) ? suspect.quarantinedUntilMillis() - nowMillis : 0);
     }
-
-    // ---- which part it is
-
-    /** Attributes each crash to the part that explains the most crashes, and returns the parts with enough of them. */
-    private List<Culprit> findCulprits() {
-        List<Culprit> found = new ArrayList<>();
-        List<Crash> explained = new ArrayList<>();
-        suspects.forEach((part, suspect) -> {
-            if (suspect.quarantinedUntilMillis() != Long.MIN_VALUE) {
-                found.add(new Culprit(Set.of(part), suspect.crashes().size(), suspect.quarantinedUntilMillis()));
-                explained.addAll(suspect.crashes());
-            }
-        });
-        Map<PartId, List<Crash>> unexplained = strongSuspects();
-        found.forEach(culprit -> unexplained.keySet().removeAll(culprit.parts()));
-        removeExplained(unexplained, explained);
-        while (true) {
-            Optional<PartId> strongest = unexplained.keySet().stream()
-                    .filter(part -> unexplained.get(part).size() >= CRASHES_TO_QUARANTINE)
-                    .max(strength(unexplained));
-            if (strongest.isEmpty()) {
-                return found;
-            }
-            List<Crash> crashes = unexplained.get(strongest.get());
-            Set<PartId> parts = sameCrashes(crashes, unexplained);
-            long newestMillis = crashes.get(crashes.size() - 1).atMillis();
-            found.add(new Culprit(parts, crashes.size(), newestMillis + RequestQuarantine.QUARANTINE_MILLIS));
-            unexplained.keySet().removeAll(parts);
-            removeExplained(unexplained, crashes);
-        }
-    }
-
-    private static void removeExplained(Map<PartId, List<Crash>> crashesByPart, List<Crash> explained) {
-        crashesByPart.replaceAll((part, crashes) -> crashes.stream()
-                .filter(crash -> explained.stream().noneMatch(crash::isSameAs))
-                .toList());
-    }
-
-    /** Returns the parts with enough evidence, each with its crashes that no rarer one of them explains. */
-    private Map<PartId, List<Crash>> strongSuspects() {
-        Map<PartId, List<Crash>> strong = new HashMap<>();
-        suspects.forEach((part, suspect) -> {
-            if (isStrong(part, suspect.crashes())) {
-                strong.put(part, List.copyOf(suspect.crashes()));
-            }
-        });
-        Map<PartId, List<Crash>> unexplained = new HashMap<>();
-        strong.forEach((part, crashes) -> unexplained.put(
-                part,
-                crashes.stream()
-                        .filter(crash -> !cameWithRarer(part, crash, strong))
-                        .toList()));
-        return unexplained;
-    }
-
-    private boolean isStrong(PartId part, List<Crash> crashes) {
-        return crashes.size() >= CRASHES_TO_QUARANTINE
-                && crashes.stream().mapToInt(Crash::requestHash).distinct().count() >= MIN_REQUESTS
-                && (frequency.share(part) <= DOMINANT_SHARE
-                        || soundRunsWithout(part, crashes.get(0).atMillis()) >= MIN_SOUND_RUNS_WITHOUT
-                        || crashesWithoutRarer(part, crashes) >= CRASHES_TO_QUARANTINE);
-    }
-
-    private long crashesWithoutRarer(PartId part, List<Crash> crashes) {
-        Set<Crash> unexplained = new HashSet<>(crashes);
-        suspects.forEach((other, suspect) -> {
-            if (frequency.share(other) < frequency.share(part)) {
-                unexplained.removeIf(crash -> suspect.crashes().stream().anyMatch(crash::isSameAs));
-            }
-        });
-        return unexplained.size();
-    }
-
-    private long soundRunsWithout(PartId part, long sinceMillis) {
-        return soundRuns.stream()
-                .filter(run -> run.atMillis() > sinceMillis && !run.parts().contains(part))
-                .count();
-    }
-
-    /** Returns whether the request that was in flight with a part at a crash has a rarer one of these parts. */
-    private boolean cameWithRarer(PartId part, Crash crash, Map<PartId, List<Crash>> strong) {
-        return strong.entrySet().stream()
-                .anyMatch(other -> frequency.share(other.getKey()) < frequency.share(part)
-                        && other.getValue().stream()
-                                .anyMatch(own -> own.isSameAs(crash) && own.requestHash() == crash.requestHash()));
-    }
-
-    /** Orders parts by the number of crashes, then by the time of the newest one, then by id. */
-    private static Comparator<PartId> strength(Map<PartId, List<Crash>> crashes) {
-        return Comparator.<PartId>comparingInt(part -> crashes.get(part).size())
-                .thenComparingLong(part -> crashes.get(part).stream()
-                        .mapToLong(Crash::atMillis)
-                        .max()
-                        .orElse(Long.MIN_VALUE))
-                .thenComparing(PartId::value);
-    }
-
-    private static Set<PartId> sameCrashes(List<Crash> crashes, Map<PartId, List<Crash>> crashesByPart) {
-        Set<PartId> parts = new HashSet<>();
-        crashesByPart.forEach((part, own) -> {
-            if (own.size() == crashes.size()
-                    && own.stream().allMatch(crash -> crashes.stream().anyMatch(crash::isSameAs))) {
-                parts.add(part);
-            }
-        });
-        return Set.copyOf(parts);
-    }
 }
