A gateway that has just started tries no part that was held before

Found by reading. A gateway in its first 20 s can't know which parts run well, so the one that acts for all let one request through with each held part. Each restart of that gateway would have granted another one; now only parts with crashes that came after its own start have that trial. PartQuarantineTest.partThatHasRunWellHasOneTrialInAQuarantine covers it.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -170,13 +170,14 @@
      * Returns whether a request may be sent although one of its parts is quarantined, to show that the part is sound; a
      * part has one such trial in each quarantine. At most one node should ask.
      *
-     * @param unknownToo whether also parts have a trial of which this node knows no sound run
+     * @param unknownSinceMillis time since which this node can't know which parts run well: those with crashes after it
+     *     have a trial although it knows no sound run of them; the largest number if it can
      */
-    public boolean takeTrial(Culprit culprit, boolean unknownToo, long nowMillis) {
+    public boolean takeTrial(Culprit culprit, long unknownSinceMillis, long nowMillis) {
         return culprit.parts().stream().allMatch(part -> {
             SuspectTable<PartId>.Suspect suspect = suspects.find(part);
             return suspect != null
-                    && (unknownToo || soundAtMillis.containsKey(part))
+                    && (suspect.newestCrashMillis() > unknownSinceMillis || soundAtMillis.containsKey(part))
                     && suspect.newestCrashMillis() + TRIAL_DELAY_MILLIS < nowMillis
                     && suspect.takeTrial(nowMillis);
         });
--- a/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
@@ -172,11 +172,12 @@
                 quarantine.culpritAmong(List.of(RARE), laterMillis).orElseThrow();
         PartQuarantine.Culprit culprit =
                 quarantine.culpritAmong(List.of(CULPRIT), laterMillis).orElseThrow();
-        assertFalse(quarantine.takeTrial(rare, false, 10_100), "too early");
-        assertFalse(quarantine.takeTrial(culprit, false, laterMillis), "never seen to run well");
-        assertTrue(quarantine.takeTrial(rare, false, laterMillis));
-        assertFalse(quarantine.takeTrial(rare, false, laterMillis + 1));
-        assertTrue(quarantine.takeTrial(culprit, true, laterMillis), "nobody can know yet what runs well");
+        assertFalse(quarantine.takeTrial(rare, Long.MAX_VALUE, 10_100), "too early");
+        assertFalse(quarantine.takeTrial(culprit, Long.MAX_VALUE, laterMillis), "never seen to run well");
+        assertTrue(quarantine.takeTrial(rare, Long.MAX_VALUE, laterMillis));
+        assertFalse(quarantine.takeTrial(rare, Long.MAX_VALUE, laterMillis + 1));
+        assertFalse(quarantine.takeTrial(culprit, 11_000, laterMillis), "held before this node has started anew");
+        assertTrue(quarantine.takeTrial(culprit, 9_000, laterMillis), "nobody can know yet what runs well");
     }
 
     /** Guards against holding a part that came with the culprit, and was in flight at one more crash. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -113,8 +113,9 @@
     }
 
     private boolean takeTrial(PartQuarantine.Culprit culprit, long nowMillis) {
+        boolean cold = nowMillis - startedAtMillis < COLD_MILLIS;
         boolean taken = storeListener.map(StoreListener::actsForAll).orElse(false)
-                && parts.takeTrial(culprit, nowMillis - startedAtMillis < COLD_MILLIS, nowMillis);
+                && parts.takeTrial(culprit, cold ? startedAtMillis : Long.MAX_VALUE, nowMillis);
         if (taken) {
             gateway.count("part_tried");
         }
