--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -91,7 +91,7 @@
      *
      * @param crashes the newest crashes of servers at which it was in flight
      * @param soundAgeMillis time since a run has shown it to be sound; empty if none did
-     * @param remainingMillis remaining time of a quarantine that is known from the platform's store; 0 if it is in none
+     * @param remainingMillis remaining time of a quarantine that only a sound run ends; 0 if it is in none
      */
     public record Suspicion(
             PartId part, List<PartCrash> crashes, Optional<Long> soundAgeMillis, long remainingMillis) {}
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/PromptPartSoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/PromptPartSoakTest.java
@@ -209,7 +209,7 @@
                 parts.add(culprit.place(), culprit.part());
                 Started gateway = anyGateway(callerRandom);
                 if (gateway != null) {
-                    long leaveMillis = 20 + callerRandom.nextInt(80);
+                    long leaveMillis = 20L + callerRandom.nextInt(80);
                     callers.add(Thread.ofVirtual().start(() -> send(gateway, parts, culprit, leaveMillis)));
                 }
                 RelayScene.sleep(culprit.gapMillis());
