Retries denied by the budget are logged and counted; its use and the number of nodes are metrics

The record of the incident of retries beyond the shared budget couldn't tell its hypotheses apart: no line said what a gateway had spent, what it thought that it had left, by how many nodes it divided the slack, or that a retry was refused for it. Lines repeated, resumed and retry_denied tell retries, retries_left and nodes; gauges retries_in_window and retries_left by service, and retry_budget_nodes.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Limits retries at other backend servers for each class of requests (a service or a profile) in a sliding window.
@@ -56,13 +57,42 @@
     /** Takes one retry if the budget allows it; returns whether it does. */
     public boolean tryTake(String requestClass, long nowMillis) {
         Window window = window(requestClass, nowMillis);
-        if (window.retries.size() + 1 > USABLE_FRACTION * (ratio * window.requests.size() + slack / nodeCount)) {
+        if (window.retries.size() + 1 > allowed(window)) {
             return false;
         }
         window.retries.add(nowMillis);
         return true;
     }
 
+    /**
+     * Describes what a node has spent of the budget of a class.
+     *
+     * @param retries retries that this node took in the window
+     * @param retriesLeft retries that it could still take now
+     */
+    public record Usage(int retries, double retriesLeft) {}
+
+    /** Returns what this node has spent of the budget of a class. */
+    public Usage usage(String requestClass, long nowMillis) {
+        Window window = window(requestClass, nowMillis);
+        int retries = window.retries.size();
+        return new Usage(retries, Math.max(0, allowed(window) - retries));
+    }
+
+    /** Returns the classes of which requests were recorded. */
+    public Set<String> classes() {
+        return windows.keySet();
+    }
+
+    /** Returns the number of nodes among which the slack is divided. */
+    public int nodeCount() {
+        return nodeCount;
+    }
+
+    private double allowed(Window window) {
+        return USABLE_FRACTION * (ratio * window.requests.size() + slack / nodeCount);
+    }
+
     private Window window(String requestClass, long nowMillis) {
         Window window = windows.computeIfAbsent(requestClass, key -> new Window());
         window.evictBefore(nowMillis - windowMillis);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -20,9 +20,13 @@
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.duty.DutyClient;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.RelayConfig;
@@ -120,9 +124,31 @@
                 "usage_coverage",
                 "Share of known nodes whose counts the latest usage window contains",
                 participant::coverage));
+        RetryBudget budget = gateway.budget();
+        metrics.registerGauge(
+                "retries_in_window",
+                "Retries that this node took in the window of the retry budget",
+                "service",
+                () -> byService(usage -> (double) usage.retries()));
+        metrics.registerGauge(
+                "retries_left",
+                "Retries that this node could still take",
+                "service",
+                () -> byService(RetryBudget.Usage::retriesLeft));
+        metrics.registerGauge(
+                "retry_budget_nodes",
+                "Nodes among which the fixed part of the retry budget is divided",
+                budget::nodeCount);
         metrics.registerGauge("log_lines_dropped", "Log lines dropped since startup", LogSetup::dropped);
     }
 
+    private Map<String, Double> byService(Function<RetryBudget.Usage, Double> value) {
+        RetryBudget budget = gateway.budget();
+        return budget.classes().stream()
+                .collect(Collectors.toMap(
+                        service -> service, service -> value.apply(budget.usage(service, gateway.nowMillis()))));
+    }
+
     private static RelayConfig decode(MetadataStore client, byte[] document) {
         try {
             return client.decodeConfig(document);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -373,9 +373,15 @@
 
     /** Takes a retry from the budget for a request that may have been executed; returns whether it may be retried. */
     boolean takeRetryBudget() {
-        return gateway.enabled(Mechanism.RETRIES)
-                && history.couldRetryAfterRun(remainingMillis())
-                && gateway.budget().tryTake(service, gateway.nowMillis());
+        return gateway.enabled(Mechanism.RETRIES) && history.couldRetryAfterRun(remainingMillis()) && tryTakeRetry();
+    }
+
+    private boolean tryTakeRetry() {
+        boolean taken = gateway.budget().tryTake(service, gateway.nowMillis());
+        if (!taken) {
+            telemetry.retryDenied(service);
+        }
+        return taken;
     }
 
     /**
@@ -406,11 +412,9 @@
         boolean retry = history.mayRetry(failure.mayHaveRun(), remainingMillis())
                 && (!failure.mayHaveRun() || gateway.enabled(Mechanism.RETRIES))
                 && (!progress.headForwarded() || canResume())
-                && (retryBudgetTaken
-                        || !failure.reachedServer()
-                        || gateway.budget().tryTake(service, gateway.nowMillis()));
+                && (retryBudgetTaken || !failure.reachedServer() || tryTakeRetry());
         if (retry) {
-            telemetry.retried(progress.headForwarded(), progress);
+            telemetry.retried(service, progress);
             startAttempt();
             return;
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -7,6 +7,7 @@
 import java.util.stream.Collectors;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
+import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.Prompt;
@@ -174,14 +175,32 @@
     }
 
     /** Logs a retry at another server. */
-    void retried(boolean resumed, ResponseProgress progress) {
+    void retried(String service, ResponseProgress progress) {
+        boolean resumed = progress.headForwarded();
         gateway.count(resumed ? "resumed" : "repeated");
-        logLine(resumed ? LogEvent.RESUMED : LogEvent.REPEATED, true)
+        retryLine(resumed ? LogEvent.RESUMED : LogEvent.REPEATED, service)
                 .with(LogField.ATTEMPT, attempts + 1)
                 .with(LogField.EVENT_ID, progress.lastEventId())
                 .write();
     }
 
+    /** Logs that a request isn't retried because the retry budget of its service is spent. */
+    void retryDenied(String service) {
+        gateway.count("retry_denied");
+        retryLine(LogEvent.RETRY_DENIED, service)
+                .with(LogField.ATTEMPT, attempts)
+                .write();
+    }
+
+    private LogLine retryLine(LogEvent event, String service) {
+        RetryBudget.Usage usage = gateway.budget().usage(service, gateway.nowMillis());
+        return logLine(event, true)
+                .with(LogField.SERVICE, service)
+                .with(LogField.RETRIES, usage.retries())
+                .with(LogField.RETRIES_LEFT, (long) usage.retriesLeft())
+                .with(LogField.NODES, gateway.budget().nodeCount());
+    }
+
     void abandoned() {
         gateway.count("given_up");
         logLine(LogEvent.GIVEN_UP, true)
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -39,6 +39,12 @@
     LEFT_MS,
     /** Number of the attempt, from 1; in the line about a request's end, the number of attempts. */
     ATTEMPT,
+    /** Retries of the service that this node took in the window of the retry budget. */
+    RETRIES,
+    /** Retries of the service that this node could still take. */
+    RETRIES_LEFT,
+    /** Number of nodes among which the fixed part of the retry budget is divided. */
+    NODES,
     /** Number of servers that were eligible for the attempt. */
     CANDIDATES,
     /** Known requests of all nodes in flight at the server. */
--- a/node/src/main/java/org/tanagerhinge/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tanagerhinge/node/metrics/NodeMetrics.java
@@ -12,7 +12,9 @@
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.tanagerhinge.core.invariant.Invariant;
 import org.tanagerhinge.core.invariant.InvariantMonitor;
 
@@ -114,6 +116,20 @@
                 .register(registry);
     }
 
+    /**
+     * Registers a gauge with one value for each value of a label; the values are read at each scrape.
+     *
+     * @param values values by value of the label
+     */
+    public void registerGauge(String name, String help, String label, Supplier<Map<String, Double>> values) {
+        GaugeWithCallback.builder()
+                .name("tanagerhinge_" + name)
+                .help(help)
+                .labelNames(label)
+                .callback(callback -> values.get().forEach((labelValue, value) -> callback.call(value, labelValue)))
+                .register(registry);
+    }
+
     /** Returns NaN if the control thread has ended or does not answer, so that the other metrics are still served. */
     private static double valueOrNaN(DoubleSupplier value) {
         try {
