--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -15,6 +15,7 @@
 import org.tanagerhinge.bench.duty.DeliberateBug;
 import org.tanagerhinge.bench.duty.DutySoak;
 import org.tanagerhinge.bench.fleet.FleetSoak;
+import org.tanagerhinge.bench.retry.RetrySoak;
 import org.tanagerhinge.core.invariant.Invariant;
 
 /** Runs random simulations from the command line and prints the failures and a summary. */
@@ -57,6 +58,11 @@
             description = "Simulate a small fleet of gateways and engines instead of requests")
     private boolean fleet;
 
+    @Option(
+            name = {"--retries"},
+            description = "Simulate gateways that spend one retry budget instead of requests")
+    private boolean retries;
+
     @Option(
             name = {"--restores"},
             description = "Restore the store from older copies as well")
@@ -88,6 +94,9 @@
         if (duties) {
             return runDuties();
         }
+        if (retries) {
+            return runRetries();
+        }
         if (explain != null) {
             Soak.explain(explain, variant()).forEach(System.out::println);
             return 0;
@@ -122,6 +131,26 @@
         return failed.isEmpty() ? 0 : 1;
     }
 
+    private int runRetries() {
+        List<RetrySoak.Result> results =
+                explain != null ? List.of(RetrySoak.run(explain)) : RetrySoak.runAll(first, seeds);
+        List<RetrySoak.Result> failed =
+                results.stream().filter(result -> !result.passed()).toList();
+        (explain != null ? results : failed).stream().limit(MAX_SHOWN_FAILURES).forEach(System.out::println);
+        System.out.println(results.size() + " seeds, "
+                + results.stream().mapToInt(RetrySoak.Result::faults).sum() + " faults, "
+                + results.stream().mapToLong(RetrySoak.Result::requests).sum() + " requests, "
+                + results.stream().mapToLong(RetrySoak.Result::retriesMade).sum() + " of "
+                + results.stream().mapToLong(RetrySoak.Result::retriesWanted).sum() + " retries made, "
+                + results.stream().mapToLong(RetrySoak.Result::calmRetriesMade).sum() + " of "
+                + results.stream()
+                        .mapToLong(RetrySoak.Result::calmRetriesWanted)
+                        .sum()
+                + " without a fault in the window before, " + failed.size() + " seeds failed"
+                + listOf(failed.stream().map(RetrySoak.Result::seed).toList()));
+        return failed.isEmpty() ? 0 : 1;
+    }
+
     private int runDuties() {
         DeliberateBug chosen = DeliberateBug.valueOf(bug.toUpperCase(Locale.ROOT));
         if (explain != null) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -24,6 +24,9 @@
 
 /** A store, backend servers and gateways in one process, for tests of the relay from outside. */
 final class RelayScene implements AutoCloseable {
+    static final double RETRY_RATIO = 0.2;
+    static final double RETRY_SLACK = 50;
+
     private static final Duration PATIENCE = Duration.ofSeconds(30);
 
     final StoreStandin store = StoreStandin.start(0);
@@ -91,7 +94,7 @@
                 FreePorts.address(),
                 Optional.empty(),
                 FreePorts.address(),
-                new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10)),
+                new GatewayOptions.Bounds(Duration.ofSeconds(8), RETRY_RATIO, RETRY_SLACK, Duration.ofSeconds(10)),
                 dutyOptions,
                 Set.of());
         GatewayDaemon gateway = PlatformGateway.start(
