Gateways spend only retries that they have earned since their own start

Cause: the budget of the fleet was kept by counts that each process began anew. A gateway that started again had spent nothing, held the slack undivided until it heard a peer, and peers silent for 30 s gave their part to the others, cut off or not. Besides, each counted the requests of its own last window, whose sum is not that of one window of the fleet when callers move.

Evidence: sent lines by life of a gateway: first lives stay within their parts (303 repeats in 7 s), second lives make 72 more in their first two seconds, with peers=0. Ruled out as the cause of these: arrivals that no gateway had counted; the test over real sockets counts the same on both sides.

Change: a token bucket that starts empty is filled by requests (half of the ratio) and by time (the node's part of the slack); the other half of the ratio is limited by the node's own requests in the window that lies half a window earlier. No request backs two retries of different processes, and the buckets of all nodes never hold more than the slack, so no memory of ended nodes is needed. The slack is divided by FleetSize: nodes that were heard or listed count until they are both silent and unlisted; a node that can't renew its lease and doesn't hear all others takes none. At the first start of the whole fleet, which the platform tells, buckets are full.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
@@ -1,66 +1,93 @@
 package org.tanagerhinge.core.attempt;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongToIntFunction;
 
 /**
- * Limits retries at other backend servers for each class of requests (a service or a profile) in a sliding window.
+ * Limits retries at other backend servers for each class of requests (a service or a profile).
  *
- * <p>It guards against retries multiplying the load when all servers of a service fail. The budget is shared by all
- * nodes without coordination: each node may spend a ratio of its own requests and its part of a fixed slack.
+ * <p>It guards against retries multiplying the load when servers fail. In any window, the retries of all nodes together are
+ * limited to a ratio of the requests of that window or of the one half a window before, and a fixed slack. Nodes don't
+ * coordinate, and a node knows nothing of what was spent by nodes that have ended. Each one therefore spends only what it
+ * has earned since its own start:
+ *
+ * <ul>
+ *   <li>a {@link TokenBucket} is filled by requests as they come, and over time by the node's part of the slack;
+ *   <li>a {@link PastRequestAllowance} lets a node spend at once what its earlier requests have earned.
+ * </ul>
+ *
+ * <p>The ratio is divided between the two. The buckets of all nodes never hold more than the slack together, so the sum over
+ * all nodes stays within the budget whichever of them end, start or get other requests meanwhile.
  */
 public final class RetryBudget {
-    /** Fraction of the budget that is spent, so that windows that are not aligned between nodes do not exceed it. */
-    private static final double USABLE_FRACTION = 0.85;
+    /** Fraction of the budget that is spent, since a retry arrives later than it is decided on. */
+    private static final double USABLE_FRACTION = 0.9;
+    /**
+     * Share of the ratio that requests of the past earn, and of the slack that a bucket may hold. The rest is earned as
+     * requests come and time passes, which also serves nodes that have just started.
+     */
+    private static final double HELD_SHARE = 0.5;
 
+    private final LongToIntFunction nodes;
+    private final Map<String, Account> accounts = new HashMap<>();
+    private long startedAtMillis;
     private double ratio;
     private double slack;
     private long windowMillis;
-    private int nodeCount = 1;
-    private final Map<String, Window> windows = new HashMap<>();
 
-    private RetryBudget(double ratio, double slack, long windowMillis) {
-        setLimits(ratio, slack, windowMillis);
+    private RetryBudget(double ratio, double slack, long windowMillis, long startedAtMillis, LongToIntFunction nodes) {
+        this.startedAtMillis = startedAtMillis;
+        this.nodes = nodes;
+        this.ratio = ratio;
+        this.slack = slack;
+        this.windowMillis = windowMillis;
     }
 
     /**
-     * Creates a budget of which nothing is spent.
+     * Creates the budget of a node that has earned nothing yet.
      *
      * @param ratio retries for each request in a window
      * @param slack retries in a window in addition, of all nodes together
      * @param windowMillis length of the window
+     * @param startedAtMillis time from which this node earns its part of the slack
+     * @param nodes returns the number of nodes among which the slack is divided at a time in milliseconds; 0 if this
+     *     node must not spend any of it
      */
-    public static RetryBudget of(double ratio, double slack, long windowMillis) {
-        return new RetryBudget(ratio, slack, windowMillis);
+    public static RetryBudget of(
+            double ratio, double slack, long windowMillis, long startedAtMillis, LongToIntFunction nodes) {
+        return new RetryBudget(ratio, slack, windowMillis, startedAtMillis, nodes);
     }
 
-    /** Changes the limits; retries already spent still count. */
-    public final void setLimits(double newRatio, double newSlack, long newWindowMillis) {
+    /** Changes the limits; if the length of the window changes, what was earned is lost. */
+    public void setLimits(double newRatio, double newSlack, long newWindowMillis, long nowMillis) {
+        if (newWindowMillis != windowMillis) {
+            accounts.clear();
+            startedAtMillis = nowMillis;
+        }
         ratio = newRatio;
         slack = newSlack;
         windowMillis = newWindowMillis;
     }
 
-    /** Sets the number of nodes among which the slack is divided. */
-    public void nodeCount(int count) {
-        nodeCount = Math.max(1, count);
-    }
-
     /** Records a request of a class. */
     public void recordRequest(String requestClass, long nowMillis) {
-        window(requestClass, nowMillis).requests.add(nowMillis);
+        Account account = account(requestClass, nowMillis);
+        account.bucket.add((1 - HELD_SHARE) * USABLE_FRACTION * ratio);
+        account.past.recordRequest(nowMillis);
     }
 
     /** Takes one retry if the budget allows it; returns whether it does. */
     public boolean tryTake(String requestClass, long nowMillis) {
-        Window window = window(requestClass, nowMillis);
-        if (window.retries.size() + 1 > allowed(window)) {
+        Account account = account(requestClass, nowMillis);
+        double fromBucket = Math.min(1, account.bucket.tokens());
+        double fromPast = 1 - fromBucket;
+        if (fromPast > 0 && fromPast > account.past.available(pastRatio(), nowMillis)) {
             return false;
         }
-        window.retries.add(nowMillis);
+        account.bucket.take(fromBucket);
+        account.past.recordRetry(fromPast, nowMillis);
         return true;
     }
 
@@ -74,44 +101,41 @@
 
     /** Returns what this node has spent of the budget of a class. */
     public Usage usage(String requestClass, long nowMillis) {
-        Window window = window(requestClass, nowMillis);
-        int retries = window.retries.size();
-        return new Usage(retries, Math.max(0, allowed(window) - retries));
+        Account account = account(requestClass, nowMillis);
+        return new Usage(
+                account.past.retries(nowMillis),
+                account.bucket.tokens() + account.past.available(pastRatio(), nowMillis));
     }
 
     /** Returns the classes of which requests were recorded. */
     public Set<String> classes() {
-        return windows.keySet();
-    }
-
-    /** Returns the number of nodes among which the slack is divided. */
-    public int nodeCount() {
-        return nodeCount;
+        return accounts.keySet();
     }
 
-    private double allowed(Window window) {
-        return USABLE_FRACTION * (ratio * window.requests.size() + slack / nodeCount);
+    /** Returns the number of nodes among which the slack is divided; 0 if this node must not spend any of it. */
+    public int nodeCount(long nowMillis) {
+        return nodes.applyAsInt(nowMillis);
     }
 
-    private Window window(String requestClass, long nowMillis) {
-        Window window = windows.computeIfAbsent(requestClass, key -> new Window());
-        window.evictBefore(nowMillis - windowMillis);
-        return window;
+    private double pastRatio() {
+        return HELD_SHARE * USABLE_FRACTION * ratio;
     }
 
-    private static final class Window {
-        private final Deque<Long> requests = new ArrayDeque<>();
-        private final Deque<Long> retries = new ArrayDeque<>();
-
-        private void evictBefore(long fromMillis) {
-            evictBefore(requests, fromMillis);
-            evictBefore(retries, fromMillis);
+    private Account account(String requestClass, long nowMillis) {
+        Account account = accounts.computeIfAbsent(requestClass, key -> new Account());
+        int count = nodeCount(nowMillis);
+        if (count == 0) {
+            account.bucket.drain();
+        } else {
+            double ownSlack = USABLE_FRACTION * slack / count;
+            account.bucket.refill(HELD_SHARE * ownSlack, (1 - HELD_SHARE) * ownSlack / windowMillis, nowMillis);
         }
+        return account;
+    }
 
-        private static void evictBefore(Deque<Long> times, long fromMillis) {
-            while (!times.isEmpty() && times.peekFirst() < fromMillis) {
-                times.pollFirst();
-            }
-        }
+    /** What this node has earned and spent for one class. */
+    private final class Account {
+        private final TokenBucket bucket = TokenBucket.emptyAt(startedAtMillis);
+        private final PastRequestAllowance past = PastRequestAllowance.of(windowMillis);
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -25,7 +25,7 @@
     private static final double ABSENT_AFTER_INTERVALS = 2.5;
     /** Shortest silence after which a peer is absent. */
     private static final long MIN_ABSENT_MILLIS = 700;
-    /** A peer that is silent for this long is forgotten and no longer counts for the shared retry budget. */
+    /** A peer that is silent for this long is forgotten. */
     private static final long FORGET_AFTER_MILLIS = 30_000;
     /** Past incarnations remembered per peer, so that a delayed report isn't taken for one of a new incarnation. */
     private static final int MAX_PAST_INCARNATIONS = 8;
@@ -130,11 +130,6 @@
         return peers.values().stream().anyMatch(peer -> present(peer, nowMillis));
     }
 
-    /** Returns the number of nodes: this one and all peers that aren't forgotten. */
-    public int nodeCount() {
-        return peers.size() + 1;
-    }
-
     /**
      * Returns whether this node reads the platform's store for all nodes.
      *
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -94,7 +94,9 @@
         this.retryBudget = RetryBudget.of(
                 options.retryRatio(),
                 options.retrySlack(),
-                options.retryWindow().toMillis());
+                options.retryWindow().toMillis(),
+                clock.instant().toEpochMilli(),
+                now -> 1);
     }
 
     /** Creates the core of one router run. */
--- a/core/src/test/java/org/tanagerhinge/core/relay/RetryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RetryTest.java
@@ -46,9 +46,7 @@
         double slack = 50;
         List<RetryBudget> nodes = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            RetryBudget budget = RetryBudget.of(ratio, slack, 10_000);
-            budget.nodeCount(4);
-            nodes.add(budget);
+            nodes.add(RetryBudget.of(ratio, slack, 10_000, 0, now -> 4));
         }
         List<Long> retryTimes = new ArrayList<>();
         List<Long> requestTimes = new ArrayList<>();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.ConnectionShedding;
+import org.tanagerhinge.core.relay.FleetSize;
 import org.tanagerhinge.core.relay.Mechanism;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.PlacementRequest;
@@ -67,6 +68,7 @@
     private final BackendConnectionPool pool;
     private final ServerDirectory directory = ServerDirectory.create();
     private final PlacementPolicy placement;
+    private final FleetSize fleetSize;
     private final RetryBudget budget;
     private final StoreEra storeEra = StoreEra.create();
     private final AdmissionPolicy admission;
@@ -103,8 +105,14 @@
         this.admission = AdmissionPolicy.without(options.disabledMechanisms());
         this.pool = new BackendConnectionPool(loop, dialect, this::nowMillis, this::count, this::responseReceived);
         GatewayOptions.Bounds bounds = options.bounds();
+        this.fleetSize = FleetSize.of(
+                PeerCodec.text(options.peerAddress()), StoreSynchronizer.LEASE_TTL.toMillis(), nowMillis());
         this.budget = RetryBudget.of(
-                bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindow().toMillis());
+                bounds.retryRatio(),
+                bounds.retrySlack(),
+                bounds.retryWindow().toMillis(),
+                options.firstStart() ? nowMillis() - bounds.retryWindow().toMillis() : nowMillis(),
+                fleetSize::count);
     }
 
     /** Creates a gateway without a configuration and server list. */
@@ -144,6 +152,10 @@
         return budget;
     }
 
+    FleetSize fleetSize() {
+        return fleetSize;
+    }
+
     AdmissionPolicy admission() {
         return admission;
     }
@@ -254,7 +266,7 @@
     /** Applies changed bounds. */
     void updateBounds(GatewayOptions.Bounds newer) {
         budget.setLimits(
-                newer.retryRatio(), newer.retrySlack(), newer.retryWindow().toMillis());
+                newer.retryRatio(), newer.retrySlack(), newer.retryWindow().toMillis(), nowMillis());
     }
 
     /** Returns the active configuration, if there is one yet. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -138,7 +138,7 @@
         metrics.registerGauge(
                 "retry_budget_nodes",
                 "Nodes among which the fixed part of the retry budget is divided",
-                budget::nodeCount);
+                () -> budget.nodeCount(gateway.nowMillis()));
         metrics.registerGauge("log_lines_dropped", "Log lines dropped since startup", LogSetup::dropped);
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -17,6 +17,7 @@
  * @param metricsAddress additional address for metrics, for platforms that scrape one port on all hosts
  * @param peerAddress address for peer gateways: state reports over UDP, requests over TCP
  * @param bounds the platform's limits
+ * @param firstStart whether all nodes start for the first time, so that none has spent any of the retry budget
  * @param duties settings of duties, if the platform uses any
  * @param disabledMechanisms mechanisms that an experiment or the settings disable
  */
@@ -28,6 +29,7 @@
         Optional<InetSocketAddress> metricsAddress,
         InetSocketAddress peerAddress,
         Bounds bounds,
+        boolean firstStart,
         Optional<DutyOptions> duties,
         Set<Mechanism> disabledMechanisms) {
     /** Returns these options without a retry budget, the baseline that the product is compared with. */
@@ -41,6 +43,7 @@
                 metricsAddress,
                 peerAddress,
                 none,
+                firstStart,
                 duties,
                 disabledMechanisms);
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -311,7 +311,7 @@
         addPeerAddress(report.address());
         gateway.storeEra().observeFromPeer(report.storeEra(), "peer " + report.name());
         dutyListener.accept(report.name(), message.dutyStatus());
-        gateway.budget().nodeCount(table.nodeCount());
+        gateway.fleetSize().heard(report.address(), nowMillis);
         for (PeerCodec.CachedPrefix parts : message.cachedPrefixes()) {
             gateway.promptSentByPeer(parts.instanceId(), parts.parts());
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -198,7 +198,7 @@
                 .with(LogField.SERVICE, service)
                 .with(LogField.RETRIES, usage.retries())
                 .with(LogField.RETRIES_LEFT, (long) usage.retriesLeft())
-                .with(LogField.NODES, gateway.budget().nodeCount());
+                .with(LogField.NODES, gateway.budget().nodeCount(gateway.nowMillis()));
     }
 
     void abandoned() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -66,7 +66,8 @@
     /** Time for which the store keeps a software version that serves beside others. */
     private static final Duration SOFTWARE_TTL = Duration.ofMillis(3 * SoftwareVersions.RETENTION_MILLIS);
 
-    private static final Duration LEASE_TTL = Duration.ofSeconds(12);
+    /** Time for which the store lists a gateway that does not renew its lease. */
+    static final Duration LEASE_TTL = Duration.ofSeconds(12);
     /** Renewal interval of the lease; a few renewals may fail before it expires. */
     private static final int KEEP_ALIVE_MILLIS = 3_000;
 
@@ -309,11 +310,13 @@
     }
 
     private void register() {
+        long sentAtMillis = gateway.nowMillis();
         store.registerGateway(gateway.options().name(), peers.address(), LEASE_TTL, guarded(this::register, reply -> {
             if (reply instanceof MetadataStore.Success<Long> success) {
                 markReachable();
                 leaseId = success.value();
                 leaseEra = gateway.storeEra().current();
+                gateway.fleetSize().leaseRenewed(sentAtMillis);
                 readGateways();
                 schedule(this::keepLeaseAlive, KEEP_ALIVE_MILLIS);
             } else {
@@ -328,11 +331,15 @@
             register();
             return;
         }
+        long sentAtMillis = gateway.nowMillis();
         store.keepAlive(leaseId, guarded(this::keepLeaseAlive, reply -> {
             if (reply instanceof MetadataStore.Success<Boolean> success) {
                 markReachable();
                 if (success.value() && leaseEra == gateway.storeEra().current()) {
-                    if (!peers.table().anyPresent(gateway.nowMillis())) {
+                    long nowMillis = gateway.nowMillis();
+                    gateway.fleetSize().leaseRenewed(sentAtMillis);
+                    if (!peers.table().anyPresent(nowMillis)
+                            || gateway.fleetSize().listingDue(nowMillis)) {
                         readGateways();
                     }
                     schedule(this::keepLeaseAlive, KEEP_ALIVE_MILLIS);
@@ -457,6 +464,7 @@
         store.listGateways(reply -> {
             if (reply instanceof MetadataStore.Success<List<String>> success) {
                 markReachable();
+                gateway.fleetSize().listed(Set.copyOf(success.value()), gateway.nowMillis());
                 peers.addresses(success.value());
             }
         });
--- a/harness/src/main/java/org/tanagerhinge/bench/retry/ArrivalRecord.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/retry/ArrivalRecord.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 
 /**
- * Records what arrives at a service, and finds the window that exceeds the budget of retries by most.
+ * Records what arrives at a service, and finds the window that uses most of the budget of retries.
  *
  * <p>In any window, the arrivals beyond the first of each request are limited to a ratio of the requests that callers sent
  * and a fixed slack. The requests are those of that window, of the one before or of the one half a window before, whichever
@@ -65,6 +65,11 @@
      * @param allowed largest number of such arrivals
      */
     public record Window(long fromMillis, long retries, long requests, double allowed) {
+        /** Returns the share of what is allowed that is used. */
+        double used() {
+            return retries == 0 ? 0 : retries / allowed;
+        }
+
         /** Returns whether the budget is exceeded. */
         public boolean exceeded() {
             return retries > allowed;
@@ -77,7 +82,7 @@
         }
     }
 
-    /** Returns the window that exceeds the budget by most, or that comes closest to it. */
+    /** Returns the window that uses the largest share of what is allowed. */
     public synchronized Window worst() {
         long[] requestSums = sums(requests);
         long[] retrySums = sums(retries);
@@ -93,7 +98,7 @@
                     between(retrySums, from, from + windowSlots),
                     counted,
                     ratio * counted + slack);
-            if (worst == null || window.retries() - window.allowed() > worst.retries() - worst.allowed()) {
+            if (worst == null || window.used() > worst.used()) {
                 worst = window;
             }
         }
--- a/harness/src/main/java/org/tanagerhinge/bench/retry/FleetSimulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/retry/FleetSimulation.java
@@ -281,8 +281,6 @@
         private final Machine machine;
         private final RetryNode node;
         private final Set<String> addresses = new HashSet<>();
-        private final long incarnation = nextEvent;
-        private long sequence;
 
         Process(Machine machine) {
             this.machine = machine;
@@ -350,14 +348,12 @@
         }
 
         private void report() {
-            node.tick(nowMillis);
             send();
             after(REPORT_MILLIS, () -> receive(this::report));
         }
 
         private void send() {
-            sequence++;
-            RetryNode.Report sent = node.report(incarnation, sequence, nowMillis);
+            RetryNode.Report sent = node.report();
             for (Machine to : machines) {
                 if (addresses.contains(to.address) && machine.reaches(to) && random.nextDouble() >= LOST_REPORTS) {
                     after(1 + random.nextInt(20), () -> deliver(sent, to));
--- a/harness/src/main/java/org/tanagerhinge/bench/retry/RetrySoak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/retry/RetrySoak.java
@@ -17,7 +17,7 @@
      * @param retriesMade retries that the budget allowed
      * @param calmRetriesWanted of the wanted retries, those without a fault in the window before
      * @param calmRetriesMade of the retries made, those without a fault in the window before
-     * @param worst window that comes closest to its bound, or exceeds it by most
+     * @param worst window that uses the largest share of what is allowed
      */
     public record Result(
             long seed,
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -35,6 +35,8 @@
     private final List<ServerStandin> servers = new ArrayList<>();
     private final List<GatewayDaemon> gateways = new ArrayList<>();
     private final Map<GatewayDaemon, InetSocketAddress> peerAddresses = new HashMap<>();
+    /** Whether a gateway has ended, so that those started later aren't part of the fleet's first start. */
+    private boolean anyStopped;
 
     /** Starts a server and registers it. */
     ServerStandin server(String id, String service, ServerStandin.ResponseScript script) {
@@ -95,6 +97,7 @@
                 Optional.empty(),
                 FreePorts.address(),
                 new GatewayOptions.Bounds(Duration.ofSeconds(8), RETRY_RATIO, RETRY_SLACK, Duration.ofSeconds(10)),
+                !anyStopped,
                 dutyOptions,
                 Set.of());
         GatewayDaemon gateway = PlatformGateway.start(
@@ -111,6 +114,7 @@
 
     /** Ends a gateway. */
     void stop(GatewayDaemon gateway) {
+        anyStopped = true;
         gateways.remove(gateway);
         gateway.close();
     }
