--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -96,7 +96,7 @@
                 options.retrySlack(),
                 options.retryWindow().toMillis(),
                 clock.instant().toEpochMilli(),
-                now -> 1);
+                nowMillis -> options.routers());
     }
 
     /** Creates the core of one router run. */
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
@@ -8,8 +8,9 @@
  * Holds the limits and timeouts of a router.
  *
  * @param maxLinksPerTarget maximum number of agents of one model or service that this router connects to
+ * @param routers approximate number of routers, among which the retry slack is divided
  * @param retryRatio retries allowed per request of a profile in the retry window
- * @param retrySlack retries of a profile allowed in the window in addition
+ * @param retrySlack retries of a profile allowed in the window in addition, of all routers together
  * @param retryWindow length of the sliding window in which retries are counted
  * @param maxNotRunRetries maximum number of times a request that agents return as not run is sent to another agent
  * @param claimTimeout how long a keyed request waits for the platform's store
@@ -25,6 +26,7 @@
 public record RouterOptions(
         FailureDomain failureDomain,
         int maxLinksPerTarget,
+        int routers,
         double retryRatio,
         int retrySlack,
         Duration retryWindow,
@@ -52,6 +54,7 @@
         return new RouterOptions(
                 failureDomain,
                 24,
+                2,
                 0.2,
                 20,
                 Duration.ofSeconds(10),
@@ -71,6 +74,7 @@
         return new RouterOptions(
                 failureDomain,
                 maxLinksPerTarget,
+                routers,
                 retryRatio,
                 retrySlack,
                 retryWindow,
@@ -85,11 +89,32 @@
                 next);
     }
 
+    /** Returns these options with another number of routers. */
+    public RouterOptions withRouters(int next) {
+        return new RouterOptions(
+                failureDomain,
+                maxLinksPerTarget,
+                next,
+                retryRatio,
+                retrySlack,
+                retryWindow,
+                maxNotRunRetries,
+                claimTimeout,
+                uncertainTimeout,
+                stallTimeout,
+                firstOutputTimeout,
+                deadlineGrace,
+                heartbeatInterval,
+                maxExchanges,
+                policy);
+    }
+
     /** Returns these options with another maximum of links per target. */
     public RouterOptions withMaxLinksPerTarget(int next) {
         return new RouterOptions(
                 failureDomain,
                 next,
+                routers,
                 retryRatio,
                 retrySlack,
                 retryWindow,
@@ -109,6 +134,7 @@
         return new RouterOptions(
                 failureDomain,
                 maxLinksPerTarget,
+                routers,
                 retryRatio,
                 retrySlack,
                 retryWindow,
--- a/router/src/main/java/org/tanagerhinge/router/RouterSettings.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterSettings.java
@@ -31,7 +31,7 @@
             1,
             100_000,
             2,
-            "approximate number of routers, from which the polling interval follows");
+            "approximate number of routers, from which the polling interval and each one's part of the retry slack follow");
     static final Setting<SharedSecret> SECRET = new Setting<>(
             "security",
             "shared_secret",
@@ -72,6 +72,7 @@
 
     static RouterOptions options(Settings settings) {
         return RouterOptions.defaults(settings.value(DOMAIN))
+                .withRouters(settings.value(EXPECTED_ROUTERS))
                 .withMaxLinksPerTarget(settings.value(MAX_LINKS_PER_TARGET))
                 .withMaxExchanges(settings.value(MAX_REQUESTS));
     }
