--- a/core/src/main/java/org/tanagerhinge/core/attempt/PastRequestAllowance.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PastRequestAllowance.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 
 /**
- * Limits the retries of any window to a ratio of this node's requests in the window before.
+ * Limits the retries of any window to a ratio of this node's requests in the window that begins half a window earlier.
  *
  * <p>All nodes compare the same two windows, so the sum of their retries is limited by the sum of their requests, also if
  * callers move from one node to another. A node without requests in its past allows nothing.
