--- a/core/src/test/java/org/tanagerhinge/core/attempt/RetryBudgetTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/RetryBudgetTest.java
@@ -34,9 +34,8 @@
 
     /** Guards against a budget that is spent once more by each life of a process. */
     @ParameterizedTest
-    @CsvSource({"1, 1", "4, 1", "1, 5", "4, 10"})
-    void processesThatEndAndStartAgainSpendOneBudgetTogether(int nodes, int restarts) {
-        int requestCount = 400;
+    @CsvSource({"1, 1, 400", "4, 1, 400", "1, 5, 400", "4, 10, 400", "26, 3, 1200", "410, 2, 93000"})
+    void processesThatEndAndStartAgainSpendOneBudgetTogether(int nodes, int restarts, int requestCount) {
         int taken = 0;
         for (int node = 0; node < nodes; node++) {
             for (int life = 0; life <= restarts; life++) {
