--- a/harness/src/main/java/org/tanagerhinge/bench/retry/FleetSimulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/retry/FleetSimulation.java
@@ -353,19 +353,18 @@
         }
 
         private void send() {
-            RetryNode.Report sent = node.report();
             for (Machine to : machines) {
                 if (addresses.contains(to.address) && machine.reaches(to) && random.nextDouble() >= LOST_REPORTS) {
-                    after(1 + random.nextInt(20), () -> deliver(sent, to));
+                    after(1 + random.nextInt(20), () -> deliver(to));
                 }
             }
         }
 
-        private void deliver(RetryNode.Report sent, Machine to) {
+        private void deliver(Machine to) {
             if (to.process != null) {
                 to.process.receive(() -> {
-                    to.process.addresses.add(sent.address());
-                    to.process.node.heard(sent, nowMillis);
+                    to.process.addresses.add(machine.address);
+                    to.process.node.heard(machine.address, nowMillis);
                 });
             }
         }
--- a/harness/src/main/java/org/tanagerhinge/bench/retry/RetryNode.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/retry/RetryNode.java
@@ -6,12 +6,10 @@
 
 /** The part of a gateway that spends the shared retry budget, wired as the gateway wires it. */
 final class RetryNode {
-    private final String address;
     private final RetryBudget budget;
     private final FleetSize fleetSize;
 
     private RetryNode(String address, double slack, long nowMillis) {
-        this.address = address;
         this.fleetSize = FleetSize.of(address, FleetSimulation.LEASE_MILLIS, nowMillis);
         this.budget = RetryBudget.of(
                 FleetSimulation.RATIO, slack, FleetSimulation.WINDOW_MILLIS, nowMillis, fleetSize::count);
@@ -22,15 +20,9 @@
         return new RetryNode(address, slack, nowMillis);
     }
 
-    /** What a node tells its peers. */
-    record Report(String address) {}
-
-    Report report() {
-        return new Report(address);
-    }
-
-    void heard(Report report, long nowMillis) {
-        fleetSize.heard(report.address(), nowMillis);
+    /** Receives a report of a peer. */
+    void heard(String peerAddress, long nowMillis) {
+        fleetSize.heard(peerAddress, nowMillis);
     }
 
     void leaseRenewed(long sentAtMillis) {
