--- a/harness/src/main/java/org/tanagerhinge/bench/retry/FleetSimulation.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/retry/FleetSimulation.java
@@ -16,7 +16,7 @@
 final class FleetSimulation {
     static final double RATIO = 0.2;
     static final long WINDOW_MILLIS = 10_000;
-    static final long REPORT_MILLIS = 250;
+    private static final long REPORT_MILLIS = 250;
     static final long LEASE_MILLIS = 12_000;
     static final String SERVICE = "service";
 
@@ -37,7 +37,7 @@
     private final double slack;
     private final double requestsPerSecond;
     private final boolean quiet;
-    private final List<Machine> machines = new ArrayList<>();
+    private final List<Host> hosts = new ArrayList<>();
     private final Map<String, Long> registrations = new HashMap<>();
     private long nowMillis;
     private long nextEvent;
@@ -69,13 +69,13 @@
         this.quiet = random.nextInt(6) == 0;
         this.record = ArrivalRecord.of(RATIO, slack, WINDOW_MILLIS, LEAD_MILLIS + DURATION_MILLIS);
         for (int i = 0; i < count; i++) {
-            machines.add(new Machine("10.0.0." + nextAddress++));
+            hosts.add(new Host("10.0.0." + nextAddress++));
         }
     }
 
     RetrySoak.Result run() {
-        for (Machine machine : List.copyOf(machines)) {
-            after(random.nextInt(300), machine::start);
+        for (Host host : List.copyOf(hosts)) {
+            after(random.nextInt(300), host::start);
         }
         nextFaultMillis = LEAD_MILLIS + 3_000;
         while (nowMillis < LEAD_MILLIS + DURATION_MILLIS) {
@@ -112,7 +112,7 @@
         }
         if (nowMillis >= trafficMovesMillis) {
             trafficMovesMillis = nowMillis + 2_000 + random.nextInt(13_000);
-            machines.forEach(machine -> machine.weight = Math.exp(3 * random.nextDouble()));
+            hosts.forEach(host -> host.weight = Math.exp(3 * random.nextDouble()));
         }
         if (!quiet && nowMillis >= nextFaultMillis) {
             nextFaultMillis = nowMillis + 300 + random.nextInt(random.nextInt(4) == 0 ? 12_000 : 2_500);
@@ -131,15 +131,14 @@
     }
 
     private Process anyProcess() {
-        List<Machine> running =
-                machines.stream().filter(machine -> machine.process != null).toList();
+        List<Host> running = hosts.stream().filter(host -> host.process != null).toList();
         maxNodes = Math.max(maxNodes, running.size());
-        double total = running.stream().mapToDouble(machine -> machine.weight).sum();
+        double total = running.stream().mapToDouble(host -> host.weight).sum();
         double point = total * random.nextDouble();
-        for (Machine machine : running) {
-            point -= machine.weight;
+        for (Host host : running) {
+            point -= host.weight;
             if (point < 0) {
-                return machine.process;
+                return host.process;
             }
         }
         return null;
@@ -175,68 +174,68 @@
 
     // ---- faults
 
-    private Machine anyMachine() {
-        return machines.get(random.nextInt(machines.size()));
+    private Host anyHost() {
+        return hosts.get(random.nextInt(hosts.size()));
     }
 
-    private List<Machine> someMachines() {
+    private List<Host> someHosts() {
         return switch (random.nextInt(4)) {
-            case 0 -> List.copyOf(machines);
-            case 1 -> List.of(anyMachine());
-            default -> machines.stream().filter(machine -> random.nextBoolean()).toList();
+            case 0 -> List.copyOf(hosts);
+            case 1 -> List.of(anyHost());
+            default -> hosts.stream().filter(host -> random.nextBoolean()).toList();
         };
     }
 
     private void disturb() {
         switch (random.nextInt(9)) {
-            case 0, 1, 2 -> someMachines().forEach(Machine::restart);
-            case 3 -> replace(anyMachine());
-            case 4 -> join(1 + random.nextInt(machines.size()));
-            case 5 -> cut(someMachines(), true, false);
-            case 6 -> cut(someMachines(), random.nextBoolean(), true);
+            case 0, 1, 2 -> someHosts().forEach(Host::restart);
+            case 3 -> replace(anyHost());
+            case 4 -> join(1 + random.nextInt(hosts.size()));
+            case 5 -> cut(someHosts(), true, false);
+            case 6 -> cut(someHosts(), random.nextBoolean(), true);
             case 7 -> storeDownUntilMillis = nowMillis + 1_000 + random.nextInt(20_000);
             default -> {
                 long untilMillis = nowMillis + 500 + random.nextInt(3_000);
-                someMachines().forEach(machine -> machine.frozenUntilMillis = untilMillis);
+                someHosts().forEach(host -> host.frozenUntilMillis = untilMillis);
             }
         }
     }
 
-    private void replace(Machine machine) {
-        machine.stop();
-        if (machines.size() > 1) {
-            machines.remove(machine);
+    private void replace(Host host) {
+        host.stop();
+        if (hosts.size() > 1) {
+            hosts.remove(host);
         }
         after(1_000 + random.nextInt(3_000), () -> join(1));
     }
 
     private void join(int count) {
-        for (int i = 0; i < count && machines.size() < 60; i++) {
-            Machine added = new Machine("10.0.0." + nextAddress++);
-            machines.add(added);
+        for (int i = 0; i < count && hosts.size() < 60; i++) {
+            Host added = new Host("10.0.0." + nextAddress++);
+            hosts.add(added);
             added.start();
         }
     }
 
-    /** Cuts machines off from the others, from the store, or from both. */
-    private void cut(List<Machine> cutOff, boolean fromPeers, boolean fromStore) {
+    /** Cuts hosts off from the others, from the store, or from both. */
+    private void cut(List<Host> cutOff, boolean fromPeers, boolean fromStore) {
         long untilMillis = nowMillis + 500 + random.nextInt(random.nextBoolean() ? 6_000 : 45_000);
         int side = faults;
-        for (Machine machine : cutOff) {
+        for (Host host : cutOff) {
             if (fromPeers) {
-                machine.cutUntilMillis = untilMillis;
-                machine.side = side;
+                host.cutUntilMillis = untilMillis;
+                host.side = side;
             }
             if (fromStore) {
-                machine.storeCutUntilMillis = untilMillis;
+                host.storeCutUntilMillis = untilMillis;
             }
         }
     }
 
-    // ---- machines
+    // ---- hosts
 
     /** A host, on which one process runs at a time. */
-    private final class Machine {
+    private final class Host {
         private final String address;
         private double weight = 1;
         private Process process;
@@ -245,12 +244,12 @@
         private long storeCutUntilMillis;
         private int side;
 
-        Machine(String address) {
+        Host(String address) {
             this.address = address;
         }
 
         void start() {
-            if (process == null && machines.contains(this)) {
+            if (process == null && hosts.contains(this)) {
                 process = new Process(this);
                 process.start();
             }
@@ -269,7 +268,7 @@
             return nowMillis >= storeDownUntilMillis && nowMillis >= storeCutUntilMillis;
         }
 
-        boolean reaches(Machine other) {
+        boolean reaches(Host other) {
             int from = nowMillis < cutUntilMillis ? side : 0;
             int to = nowMillis < other.cutUntilMillis ? other.side : 0;
             return from == to;
@@ -278,13 +277,13 @@
 
     /** One life of a gateway. */
     private final class Process {
-        private final Machine machine;
+        private final Host host;
         private final RetryNode node;
         private final Set<String> addresses = new HashSet<>();
 
-        Process(Machine machine) {
-            this.machine = machine;
-            this.node = RetryNode.started(machine.address, slack, nowMillis);
+        Process(Host host) {
+            this.host = host;
+            this.node = RetryNode.started(host.address, slack, nowMillis);
         }
 
         void start() {
@@ -293,16 +292,16 @@
         }
 
         private boolean alive() {
-            return machine.process == this;
+            return host.process == this;
         }
 
-        /** Runs an action if the process lives, once its machine isn't frozen any more. */
+        /** Runs an action if the process lives, once its host isn't frozen any more. */
         void receive(Runnable action) {
             if (!alive()) {
                 return;
             }
-            if (nowMillis < machine.frozenUntilMillis) {
-                after(machine.frozenUntilMillis - nowMillis, () -> receive(action));
+            if (nowMillis < host.frozenUntilMillis) {
+                after(host.frozenUntilMillis - nowMillis, () -> receive(action));
             } else {
                 action.run();
             }
@@ -313,8 +312,8 @@
             after(
                     5 + random.nextInt(100),
                     () -> receive(() -> {
-                        if (machine.reachesStore()) {
-                            registrations.put(machine.address, nowMillis + LEASE_MILLIS);
+                        if (host.reachesStore()) {
+                            registrations.put(host.address, nowMillis + LEASE_MILLIS);
                             node.leaseRenewed(sentAtMillis);
                             list();
                             after(3_000, () -> receive(this::keepAlive));
@@ -325,12 +324,12 @@
         }
 
         private void keepAlive() {
-            if (!machine.reachesStore()) {
+            if (!host.reachesStore()) {
                 after(1_000, () -> receive(this::keepAlive));
-            } else if (registrations.getOrDefault(machine.address, 0L) < nowMillis) {
+            } else if (registrations.getOrDefault(host.address, 0L) < nowMillis) {
                 register();
             } else {
-                registrations.put(machine.address, nowMillis + LEASE_MILLIS);
+                registrations.put(host.address, nowMillis + LEASE_MILLIS);
                 node.leaseRenewed(nowMillis);
                 if (node.listingDue(nowMillis)) {
                     list();
@@ -342,7 +341,7 @@
         private void list() {
             registrations.values().removeIf(expiresAtMillis -> expiresAtMillis < nowMillis);
             addresses.addAll(registrations.keySet());
-            addresses.remove(machine.address);
+            addresses.remove(host.address);
             node.listed(registrations.keySet(), nowMillis);
             send();
         }
@@ -353,18 +352,18 @@
         }
 
         private void send() {
-            for (Machine to : machines) {
-                if (addresses.contains(to.address) && machine.reaches(to) && random.nextDouble() >= LOST_REPORTS) {
+            for (Host to : hosts) {
+                if (addresses.contains(to.address) && host.reaches(to) && random.nextDouble() >= LOST_REPORTS) {
                     after(1 + random.nextInt(20), () -> deliver(to));
                 }
             }
         }
 
-        private void deliver(Machine to) {
+        private void deliver(Host to) {
             if (to.process != null) {
                 to.process.receive(() -> {
-                    to.process.addresses.add(machine.address);
-                    to.process.node.heard(machine.address, nowMillis);
+                    to.process.addresses.add(host.address);
+                    to.process.node.heard(host.address, nowMillis);
                 });
             }
         }
