Outcomes of requests by rank, unread requests and the reason of 2008 in lines and metrics

The record of the incident of urgent requests that got nothing can't tell its hypotheses apart: a request whose connection closes before it is read leaves no line, a refusal for want of a server (2008) says nothing of why, and no line or metric compares the ranks. Added: the line unread with the request's id, the reason of 2008 (last failure, servers tried, listed and usable), counters by kind, rank and outcome, and once a second rank_short for a rank that lost over a twelfth of its requests in five seconds while less urgent ones began. No decision changes.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -80,6 +80,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (closing || !(message instanceof HttpObject object)) {
+            logUnread(message, "its connection is being closed");
             ReferenceCountUtil.release(message);
             return;
         }
@@ -322,6 +323,9 @@
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
         gateway.callerDisconnected(this);
+        if (head != null) {
+            logUnread(head, "its connection was closed before its body was complete");
+        }
         releaseRequest();
         dropPipelined();
         if (exchange != null) {
@@ -339,7 +343,16 @@
         }
     }
 
+    private void logUnread(Object message, String why) {
+        if (message instanceof HttpRequest request) {
+            RequestTelemetry.of(
+                            gateway, gateway.dialect().callerMetadata(request).attemptId(), gateway.nowMillis())
+                    .unread(why);
+        }
+    }
+
     private void dropPipelined() {
+        pipelined.forEach(object -> logUnread(object, "its connection was closed before its turn"));
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -77,6 +77,7 @@
     private final CrashDetector crashDetector = new CrashDetector(this);
     private final StreamTracker streams = StreamTracker.of(this);
     private final ConnectionShedding shedding = ConnectionShedding.create();
+    private final OutcomeTelemetry outcomes = new OutcomeTelemetry(this);
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private Optional<RelayConfig> config = Optional.empty();
@@ -206,6 +207,10 @@
         return streams;
     }
 
+    OutcomeTelemetry outcomes() {
+        return outcomes;
+    }
+
     CrashDetector crashDetector() {
         return crashDetector;
     }
@@ -635,6 +640,7 @@
         Set.copyOf(callers).forEach(caller -> caller.sweep(nowMillis));
         pool.sweep(server -> serverAnnouncements.isLeaving(server.instanceId(), nowMillis));
         crashQuarantine.sweep();
+        outcomes.sweep();
         serverAnnouncements.removeExpired(nowMillis);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -337,7 +337,7 @@
     private void noteFirstOutput() {
         if (!streaming) {
             streaming = true;
-            exchange.markExecutionStarted();
+            exchange.outputBegan();
             server.recordStreamStart();
             gateway.admission().rankGate().recordSettled(firstOutputWait);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -236,6 +236,7 @@
                     "no server of the stream's software version available for another attempt",
                     Refusal.notExecuted(ResultCode.NO_SERVER_OF_VERSION, retryAfterMillis()));
         } else {
+            telemetry.withoutServer("no server available for another attempt", service);
             endWithoutResponse(
                     "no server available for another attempt",
                     Refusal.notExecuted(ResultCode.NO_SERVER, retryAfterMillis()));
@@ -418,6 +419,7 @@
             startAttempt();
             return;
         }
+        telemetry.withoutServer(reason, service);
         endWithoutResponse(reason, Refusal.notExecuted(ResultCode.NO_SERVER, retryAfterMillis()));
     }
 
@@ -455,6 +457,12 @@
         }
     }
 
+    /** Records the first output of a server. */
+    void outputBegan() {
+        markExecutionStarted();
+        telemetry.outputBegan();
+    }
+
     /** Records that a server has probably started to execute the request: it responded, or its connection broke. */
     void markExecutionStarted() {
         if (!executionStarted) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -25,11 +25,16 @@
 /** Records the log lines and metrics of one request: each decision, its inputs, and the outcome. */
 final class RequestTelemetry {
     private static final int MAX_LOGGED_PARTS = 32;
+    private static final int MIN_SERVER_ERROR_STATUS = 500;
 
     private final Gateway gateway;
     private final String id;
     private final long arrivedAtMillis;
     private Optional<Route> route = Optional.empty();
+    /** Service among whose requests this one is counted; empty before it is known. */
+    private String service = "";
+
+    private boolean begun;
     private int attempts;
     private String server = "";
     private String reason = "";
@@ -50,12 +55,14 @@
         return LogLine.of(event, failure).with(LogField.ID, id);
     }
 
-    void routed(Route found, Optional<WorkspaceConfig> workspace, String service, int rank, long remainingMillis) {
+    void routed(Route found, Optional<WorkspaceConfig> workspace, String foundService, int rank, long remainingMillis) {
         route = Optional.of(found);
+        service = foundService;
+        gateway.outcomes().asked(service, found.priority(), label(found));
         logLine(LogEvent.ROUTED, false)
                 .with(LogField.ROUTE, found.name())
                 .with(LogField.WORKSPACE, workspace.map(WorkspaceConfig::name).orElse(""))
-                .with(LogField.SERVICE, service)
+                .with(LogField.SERVICE, foundService)
                 .with(LogField.CONFIG, gateway.configVersion())
                 .with(
                         LogField.SERVERS_AGE_MS,
@@ -154,6 +161,20 @@
         }
     }
 
+    /** Counts the first output of the answer. */
+    void outputBegan() {
+        if (!begun) {
+            begun = true;
+            route.ifPresent(found -> gateway.outcomes().begun(service, found.priority(), label(found)));
+        }
+    }
+
+    private void lost(String cause) {
+        if (!service.isEmpty()) {
+            route.ifPresent(found -> gateway.outcomes().lost(service, found.priority(), label(found), cause));
+        }
+    }
+
     /** Logs a failed attempt; {@code suspect} is present if its connection broke. */
     void attemptFailed(
             AttemptFailure failure,
@@ -231,7 +252,25 @@
         reason = quarantineReason;
     }
 
+    /** Notes that no further server may be tried, and what became of those that were. */
+    void withoutServer(String lastFailure, String triedService) {
+        long nowMillis = gateway.nowMillis();
+        List<ServerInstance> servers = gateway.directory().available(triedService);
+        long usable = servers.stream()
+                .filter(known -> known.health().usable(nowMillis))
+                .count();
+        reason = lastFailure + "; " + attempts + " servers tried, " + usable + " of " + servers.size()
+                + " listed ones are usable";
+    }
+
+    /** Logs a request that was dropped with its connection before it was read completely. */
+    void unread(String why) {
+        gateway.count("request_unread");
+        logLine(LogEvent.UNREAD, true).with(LogField.WHY, why).write();
+    }
+
     void refused(Refusal refusal) {
+        lost(refusal.code().label());
         LogLine line = logLine(LogEvent.REFUSED, true)
                 .with(LogField.ROUTE, route.map(Route::name).orElse(""))
                 .with(LogField.SERVER, server)
@@ -251,11 +290,13 @@
 
     void truncated(String reason, ResponseProgress progress) {
         gateway.count("answer_cut");
+        lost("answer_cut");
         finalLine(LogEvent.CUT, true, progress).with(LogField.WHY, reason).write();
     }
 
     void callerDisconnected(ResponseProgress progress) {
         gateway.count("caller_gone");
+        lost("caller_gone");
         finalLine(LogEvent.CALLER_GONE, true, progress).write();
     }
 
@@ -263,6 +304,12 @@
     void completed(int status, ResponseProgress progress) {
         long nowMillis = gateway.nowMillis();
         boolean late = missedTarget(nowMillis, progress);
+        if (status >= MIN_SERVER_ERROR_STATUS) {
+            lost("server_error");
+        } else {
+            outputBegan();
+            route.ifPresent(found -> gateway.outcomes().served(service, found.priority(), label(found)));
+        }
         finalLine(LogEvent.ENDED, late || status >= 400, progress)
                 .with(LogField.STATUS, status)
                 .with(LogField.LATE, late)
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -16,6 +16,7 @@
     REFUSED(Subject.REQUEST),
     CUT(Subject.REQUEST),
     CALLER_GONE(Subject.REQUEST),
+    UNREAD(Subject.REQUEST),
     ENDED(Subject.REQUEST),
 
     SERVER_SEEN(Subject.BELIEF),
@@ -30,6 +31,7 @@
     SUSPICION_CLEARED(Subject.BELIEF),
     REQUEST_HELD(Subject.BELIEF),
     PART_HELD(Subject.BELIEF),
+    RANK_SHORT(Subject.BELIEF),
     ENTRY_UNREADABLE(Subject.BELIEF),
     CONFIGURATION(Subject.BELIEF),
     STORE_LOST(Subject.BELIEF),
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -33,6 +33,16 @@
     RANK,
     /** Active ranks of workspaces and of each service's routes, from which levels are computed. */
     RANKS,
+    /** Requests of a rank at a service that arrived in the last seconds. */
+    ASKED,
+    /** Of the requests of a rank, those with a first output. */
+    BEGUN,
+    /** Of the requests of a rank, those with a whole answer. */
+    SERVED,
+    /** Requests of a rank without a whole answer, by cause. */
+    LOST,
+    /** Requests of less urgent ranks of the service with a first output. */
+    LESS_URGENT_BEGUN,
     /** Priority level that was sent to the server; 0 is the most urgent. */
     LEVEL,
     /** Time left until the request's deadline. */
--- a/node/src/main/java/org/tanagerhinge/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tanagerhinge/node/metrics/NodeMetrics.java
@@ -36,6 +36,11 @@
             .help("Ended requests by profile and result code")
             .labelNames("profile", "code")
             .register(registry);
+    private final Counter outcomes = Counter.builder()
+            .name("tanagerhinge_request_outcomes_total")
+            .help("Requests by profile: asked, begun (first output), served (whole answer), or the cause of their loss")
+            .labelNames("profile", "outcome")
+            .register(registry);
     private final Counter invariantChecks = Counter.builder()
             .name("tanagerhinge_invariant_checks_total")
             .help("Checks of invariants; investigate any violation")
@@ -84,6 +89,11 @@
         results.labelValues(profile, Integer.toString(code)).inc();
     }
 
+    /** Counts a request by profile and outcome. */
+    public void countOutcome(String profile, String outcome) {
+        outcomes.labelValues(profile, outcome).inc();
+    }
+
     /** Observes the times of a complete answer; zero times are skipped. */
     public void observeAnswer(String profile, Duration timeToFirstOutput, Duration meanTokenGap, Duration totalTime) {
         observe(firstOutput, profile, timeToFirstOutput);
