--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/EngineModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/EngineModel.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.tanagerhinge.core.relay.PromptPart;
 
 /**
@@ -83,6 +84,13 @@
         return true;
     }
 
+    /** Returns the requests of a gateway, queued or running. */
+    List<ModelCall> callsOf(ModelGateway gateway) {
+        return Stream.concat(running.stream(), queue.stream())
+                .filter(call -> call.gateway == gateway)
+                .toList();
+    }
+
     /** Removes a request whose caller has disconnected. */
     void remove(ModelCall call) {
         if (queue.remove(call)) {
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetModel.java
@@ -175,6 +175,9 @@
         for (FleetScenario.Outage outage : scenario.outages()) {
             scheduleAt(outage.fromSeconds() * 1000, () -> crashEngines(outage));
         }
+        for (FleetScenario.GatewayRestart restart : scenario.restarts()) {
+            scheduleAt(restart.atSeconds() * 1000, () -> restartGateway(restart.gateway()));
+        }
         scheduleAt(SAMPLE_INTERVAL_MILLIS, this::sample);
         double endMillis = scenario.durationSeconds() * 1000.0 + 20_000;
         while (!events.isEmpty() && events.peek().atMillis() < endMillis) {
@@ -346,6 +349,22 @@
         }
     }
 
+    private void restartGateway(int index) {
+        ModelGateway ended = gateways.get(index);
+        ended.stop();
+        for (EngineModel engine : engines.values()) {
+            for (ModelCall call : engine.callsOf(ended)) {
+                engine.remove(call);
+                call.engine = null;
+                end(call, RequestOutcome.Result.CRASHED, "restart");
+                result.recordFailure(call);
+            }
+        }
+        ModelGateway successor = ended.successor();
+        gateways.set(index, successor);
+        scheduleAt(nowMillis, successor::report);
+    }
+
     /** Records the prefill of a shared part, and whether it was repeated. */
     void recordSharedPrefill(PromptPart part, EngineModel prefillEngine, ModelCall call) {
         Double previousUseMillis = lastUseMillisByPart.put(part.id(), nowMillis);
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScenario.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetScenario.java
@@ -10,6 +10,7 @@
  * @param kinds kinds of requests that callers send
  * @param bursts periods with a higher rate of one kind
  * @param outages periods in which a share of the engines is down
+ * @param restarts restarts of gateways
  * @param durationSeconds simulated time
  * @param preferredShare share of the requests that come from a workspace of a more urgent rank than all others; 0 if
  *     all
@@ -26,6 +27,7 @@
         List<RequestKind> kinds,
         List<Burst> bursts,
         List<Outage> outages,
+        List<GatewayRestart> restarts,
         int durationSeconds,
         double preferredShare,
         boolean preemptsForSlots,
@@ -58,6 +60,7 @@
                 kinds,
                 bursts,
                 outages,
+                List.of(),
                 durationSeconds,
                 preferredShare,
                 preemptsForSlots,
@@ -81,6 +84,9 @@
      */
     public record Outage(double share, double fromSeconds, double toSeconds) {}
 
+    /** Describes the end of a gateway and its requests; a new process without any state replaces it at once. */
+    public record GatewayRestart(int gateway, double atSeconds) {}
+
     /**
      * Returns this scenario with gateways, engines, variants and request rates divided by the factor, and another
      * duration.
@@ -98,6 +104,7 @@
                 fewer,
                 bursts,
                 outages,
+                restarts,
                 newDurationSeconds,
                 preferredShare,
                 preemptsForSlots,
@@ -115,6 +122,25 @@
                 kinds,
                 newBursts,
                 newOutages,
+                restarts,
+                durationSeconds,
+                preferredShare,
+                preemptsForSlots,
+                hosts,
+                callers);
+    }
+
+    /** Returns this scenario with restarts of gateways. */
+    public FleetScenario withRestarts(List<GatewayRestart> newRestarts) {
+        return new FleetScenario(
+                name,
+                gateways,
+                engines,
+                engine,
+                kinds,
+                bursts,
+                outages,
+                newRestarts,
                 durationSeconds,
                 preferredShare,
                 preemptsForSlots,
@@ -132,6 +158,7 @@
                 kinds,
                 bursts,
                 outages,
+                restarts,
                 durationSeconds,
                 share,
                 preemptsForSlots,
@@ -149,6 +176,7 @@
                 kinds,
                 bursts,
                 outages,
+                restarts,
                 durationSeconds,
                 preferredShare,
                 true,
@@ -166,6 +194,7 @@
                 kinds,
                 bursts,
                 outages,
+                restarts,
                 durationSeconds,
                 preferredShare,
                 preemptsForSlots,
@@ -183,6 +212,7 @@
                 kinds,
                 bursts,
                 outages,
+                restarts,
                 durationSeconds,
                 preferredShare,
                 preemptsForSlots,
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetSoak.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/FleetSoak.java
@@ -8,10 +8,14 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
 /** Runs small random fleet scenarios, one per seed, and checks bounds on how unevenly requests are served. */
 public final class FleetSoak {
+    /** Time for which runs with restarts go on longer than others, in seconds. */
+    private static final int SECONDS_AFTER_RESTARTS = 8;
+
     private FleetSoak() {}
 
     /**
@@ -80,6 +84,37 @@
         return counts;
     }
 
+    /** Runs consecutive seeds with restarts of gateways, and checks only that urgent requests aren't lost. */
+    public static List<Result> runAllWithRestarts(long firstSeed, int seedCount) {
+        return LongStream.range(firstSeed, firstSeed + seedCount)
+                .parallel()
+                .mapToObj(FleetSoak::runWithRestarts)
+                .toList();
+    }
+
+    private static Result runWithRestarts(long seed) {
+        FleetScenario drawn = draw(seed);
+        FleetScenario longer = drawn.scaledDown(1, drawn.durationSeconds() + SECONDS_AFTER_RESTARTS);
+        FleetScenario scenario = longer.withRestarts(drawRestarts(drawn, new SplittableRandom(~seed)));
+        FleetResult fleetResult = FleetModel.simulate(scenario, seed, Set.of());
+        List<RequestOutcome> outcomes = fleetResult.outcomes();
+        List<String> violations = UrgentLosses.find(scenario, outcomes).stream()
+                .map(loss -> "URGENT " + loss)
+                .toList();
+        int served = (int) outcomes.stream().filter(RequestOutcome::served).count();
+        return new Result(seed, fleetResult.requests(), served, violations, counts(outcomes));
+    }
+
+    /** Draws restarts of some or all gateways, one after the other or at once. */
+    private static List<FleetScenario.GatewayRestart> drawRestarts(FleetScenario scenario, SplittableRandom random) {
+        int count = random.nextBoolean() ? scenario.gateways() : random.nextInt(1, scenario.gateways() + 1);
+        double fromSeconds = random.nextDouble(1, scenario.durationSeconds());
+        double gapSeconds = random.nextBoolean() ? 0 : random.nextDouble(0.1, 1);
+        return IntStream.range(0, count)
+                .mapToObj(index -> new FleetScenario.GatewayRestart(index, fromSeconds + gapSeconds * index))
+                .toList();
+    }
+
     /** Runs a seed and returns its scenario, its result and the violated bounds. */
     public static List<String> explain(long seed) {
         FleetScenario scenario = draw(seed);
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -44,6 +44,8 @@
     private final Map<String, ServerInstance> instanceById = new LinkedHashMap<>();
     private final PeerLoadUpdater peerLoadUpdater = PeerLoadUpdater.of(instanceById::get);
     private final List<CachedPrompt> cachedPrompts = new ArrayList<>();
+    private final long incarnation;
+    private boolean stopped;
     private long reportCount;
     private long tokensSinceReport;
     private double reportedAtMillis;
@@ -51,7 +53,17 @@
     private record CachedPrompt(String server, List<PromptPart> parts) {}
 
     ModelGateway(String name, FleetModel fleet, FleetScenario scenario, Set<Mechanism> disabledMechanisms) {
+        this(name, 1, fleet, scenario, disabledMechanisms);
+    }
+
+    private ModelGateway(
+            String name,
+            long incarnation,
+            FleetModel fleet,
+            FleetScenario scenario,
+            Set<Mechanism> disabledMechanisms) {
         this.name = name;
+        this.incarnation = incarnation;
         this.fleet = fleet;
         this.scenario = scenario;
         EngineParameters engine = scenario.engine();
@@ -74,6 +86,16 @@
         }
     }
 
+    /** Ends the process, which sends no more reports. */
+    void stop() {
+        stopped = true;
+    }
+
+    /** Returns the process that replaces this one; it knows nothing of what this one knew. */
+    ModelGateway successor() {
+        return new ModelGateway(name, incarnation + 1, fleet, scenario, disabledMechanisms);
+    }
+
     private static long floorMillis(double millis) {
         return (long) millis;
     }
@@ -201,6 +223,9 @@
     }
 
     void report() {
+        if (stopped) {
+            return;
+        }
         peerTable.forgetSilent(floorMillis(fleet.nowMillis()));
         updatePeerTotals();
         sendReport();
@@ -223,7 +248,7 @@
         long intervalMillis = ReportSchedule.idleIntervalMillis(peerCount());
         PeerReport report = new PeerReport(
                 name,
-                1,
+                incarnation,
                 ++reportCount,
                 name,
                 true,
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/RequestOutcome.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/RequestOutcome.java
@@ -25,7 +25,7 @@
         SERVED,
         /** Rejected until its caller gave up, or abandoned by its caller. */
         LOST,
-        /** Ended by the crash of its engine. */
+        /** Ended by the crash of its engine or the end of its gateway. */
         CRASHED
     }
 
--- a/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/soak/SoakMain.java
@@ -58,6 +58,11 @@
             description = "Simulate a small fleet of gateways and engines instead of requests")
     private boolean fleet;
 
+    @Option(
+            name = {"--gateway-restarts"},
+            description = "With --fleet: gateways restart, and only the loss of urgent requests is checked")
+    private boolean gatewayRestarts;
+
     @Option(
             name = {"--retries"},
             description = "Simulate gateways that spend one retry budget instead of requests")
@@ -114,7 +119,8 @@
             FleetSoak.explain(explain).forEach(System.out::println);
             return 0;
         }
-        List<FleetSoak.Result> results = FleetSoak.runAll(first, seeds);
+        List<FleetSoak.Result> results =
+                gatewayRestarts ? FleetSoak.runAllWithRestarts(first, seeds) : FleetSoak.runAll(first, seeds);
         List<FleetSoak.Result> failed =
                 results.stream().filter(result -> !result.passed()).toList();
         failed.stream()
