Placement counts what is ahead of a request of its rank, not all that waits at an engine

Callers saw: in a shortage questions (rank 0) waited until they left, while plans (rank 1, ten times their size) began at other engines of the same service. In the fleet model with plans eight times and questions 3.5 times as often, 17 to 31 questions of 183 to 339 got nothing in five calm seconds, six of six cases.

Cause: engines take the more urgent requests first, but gateways judged each engine by all requests there, whatever their ranks. Traces of lost questions: 16 questions ran and 20 to 33 waited at each engine of the short lane, while the others ran 12 to 15 plans, had no question waiting, and up to 33 plans. With 46 requests such an engine looked fuller than one with 16 + 23 questions; so questions queued behind each other, and plans got the slots. Ruled out as the cause: the rank gate's scope.

Change: load is kept and reported by rank (RankedLoad; ServerUse.less_urgent, up to 4 bytes a rank). What counts for a request is what is in the slots, and of what waits only the requests that are at least as urgent; prompt tokens of less urgent ones count half. If no engine of any lane has a free slot, urgent requests go where they get the next one. Reports of older gateways count as rank 0 throughout, which is how they were read before.

--- a/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
@@ -14,6 +14,11 @@
      * wait there, whereas a request with little to prefill overtakes most of the queue.
      */
     private static final double PREFILL_WEIGHT = 8;
+    /**
+     * Cost of a prompt token of a less urgent request, relative to one that is prefilled first: it doesn't wait for it,
+     * but is delayed by it and shares the engine's steps with it afterwards.
+     */
+    private static final double LESS_URGENT_WEIGHT = 0.5;
     /** Cost of a server in another failure domain, in prompt tokens. */
     private static final int OTHER_DOMAIN_COST_TOKENS = 40;
     /** Mean tokens to prefill of a long prompt, assumed before the first one. */
@@ -55,11 +60,15 @@
 
     /** Returns the cost of a request on an engine, in prompt tokens of an engine of nominal speed. */
     double cost(PlacementRequest request, ServerInstance server, int tokensToPrefill, long nowMillis) {
-        double cost = server.totalPendingPrefillTokens()
+        int rank = request.route().priority();
+        int inFlightAhead = server.inFlightAheadOf(rank);
+        long tokensAhead = server.pendingPrefillTokensAheadOf(rank);
+        double cost = tokensAhead
+                + LESS_URGENT_WEIGHT * (server.totalPendingPrefillTokens() - tokensAhead)
                 + PREFILL_WEIGHT * tokensToPrefill
-                + IN_FLIGHT_COST_TOKENS * server.totalInFlight();
-        if (server.totalInFlight() >= server.slots()) {
-            cost += (double) IN_FLIGHT_COST_TOKENS * 10 * (server.totalInFlight() - server.slots() + 1);
+                + IN_FLIGHT_COST_TOKENS * inFlightAhead;
+        if (inFlightAhead >= server.slots()) {
+            cost += (double) IN_FLIGHT_COST_TOKENS * 10 * (inFlightAhead - server.slots() + 1);
         }
         cost *= server.workTime().current(nowMillis);
         return server.domain().equals(request.domain()) ? cost : cost + OTHER_DOMAIN_COST_TOKENS;
--- a/core/src/main/java/org/tanagerhinge/core/relay/EngineLanes.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/EngineLanes.java
@@ -108,7 +108,11 @@
             return ownLane;
         }
         List<ServerInstance> free = withFreeSlot(engines);
-        return free.isEmpty() ? engines : free;
+        if (!free.isEmpty()) {
+            return free;
+        }
+        List<ServerInstance> next = withNextSlot(engines, request.route().priority());
+        return next.isEmpty() ? engines : next;
     }
 
     private static boolean anyOffNominal(List<ServerInstance> engines) {
@@ -172,6 +176,16 @@
                         <= demand(request.service().name(), nowMillis).mostUrgentShortRank(nowMillis);
     }
 
+    /**
+     * Returns the engines where a request of a rank gets the next slot that becomes free, since the requests that wait
+     * there are less urgent.
+     */
+    private static List<ServerInstance> withNextSlot(List<ServerInstance> engines, int rank) {
+        return engines.stream()
+                .filter(server -> server.totalInFlightUpTo(rank) < server.slots())
+                .toList();
+    }
+
     private static List<ServerInstance> withFreeSlot(List<ServerInstance> lane) {
         List<ServerInstance> free = new ArrayList<>();
         for (ServerInstance server : lane) {
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerLoadUpdater.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerLoadUpdater.java
@@ -6,7 +6,7 @@
 
 /** Applies the load that peers report to this node's server instances. */
 public final class PeerLoadUpdater {
-    private static final PeerReport.InstanceLoad NO_LOAD = new PeerReport.InstanceLoad(0, 0);
+    private static final RankedLoad NO_LOAD = RankedLoad.create();
 
     private final Function<String, ServerInstance> serverByInstanceId;
 
@@ -23,15 +23,19 @@
      * Applies the difference between two reports of one peer. Summing the reports of all peers on each report would
      * cost quadratic time in the number of nodes.
      */
-    public void applyChange(Map<String, PeerReport.InstanceLoad> before, Map<String, PeerReport.InstanceLoad> after) {
-        before.forEach((instanceId, load) -> adjust(instanceId, -load.inFlight(), -load.pendingPrefillTokens()));
-        after.forEach((instanceId, load) -> adjust(instanceId, load.inFlight(), load.pendingPrefillTokens()));
+    public void applyChange(Map<String, RankedLoad> before, Map<String, RankedLoad> after) {
+        before.forEach((instanceId, load) -> {
+            if (!after.containsKey(instanceId)) {
+                adjust(instanceId, load, NO_LOAD);
+            }
+        });
+        after.forEach((instanceId, load) -> adjust(instanceId, before.getOrDefault(instanceId, NO_LOAD), load));
     }
 
-    private void adjust(String instanceId, int inFlight, long pendingPrefillTokens) {
+    private void adjust(String instanceId, RankedLoad before, RankedLoad after) {
         ServerInstance server = serverByInstanceId.apply(instanceId);
         if (server != null) {
-            server.adjustPeerLoad(inFlight, pendingPrefillTokens);
+            server.adjustPeerLoad(before, after);
         }
     }
 
@@ -47,10 +51,9 @@
     }
 
     /** Sets the load of all servers to the sums over the present peers, so that silent peers no longer count. */
-    public void applyTotals(Collection<ServerInstance> servers, Map<String, PeerReport.InstanceLoad> loads) {
+    public void applyTotals(Collection<ServerInstance> servers, Map<String, RankedLoad> loads) {
         for (ServerInstance server : servers) {
-            PeerReport.InstanceLoad load = loads.getOrDefault(server.instanceId(), NO_LOAD);
-            server.updatePeerLoad(load.inFlight(), load.pendingPrefillTokens());
+            server.updatePeerLoad(loads.getOrDefault(server.instanceId(), NO_LOAD));
         }
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -34,16 +34,10 @@
         long serverListAgeMillis,
         long serverListDigest,
         long reportIntervalMillis,
-        Map<String, InstanceLoad> loads,
+        Map<String, RankedLoad> loads,
         Map<String, LaneDemand> demands,
         OptionalDouble connectionsPerSecond,
         Map<String, StatedWorkTime> workTimes) {
-    /**
-     * Requests that a node has in flight at a backend server, and prompt tokens that the server still has to prefill
-     * for them.
-     */
-    public record InstanceLoad(int inFlight, long pendingPrefillTokens) {}
-
     /**
      * Work time that a backend server stated to the node ({@link WorkTime}).
      *
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -83,7 +83,7 @@
     }
 
     /** Returns the load that a peer reported last, by instance id; empty if the peer isn't present. */
-    public Map<String, PeerReport.InstanceLoad> loads(String name, long nowMillis) {
+    public Map<String, RankedLoad> loads(String name, long nowMillis) {
         Peer peer = peers.get(name);
         return peer != null && present(peer, nowMillis) ? peer.report().loads() : Map.of();
     }
@@ -147,21 +147,19 @@
     }
 
     /** Returns the load that the present peers report, summed by instance id. */
-    public Map<String, PeerReport.InstanceLoad> loads(long nowMillis) {
-        Map<String, PeerReport.InstanceLoad> totals = new HashMap<>();
+    public Map<String, RankedLoad> loads(long nowMillis) {
+        Map<String, RankedLoad> totals = new HashMap<>();
         for (Peer peer : peers.values()) {
             if (present(peer, nowMillis)) {
-                peer.report().loads().forEach((instanceId, load) -> totals.merge(instanceId, load, PeerTable::plus));
+                peer.report()
+                        .loads()
+                        .forEach((instanceId, load) -> totals.computeIfAbsent(instanceId, id -> RankedLoad.create())
+                                .add(load));
             }
         }
         return totals;
     }
 
-    private static PeerReport.InstanceLoad plus(PeerReport.InstanceLoad a, PeerReport.InstanceLoad b) {
-        return new PeerReport.InstanceLoad(
-                a.inFlight() + b.inFlight(), a.pendingPrefillTokens() + b.pendingPrefillTokens());
-    }
-
     /** Returns the mean rate of new connections of callers at the present peers that take any; empty without such. */
     public OptionalDouble meanConnectionsPerSecond(long nowMillis) {
         return peers.values().stream()
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerInstance.java
@@ -7,10 +7,8 @@
     private ServerRegistration registration;
     private final String instanceId;
     private boolean removed;
-    private int inFlight;
-    private long pendingPrefillTokens;
-    private int peerInFlight;
-    private long peerPendingPrefillTokens;
+    private final RankedLoad load = RankedLoad.create();
+    private RankedLoad peerLoad = RankedLoad.create();
     private int activeStreams;
     private long lastReceivedMillis = Long.MIN_VALUE;
     private final ServerHealth health = ServerHealth.create();
@@ -88,52 +86,68 @@
         removed = true;
     }
 
+    /** Returns the load of this node's requests there. */
+    public RankedLoad load() {
+        return load;
+    }
+
     /** Returns the requests that this node has in flight there. */
     public int inFlight() {
-        return inFlight;
+        return load.inFlight();
     }
 
     /** Returns the known requests of all nodes in flight there. */
     public int totalInFlight() {
-        return inFlight + peerInFlight;
+        return load.inFlight() + peerLoad.inFlight();
+    }
+
+    /** Returns the known requests of all nodes in flight there that are at least as urgent as a rank. */
+    public int totalInFlightUpTo(int rank) {
+        return load.inFlightUpTo(rank) + peerLoad.inFlightUpTo(rank);
+    }
+
+    /**
+     * Returns the number of requests that a request of a rank would find ahead of it: those in the slots, whatever their
+     * ranks, and the waiting ones that are at least as urgent. Less urgent ones that wait get a slot after it.
+     */
+    public int inFlightAheadOf(int rank) {
+        return Math.max(totalInFlightUpTo(rank), Math.min(totalInFlight(), slots()));
     }
 
     /** Returns the known prompt tokens of all nodes that were sent there and aren't prefilled yet. */
     public long totalPendingPrefillTokens() {
-        return pendingPrefillTokens + peerPendingPrefillTokens;
+        return load.pendingPrefillTokens() + peerLoad.pendingPrefillTokens();
     }
 
-    /** Returns the prompt tokens that this node sent there and that aren't prefilled yet. */
-    public long pendingPrefillTokens() {
-        return pendingPrefillTokens;
+    /** Returns those of the known tokens that are prefilled before a request of a rank. */
+    public long pendingPrefillTokensAheadOf(int rank) {
+        return load.pendingPrefillTokensUpTo(rank) + peerLoad.pendingPrefillTokensUpTo(rank);
     }
 
     /** Sets the load of the other nodes' requests there. */
-    public void updatePeerLoad(int requests, long tokens) {
-        peerInFlight = requests;
-        peerPendingPrefillTokens = tokens;
+    public void updatePeerLoad(RankedLoad newLoad) {
+        peerLoad = newLoad.copy();
     }
 
-    /** Adds a change to the load of the other nodes' requests there. */
-    public void adjustPeerLoad(int requests, long tokens) {
-        peerInFlight = Math.max(0, peerInFlight + requests);
-        peerPendingPrefillTokens = Math.max(0, peerPendingPrefillTokens + tokens);
+    /** Replaces a part of the load of the other nodes' requests there. */
+    public void adjustPeerLoad(RankedLoad before, RankedLoad after) {
+        peerLoad.subtract(before);
+        peerLoad.add(after);
     }
 
     /** Applies the server's own load report: running and waiting requests of all nodes. */
     public void updateReportedLoad(int running, int waiting) {
-        peerInFlight = Math.max(0, running + waiting - inFlight);
+        peerLoad.replaceInFlight(Math.max(0, running + waiting - inFlight()));
     }
 
     /** Records a request that was sent, with the prompt tokens that the server has to prefill. */
-    public void recordSent(int tokens) {
-        inFlight++;
-        pendingPrefillTokens += tokens;
+    public void recordSent(int rank, int tokens) {
+        load.add(rank, 1, tokens);
     }
 
     /** Records that the prompt of a request is prefilled, shown by its first output. */
-    public void recordPrefill(int tokens) {
-        pendingPrefillTokens -= tokens;
+    public void recordPrefill(int rank, int tokens) {
+        load.add(rank, 0, -tokens);
     }
 
     /** Records the first event of a stream. */
@@ -163,8 +177,8 @@
     }
 
     /** Records the end of a request, whatever its result. */
-    public void recordEnd() {
-        inFlight--;
+    public void recordEnd(int rank) {
+        load.add(rank, -1, 0);
     }
 
     public ServerHealth health() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -416,7 +416,7 @@
     }
 
     void requestSent(PlacementRequest request, PlacementPolicy.Decision decision) {
-        decision.server().recordSent(decision.tokensToPrefill());
+        decision.server().recordSent(request.route().priority(), decision.tokensToPrefill());
         placement.recordSent(request, decision, nowMillis());
         sentListener.accept(decision.server(), request.prompt());
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -14,6 +14,7 @@
 import org.tanagerhinge.core.relay.LaneDemand;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PromptPart;
+import org.tanagerhinge.core.relay.RankedLoad;
 import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.relay.WorkspaceUses;
@@ -21,6 +22,7 @@
 import org.tanagerhinge.wire.peer.KeptParts;
 import org.tanagerhinge.wire.peer.Part;
 import org.tanagerhinge.wire.peer.PeerState;
+import org.tanagerhinge.wire.peer.RankUse;
 import org.tanagerhinge.wire.peer.ServerEnd;
 import org.tanagerhinge.wire.peer.ServerEntry;
 import org.tanagerhinge.wire.peer.ServerList;
@@ -113,11 +115,16 @@
     }
 
     private static ServerUse encodeUse(
-            String server, PeerReport.InstanceLoad load, Map<String, PeerReport.StatedWorkTime> workTimes) {
+            String server, RankedLoad load, Map<String, PeerReport.StatedWorkTime> workTimes) {
         ServerUse.Builder use = ServerUse.newBuilder()
                 .setServer(server)
                 .setRunning(load.inFlight())
                 .setPromptTokens(Math.max(0, load.pendingPrefillTokens()));
+        for (int rank = 1; rank <= lastRank(load); rank++) {
+            use.addLessUrgent(RankUse.newBuilder()
+                    .setRunning(load.inFlight(rank))
+                    .setPromptTokens(Math.max(0, load.pendingPrefillTokens(rank))));
+        }
         PeerReport.StatedWorkTime workTime = workTimes.get(server);
         if (workTime != null) {
             use.setWorkTimePercent((int) Math.round(100 * workTime.factor()))
@@ -126,12 +133,30 @@
         return use.build();
     }
 
+    private static int lastRank(RankedLoad load) {
+        int last = RankedLoad.RANKS - 1;
+        while (last > 0 && load.inFlight(last) == 0) {
+            last--;
+        }
+        return last;
+    }
+
+    private static RankedLoad decodeLoad(ServerUse use) {
+        RankedLoad load = RankedLoad.of(use.getRunning(), use.getPromptTokens());
+        for (int i = 0; i < use.getLessUrgentCount(); i++) {
+            RankUse rank = use.getLessUrgent(i);
+            load.add(0, -rank.getRunning(), -rank.getPromptTokens());
+            load.add(i + 1, rank.getRunning(), rank.getPromptTokens());
+        }
+        return load;
+    }
+
     static PeerMessage decodeState(byte[] bytes) throws InvalidProtocolBufferException {
         PeerState state = PeerState.parseFrom(bytes);
-        Map<String, PeerReport.InstanceLoad> uses = new HashMap<>();
+        Map<String, RankedLoad> uses = new HashMap<>();
         Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerUse use : state.getUsesList()) {
-            uses.put(use.getServer(), new PeerReport.InstanceLoad(use.getRunning(), use.getPromptTokens()));
+            uses.put(use.getServer(), decodeLoad(use));
             if (use.getWorkTimePercent() > 0) {
                 workTimes.put(
                         use.getServer(),
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -33,6 +33,7 @@
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PeerTable;
 import org.tanagerhinge.core.relay.Prompt;
+import org.tanagerhinge.core.relay.RankedLoad;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.ReportSchedule;
 import org.tanagerhinge.core.relay.ServerInstance;
@@ -269,13 +270,11 @@
 
     private PeerReport currentReport() {
         long nowMillis = gateway.nowMillis();
-        Map<String, PeerReport.InstanceLoad> uses = new HashMap<>();
+        Map<String, RankedLoad> uses = new HashMap<>();
         Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerInstance server : gateway.directory().all()) {
             if (server.inFlight() > 0) {
-                uses.put(
-                        server.instanceId(),
-                        new PeerReport.InstanceLoad(server.inFlight(), server.pendingPrefillTokens()));
+                uses.put(server.instanceId(), server.load().copy());
                 server.workTime()
                         .recentlyStated(nowMillis)
                         .ifPresent(workTime -> workTimes.put(server.instanceId(), workTime));
@@ -304,7 +303,7 @@
     private void receive(PeerCodec.PeerMessage message) {
         PeerReport report = message.report();
         long nowMillis = gateway.nowMillis();
-        Map<String, PeerReport.InstanceLoad> before = table.loads(report.name(), nowMillis);
+        Map<String, RankedLoad> before = table.loads(report.name(), nowMillis);
         if (!table.accept(report, nowMillis)) {
             return;
         }
@@ -340,8 +339,7 @@
      * Applies the load change of one peer's report. Recomputing the totals for each report would cost quadratic time in
      * the number of peers; they are recomputed periodically, when silent peers drop out.
      */
-    private void applyLoadChange(
-            Map<String, PeerReport.InstanceLoad> before, Map<String, PeerReport.InstanceLoad> after) {
+    private void applyLoadChange(Map<String, RankedLoad> before, Map<String, RankedLoad> after) {
         if (!gateway.enabled(Mechanism.PEER_LOAD)) {
             return;
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -343,7 +343,7 @@
         }
         if (prefillPending) {
             prefillPending = false;
-            server.recordPrefill(decision.tokensToPrefill());
+            server.recordPrefill(route.priority(), decision.tokensToPrefill());
             gateway.placement().recordPrefill(request, decision, gateway.nowMillis() - startedAtMillis);
         }
     }
@@ -362,9 +362,9 @@
         }
         if (prefillPending) {
             prefillPending = false;
-            server.recordPrefill(decision.tokensToPrefill());
+            server.recordPrefill(route.priority(), decision.tokensToPrefill());
         }
-        server.recordEnd();
+        server.recordEnd(route.priority());
         gateway.placement().recordEnd(request, decision, gateway.nowMillis());
         if (events != null) {
             events.release();
