A gateway that has just started takes over what its peers know of the engines' speed

Callers saw: after a gateway had started again in a burst, large requests of the last rank were sent to engines that could not begin them, and urgent requests waited beside them.

Cause: admission compares pending tokens with the measured prefill rate, and admits everything until five long prompts have been answered. In a shortage hardly any is, so the state lasts for seconds, though peers report their load and have measured the rate long ago. The mean ranks of short and long prompts started at an assumed rank 0, so that it also took 18 long prompts until the lanes followed urgency. The class: a node that has just started takes "not known" for "no load".

Change: reports state the rate that a node has measured itself (PeerState.prefill_tokens_per_milli, 6 bytes); a node without one of its own takes over the mean of the present peers'. The first ranks are averaged. With no measurement anywhere everything is admitted, as before.

--- a/core/src/main/java/org/tanagerhinge/core/relay/DemandEstimator.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/DemandEstimator.java
@@ -22,6 +22,8 @@
     private long mostUrgentShortRankMillis = Long.MIN_VALUE / 2;
     private double meanShortRank;
     private double meanLongRank;
+    private int shortRankCount;
+    private int longRankCount;
     private int shortInFlight;
     private double decayedShortTokens;
     private double decayedLongTokens;
@@ -52,16 +54,21 @@
     /** Records the rank of a request that was sent; 0 is the most urgent. */
     public void recordRank(boolean isLong, int rank, long nowMillis) {
         if (isLong) {
-            meanLongRank += SMOOTHING * (rank - meanLongRank);
+            meanLongRank += rankWeight(++longRankCount) * (rank - meanLongRank);
             return;
         }
-        meanShortRank += SMOOTHING * (rank - meanShortRank);
+        meanShortRank += rankWeight(++shortRankCount) * (rank - meanShortRank);
         if (rank <= mostUrgentShortRank || nowMillis - mostUrgentShortRankMillis > RANK_WINDOW_MILLIS) {
             mostUrgentShortRank = rank;
             mostUrgentShortRankMillis = nowMillis;
         }
     }
 
+    /** Returns the weight of the newest rank in a mean; the first ranks are averaged, not added to an assumed one. */
+    private static double rankWeight(int count) {
+        return Math.max(SMOOTHING, 1.0 / count);
+    }
+
     /** Returns the most urgent rank among recent short requests; {@link Integer#MAX_VALUE} if there were none. */
     public int mostUrgentShortRank(long nowMillis) {
         return nowMillis - mostUrgentShortRankMillis > RANK_WINDOW_MILLIS ? Integer.MAX_VALUE : mostUrgentShortRank;
--- a/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.core.relay;
 
+import java.util.OptionalDouble;
+
 /**
  * Computes what a request would cost on a model engine and how long its first output would take, from the work that is
  * pending there and the time that work takes on its host.
@@ -53,6 +55,16 @@
         prefillRate.recordPrefill(tokens, server.workTime().usual(), firstEventMillis);
     }
 
+    /** Returns the rate that this node has measured; empty until then. */
+    OptionalDouble measuredTokensPerMilli() {
+        return prefillRate.isMeasured() ? OptionalDouble.of(prefillRate.tokensPerMilli()) : OptionalDouble.empty();
+    }
+
+    /** Takes over the rate that other nodes have measured, until this one has measured its own. */
+    void adoptTokensPerMilli(double rate) {
+        prefillRate.adopt(rate);
+    }
+
     /** Records the tokens to prefill of a long prompt that was sent. */
     void recordLongPrompt(int tokensToPrefill) {
         meanLongPrefillTokens += SMOOTHING * (tokensToPrefill - meanLongPrefillTokens);
@@ -77,11 +89,11 @@
     /**
      * Returns the time in milliseconds until an engine has prefilled a prompt. Engines prefill small prompts first,
      * so a prompt waits for the share of the pending tokens that is in smaller prompts: half of them at mean size.
-     * Returns 0 until the prefill rate is measured, since a node that has just started would otherwise reject callers
+     * Returns 0 until this node or another one has measured the prefill rate, since a node that has just started would otherwise reject callers
      * on an assumed rate. A slow moment of the host doesn't count, since it ends within most waits.
      */
     double expectedWaitMillis(ServerInstance server, int tokensToPrefill) {
-        if (!prefillRate.isMeasured()) {
+        if (!prefillRate.isKnown()) {
             return 0;
         }
         double tokensAhead =
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -21,6 +21,8 @@
  * @param connectionsPerSecond rate of new connections of callers, including those that the node closed unread; empty
  *     while it takes none
  * @param workTimes work times that servers stated recently, by instance id
+ * @param prefillTokensPerMilli prefill rate of engines of nominal speed that the node has measured, in prompt tokens per
+ *     millisecond; empty until then
  */
 public record PeerReport(
         String name,
@@ -37,7 +39,8 @@
         Map<String, RankedLoad> loads,
         Map<String, LaneDemand> demands,
         OptionalDouble connectionsPerSecond,
-        Map<String, StatedWorkTime> workTimes) {
+        Map<String, StatedWorkTime> workTimes,
+        OptionalDouble prefillTokensPerMilli) {
     /**
      * Work time that a backend server stated to the node ({@link WorkTime}).
      *
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -160,6 +160,14 @@
         return totals;
     }
 
+    /** Returns the mean prefill rate that the present peers have measured; empty if none has. */
+    public OptionalDouble meanPrefillRate(long nowMillis) {
+        return peers.values().stream()
+                .filter(peer -> present(peer, nowMillis))
+                .flatMapToDouble(peer -> peer.report().prefillTokensPerMilli().stream())
+                .average();
+    }
+
     /** Returns the mean rate of new connections of callers at the present peers that take any; empty without such. */
     public OptionalDouble meanConnectionsPerSecond(long nowMillis) {
         return peers.values().stream()
--- a/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** Chooses the backend server of a request. */
 public interface PlacementPolicy {
@@ -55,6 +56,20 @@
         return Map.of();
     }
 
+    /**
+     * Returns the prefill rate of engines of nominal speed that this node has measured, in prompt tokens per
+     * millisecond; empty until then.
+     */
+    default OptionalDouble measuredPrefillRate() {
+        return OptionalDouble.empty();
+    }
+
+    /**
+     * Takes over the prefill rate that other nodes have measured until this node has measured its own. Without it, a
+     * node that has just started would know the load of the engines, but not how long it takes.
+     */
+    default void adoptPrefillRate(double tokensPerMilli) {}
+
     /** Sets the demand that other nodes report, summed by service. */
     default void updatePeerDemands(Map<String, LaneDemand> peerDemands) {}
 
--- a/core/src/main/java/org/tanagerhinge/core/relay/PrefillRateEstimator.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PrefillRateEstimator.java
@@ -18,6 +18,7 @@
 
     private double tokensPerMilli;
     private int samples;
+    private boolean adopted;
 
     private PrefillRateEstimator(double initialTokensPerMilli) {
         tokensPerMilli = initialTokensPerMilli;
@@ -42,11 +43,24 @@
         tokensPerMilli += (sample > tokensPerMilli ? RISE_WEIGHT : FALL_WEIGHT) * (sample - tokensPerMilli);
     }
 
-    /** Returns whether the rate is based on measurements rather than on the initial value. */
+    /** Takes over a rate that other nodes have measured, until this one has measured its own. */
+    public void adopt(double peerTokensPerMilli) {
+        if (!isMeasured()) {
+            adopted = true;
+            tokensPerMilli = peerTokensPerMilli;
+        }
+    }
+
+    /** Returns whether the rate is based on this node's own measurements. */
     public boolean isMeasured() {
         return samples >= MIN_SAMPLES;
     }
 
+    /** Returns whether the rate is based on measurements, of this node or others, rather than on the initial value. */
+    public boolean isKnown() {
+        return adopted || isMeasured();
+    }
+
     public double tokensPerMilli() {
         return tokensPerMilli;
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -71,6 +72,16 @@
         return sum / engines.size();
     }
 
+    @Override
+    public OptionalDouble measuredPrefillRate() {
+        return costs.measuredTokensPerMilli();
+    }
+
+    @Override
+    public void adoptPrefillRate(double tokensPerMilli) {
+        costs.adoptTokensPerMilli(tokensPerMilli);
+    }
+
     @Override
     public void updatePeerDemands(Map<String, LaneDemand> demands) {
         lanes.updatePeerDemands(demands);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -88,6 +88,7 @@
                 .setServersAgeMillis((int) Math.min(Integer.MAX_VALUE, report.serverListAgeMillis()))
                 .setServersDigest(report.serverListDigest())
                 .setIntervalMillis((int) report.reportIntervalMillis());
+        report.prefillTokensPerMilli().ifPresent(rate -> state.setPrefillTokensPerMilli((float) rate));
         report.connectionsPerSecond().ifPresent(rate -> state.setConnectionsPerSecond(1 + (int) Math.round(rate)));
         report.loads().forEach((server, load) -> state.addUses(encodeUse(server, load, report.workTimes())));
         report.demands()
@@ -194,7 +195,10 @@
                 state.getConnectionsPerSecond() == 0
                         ? OptionalDouble.empty()
                         : OptionalDouble.of(state.getConnectionsPerSecond() - 1),
-                workTimes);
+                workTimes,
+                state.getPrefillTokensPerMilli() > 0
+                        ? OptionalDouble.of(state.getPrefillTokensPerMilli())
+                        : OptionalDouble.empty());
         List<RequestQuarantine.Suspicion> suspicions = state.getSuspectedList().stream()
                 .map(PeerCodec::decodeSuspicion)
                 .toList();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -297,7 +297,8 @@
                 gateway.ready()
                         ? OptionalDouble.of(gateway.shedding().connectionsPerSecond(nowMillis))
                         : OptionalDouble.empty(),
-                workTimes);
+                workTimes,
+                gateway.placement().measuredPrefillRate());
     }
 
     private void receive(PeerCodec.PeerMessage message) {
@@ -358,6 +359,7 @@
         }
         load.applyTotals(gateway.directory().all(), table.loads(nowMillis));
         gateway.placement().updatePeerDemands(table.demands(nowMillis));
+        table.meanPrefillRate(nowMillis).ifPresent(gateway.placement()::adoptPrefillRate);
     }
 
     private void logPresenceChanges(long nowMillis) {
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -260,7 +260,8 @@
                 loads,
                 placement.localDemands(floorMillis(fleet.nowMillis())),
                 OptionalDouble.empty(),
-                workTimes);
+                workTimes,
+                placement.measuredPrefillRate());
         List<CachedPrompt> prompts = List.copyOf(cachedPrompts);
         List<WorkspaceUses> uses = admission.shares().nextReport(peerCount(), floorMillis(fleet.nowMillis()));
         cachedPrompts.clear();
@@ -299,6 +300,7 @@
         long nowMillis = floorMillis(fleet.nowMillis());
         peerLoadUpdater.applyTotals(instanceById.values(), peerTable.loads(nowMillis));
         placement.updatePeerDemands(peerTable.demands(nowMillis));
+        peerTable.meanPrefillRate(nowMillis).ifPresent(placement::adoptPrefillRate);
     }
 
     /** Discards the state of an engine that crashed. */
