Servers that can't be reached don't use up the attempts of a request

Callers saw: 503 with 2008 ("no backend server is reachable", not run) within 4 to 9 ms, urgent ones among them, while other servers of the service took requests. The record of the incident shows such lines at front-hall-b-1.

Cause: a refused connection counted as a send, of which a request has two more than its attempts; so after three servers that could not be reached it was refused, though nothing had been sent and any time was left. One request met three such servers easily: with most servers ejected all count as candidates again, and the dead ones have the least in flight; and each ejected server whose probe is due takes the next request, also one that has just probed another.

Change: a server that can't be reached isn't counted as a send; a request gives up after eight of them. After the first it goes to a server that isn't ejected, if there is any, and probes no other.

Not shown to be the cause of the incident: the lines of the record are of plain servers, and the seconds that it names are another's. Routers count their agents' refusals, not connections, and have no such limit.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/AttemptHistory.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/AttemptHistory.java
@@ -10,7 +10,11 @@
     /** Remaining time below which a retry could hardly be answered in time. */
     private static final long MIN_REMAINING_MILLIS = 30;
 
+    /** Unreachable servers after which a request is abandoned; each costs up to the timeout of a connection. */
+    private static final int MAX_UNREACHABLE_SERVERS = 8;
+
     private final AttemptLimits limits;
+    private int unreachableCount;
     private int sendCount;
     private int possibleRunCount;
     private int refusalCount;
@@ -42,6 +46,17 @@
         }
     }
 
+    /** Records that the newest attempt met a server that can't be reached, so that nothing was sent. */
+    public void recordUnreachable() {
+        sendCount--;
+        unreachableCount++;
+    }
+
+    /** Returns whether a server could not be reached. */
+    public boolean metUnreachableServer() {
+        return unreachableCount > 0;
+    }
+
     /** Returns how often the request was sent. */
     public int sendCount() {
         return sendCount;
@@ -70,7 +85,8 @@
     private boolean allowsRetry(boolean newestMayHaveRun, int possibleRuns, long remainingMillis) {
         if (remainingMillis < MIN_REMAINING_MILLIS
                 || sendCount >= limits.maxSends()
-                || refusalCount > limits.maxRefusals()) {
+                || refusalCount > limits.maxRefusals()
+                || unreachableCount >= MAX_UNREACHABLE_SERVERS) {
             return false;
         }
         if (possibleRuns > 0 && !limits.idempotent()) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -427,9 +427,15 @@
      * probably elsewhere and skipping them would overload the rest.
      *
      * @param softwareVersion the software version that began the stream which the request continues
+     * @param metUnreachableServer whether the request has met a server that can't be reached; it then goes to a server
+     *     that isn't ejected if there is one, and probes no other
      */
     List<ServerInstance> candidates(
-            String service, Optional<String> softwareVersion, Set<String> triedServers, long nowMillis) {
+            String service,
+            Optional<String> softwareVersion,
+            Set<String> triedServers,
+            boolean metUnreachableServer,
+            long nowMillis) {
         List<ServerInstance> open = available(service, softwareVersion)
                 .filter(server -> serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis))
                 .toList();
@@ -447,6 +453,9 @@
                 }
             }
         }
+        if (metUnreachableServer && !usable.isEmpty()) {
+            return usable;
+        }
         boolean continues = softwareVersion.isPresent() && !usable.isEmpty();
         for (ServerInstance server : continues ? List.<ServerInstance>of() : untried) {
             if (enabled(Mechanism.EJECTION) && server.health().probeDue(nowMillis)) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -191,7 +191,8 @@
                     Refusal.notExecuted(ResultCode.REQUEST_HELD, held.get().remainingMillis()));
             return;
         }
-        List<ServerInstance> candidates = gateway.candidates(service, softwareVersion(), triedServers, nowMillis);
+        List<ServerInstance> candidates =
+                gateway.candidates(service, softwareVersion(), triedServers, history.metUnreachableServer(), nowMillis);
         PlacementRequest request =
                 new PlacementRequest(route, config.service(service), metadata.prompt(), gateway.domain());
         Optional<PlacementPolicy.Decision> decision = gateway.placement().place(request, candidates, nowMillis);
@@ -390,7 +391,11 @@
      * already.
      */
     void attemptFailed(RelayAttempt ended, AttemptFailure failure, String reason, boolean retryBudgetTaken) {
-        history.recordEnd(failure.mayHaveRun());
+        if (failure.reachedServer()) {
+            history.recordEnd(failure.mayHaveRun());
+        } else {
+            history.recordUnreachable();
+        }
         if (failure.mayHaveRun()) {
             markExecutionStarted();
         }
