State reports of up to 4,096 bytes reach the peers

Found while loads by rank were added to them, by a test, not by an incident: a gateway that uses 42 servers and has sent prompts with two shared parts to 24 of them states 3,982 bytes, and receivers cut a datagram at 2,048 and dropped it as unreadable (PeerCodecTest fails with that limit), so the busiest gateways of a larger fleet were missing in their peers' loads. The limit of receivers is twice as large; a turn of 1,024 waiting reports takes 4 MB in place of 2. Reports of more servers still don't fit: listed as open.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -49,7 +49,7 @@
  */
 final class PeerSynchronizer {
     private static final Logger LOG = System.getLogger(PeerSynchronizer.class.getName());
-    private static final int MAX_DATAGRAM_BYTES = 2_048;
+    static final int MAX_DATAGRAM_BYTES = 4_096;
     /**
      * Maximum number of reports received in one turn of the event loop; more than the socket's buffer holds, so that
      * reports do not queue up on a host where a turn takes long.
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,7 +15,9 @@
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.duty.DutyAnnouncement;
 import org.tanagerhinge.core.relay.PeerReport;
+import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.RankedLoad;
+import org.tanagerhinge.core.relay.ReportSchedule;
 import org.tanagerhinge.core.relay.ServerAnnouncements;
 
 /** Guards against peer messages that lose information or outgrow their share of the control bandwidth. */
@@ -94,6 +97,30 @@
         assertTrue(with.length - without.length <= 6, with.length - without.length + " bytes for a server");
     }
 
+    /** Guards against reports that receivers cut off and drop, since the sender uses many servers at once. */
+    @Test
+    void reportOfGatewayThatUsesAllServersOfADeploymentFitsIntoADatagram() {
+        Map<String, RankedLoad> loads = new HashMap<>();
+        Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
+        List<PeerCodec.CachedPrefix> prefixes = new ArrayList<>();
+        for (int i = 0; i < 42; i++) {
+            String server = "i-0123456789@" + (1_796_357_671_889L + i);
+            RankedLoad load = RankedLoad.of(12, 3_000);
+            load.add(1, 9, 80_000);
+            load.add(2, 140, 500_000);
+            loads.put(server, load);
+            workTimes.put(server, new PeerReport.StatedWorkTime(2.5, 120));
+            if (i < ReportSchedule.MAX_PROMPTS_PER_REPORT) {
+                prefixes.add(new PeerCodec.CachedPrefix(
+                        server, List.of(new PromptPart("77ffda77", 2_520), new PromptPart("91bd3f06", 3_780))));
+            }
+        }
+        int bytes = PeerCodec.encodeState(new PeerCodec.PeerMessage(
+                        report(loads, workTimes), prefixes, List.of(), List.of(), DutyAnnouncement.NONE, List.of()))
+                .length;
+        assertTrue(bytes <= PeerSynchronizer.MAX_DATAGRAM_BYTES, bytes + " bytes");
+    }
+
     @Test
     void prefillRateSurvivesRoundTrip() throws InvalidProtocolBufferException {
         assertEquals(
@@ -119,7 +146,12 @@
     }
 
     private static byte[] encode(Map<String, RankedLoad> loads, Map<String, PeerReport.StatedWorkTime> workTimes) {
-        PeerReport report = new PeerReport(
+        return PeerCodec.encodeState(new PeerCodec.PeerMessage(
+                report(loads, workTimes), List.of(), List.of(), List.of(), DutyAnnouncement.NONE, List.of()));
+    }
+
+    private static PeerReport report(Map<String, RankedLoad> loads, Map<String, PeerReport.StatedWorkTime> workTimes) {
+        return new PeerReport(
                 "gateway-0",
                 1,
                 2,
@@ -136,7 +168,5 @@
                 OptionalDouble.of(40),
                 workTimes,
                 OptionalDouble.of(42.5));
-        return PeerCodec.encodeState(
-                new PeerCodec.PeerMessage(report, List.of(), List.of(), List.of(), DutyAnnouncement.NONE, List.of()));
     }
 }
