--- a/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/EngineCost.java
@@ -89,7 +89,7 @@
     /**
      * Returns the time in milliseconds until an engine has prefilled a prompt. Engines prefill small prompts first,
      * so a prompt waits for the share of the pending tokens that is in smaller prompts: half of them at mean size.
-     * Returns 0 until this node or another one has measured the prefill rate, since a node that has just started would otherwise reject callers
+     * Returns 0 until this node or another one has measured the prefill rate, since callers would otherwise be rejected
      * on an assumed rate. A slow moment of the host doesn't count, since it ends within most waits.
      */
     double expectedWaitMillis(ServerInstance server, int tokensToPrefill) {
--- a/core/src/test/java/org/tanagerhinge/core/relay/RetryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/RetryTest.java
@@ -39,6 +39,20 @@
         assertFalse(history.mayRetry(end.mayHaveRun(), 5), "no time left");
     }
 
+    /** Guards against requests that are refused, without having been sent, since three servers can't be reached. */
+    @ParameterizedTest
+    @CsvSource({"3, true", "7, true", "8, false"})
+    void unreachableServersDontCountAsSends(int unreachable, boolean retried) {
+        AttemptHistory history =
+                AttemptHistory.of(route(RouteKind.UNSAFE, false, 1).attemptLimits());
+        for (int i = 0; i < unreachable; i++) {
+            history.recordSend();
+            history.recordUnreachable();
+        }
+        assertEquals(0, history.sendCount());
+        assertEquals(retried, history.mayRetry(false, 1_000));
+    }
+
     /** Guards against retries beyond the shared budget when every request fails and four nodes retry independently. */
     @Test
     void retriesOfAllNodesStayWithinTheBudgetInEveryWindow() {
