Calls of the store and of peers get their reply whatever a receiver throws or the other side sends

Nothing in the log told why the poll of the servers had ended: what a receiver throws went to the channel's pipeline, which closed the connection and logged nothing.

Cause: a call counted as ended, with its timer cancelled, before its receiver ran.

Beside it, found while looking: an informational response was taken for the response of the call, and the real one for that of the next call; a call whose connection could not be begun threw at its caller.

Now what a receiver throws is logged with the innermost calls and touches neither the connection nor other calls. An informational response is skipped; the call's timeout bounds them.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -117,17 +118,26 @@
         Call call = new Call(method, path, headers, body, onResponse);
         call.timer = loop.next().schedule(() -> timedOut(call), timeoutMillis, TimeUnit.MILLISECONDS);
         if (current == null) {
-            begin(call);
+            beginGuarded(call);
         } else {
             queued.add(call);
         }
     }
 
+    /** Begins a call; if that throws, the call ends with its timeout at the latest. */
+    private void beginGuarded(Call call) {
+        try {
+            begin(call);
+        } catch (Throwable e) {
+            TaskFailure.log("start of " + call.method + " " + call.path, e);
+        }
+    }
+
     private void timedOut(Call call) {
         if (call == current) {
             fail("no response in time");
         } else if (queued.remove(call)) {
-            call.onResponse.accept(Response.failed("no response in time"));
+            deliver(call, Response.failed("no response in time"));
         }
     }
 
@@ -179,7 +189,7 @@
         queued.clear();
         for (Call call : unsent) {
             call.timer.cancel(false);
-            call.onResponse.accept(Response.failed("closed"));
+            deliver(call, Response.failed("closed"));
         }
         if (current != null) {
             fail("closed");
@@ -216,9 +226,18 @@
         current = null;
         ended.timer.cancel(false);
         if (!queued.isEmpty()) {
-            begin(queued.poll());
+            beginGuarded(queued.poll());
+        }
+        deliver(ended, response);
+    }
+
+    /** Passes on a response; what its receiver throws is logged and has no effect on the connection and other calls. */
+    private static void deliver(Call call, Response response) {
+        try {
+            call.onResponse.accept(response);
+        } catch (Throwable e) {
+            TaskFailure.log("response of " + call.method + " " + call.path, e);
         }
-        ended.onResponse.accept(response);
     }
 
     /** Handles the responses of one connection. */
@@ -233,6 +252,9 @@
                 fail("malformed HTTP response");
                 return;
             }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             byte[] body = new byte[response.content().readableBytes()];
             response.content().readBytes(body);
             if (!HttpUtil.isKeepAlive(response)) {
@@ -244,6 +266,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (context.channel() == channel) {
+                fail("connection failed: " + cause.getMessage());
+            }
             context.close();
         }
 
--- /dev/null
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
@@ -0,0 +1,171 @@
+package org.tanagerhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against calls that get no reply, and against connections that stay open, whatever the other side sends. */
+class SequentialHttpClientTest {
+    private static final int TIMEOUT_MILLIS = 400;
+    private static final long PATIENCE_SECONDS = 20;
+    private static final int BUFFER_BYTES = 65_536;
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    private final LinkedBlockingQueue<SequentialHttpClient.Response> responses = new LinkedBlockingQueue<>();
+    private final CountDownLatch writerEnded = new CountDownLatch(1);
+    private final List<Socket> sockets = new ArrayList<>();
+    private EventLoopGroup loop;
+    private ServerSocket listener;
+    private SequentialHttpClient client;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        client = SequentialHttpClient.of(loop, (InetSocketAddress) listener.getLocalSocketAddress());
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    /** What the other side sends in place of a response, and then again and again. */
+    private enum Stream {
+        BLANK_LINES("", "\r\n"),
+        STATUS_LINE("HTTP/1.1 200 ", "O"),
+        HEADER_LINE("HTTP/1.1 200 OK\r\nX-A: ", "a"),
+        HEADERS("HTTP/1.1 200 OK\r\n", "X-A: a\r\n"),
+        INFORMATIONAL("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        LONG_BODY("HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "b"),
+        UNFRAMED_BODY("HTTP/1.1 200 OK\r\n\r\n", "b"),
+        CHUNKS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n"),
+        CHUNK_SIZE("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+        TRAILERS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: a\r\n");
+
+        private final String start;
+        private final String repeated;
+
+        Stream(String start, String repeated) {
+            this.start = start;
+            this.repeated = repeated;
+        }
+    }
+
+    /** Accepts connections one after the other; the first is handled by {@code first}, all others get answers. */
+    private void serve(Consumer<OutputStream> first) {
+        Thread.ofVirtual().start(() -> {
+            try {
+                for (int i = 0; !listener.isClosed(); i++) {
+                    Socket socket = listener.accept();
+                    sockets.add(socket);
+                    boolean isFirst = i == 0;
+                    Thread.ofVirtual().start(() -> answer(socket, isFirst ? first : out -> write(out, ANSWER)));
+                }
+            } catch (IOException e) {
+                // The test has ended.
+            }
+        });
+    }
+
+    private static void answer(Socket socket, Consumer<OutputStream> response) {
+        try {
+            InputStream in = socket.getInputStream();
+            byte[] request = new byte[BUFFER_BYTES];
+            while (in.read(request) > 0) {
+                response.accept(socket.getOutputStream());
+            }
+        } catch (IOException e) {
+            // The client has closed the connection.
+        }
+    }
+
+    private static boolean write(OutputStream out, String text) {
+        try {
+            out.write(text.getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void call(Consumer<SequentialHttpClient.Response> onResponse) {
+        loop.next().execute(() -> client.call(HttpMethod.GET, "/", "", TIMEOUT_MILLIS, onResponse));
+    }
+
+    private SequentialHttpClient.Response nextResponse() throws InterruptedException {
+        SequentialHttpClient.Response response = responses.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        if (response == null) {
+            throw new AssertionError("no response");
+        }
+        return response;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Stream.class)
+    void callFailsAndItsConnectionEndsIfBytesComeWithoutEnd(Stream stream) throws InterruptedException {
+        String block = stream.repeated.repeat(BUFFER_BYTES / stream.repeated.length());
+        serve(out -> {
+            boolean open = write(out, stream.start);
+            while (open) {
+                open = write(out, block);
+            }
+            writerEnded.countDown();
+        });
+        call(responses::add);
+        assertEquals(0, nextResponse().status());
+        assertTrue(writerEnded.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "connection is still open");
+        call(responses::add);
+        assertEquals(200, nextResponse().status());
+    }
+
+    @Test
+    void informationalResponsesAreNotTakenForTheResponse() throws InterruptedException {
+        serve(out -> write(out, "HTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\n" + ANSWER));
+        for (int i = 0; i < 2; i++) {
+            call(responses::add);
+            assertEquals(200, nextResponse().status());
+        }
+    }
+
+    /** Guards against a later call that a receiver's error leaves without a reply. */
+    @Test
+    void callsGoOnAfterAReceiverThrows() throws InterruptedException {
+        serve(out -> write(out, ANSWER));
+        call(response -> {
+            throw new StackOverflowError("deliberate");
+        });
+        call(responses::add);
+        assertEquals(200, nextResponse().status());
+        call(responses::add);
+        assertEquals(200, nextResponse().status());
+    }
+}
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -57,6 +57,7 @@
     SETTINGS_READ(Subject.PROCESS),
     SETTINGS_REFUSED(Subject.PROCESS),
     TASK_FAILED(Subject.PROCESS),
+    TASK_OVERDUE(Subject.PROCESS),
     LOG_DROPPED(Subject.PROCESS);
 
     /** What a line is about: a request, the node's view of others, or the process. Each has its own logger. */
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -119,7 +119,11 @@
     CONNECTIONS,
     UNITS,
     ROUTES,
-    COUNT;
+    COUNT,
+    /** What the event loop was doing. */
+    TASK,
+    /** Innermost calls at the time of an error, innermost first. */
+    STACK;
 
     private final String label = name().toLowerCase(Locale.ROOT);
 
