Periodic tasks of gateways go on whatever their steps throw, and if a reply never comes

What callers saw: requests to servers that had left, and none to new ones, since the gateway that reads the list of servers for all had stopped reading it while it said that it was ready.

Cause: each loop scheduled its next step in the reply to its call. An error (no RuntimeException) in a step or handler left the guard and ended the loop; so did a reply that never came. An exception in one part of the periodic maintenance kept the parts after it from running, at each turn.

Now a RecurringTask has one pending timer for the next run: the step sets it, and so does the guard if the step or the handler throws anything; the maintenance, which netty itself repeats, starts a task again whose run or timer is overdue (task_overdue, with a limit that doubles, since a listing of many pages may be slow). Covered: servers, configuration, lease, quarantines, software versions, reports to peers, duties. tanagerhinge_task_age_seconds tells when each has last completed. Each part of the maintenance, and each connection and request in it, is guarded by itself.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/DutyParticipant.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/DutyParticipant.java
@@ -105,7 +105,7 @@
         DutyParticipant participant = new DutyParticipant(gateway, loop, peers, port, options, wallClock);
         gateway.onExecutionStarted(participant.counter::recordStart);
         peers.exchangeDutyStatus(participant::status, participant::peerStatusReceived);
-        gateway.schedule(() -> gateway.repeat(participant::step, () -> STEP_MILLIS), START_DELAY_MILLIS);
+        gateway.schedule(() -> gateway.repeat("duties", participant::step, () -> STEP_MILLIS), START_DELAY_MILLIS);
         return participant;
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -4,9 +4,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -80,6 +82,7 @@
     private final OutcomeTelemetry outcomes = new OutcomeTelemetry(this);
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Set<RelayExchange> exchanges = new HashSet<>();
+    private final List<RecurringTask> tasks = new ArrayList<>();
     private Optional<RelayConfig> config = Optional.empty();
     private byte[] configDocument;
     private long configReceivedMillis;
@@ -124,7 +127,9 @@
             NodeMetrics metrics,
             PlacementPolicy placement) {
         Gateway gateway = new Gateway(loop, dialect, options, metrics, placement);
-        gateway.schedule(() -> gateway.repeat(gateway::sweep, () -> SWEEP_MILLIS), SWEEP_MILLIS);
+        loop.next()
+                .scheduleWithFixedDelay(
+                        () -> gateway.runGuarded(gateway::sweep), SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return gateway;
     }
 
@@ -312,24 +317,43 @@
     }
 
     /** Runs a step now and again after each delay, also after a step that threw. */
-    void repeat(Runnable step, LongSupplier delayMillis) {
-        runGuarded(step);
-        schedule(() -> repeat(step, delayMillis), delayMillis.getAsLong());
+    void repeat(String name, Runnable step, LongSupplier delayMillis) {
+        RecurringTask[] task = new RecurringTask[1];
+        task[0] = RecurringTask.of(
+                this,
+                name,
+                () -> {
+                    step.run();
+                    task[0].runAfter(delayMillis.getAsLong());
+                },
+                delayMillis);
+        task[0].run();
+    }
+
+    /** Starts a task again whenever it is overdue. */
+    void watchOver(RecurringTask task) {
+        tasks.add(task);
+    }
+
+    /** Returns the time since the last end of a run by task, in seconds, without tasks that have finished. */
+    Map<String, Double> taskAgesSeconds() {
+        long nowMillis = nowMillis();
+        return tasks.stream()
+                .filter(task -> !task.finished())
+                .collect(Collectors.toMap(RecurringTask::name, task -> task.ageMillis(nowMillis) / 1000.0));
     }
 
     /**
-     * Runs a task of the event loop and counts and logs what it throws; returns whether it completed normally. Without
-     * this, a repeated task would end silently at its first exception and leave its state stale.
+     * Runs a task of the event loop and counts and logs what it throws; returns whether it completed normally. Errors
+     * are caught as well: input that exhausts the stack must not end what the loop has to go on with.
      */
     boolean runGuarded(Runnable task) {
         try {
             task.run();
             return true;
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             count("task_failed");
-            LogLine.failure(LogEvent.TASK_FAILED)
-                    .with(LogField.WHY, String.valueOf(e))
-                    .write();
+            TaskFailure.log("event loop", e);
             return false;
         }
     }
@@ -634,6 +658,7 @@
         Set.copyOf(exchanges).forEach(RelayExchange::abort);
     }
 
+    /** Runs the parts of the periodic maintenance; one that throws leaves the others unaffected. */
     private void sweep() {
         long nowMillis = nowMillis();
         boolean stalled = nowMillis - lastSweepMillis > STALL_MILLIS;
@@ -641,15 +666,26 @@
         if (stalled) {
             directory.all().forEach(server -> server.recordReceived(nowMillis));
         } else {
-            Set.copyOf(exchanges).forEach(exchange -> exchange.abandonSilentServer(ABANDON_STREAM_MILLIS));
+            forEachGuarded(exchanges, exchange -> exchange.abandonSilentServer(ABANDON_STREAM_MILLIS));
+            restartOverdueTasks(nowMillis);
+        }
+        runGuarded(this::measureLoopDelay);
+        forEachGuarded(exchanges, exchange -> exchange.refreshOrigin(nowMillis));
+        runGuarded(streams::sweep);
+        forEachGuarded(callers, caller -> caller.sweep(nowMillis));
+        runGuarded(() -> pool.sweep(server -> serverAnnouncements.isLeaving(server.instanceId(), nowMillis)));
+        runGuarded(crashQuarantine::sweep);
+        runGuarded(outcomes::sweep);
+        runGuarded(() -> serverAnnouncements.removeExpired(nowMillis));
+    }
+
+    void restartOverdueTasks(long nowMillis) {
+        forEachGuarded(tasks, task -> task.runIfOverdue(nowMillis));
+    }
+
+    private <T> void forEachGuarded(Collection<T> items, Consumer<T> action) {
+        for (T item : List.copyOf(items)) {
+            runGuarded(() -> action.accept(item));
         }
-        measureLoopDelay();
-        exchanges.forEach(exchange -> exchange.refreshOrigin(nowMillis));
-        streams.sweep();
-        Set.copyOf(callers).forEach(caller -> caller.sweep(nowMillis));
-        pool.sweep(server -> serverAnnouncements.isLeaving(server.instanceId(), nowMillis));
-        crashQuarantine.sweep();
-        outcomes.sweep();
-        serverAnnouncements.removeExpired(nowMillis);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -116,6 +116,8 @@
                 "store_era",
                 "Latest known era of the platform's store",
                 () -> gateway.storeEra().current());
+        metrics.registerGauge(
+                "task_age_seconds", "Time since a periodic task last completed", "task", gateway::taskAgesSeconds);
         metrics.registerGauge("servers_age_seconds", "Age of the server list", gateway::serversAgeSeconds);
         metrics.registerGauge("peers_present", "Peers that reported recently", gateway::peersPresent);
         metrics.registerGauge(
@@ -245,6 +247,13 @@
         return loop.next().submit(gateway::ready).awaitUninterruptibly().getNow();
     }
 
+    /** Starts the periodic tasks again that would be overdue after a time; returns when it has. */
+    void restartOverdueTasks(Duration later) {
+        loop.next()
+                .submit(() -> gateway.restartOverdueTasks(gateway.nowMillis() + later.toMillis()))
+                .awaitUninterruptibly();
+    }
+
     /** Returns the version of the active configuration, or 0 if there is none. */
     public long configVersion() {
         return loop.next().submit(gateway::configVersion).awaitUninterruptibly().getNow();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -110,7 +110,7 @@
                 .channel();
         gateway.crashQuarantine().onSuspicion(peers::reportSoon);
         gateway.streams().connect(peers.new StreamPeers());
-        loop.next().execute(() -> gateway.repeat(peers::reportPeriodically, peers::intervalMillis));
+        loop.next().execute(() -> gateway.repeat("peer_reports", peers::reportPeriodically, peers::intervalMillis));
         return peers;
     }
 
@@ -175,8 +175,9 @@
 
     private void reportPeriodically() {
         table.forgetSilent(gateway.nowMillis());
-        logPresenceChanges(gateway.nowMillis());
-        refreshTotals();
+        // Peers take this gateway for absent without its report, whatever another peer's makes a step throw.
+        gateway.runGuarded(() -> logPresenceChanges(gateway.nowMillis()));
+        gateway.runGuarded(this::refreshTotals);
         sendReport(gateway.crashQuarantine().requests().nextRefreshes(gateway.nowMillis()));
         refreshPartSuspicions();
     }
@@ -402,14 +403,8 @@
         client.request(aheadPeer, PeerRequestHandler.CONFIG_PATH, body -> {
             configRequestInFlight = false;
             if (body != null) {
-                try {
-                    long ageMillis = aheadPeer.configAgeMillis() + gateway.nowMillis() - requestedAtMillis;
-                    gateway.apply(decoder.apply(body), body, ConfigSource.peer(aheadPeer.name(), ageMillis));
-                } catch (IllegalArgumentException e) {
-                    LOG.log(
-                            Level.ERROR,
-                            "ignoring invalid configuration from peer " + aheadPeer.name() + ": " + e.getMessage());
-                }
+                long ageMillis = aheadPeer.configAgeMillis() + gateway.nowMillis() - requestedAtMillis;
+                gateway.runGuarded(() -> applyConfig(body, ConfigSource.peer(aheadPeer.name(), ageMillis)));
             }
             if (gateway.configVersion() < aheadPeer.configVersion()) {
                 configFetchFailed(aheadPeer);
@@ -417,6 +412,14 @@
         });
     }
 
+    private void applyConfig(byte[] document, ConfigSource source) {
+        try {
+            gateway.apply(decoder.apply(document), document, source);
+        } catch (IllegalArgumentException e) {
+            LOG.log(Level.ERROR, "ignoring invalid configuration from peer " + source.peer() + ": " + e.getMessage());
+        }
+    }
+
     /**
      * Reports a peer whose datagrams arrive but that cannot be queried. Its reports keep this gateway from reading the
      * store, so without this the gateway would keep an old configuration.
@@ -492,6 +495,8 @@
 
     /** Receives the messages of peers. */
     private final class ReportHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+        private String loggedFailure = "";
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             byte[] bytes = new byte[packet.content().readableBytes()];
@@ -516,6 +521,10 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             gateway.count("peer_report_failed");
+            if (!String.valueOf(cause).equals(loggedFailure)) {
+                loggedFailure = String.valueOf(cause);
+                TaskFailure.log("datagram of a peer", cause);
+            }
         }
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.Consumer;
 import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.relay.SoftwareVersions;
@@ -68,6 +67,8 @@
 
     /** Time for which the store lists a gateway that does not renew its lease. */
     static final Duration LEASE_TTL = Duration.ofSeconds(12);
+
+    private static final long NO_LEASE = -1;
     /** Renewal interval of the lease; a few renewals may fail before it expires. */
     private static final int KEEP_ALIVE_MILLIS = 3_000;
 
@@ -81,7 +82,7 @@
     /** Reason of the latest read, for the log. */
     private String readReason = "started";
 
-    private long leaseId;
+    private long leaseId = NO_LEASE;
     /** Era of the store in which the lease was granted; in a later one its id may be another node's. */
     private long leaseEra;
 
@@ -91,10 +92,30 @@
     /** When this gateway recorded that a software version serves beside others. */
     private final Map<MetadataStore.ServiceVersion, Long> versionRecordedAtMillis = new HashMap<>();
 
+    private final RecurringTask servers;
+    private final RecurringTask configuration;
+    private final RecurringTask lease;
+    private final RecurringTask quarantines;
+    private final RecurringTask softwareVersions;
+
     private StoreSynchronizer(Gateway gateway, MetadataStore store, PeerSynchronizer peers) {
         this.gateway = gateway;
         this.store = store;
         this.peers = peers;
+        servers = task("servers", this::pollServers);
+        configuration = task("configuration", this::watchConfig);
+        lease = task("lease", this::keepLeaseAlive);
+        quarantines = task("quarantines", this::readQuarantine);
+        softwareVersions = task("software_versions", this::readSoftwareVersions);
+    }
+
+    private RecurringTask task(String name, Runnable step) {
+        return RecurringTask.of(gateway, name, step, () -> spread(retryMillis()));
+    }
+
+    /** Returns a delay of up to a fifth more, so that the calls of the gateways do not coincide. */
+    private static long spread(int millis) {
+        return millis + ThreadLocalRandom.current().nextInt(millis / 5 + 1);
     }
 
     /** Starts to read the store; returns immediately. */
@@ -108,11 +129,11 @@
                         "config_watch_revision",
                         "Store revision from which the configuration is watched; NaN if it is not",
                         () -> synchronizer.watching ? synchronizer.position.revision() : Double.NaN);
-        synchronizer.runGuarded(synchronizer::readConfig);
-        synchronizer.runGuarded(synchronizer::register);
-        synchronizer.runGuarded(synchronizer::readServers);
-        synchronizer.runGuarded(synchronizer::readSoftwareVersions);
-        synchronizer.runGuarded(synchronizer::readQuarantine);
+        synchronizer.configuration.run();
+        synchronizer.lease.run();
+        synchronizer.servers.run();
+        synchronizer.softwareVersions.run();
+        synchronizer.quarantines.run();
         gateway.crashQuarantine().connectStore(synchronizer.new QuarantineStore());
         return synchronizer;
     }
@@ -120,7 +141,7 @@
     private void storeRestored(long era, String source) {
         gateway.count("store_restored");
         gateway.directory().storeRestored(gateway.nowMillis());
-        schedule(this::storeQuarantineAgain, STORE_QUARANTINE_DELAY_MILLIS);
+        gateway.schedule(this::storeQuarantineAgain, spread(STORE_QUARANTINE_DELAY_MILLIS));
         LogLine.of(LogEvent.STORE_RESTORED)
                 .with(LogField.ERA, era)
                 .with(LogField.WHY, "stated by " + source)
@@ -156,7 +177,7 @@
         if (stale || reads) {
             readServers();
         } else {
-            schedule(this::pollServers, STANDBY_CHECK_MILLIS);
+            servers.runAfter(spread(STANDBY_CHECK_MILLIS));
         }
     }
 
@@ -186,7 +207,7 @@
 
     private void readServers() {
         long requestedAtMillis = gateway.nowMillis();
-        store.listServers(timeoutMillis(), guarded(this::pollServers, reply -> {
+        store.listServers(timeoutMillis(), servers.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<MetadataStore.ServerListing> success) {
                 markReachable();
                 logUnreadable(success.value().unreadable());
@@ -195,11 +216,11 @@
                 }
                 recordSoftwareVersions();
                 boolean empty = gateway.directory().all().isEmpty();
-                schedule(this::pollServers, empty ? RETRY_MILLIS : SERVERS_POLL_MILLIS);
+                servers.runAfter(spread(empty ? RETRY_MILLIS : SERVERS_POLL_MILLIS));
                 return;
             }
             recordFailure(reply);
-            schedule(this::pollServers, retryMillis());
+            servers.runAfter(spread(retryMillis()));
         }));
     }
 
@@ -231,20 +252,19 @@
         if (gateway.config().isPresent() && !isReader()) {
             watching = false;
             readReason = "became the reader";
-            schedule(this::watchConfig, STANDBY_CHECK_MILLIS);
+            configuration.runAfter(spread(STANDBY_CHECK_MILLIS));
         } else if (watching) {
             store.watchConfig(
                     position,
                     WATCH_WAIT_MILLIS,
-                    guarded(this::watchConfig, reply -> handleConfig(reply, ConfigSource.STORE_WATCH)));
+                    configuration.onReply(reply -> handleConfig(reply, ConfigSource.STORE_WATCH)));
         } else {
             readConfig();
         }
     }
 
     private void readConfig() {
-        store.readConfig(
-                timeoutMillis(), guarded(this::watchConfig, reply -> handleConfig(reply, ConfigSource.STORE_READ)));
+        store.readConfig(timeoutMillis(), configuration.onReply(reply -> handleConfig(reply, ConfigSource.STORE_READ)));
     }
 
     private void handleConfig(MetadataStore.Reply<MetadataStore.StoredConfig> reply, ConfigSource source) {
@@ -258,10 +278,10 @@
                 logWatch();
             }
             if (stored.document() == null) {
-                schedule(this::watchConfig, watching ? 1 : RETRY_MILLIS);
+                configuration.runAfter(watching ? 1 : spread(RETRY_MILLIS));
             } else {
                 apply(stored.document(), source);
-                schedule(this::watchConfig, CHANGE_BATCH_MILLIS);
+                configuration.runAfter(spread(CHANGE_BATCH_MILLIS));
             }
             return;
         }
@@ -270,9 +290,9 @@
                 ? "call failed: " + failure.reason()
                 : "the store's history does not have " + position;
         if (recordFailure(reply)) {
-            schedule(this::watchConfig, retryMillis());
+            configuration.runAfter(spread(retryMillis()));
         } else {
-            watchConfig();
+            configuration.run();
         }
     }
 
@@ -311,56 +331,58 @@
 
     private void register() {
         long sentAtMillis = gateway.nowMillis();
-        store.registerGateway(gateway.options().name(), peers.address(), LEASE_TTL, guarded(this::register, reply -> {
+        store.registerGateway(gateway.options().name(), peers.address(), LEASE_TTL, lease.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<Long> success) {
                 markReachable();
                 leaseId = success.value();
                 leaseEra = gateway.storeEra().current();
                 gateway.fleetSize().leaseRenewed(sentAtMillis);
+                lease.runAfter(spread(KEEP_ALIVE_MILLIS));
                 readGateways();
-                schedule(this::keepLeaseAlive, KEEP_ALIVE_MILLIS);
             } else {
                 markUnreachable("could not register this gateway");
-                schedule(this::register, RETRY_MILLIS * 2);
+                lease.runAfter(spread(RETRY_MILLIS * 2));
             }
         }));
     }
 
     private void keepLeaseAlive() {
-        if (leaseEra != gateway.storeEra().current()) {
+        if (leaseId == NO_LEASE || leaseEra != gateway.storeEra().current()) {
             register();
             return;
         }
         long sentAtMillis = gateway.nowMillis();
-        store.keepAlive(leaseId, guarded(this::keepLeaseAlive, reply -> {
+        store.keepAlive(leaseId, lease.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<Boolean> success) {
                 markReachable();
                 if (success.value() && leaseEra == gateway.storeEra().current()) {
                     long nowMillis = gateway.nowMillis();
                     gateway.fleetSize().leaseRenewed(sentAtMillis);
+                    lease.runAfter(spread(KEEP_ALIVE_MILLIS));
                     if (!peers.table().anyPresent(nowMillis)
                             || gateway.fleetSize().listingDue(nowMillis)) {
                         readGateways();
                     }
-                    schedule(this::keepLeaseAlive, KEEP_ALIVE_MILLIS);
                 } else {
+                    leaseId = NO_LEASE;
                     register();
                 }
             } else {
                 markUnreachable("could not renew the lease");
-                schedule(this::keepLeaseAlive, RETRY_MILLIS * 4);
+                lease.runAfter(spread(RETRY_MILLIS * 4));
             }
         }));
     }
 
     /** Reads the quarantined requests from the store, where they survive a simultaneous loss of all gateways. */
     private void readQuarantine() {
-        store.listQuarantined(guarded(this::readQuarantine, reply -> {
+        store.listQuarantined(quarantines.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<List<CrashSuspect>> success) {
                 markReachable();
                 gateway.crashQuarantine().quarantinedInStore(success.value());
+                quarantines.finish();
             } else {
-                schedule(this::readQuarantine, RETRY_MILLIS * 2);
+                quarantines.runAfter(spread(RETRY_MILLIS * 2));
             }
         }));
     }
@@ -370,14 +392,15 @@
      * gateways, a stream of a version that has left would be taken for one of the version that serves.
      */
     private void readSoftwareVersions() {
-        store.listSoftwareVersions(timeoutMillis(), guarded(this::readSoftwareVersions, reply -> {
+        store.listSoftwareVersions(timeoutMillis(), softwareVersions.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<List<MetadataStore.ServiceVersion>> success) {
                 markReachable();
                 gateway.softwareVersionHistory(success.value().stream()
                         .map(version -> new SoftwareVersions.Departed(version.service(), version.softwareVersion(), 0))
                         .toList());
+                softwareVersions.finish();
             } else {
-                schedule(this::readSoftwareVersions, retryMillis());
+                softwareVersions.runAfter(spread(retryMillis()));
             }
         }));
     }
@@ -419,7 +442,7 @@
             if (reply instanceof MetadataStore.Success<Long>) {
                 markReachable();
             } else {
-                schedule(() -> quarantine(suspect), RETRY_MILLIS * 4);
+                gateway.schedule(() -> quarantine(suspect), spread(RETRY_MILLIS * 4));
             }
         });
     }
@@ -432,7 +455,7 @@
             if (reply instanceof MetadataStore.Success<Boolean>) {
                 markReachable();
             } else {
-                schedule(() -> endQuarantine(suspect), RETRY_MILLIS * 4);
+                gateway.schedule(() -> endQuarantine(suspect), spread(RETRY_MILLIS * 4));
             }
         });
     }
@@ -485,25 +508,4 @@
             peers.reportNow();
         }
     }
-
-    /** Returns a handler of a store reply; if it throws, {@code step} is scheduled again after a delay. */
-    private <T> Consumer<MetadataStore.Reply<T>> guarded(Runnable step, Consumer<MetadataStore.Reply<T>> handler) {
-        return reply -> {
-            if (!gateway.runGuarded(() -> handler.accept(reply))) {
-                schedule(step, retryMillis());
-            }
-        };
-    }
-
-    /** Runs a step of a loop; if it throws, it is scheduled again after a delay. */
-    private void runGuarded(Runnable task) {
-        if (!gateway.runGuarded(task)) {
-            schedule(task, retryMillis());
-        }
-    }
-
-    private void schedule(Runnable task, int millis) {
-        gateway.schedule(
-                () -> runGuarded(task), millis + ThreadLocalRandom.current().nextInt(millis / 5 + 1));
-    }
 }
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.duty.DutyClient;
 import org.tanagerhinge.core.relay.CallerLimits;
@@ -39,11 +40,14 @@
  */
 class PeriodicTaskRecoveryTest {
     private static final Duration CONDITION_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration LONG_AFTER = Duration.ofMinutes(10);
 
-    /** Faults of the store: the response holds no value, or the call throws. */
+    /** Faults of the store: the response holds no value, the call throws, or there is no response. */
     enum Fault {
         EMPTY_ANSWER,
-        THROWN
+        THROWN,
+        ERROR_THROWN,
+        NO_ANSWER
     }
 
     /** Serves all calls except the second one of one kind. */
@@ -64,10 +68,12 @@
         private <T> void reply(String kind, T value, Consumer<Reply<T>> onReply) {
             int count = calls.computeIfAbsent(kind, name -> new AtomicInteger()).incrementAndGet();
             if (count == 2 && kind.equals(faultyCall)) {
-                if (fault == Fault.THROWN) {
-                    throw new IllegalStateException("deliberate");
+                switch (fault) {
+                    case EMPTY_ANSWER -> onReply.accept(new Success<>(null));
+                    case THROWN -> throw new IllegalStateException("deliberate");
+                    case ERROR_THROWN -> throw new StackOverflowError("deliberate");
+                    case NO_ANSWER -> {}
                 }
-                onReply.accept(new Success<>(null));
                 return;
             }
             onReply.accept(new Success<>(value));
@@ -200,6 +206,43 @@
         }
     }
 
+    /** Guards against a loop that an error ends, such as that of a stack which input has exhausted. */
+    @ParameterizedTest
+    @ValueSource(strings = {"servers", "watch"})
+    void storeLoopContinuesAfterAnError(String kind) throws InterruptedException {
+        storeLoopContinuesAfterAStepThrows(kind, Fault.ERROR_THROWN);
+    }
+
+    /** Guards against loops that wait for ever for a reply which never comes. */
+    @ParameterizedTest
+    @ValueSource(strings = {"servers", "watch", "keep"})
+    void storeLoopContinuesAfterACallWithoutReply(String kind) throws InterruptedException {
+        FaultyStore store = new FaultyStore(kind, Fault.NO_ANSWER);
+        GatewayDaemon gateway = start(store);
+        try {
+            assertTrue(becomesTrue(() -> store.calls(kind) > 1), "calls: " + store.calls(kind));
+            gateway.restartOverdueTasks(LONG_AFTER);
+            assertTrue(becomesTrue(() -> store.calls(kind) > 3), "calls: " + store.calls(kind));
+            assertTrue(gateway.metrics().text().contains("reason=\"task_overdue\""), "overdue task is not counted");
+        } finally {
+            gateway.close();
+        }
+    }
+
+    /** Guards against a stalled loop that no metric shows. */
+    @Test
+    void ageOfEachTaskIsAMetric() throws InterruptedException {
+        GatewayDaemon gateway = start(new FaultyStore("none", Fault.THROWN));
+        try {
+            for (String task : List.of("servers", "configuration", "lease", "peer_reports")) {
+                assertTrue(becomesTrue(() ->
+                        gateway.metrics().text().contains("tanagerhinge_task_age_seconds{task=\"" + task + "\"}")));
+            }
+        } finally {
+            gateway.close();
+        }
+    }
+
     /** Covers reports to peers and the sweep of connections, which use the same repetition. */
     @Test
     void repeatedTaskContinuesAfterThrowing() throws InterruptedException {
@@ -213,6 +256,7 @@
                     LeastInFlightPlacement.create());
             AtomicInteger steps = new AtomicInteger();
             gateway.repeat(
+                    "test",
                     () -> {
                         if (steps.incrementAndGet() == 2) {
                             throw new IllegalStateException("deliberate");
