--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -294,12 +294,7 @@
 
     /** Parses an address of the form IP:PORT. */
     static InetSocketAddress address(String text) throws InvalidProtocolBufferException {
-        int colon = text.lastIndexOf(':');
-        try {
-            return new InetSocketAddress(
-                    text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
-        } catch (IllegalArgumentException e) {
-            throw new InvalidProtocolBufferException("'" + text + "' is not IP:PORT", e);
-        }
+        return SocketAddresses.parse(text)
+                .orElseThrow(() -> new InvalidProtocolBufferException("'" + text + "' is not IP:PORT"));
     }
 }
