The usage duty goes on after a call without a reply, and past a window that cannot be read

What users would see: usage windows that no gateway reports any more.

Cause: the election and the duty waited for the reply to a call without a limit. A reply that a decoder's or receiver's error had lost left the node in the middle of an election, or with a lease that it did not renew; since each candidate read the same record, none took the duty. Counts of a window that were committed but can't be read made each commit of that window an unknown outcome, and no later window came after it.

A window whose committed counts can't be read is skipped (usage_skipped), as one that another holder has committed.

--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyClient.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyClient.java
@@ -63,6 +63,9 @@
         /** The window had been committed before, with these counts. */
         record AlreadyCommitted(UsageCounts counts) implements CommitResult {}
 
+        /** The window had been committed before, with counts that cannot be read. */
+        record CommittedUnreadable(String reason) implements CommitResult {}
+
         /** The fencing token is no longer current. */
         record NotHolder() implements CommitResult {}
     }
--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyElection.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyElection.java
@@ -34,6 +34,8 @@
     private static final long MAX_CLOCK_DIVERGENCE_MILLIS = 250;
 
     private static final int MAX_RECENT_HOLDERS = 8;
+    /** Time after which an attempt has failed; it makes four calls. */
+    private static final long MAX_ATTEMPT_MILLIS = 2 * PendingCall.LOST_AFTER_MILLIS;
 
     private static final long INITIAL_BACKOFF_MILLIS = 400;
     private static final long MAX_BACKOFF_MILLIS = 4_000;
@@ -66,7 +68,8 @@
     private long leaseValidUntilMillis;
     private long renewalClockOffsetMillis;
     private long nextRenewalMillis;
-    private boolean renewalInFlight;
+    private final PendingCall renewal = new PendingCall();
+    private long attemptStartedAtMillis;
     private long callsAllowedFromMillis;
 
     DutyElection(
@@ -144,11 +147,16 @@
             case HOLDING -> {
                 if (peerToken > fencingToken) {
                     relinquish("a peer announced a higher fencing token");
-                } else if (!renewalInFlight && (nowMillis >= nextRenewalMillis || clocksDiverged())) {
+                } else if (!renewal.inFlight(nowMillis) && (nowMillis >= nextRenewalMillis || clocksDiverged())) {
                     renewLease();
                 }
             }
-            case LEASING, CLAIMING, READING, STOPPED -> {}
+            case LEASING, CLAIMING, READING -> {
+                if (nowMillis - attemptStartedAtMillis > MAX_ATTEMPT_MILLIS) {
+                    relinquish("a call of the attempt has got no reply");
+                }
+            }
+            case STOPPED -> {}
         }
     }
 
@@ -189,6 +197,7 @@
 
     private void startAttempt() {
         machine.fire(DutyEvent.ASK);
+        attemptStartedAtMillis = clock.steadyMillis();
         client.readRecord(inCurrentEpoch(outcome -> {
             switch (outcome) {
                 case CallOutcome.Completed<DutyRecord>(DutyRecord dutyRecord) -> {
@@ -304,11 +313,11 @@
     // ---- ownership
 
     private void renewLease() {
-        renewalInFlight = true;
+        renewal.sent(clock.steadyMillis());
         long sentAtMillis = clock.steadyMillis();
         long sentClockOffsetMillis = clockOffsetMillis();
         client.renewLease(leaseId, inCurrentEpoch(outcome -> {
-            renewalInFlight = false;
+            renewal.ended();
             switch (outcome) {
                 case CallOutcome.Completed<Boolean>(Boolean renewed) -> {
                     if (renewed) {
@@ -358,7 +367,7 @@
         long nowMillis = clock.steadyMillis();
         machine.fire(DutyEvent.LOSE);
         epoch++;
-        renewalInFlight = false;
+        renewal.ended();
         vacantSinceMillis = nowMillis;
         nextAttemptMillis = nowMillis + backoffMillis / 2 + random.nextLong(backoffMillis);
         backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -54,13 +54,13 @@
     private UsageCounts pendingCommit;
 
     private Coverage coverage;
-    private boolean commitInFlight;
+    private final PendingCall commitCall = new PendingCall();
     private long nextCommitMillis;
     private final TreeMap<Long, UsageCounts> unreported = new TreeMap<>();
-    private boolean reportInFlight;
+    private final PendingCall reportCall = new PendingCall();
     private long nextReportMillis;
     private long reportBackoffMillis = INITIAL_BACKOFF_MILLIS;
-    private boolean saveInFlight;
+    private final PendingCall saveCall = new PendingCall();
     private long nextSaveMillis;
     private long holderSinceMillis;
     /** Increases whenever the duty is lost, so that callbacks of earlier calls are ignored. */
@@ -189,15 +189,17 @@
         aggregator = UsageAggregator.create();
         unreported.clear();
         pendingCommit = null;
-        commitInFlight = false;
-        reportInFlight = false;
-        saveInFlight = false;
+        commitCall.ended();
+        reportCall.ended();
+        saveCall.ended();
     }
 
     // ---- committing
 
     private void commitIfDue(List<DutyPeer> peers) {
-        if (commitInFlight || clock.steadyMillis() < nextCommitMillis || !election.canCall()) {
+        if (commitCall.inFlight(clock.steadyMillis())
+                || clock.steadyMillis() < nextCommitMillis
+                || !election.canCall()) {
             return;
         }
         if (pendingCommit == null) {
@@ -297,7 +299,7 @@
     }
 
     private void commit(UsageCounts counts) {
-        commitInFlight = true;
+        commitCall.sent(clock.steadyMillis());
         long callEpoch = epoch;
         long pruneThrough = counts.window() - settings.retainedWindows();
         client.commitUsage(election.fencingToken(), counts, pruneThrough, outcome -> {
@@ -305,13 +307,18 @@
             if (callEpoch != epoch) {
                 return;
             }
-            commitInFlight = false;
+            commitCall.ended();
             switch (outcome) {
                 case CallOutcome.Completed<DutyClient.CommitResult>(DutyClient.CommitResult.Committed committed) ->
                     onCommitted(counts);
                 case CallOutcome.Completed<DutyClient.CommitResult>(
                         DutyClient.CommitResult.AlreadyCommitted(UsageCounts committedBefore)) ->
                     onCommitted(committedBefore);
+                case CallOutcome.Completed<DutyClient.CommitResult>(
+                        DutyClient.CommitResult.CommittedUnreadable(String reason)) -> {
+                    pendingCommit = null;
+                    skip(counts.window(), "committed with counts that cannot be read: " + reason);
+                }
                 case CallOutcome.Completed<DutyClient.CommitResult>(DutyClient.CommitResult.NotHolder notHolder) ->
                     election.relinquish("ownership key is gone from the store or has another revision");
                 case CallOutcome.Unknown<DutyClient.CommitResult> unknown ->
@@ -336,11 +343,14 @@
     // ---- reporting
 
     private void reportIfDue() {
-        if (reportInFlight || unreported.isEmpty() || clock.steadyMillis() < nextReportMillis || !election.canCall()) {
+        if (reportCall.inFlight(clock.steadyMillis())
+                || unreported.isEmpty()
+                || clock.steadyMillis() < nextReportMillis
+                || !election.canCall()) {
             return;
         }
         UsageCounts counts = unreported.firstEntry().getValue();
-        reportInFlight = true;
+        reportCall.sent(clock.steadyMillis());
         long callEpoch = epoch;
         long token = election.fencingToken();
         long sentAtMillis = clock.steadyMillis();
@@ -351,7 +361,7 @@
             if (callEpoch != epoch) {
                 return;
             }
-            reportInFlight = false;
+            reportCall.ended();
             String outcomeText = switch (outcome) {
                 case CallOutcome.Completed<DutyClient.ReportResult>(DutyClient.ReportResult result) -> result.name();
                 case CallOutcome.Unknown<DutyClient.ReportResult>(String reason) -> reason;
@@ -398,10 +408,13 @@
 
     private void saveIfDue() {
         long nowMillis = clock.steadyMillis();
-        if (saveInFlight || nowMillis < nextSaveMillis || !election.canCall() || !aggregator.clearChanged()) {
+        if (saveCall.inFlight(nowMillis)
+                || nowMillis < nextSaveMillis
+                || !election.canCall()
+                || !aggregator.clearChanged()) {
             return;
         }
-        saveInFlight = true;
+        saveCall.sent(clock.steadyMillis());
         nextSaveMillis = nowMillis + SAVE_INTERVAL_MILLIS;
         long callEpoch = epoch;
         client.saveTally(election.fencingToken(), tally(), outcome -> {
@@ -409,7 +422,7 @@
             if (callEpoch != epoch) {
                 return;
             }
-            saveInFlight = false;
+            saveCall.ended();
             if (outcome instanceof CallOutcome.Completed<Boolean>(Boolean stillHolder) && !stillHolder) {
                 election.relinquish("ownership key is gone from the store or has another revision");
             }
--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageReporter.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageReporter.java
@@ -24,7 +24,7 @@
     private final MedianClock medianClock;
     private final RandomGenerator random;
     private final UsageCounter counter;
-    private boolean inFlight;
+    private final PendingCall call = new PendingCall();
     private long nextAttemptMillis;
     private long acknowledgedToken;
     private long acknowledgedAtMillis;
@@ -71,12 +71,12 @@
      */
     public Optional<UsageReport> pollReport(DutyPeer holder, int nodeCount, boolean last) {
         long nowMillis = clock.steadyMillis();
-        if (inFlight
+        if (call.inFlight(nowMillis)
                 || nowMillis < nextAttemptMillis
                 || !isReportDue(holder.announcement().fencingToken(), nowMillis, nodeCount, last)) {
             return Optional.empty();
         }
-        inFlight = true;
+        call.sent(nowMillis);
         jitterMillis = random.nextLong(MAX_JITTER_MILLIS);
         return Optional.of(counter.snapshot(last));
     }
@@ -101,7 +101,7 @@
      * @param committedThrough newest committed window, whose counts need not be reported again
      */
     public void acknowledged(long holderToken, UsageReport report, long countAtSend, long committedThrough) {
-        inFlight = false;
+        call.ended();
         acknowledgedToken = holderToken;
         acknowledgedAtMillis = clock.steadyMillis();
         acknowledgedThroughMillis = report.asOfMillis();
@@ -112,7 +112,7 @@
 
     /** Records that a report failed and schedules a retry. */
     public void failed() {
-        inFlight = false;
+        call.ended();
         nextAttemptMillis = clock.steadyMillis() + RETRY_DELAY_MILLIS + random.nextLong(RETRY_DELAY_MILLIS);
     }
 
