An entry that cannot be read costs itself alone

An index out of bounds in a key, or bytes that are no base64, failed a whole listing of gateways, quarantines or software versions.

Operators see one line entry_unreadable for each, now also for gateways, quarantines and software versions, and the gauge entries_unreadable.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
@@ -2,10 +2,10 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.List;
 import java.util.function.Consumer;
 import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
@@ -33,7 +33,7 @@
     }
 
     @Override
-    public void listServers(long timeoutMillis, Consumer<Reply<ServerListing>> onReply) {
+    public void listServers(long timeoutMillis, Consumer<Reply<Listing<ServerRegistration>>> onReply) {
         store.listServers(timeoutMillis, timed("servers", onReply));
     }
 
@@ -63,7 +63,7 @@
     }
 
     @Override
-    public void listGateways(Consumer<Reply<List<String>>> onReply) {
+    public void listGateways(Consumer<Reply<Listing<String>>> onReply) {
         store.listGateways(timed("gateways", onReply));
     }
 
@@ -78,7 +78,7 @@
     }
 
     @Override
-    public void listQuarantined(Consumer<Reply<List<CrashSuspect>>> onReply) {
+    public void listQuarantined(Consumer<Reply<Listing<CrashSuspect>>> onReply) {
         store.listQuarantined(timed("held", onReply));
     }
 
@@ -89,7 +89,7 @@
     }
 
     @Override
-    public void listSoftwareVersions(long timeoutMillis, Consumer<Reply<List<ServiceVersion>>> onReply) {
+    public void listSoftwareVersions(long timeoutMillis, Consumer<Reply<Listing<ServiceVersion>>> onReply) {
         store.listSoftwareVersions(timeoutMillis, timed("software", onReply));
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -12,7 +12,7 @@
 /** Defines the calls of a gateway to the platform's store; callbacks run on the event loop. */
 public interface MetadataStore {
     /** Lists the registered servers; fails if a page is not answered within a time in milliseconds. */
-    void listServers(long timeoutMillis, Consumer<Reply<ServerListing>> onReply);
+    void listServers(long timeoutMillis, Consumer<Reply<Listing<ServerRegistration>>> onReply);
 
     /** Reads the newest configuration; fails if there is no response within a time in milliseconds. */
     void readConfig(long timeoutMillis, Consumer<Reply<StoredConfig>> onReply);
@@ -42,7 +42,7 @@
     void keepAlive(long leaseId, Consumer<Reply<Boolean>> onReply);
 
     /** Lists the peer addresses of all gateways, as IP:PORT. */
-    void listGateways(Consumer<Reply<List<String>>> onReply);
+    void listGateways(Consumer<Reply<Listing<String>>> onReply);
 
     /** Stores what is quarantined for a time, also for gateways that start later. */
     void quarantine(CrashSuspect suspect, Duration duration, Consumer<Reply<Long>> onReply);
@@ -51,26 +51,36 @@
     void endQuarantine(CrashSuspect suspect, Consumer<Reply<Boolean>> onReply);
 
     /** Lists what is quarantined. */
-    void listQuarantined(Consumer<Reply<List<CrashSuspect>>> onReply);
+    void listQuarantined(Consumer<Reply<Listing<CrashSuspect>>> onReply);
 
     /** Stores for a time that a software version of a service serves beside others. */
     void recordSoftwareVersion(
             String service, String softwareVersion, Duration duration, Consumer<Reply<Long>> onReply);
 
     /** Lists the software versions that are stored as serving beside others. */
-    void listSoftwareVersions(long timeoutMillis, Consumer<Reply<List<ServiceVersion>>> onReply);
+    void listSoftwareVersions(long timeoutMillis, Consumer<Reply<Listing<ServiceVersion>>> onReply);
 
     /** A software version of a service. */
     record ServiceVersion(String service, String softwareVersion) {}
 
     /**
-     * Holds the server registrations in the store.
+     * Holds what the store lists under a prefix.
      *
-     * @param unreadable entries that are not valid registrations
+     * @param entries valid entries
+     * @param unreadable the first entries that are not valid, {@link #MAX_UNREADABLE} at most
+     * @param unreadableCount number of all entries that are not valid
      */
-    record ServerListing(List<ServerRegistration> servers, List<UnreadableEntry> unreadable) {}
+    record Listing<T>(List<T> entries, List<UnreadableEntry> unreadable, int unreadableCount) {
+        /** Number of invalid entries that are described; other writers may leave any number. */
+        public static final int MAX_UNREADABLE = 20;
 
-    /** Names a key whose value is not a valid registration, and the reason. */
+        /** Returns a listing without invalid entries. */
+        public static <T> Listing<T> of(List<T> entries) {
+            return new Listing<>(entries, List.of(), 0);
+        }
+    }
+
+    /** Names a key whose entry is not valid, and the reason. */
     record UnreadableEntry(String key, String reason) {}
 
     /**
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -8,9 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
+import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.log.LogEvent;
@@ -59,9 +62,6 @@
     /** Delay after a restore of the store in which all gateways report whether they reach it again. */
     private static final int STORE_QUARANTINE_DELAY_MILLIS = 1_000;
 
-    /** Maximum number of unreadable entries that are logged for one listing; other writers may leave any number. */
-    private static final int MAX_UNREADABLE_LOGGED = 20;
-
     /** Time for which the store keeps a software version that serves beside others. */
     private static final Duration SOFTWARE_TTL = Duration.ofMillis(3 * SoftwareVersions.RETENTION_MILLIS);
 
@@ -88,7 +88,8 @@
 
     private long nextCatchUpMillis = Long.MIN_VALUE;
     private boolean storeReachable = true;
-    private List<MetadataStore.UnreadableEntry> loggedUnreadable = List.of();
+    /** The latest invalid entries by listing. */
+    private final Map<String, UnreadableEntries> unreadable = new TreeMap<>();
     /** When this gateway recorded that a software version serves beside others. */
     private final Map<MetadataStore.ServiceVersion, Long> versionRecordedAtMillis = new HashMap<>();
 
@@ -129,6 +130,12 @@
                         "config_watch_revision",
                         "Store revision from which the configuration is watched; NaN if it is not",
                         () -> synchronizer.watching ? synchronizer.position.revision() : Double.NaN);
+        gateway.metrics()
+                .registerGauge(
+                        "entries_unreadable",
+                        "Entries of the latest listing in the platform's store that are not valid",
+                        "listing",
+                        synchronizer::unreadableCounts);
         synchronizer.configuration.run();
         synchronizer.lease.run();
         synchronizer.servers.run();
@@ -208,10 +215,10 @@
     private void readServers() {
         long requestedAtMillis = gateway.nowMillis();
         store.listServers(timeoutMillis(), servers.onReply(reply -> {
-            if (reply instanceof MetadataStore.Success<MetadataStore.ServerListing> success) {
+            if (reply instanceof MetadataStore.Success<MetadataStore.Listing<ServerRegistration>> success) {
                 markReachable();
-                logUnreadable(success.value().unreadable());
-                if (gateway.apply(success.value().servers(), requestedAtMillis)) {
+                recordUnreadable(servers.name(), success.value());
+                if (gateway.apply(success.value().entries(), requestedAtMillis)) {
                     peers.reportNow();
                 }
                 recordSoftwareVersions();
@@ -224,12 +231,12 @@
         }));
     }
 
-    /** Logs each unreadable entry once for as long as it does not change. */
-    private void logUnreadable(List<MetadataStore.UnreadableEntry> entries) {
-        List<MetadataStore.UnreadableEntry> logged =
-                entries.subList(0, Math.min(MAX_UNREADABLE_LOGGED, entries.size()));
-        for (MetadataStore.UnreadableEntry entry : logged) {
-            if (!loggedUnreadable.contains(entry)) {
+    /** Logs each invalid entry of a listing once for as long as it does not change. */
+    private void recordUnreadable(String listing, MetadataStore.Listing<?> result) {
+        List<MetadataStore.UnreadableEntry> before =
+                unreadable.getOrDefault(listing, UnreadableEntries.NONE).logged();
+        for (MetadataStore.UnreadableEntry entry : result.unreadable()) {
+            if (!before.contains(entry)) {
                 gateway.count("entry_unreadable");
                 LogLine.failure(LogEvent.ENTRY_UNREADABLE)
                         .with(LogField.KEY, entry.key())
@@ -237,7 +244,17 @@
                         .write();
             }
         }
-        loggedUnreadable = logged;
+        unreadable.put(listing, new UnreadableEntries(result.unreadable(), result.unreadableCount()));
+    }
+
+    /** Invalid entries of a listing: those that are in the log, and the number of all. */
+    private record UnreadableEntries(List<MetadataStore.UnreadableEntry> logged, int count) {
+        static final UnreadableEntries NONE = new UnreadableEntries(List.of(), 0);
+    }
+
+    private Map<String, Double> unreadableCounts() {
+        return unreadable.entrySet().stream().collect(Collectors.toMap(Map.Entry::getKey, entry ->
+                (double) entry.getValue().count()));
     }
 
     private void logRead(String reason, MetadataStore.StoredConfig stored) {
@@ -377,9 +394,10 @@
     /** Reads the quarantined requests from the store, where they survive a simultaneous loss of all gateways. */
     private void readQuarantine() {
         store.listQuarantined(quarantines.onReply(reply -> {
-            if (reply instanceof MetadataStore.Success<List<CrashSuspect>> success) {
+            if (reply instanceof MetadataStore.Success<MetadataStore.Listing<CrashSuspect>> success) {
                 markReachable();
-                gateway.crashQuarantine().quarantinedInStore(success.value());
+                recordUnreadable(quarantines.name(), success.value());
+                gateway.crashQuarantine().quarantinedInStore(success.value().entries());
                 quarantines.finish();
             } else {
                 quarantines.runAfter(spread(RETRY_MILLIS * 2));
@@ -393,9 +411,10 @@
      */
     private void readSoftwareVersions() {
         store.listSoftwareVersions(timeoutMillis(), softwareVersions.onReply(reply -> {
-            if (reply instanceof MetadataStore.Success<List<MetadataStore.ServiceVersion>> success) {
+            if (reply instanceof MetadataStore.Success<MetadataStore.Listing<MetadataStore.ServiceVersion>> success) {
                 markReachable();
-                gateway.softwareVersionHistory(success.value().stream()
+                recordUnreadable(softwareVersions.name(), success.value());
+                gateway.softwareVersionHistory(success.value().entries().stream()
                         .map(version -> new SoftwareVersions.Departed(version.service(), version.softwareVersion(), 0))
                         .toList());
                 softwareVersions.finish();
@@ -485,10 +504,11 @@
 
     private void readGateways() {
         store.listGateways(reply -> {
-            if (reply instanceof MetadataStore.Success<List<String>> success) {
+            if (reply instanceof MetadataStore.Success<MetadataStore.Listing<String>> success) {
                 markReachable();
-                gateway.fleetSize().listed(Set.copyOf(success.value()), gateway.nowMillis());
-                peers.addresses(success.value());
+                recordUnreadable("gateways", success.value());
+                gateway.fleetSize().listed(Set.copyOf(success.value().entries()), gateway.nowMillis());
+                peers.addresses(success.value().entries());
             }
         });
     }
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -30,6 +30,7 @@
 import org.tanagerhinge.core.relay.LeastInFlightPlacement;
 import org.tanagerhinge.core.relay.Prompt;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
@@ -80,8 +81,8 @@
         }
 
         @Override
-        public void listServers(long timeoutMillis, Consumer<Reply<ServerListing>> onReply) {
-            reply("servers", new ServerListing(List.of(), List.of()), onReply);
+        public void listServers(long timeoutMillis, Consumer<Reply<Listing<ServerRegistration>>> onReply) {
+            reply("servers", Listing.of(List.of()), onReply);
         }
 
         @Override
@@ -110,8 +111,8 @@
         }
 
         @Override
-        public void listGateways(Consumer<Reply<List<String>>> onReply) {
-            reply("gateways", List.of(), onReply);
+        public void listGateways(Consumer<Reply<Listing<String>>> onReply) {
+            reply("gateways", Listing.of(List.of()), onReply);
         }
 
         @Override
@@ -125,8 +126,8 @@
         }
 
         @Override
-        public void listQuarantined(Consumer<Reply<List<CrashSuspect>>> onReply) {
-            reply("held", List.of(), onReply);
+        public void listQuarantined(Consumer<Reply<Listing<CrashSuspect>>> onReply) {
+            reply("held", Listing.of(List.of()), onReply);
         }
 
         @Override
@@ -136,8 +137,8 @@
         }
 
         @Override
-        public void listSoftwareVersions(long timeoutMillis, Consumer<Reply<List<ServiceVersion>>> onReply) {
-            reply("software", List.of(), onReply);
+        public void listSoftwareVersions(long timeoutMillis, Consumer<Reply<Listing<ServiceVersion>>> onReply) {
+            reply("software", Listing.of(List.of()), onReply);
         }
     }
 
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.tanagerhinge.platform.PlatformNames;
 
 /** Simulates the platform's store with revisions, conditional writes, watches, leases and injected faults. */
@@ -63,6 +64,7 @@
     private Runnable onAwaitedCall = () -> {};
     private long nextLease = 100;
     private FaultMode faultMode = FaultMode.SERVES;
+    private UnaryOperator<String> responseChange = UnaryOperator.identity();
     private FaultMode sideFaultMode = FaultMode.SERVES;
     private final RawServer server;
     private RawServer sideServer;
@@ -143,6 +145,18 @@
         return revision;
     }
 
+    /** Writes bytes under a key and returns the new revision. */
+    public synchronized long put(String key, byte[] value) {
+        write(key, Base64.getEncoder().encodeToString(value), 0);
+        notifyAll();
+        return revision;
+    }
+
+    /** Changes the bodies of following responses before they are sent. */
+    public synchronized void alterResponses(UnaryOperator<String> change) {
+        responseChange = change;
+    }
+
     /** Removes a key. */
     public synchronized void remove(String key) {
         removeKey(key);
@@ -291,6 +305,7 @@
             boolean reset = era != receivedInEra && callsOfEarlierEras == WaitingCalls.RESET;
             mode = reset ? FaultMode.RESETS : mode;
             eraHeader = statesEra ? PlatformNames.STORE_ERA + ": " + era + "\r\n" : "";
+            reply = new Reply(reply.status(), responseChange.apply(reply.body()));
             if (request.path().equals(awaitedPath)) {
                 awaitedPath = "";
                 onAwaitedCall.run();
