Routers and agents go on after an error in a periodic event or a poll of the configuration

Cause: a periodic event that threw an error, not an exception, was not run again, since the executor ends what throws; the guard caught RuntimeException alone. A poll of the configuration that threw anything unexpected was neither counted nor logged, and one whose interval could not be determined, as while the control loop is busy, was the last.

ControlLoopTest.periodicEventContinuesAfterAnError and ConfigPollerTest failed before (no further run in 20 s).

--- a/node/src/main/java/org/tanagerhinge/node/control/ControlLoop.java
+++ b/node/src/main/java/org/tanagerhinge/node/control/ControlLoop.java
@@ -63,7 +63,7 @@
         post(() -> {
             try {
                 result.complete(query.call());
-            } catch (Exception e) {
+            } catch (Throwable e) {
                 result.completeExceptionally(e);
             }
         });
@@ -77,10 +77,11 @@
         }
     }
 
+    /** Runs an event. Errors are caught as well: one that leaves a periodic event ends it for good. */
     private void runGuarded(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             metrics.count("internal_error");
             LOG.log(Level.ERROR, "an event failed; the control loop continues", e);
         }
--- a/node/src/main/java/org/tanagerhinge/node/platform/ConfigPoller.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ConfigPoller.java
@@ -22,6 +22,8 @@
 public final class ConfigPoller implements AutoCloseable {
     private static final Logger LOG = System.getLogger(ConfigPoller.class.getName());
     private static final int MIN_INTERVAL_MILLIS = 20;
+    /** Interval while the control loop does not tell the number of nodes. */
+    private static final int FALLBACK_INTERVAL_MILLIS = 1_000;
 
     private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("platform").daemon().factory());
@@ -65,13 +67,26 @@
                 LOG.log(Level.WARNING, "cannot read the configuration, keeping the last one: " + e.getMessage());
             }
             failing = true;
+        } catch (Throwable e) {
+            // What the store holds may make its decoder throw anything; the next poll must still come.
+            metrics.count("internal_error");
+            LOG.log(Level.ERROR, "a poll of the configuration failed; polling continues", e);
         } finally {
             scheduleNext();
         }
     }
 
+    private long intervalMillis() {
+        try {
+            return Math.max(MIN_INTERVAL_MILLIS, interval.get().toMillis());
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, "cannot determine the poll interval: " + e.getMessage());
+            return FALLBACK_INTERVAL_MILLIS;
+        }
+    }
+
     private void scheduleNext() {
-        long intervalMillis = Math.max(MIN_INTERVAL_MILLIS, interval.get().toMillis());
+        long intervalMillis = intervalMillis();
         long delayMillis = intervalMillis / 2 + ThreadLocalRandom.current().nextLong(intervalMillis);
         if (!scheduler.isShutdown()) {
             scheduler.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
