Connections to servers that send bytes without end are closed

Bytes after a sound answer that came one at a time met the next request on the connection, which then waited for its timeout (504 in 2 kinds).

Cause: a response that nobody waits for (detach) had no bound of bytes or time; what comes before a head was bounded by the decoder's limits alone, which blank lines, informational responses and late responses of others never reach; bytes on an idle connection counted only once they made up a message; and the decoder waits for the end of a first line.

Now a discarded response may have 1 MiB and ends 10 s after the request's time, or after the refusal that it follows; 2 MiB may come before a head; the first bytes after a request must begin a response; any byte while none is expected ends the connection, and so do bytes behind the last message. Responses that a caller waits for have no new limit: a long sound one goes on at the pace of its caller until the route's timeout. One connection is read for 64 KB at most before others have their turn; before it was 1 MB.

Callers that stay and leave, fast and slow, on plain, unsafe, streaming and resumable routes: 45 of 45 pass.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -17,6 +17,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.relay.ServerInstance;
 
@@ -25,9 +29,13 @@
  *
  * <p>A response belongs to the request whose attempt id it names. A server may send a response twice, so a late
  * duplicate can arrive where the next response is expected; it is skipped. Bytes that arrive while no response is
- * expected close the connection.
+ * expected close the connection, also if they are no complete message. A server may send bytes without end: what comes
+ * before a response, and what is discarded, is bounded, and a response is forwarded no faster than its caller reads.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
+    /** What each response begins with, after blank characters. */
+    private static final byte[] START = "HTTP/".getBytes(StandardCharsets.US_ASCII);
+
     private static final int MAX_INITIAL_LINE_BYTES = 4096;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 16_384;
@@ -43,6 +51,11 @@
      */
     private static final double REUSABLE_IDLE_SHARE = 0.6;
 
+    /** Limit of what a server may send before the head of a response: informational and late responses. */
+    private static final int MAX_BYTES_BEFORE_RESPONSE = 2 << 20;
+    /** Limit of a response that nobody waits for; opening another connection is cheaper than reading more. */
+    private static final int MAX_DISCARDED_BYTES = 1 << 20;
+
     private final BackendConnectionPool pool;
     private final ServerInstance server;
     private final ResponseDecoder decoder = new ResponseDecoder();
@@ -58,6 +71,10 @@
     private boolean leaving;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
+    private long bytesBeforeResponse;
+    private int matchedStart;
+    private long discardedBytes;
+    private Future<?> discardTimer;
 
     BackendConnection(BackendConnectionPool pool, ServerInstance server) {
         this.pool = pool;
@@ -70,7 +87,7 @@
 
     void attach(Channel created) {
         channel = created;
-        created.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
+        created.pipeline().addLast(new HttpRequestEncoder(), new ByteLimiter(), decoder, this);
     }
 
     Channel channel() {
@@ -92,6 +109,8 @@
         responding = false;
         skipping = false;
         closeAfter = false;
+        bytesBeforeResponse = 0;
+        matchedStart = 0;
         decoder.expect(request.method());
         written = channel.writeAndFlush(request);
     }
@@ -105,12 +124,21 @@
     /**
      * Lets the server finish the request and discards its response.
      *
+     * @param limit time after which the connection is closed although the response is not complete
      * @param broken runs if the connection breaks before the response is complete
      */
-    void detach(Runnable broken) {
-        if (activeListener != null) {
-            activeListener = new DiscardingListener(broken);
+    void detach(Duration limit, Runnable broken) {
+        if (activeListener == null) {
+            return;
         }
+        activeListener = new DiscardingListener(broken);
+        discardedBytes = 0;
+        discardTimer = channel.eventLoop().schedule(this::abort, limit.toMillis(), TimeUnit.MILLISECONDS);
+        setReading(true);
+    }
+
+    private boolean discarding() {
+        return activeListener instanceof DiscardingListener;
     }
 
     /** Enables or disables reading, so that a slow caller does not make responses pile up in memory. */
@@ -220,8 +248,12 @@
     private void finish() {
         AttemptListener listener = activeListener;
         activeListener = null;
+        if (discardTimer != null) {
+            discardTimer.cancel(false);
+            discardTimer = null;
+        }
         idleSinceMillis = pool.nowMillis();
-        if (closeAfter || !written.isDone() || !channel.isActive()) {
+        if (closeAfter || !written.isDone() || !channel.isActive() || decoder.hasUnreadBytes()) {
             channel.close();
         } else {
             channel.config().setAutoRead(true);
@@ -274,6 +306,61 @@
         fail(AttemptFailure.BROKEN, "connection closed");
     }
 
+    /** Ends connections on which a server sends too much of what belongs to no response. */
+    private final class ByteLimiter extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!accepts((ByteBuf) message)) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            context.fireChannelRead(message);
+        }
+
+        private boolean accepts(ByteBuf received) {
+            int bytes = received.readableBytes();
+            if (activeListener == null) {
+                channel.close();
+                return false;
+            }
+            if (discarding()) {
+                discardedBytes += bytes;
+                if (discardedBytes > MAX_DISCARDED_BYTES) {
+                    pool.count("discarded_answer_too_long");
+                    abort();
+                    return false;
+                }
+            } else if (!responding) {
+                bytesBeforeResponse += bytes;
+                if (!matchesStart(received)) {
+                    fail(AttemptFailure.BROKEN, "bytes that begin no HTTP response");
+                    return false;
+                }
+                if (bytesBeforeResponse > MAX_BYTES_BEFORE_RESPONSE) {
+                    pool.count("no_answer_in_bytes");
+                    fail(AttemptFailure.BROKEN, "no response within " + MAX_BYTES_BEFORE_RESPONSE + " bytes");
+                    return false;
+                }
+            }
+            return true;
+        }
+    }
+
+    /**
+     * Returns whether the first bytes after a request begin a response. The decoder would wait for the end of the line,
+     * which may never come.
+     */
+    private boolean matchesStart(ByteBuf received) {
+        for (int i = received.readerIndex(); i < received.writerIndex() && matchedStart < START.length; i++) {
+            byte b = received.getByte(i);
+            boolean blank = matchedStart == 0 && b >= 0 && b <= ' ';
+            if (!blank && b != START[matchedStart++]) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Decodes responses; those to HEAD requests have no body. */
     private static final class ResponseDecoder extends HttpResponseDecoder {
         private boolean headOnly;
@@ -282,6 +369,11 @@
             super(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
         }
 
+        /** Returns whether bytes follow the message that was decoded last. */
+        boolean hasUnreadBytes() {
+            return actualReadableBytes() > 0;
+        }
+
         void expect(HttpMethod method) {
             headOnly = HttpMethod.HEAD.equals(method);
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
@@ -1,11 +1,13 @@
 package org.tanagerhinge.gateway;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
@@ -34,6 +36,11 @@
     /** Idle time after which a connection is closed even if the server allows more. */
     private static final long MAX_IDLE_MILLIS = 30_000;
 
+    private static final int MIN_RECEIVE_BYTES = 64;
+    private static final int INITIAL_RECEIVE_BYTES = 2_048;
+    private static final int MAX_RECEIVE_BYTES = 16_384;
+    private static final int MAX_READS_PER_TURN = 4;
+
     private final EventLoopGroup loop;
     private final Dialect dialect;
     private final LongSupplier clock;
@@ -134,6 +141,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
@@ -154,6 +162,12 @@
                 });
     }
 
+    /** Bounds what is read from one server before others have their turn; servers may send without end. */
+    private static RecvByteBufAllocator receiveBuffers() {
+        return new AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BYTES, INITIAL_RECEIVE_BYTES, MAX_RECEIVE_BYTES)
+                .maxMessagesPerRead(MAX_READS_PER_TURN);
+    }
+
     void release(BackendConnection connection) {
         if (connection.server().removed()) {
             connection.channel().close();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.time.Duration;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.PartQuarantine;
 import org.tanagerhinge.core.relay.PlacementPolicy;
@@ -37,6 +38,9 @@
      */
     private static final long MAX_IDLE_NON_IDEMPOTENT_MILLIS = 1_500;
 
+    /** Time in which a response that is not forwarded may end; then its connection is closed. */
+    private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(10);
+
     private static final long NOT_BEGUN = -1;
 
     private final Gateway gateway;
@@ -306,7 +310,7 @@
 
     /** Fails the attempt but lets the connection discard the rest of the response and stay usable. */
     private void failKeepingConnection(AttemptFailure failure, String reason) {
-        connection.detach(() -> {});
+        connection.detach(DISCARD_TIMEOUT, () -> {});
         fail(failure, reason);
     }
 
@@ -327,8 +331,8 @@
             return;
         }
         if (route.kind() == RouteKind.UNSAFE) {
-            connection.detach(exchange.detachedConnectionBroke(this));
-            connection.setReading(true);
+            Duration remaining = Duration.ofMillis(Math.max(0, exchange.remainingMillis()));
+            connection.detach(remaining.plus(DISCARD_TIMEOUT), exchange.detachedConnectionBroke(this));
         } else {
             connection.abort();
         }
