States and server lists of peers that no gateway sends are rejected

Cause: ages in peers' messages are unsigned 32-bit numbers; one above 2^31 became negative, so that a list of servers counted as requested in the future. The receiver took it for newer than every answer of the store, ignored changes of the servers it knew, and considered its list current, until that time had come (up to 24 days). A wall clock far ahead, or a usage window that is claimed to be committed far ahead, had a node skip all windows until then. Found by looking for what a datagram can stall; the messages of sound gateways never have such values.

PeerCodecTest.rejectsImplausibleStates and rejectsAServerListFromTheFuture: these values were accepted before (by reading; the old code has no check). The random test of entries and pages now sends damaged copies of the gateways' own datagrams.

--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -35,6 +35,9 @@
      */
     private static final int MATURE_AGE_SECONDS = 15;
 
+    /** A peer's claim that windows further ahead are committed is ignored: this node would skip them all. */
+    private static final long MAX_CLOCK_ERROR_MILLIS = 24 * 3_600_000L;
+
     private static final long INITIAL_BACKOFF_MILLIS = 300;
     private static final long MAX_BACKOFF_MILLIS = 3_000;
 
@@ -127,7 +130,10 @@
      */
     public void tick(List<DutyPeer> peers, int hostCapacity) {
         clockHistory.record(clock.steadyMillis(), medianClock.epochMillis());
-        peers.forEach(peer -> committedWindows.learnFrom(peer, client.storeEra()));
+        long latestPlausible = settings.windowAt(medianClock.epochMillis() + MAX_CLOCK_ERROR_MILLIS);
+        peers.stream()
+                .filter(peer -> peer.announcement().committedThrough() <= latestPlausible)
+                .forEach(peer -> committedWindows.learnFrom(peer, client.storeEra()));
         election.tick(peers, preference(hostCapacity));
         if (!election.isHolder()) {
             return;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -32,6 +33,12 @@
 
 /** Encodes and decodes the messages between peer gateways. */
 final class PeerCodec {
+    /** Longest plausible interval between two reports; many times what the largest fleet uses. */
+    private static final int MAX_INTERVAL_MILLIS = 60_000;
+
+    private static final long END_OF_TIME_MILLIS =
+            Instant.parse("2200-01-01T00:00:00Z").toEpochMilli();
+
     private PeerCodec() {}
 
     /** Holds the parts of a prompt that a node sent to a server instance, which caches them. */
@@ -154,6 +161,7 @@
 
     static PeerMessage decodeState(byte[] bytes) throws InvalidProtocolBufferException {
         PeerState state = PeerState.parseFrom(bytes);
+        requirePlausible(state);
         Map<String, RankedLoad> uses = new HashMap<>();
         Map<String, PeerReport.StatedWorkTime> workTimes = new HashMap<>();
         for (ServerUse use : state.getUsesList()) {
@@ -219,6 +227,36 @@
                         .toList());
     }
 
+    /**
+     * Rejects a state that no gateway reports. A list of servers from the future, for instance, would count as newer than
+     * what the store answers.
+     */
+    private static void requirePlausible(PeerState state) throws InvalidProtocolBufferException {
+        require(!state.getName().isEmpty(), "name");
+        require(state.getServersAgeMillis() >= 0, "age of the server list");
+        require(state.getConfigAgeMillis() >= 0, "age of the configuration");
+        require(state.getIntervalMillis() > 0 && state.getIntervalMillis() <= MAX_INTERVAL_MILLIS, "report interval");
+        require(state.getTimeOfDayMillis() >= 0 && state.getTimeOfDayMillis() < END_OF_TIME_MILLIS, "time of day");
+        require(state.getPower() >= 0, "duty preference");
+        require(state.getUsageToken() >= 0 && state.getUsageCommittedThrough() >= 0, "usage duty");
+        require(state.getConnectionsPerSecond() >= 0, "connection rate");
+        require(Float.isFinite(state.getPrefillTokensPerMilli()), "prefill rate");
+        for (ServerUse use : state.getUsesList()) {
+            require(use.getLessUrgentCount() < RankedLoad.RANKS, "number of ranks");
+        }
+        for (ServiceDemand demand : state.getDemandsList()) {
+            require(Double.isFinite(demand.getShortRunning()), "demand");
+            require(Double.isFinite(demand.getShortTokens()), "demand");
+            require(Double.isFinite(demand.getLongTokens()), "demand");
+        }
+    }
+
+    private static void require(boolean plausible, String what) throws InvalidProtocolBufferException {
+        if (!plausible) {
+            throw new InvalidProtocolBufferException("implausible " + what + " in the state of a peer");
+        }
+    }
+
     private static SuspectedRequest encodeSuspicion(RequestQuarantine.Suspicion suspicion) {
         SuspectedRequest.Builder suspected = SuspectedRequest.newBuilder()
                 .setWorkspace(suspicion.request().workspaceHash())
@@ -268,6 +306,7 @@
 
     static ServerSnapshot decodeServers(byte[] bytes) throws InvalidProtocolBufferException {
         ServerList list = ServerList.parseFrom(bytes);
+        require(list.getAgeMillis() >= 0, "age of the server list");
         List<ServerRegistration> servers = new ArrayList<>();
         for (ServerEntry entry : list.getServersList()) {
             servers.add(new ServerRegistration(
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -1,16 +1,25 @@
 package org.tanagerhinge.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
+import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.duty.DutyAnnouncement;
@@ -19,6 +28,8 @@
 import org.tanagerhinge.core.relay.RankedLoad;
 import org.tanagerhinge.core.relay.ReportSchedule;
 import org.tanagerhinge.core.relay.ServerAnnouncements;
+import org.tanagerhinge.wire.peer.PeerState;
+import org.tanagerhinge.wire.peer.ServerList;
 
 /** Guards against peer messages that lose information or outgrow their share of the control bandwidth. */
 class PeerCodecTest {
@@ -53,6 +64,41 @@
                 List.of());
     }
 
+    private static final long MAX_UINT32 = 0xFFFF_FFFFL;
+
+    /** Fields of a state, by number, and values that no gateway reports. */
+    static Stream<Arguments> implausibleFields() {
+        return Stream.of(
+                arguments(PeerState.SERVERS_AGE_MILLIS_FIELD_NUMBER, MAX_UINT32),
+                arguments(PeerState.CONFIG_AGE_MILLIS_FIELD_NUMBER, MAX_UINT32),
+                arguments(PeerState.INTERVAL_MILLIS_FIELD_NUMBER, MAX_UINT32),
+                arguments(PeerState.INTERVAL_MILLIS_FIELD_NUMBER, 0L),
+                arguments(PeerState.TIME_OF_DAY_MILLIS_FIELD_NUMBER, Long.MAX_VALUE),
+                arguments(PeerState.USAGE_TOKEN_FIELD_NUMBER, -1L),
+                arguments(PeerState.USAGE_COMMITTED_THROUGH_FIELD_NUMBER, -1L),
+                arguments(PeerState.CONNECTIONS_PER_SECOND_FIELD_NUMBER, MAX_UINT32));
+    }
+
+    /** Guards against a peer's server list from the future, which would count as newer than the store's answers. */
+    @ParameterizedTest
+    @MethodSource("implausibleFields")
+    void rejectsImplausibleStates(int field, long value) throws IOException {
+        byte[] state = PeerCodec.encodeState(message(List.of(), List.of()));
+        ByteArrayOutputStream damaged = new ByteArrayOutputStream();
+        damaged.write(state);
+        CodedOutputStream out = CodedOutputStream.newInstance(damaged);
+        out.writeUInt64(field, value);
+        out.flush();
+        PeerCodec.decodeState(state);
+        assertThrows(InvalidProtocolBufferException.class, () -> PeerCodec.decodeState(damaged.toByteArray()));
+    }
+
+    @Test
+    void rejectsAServerListFromTheFuture() {
+        byte[] list = ServerList.newBuilder().setAgeMillis(-5_000).build().toByteArray();
+        assertThrows(InvalidProtocolBufferException.class, () -> PeerCodec.decodeServers(list));
+    }
+
     @Test
     void suspicionsAndLeavingServersSurviveRoundTrip() throws InvalidProtocolBufferException {
         List<RequestQuarantine.Suspicion> suspicions = List.of(
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/UnreadableEntriesTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/UnreadableEntriesTest.java
@@ -5,17 +5,20 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
 import org.tanagerhinge.standin.relay.ServerStandin;
@@ -34,6 +37,9 @@
             "software/x-",
             "usage/fixed/000000000000000000");
 
+    private static final int ROUNDS = 4;
+    private static final int DATAGRAM_TIMEOUT_MILLIS = 10_000;
+
     private RelayScene scene;
 
     @BeforeEach
@@ -186,16 +192,26 @@
         return result.toString();
     }
 
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("tanagerhinge.fuzz.seeds", 2));
+    }
+
     /** Random and damaged entries, pages and datagrams, each round followed by changes that must arrive. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2})
+    @MethodSource("seeds")
     void changesArriveAfterRandomDamage(long seed) throws IOException {
-        Random random = new Random(seed);
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            socket.setSoTimeout(DATAGRAM_TIMEOUT_MILLIS);
+            scene.store.put("gateways/fuzz", "127.0.0.1:" + socket.getLocalPort());
+            assertChangesArrive(new Random(seed), socket);
+        }
+    }
+
+    private void assertChangesArrive(Random random, DatagramSocket socket) throws IOException {
         ServerStandin server = scene.server("s-0", "plain", ServerStandin.plain(200, "x"));
         GatewayDaemon gateway = scene.gatewayWithDuties("gateway-a", Duration.ofSeconds(1), Duration.ofSeconds(1));
         GatewayDaemon peer = scene.gatewayWithDuties("gateway-b", Duration.ofSeconds(1), Duration.ofSeconds(1));
-        int rounds = Integer.getInteger("tanagerhinge.fuzz.rounds", 4);
-        for (int round = 1; round <= rounds; round++) {
+        for (int round = 1; round <= ROUNDS; round++) {
             List<String> keys = new ArrayList<>();
             for (int i = 0; i < 100; i++) {
                 String key = PREFIXES.get(random.nextInt(PREFIXES.size())) + random.nextInt(1_000);
@@ -207,7 +223,7 @@
                 scene.store.put(key, value);
                 keys.add(key);
             }
-            sendDatagrams(random, List.of(scene.peerAddress(gateway), scene.peerAddress(peer)));
+            sendDatagrams(random, socket, List.of(scene.peerAddress(gateway), scene.peerAddress(peer)));
             scene.store.alterResponses(body -> random.nextInt(3) == 0 ? damaged(body, random) : body);
             RelayScene.sleep(700);
             scene.store.alterResponses(body -> body);
@@ -220,11 +236,22 @@
         }
     }
 
-    private static void sendDatagrams(Random random, List<InetSocketAddress> targets) throws IOException {
-        try (DatagramSocket socket = new DatagramSocket()) {
-            for (int i = 0; i < 500; i++) {
-                byte[] bytes = new byte[random.nextInt(300)];
-                random.nextBytes(bytes);
+    /** Sends random datagrams, and damaged ones of the gateways themselves, which report to the socket. */
+    private static void sendDatagrams(Random random, DatagramSocket socket, List<InetSocketAddress> targets)
+            throws IOException {
+        for (int i = 0; i < 200; i++) {
+            byte[] bytes = new byte[random.nextInt(300)];
+            random.nextBytes(bytes);
+            socket.send(new DatagramPacket(bytes, bytes.length, targets.get(random.nextInt(targets.size()))));
+        }
+        for (int i = 0; i < 4; i++) {
+            DatagramPacket received = new DatagramPacket(new byte[4_096], 4_096);
+            socket.receive(received);
+            for (int copy = 0; copy < 50; copy++) {
+                byte[] bytes = Arrays.copyOf(received.getData(), random.nextInt(received.getLength()) + 1);
+                for (int change = random.nextInt(5); change > 0; change--) {
+                    bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+                }
                 socket.send(new DatagramPacket(bytes, bytes.length, targets.get(random.nextInt(targets.size()))));
             }
         }
