Server lists are ordered by the store's history, not by clocks

Cause: the steady clock of a host does not count the time for which it is suspended. Reports that had waited in its socket confirmed the old list as of now, so that a list it read after waking seemed to be requested earlier: it added servers and removed none.

Now lists carry the era and revision of the store at which they were read, in reports and with the list, and are ordered by them; age only tells when to read again, and decides as before where no position is known (gateways of older versions). What the store tells to a later request is believed whatever its position.

--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerReport.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.OptionalDouble;
+import org.tanagerhinge.core.store.StorePosition;
 
 /**
  * Holds the state that another node reports about itself.
@@ -15,6 +16,7 @@
  * @param configAgeMillis time since the first node received the configuration from the store
  * @param serverListAgeMillis time since the node's server list was requested
  * @param serverListDigest equal for equal server lists
+ * @param serverListPosition point in the store's history at which the server list was read
  * @param reportIntervalMillis longest time until the node's next report
  * @param loads load by instance id of the backend server
  * @param demands demand of the node's callers by service
@@ -35,6 +37,7 @@
         long configAgeMillis,
         long serverListAgeMillis,
         long serverListDigest,
+        StorePosition serverListPosition,
         long reportIntervalMillis,
         Map<String, RankedLoad> loads,
         Map<String, LaneDemand> demands,
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.tanagerhinge.core.store.StorePosition;
 
 /**
  * Tracks the backend servers that this node knows.
@@ -39,6 +40,8 @@
     private final Map<String, ServerInstance> instanceByServerId = new LinkedHashMap<>();
     private final Map<String, List<ServerInstance>> instancesByService = new HashMap<>();
     private long newestListMillis = Long.MIN_VALUE;
+    private StorePosition newestPosition = StorePosition.NONE;
+    private long positionRequestedAtMillis = Long.MIN_VALUE;
     private long keepMissingUntilMillis = Long.MIN_VALUE;
     private long ignoreDepartedUntilMillis = Long.MIN_VALUE;
     /** When instances departed, by instance id. */
@@ -53,18 +56,29 @@
         return new ServerDirectory();
     }
 
+    /** Applies a complete list of registrations that was read at an unknown point of the store's history. */
+    public List<ServerChange> apply(Collection<ServerRegistration> registrations, long requestedAtMillis) {
+        return apply(registrations, requestedAtMillis, StorePosition.NONE);
+    }
+
     /**
      * Applies a complete list of registrations.
      *
-     * <p>A list that was requested before the newest one may be outdated: it adds servers and marks them as draining,
-     * but doesn't remove servers and doesn't restore earlier instances.
+     * <p>A list that was read before the newest one may be outdated: it adds servers and marks them as draining, but
+     * doesn't remove servers and doesn't restore earlier instances.
      *
      * @param requestedAtMillis time at which the list was requested
+     * @param position point in the store's history at which the list was read, {@link StorePosition#NONE} if unknown
      * @return the changes, for the log
      */
-    public List<ServerChange> apply(Collection<ServerRegistration> registrations, long requestedAtMillis) {
+    public List<ServerChange> apply(
+            Collection<ServerRegistration> registrations, long requestedAtMillis, StorePosition position) {
         List<ServerChange> changes = new ArrayList<>();
-        boolean newest = requestedAtMillis >= newestListMillis;
+        boolean newest = isNewest(requestedAtMillis, position);
+        if (newest) {
+            newestPosition = position;
+            positionRequestedAtMillis = requestedAtMillis;
+        }
         if (newestListMillis != Long.MIN_VALUE && requestedAtMillis - newestListMillis > STORE_OUTAGE_MILLIS) {
             keepMissingUntilMillis = requestedAtMillis + REGISTRATION_RECOVERY_MILLIS;
         }
@@ -115,6 +129,22 @@
         return changes;
     }
 
+    /**
+     * Returns whether a list is at least as new as the one in use. Positions decide where both are known, since clocks
+     * do not count the time for which a host was suspended; but what the store tells later is never older.
+     */
+    private boolean isNewest(long requestedAtMillis, StorePosition position) {
+        if (position.equals(StorePosition.NONE) || newestPosition.equals(StorePosition.NONE)) {
+            return requestedAtMillis >= newestListMillis;
+        }
+        return !position.isBefore(newestPosition) || requestedAtMillis > positionRequestedAtMillis;
+    }
+
+    /** Returns the point in the store's history at which the list was read; unknown if the store does not tell. */
+    public StorePosition position() {
+        return newestPosition;
+    }
+
     private void depart(ServerInstance server, long nowMillis) {
         server.markRemoved();
         departedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > MAX_COPY_AGE_MILLIS);
--- a/core/src/main/java/org/tanagerhinge/core/store/StorePosition.java
+++ b/core/src/main/java/org/tanagerhinge/core/store/StorePosition.java
@@ -17,6 +17,11 @@
         return new StorePosition(era, revision);
     }
 
+    /** Returns whether this point comes before another one. */
+    public boolean isBefore(StorePosition other) {
+        return era < other.era || (era == other.era && revision < other.revision);
+    }
+
     /** Returns the point that a fencing token stands for. */
     public static StorePosition ofFencingToken(long token) {
         return new StorePosition(token >>> REVISION_BITS, token & ((1L << REVISION_BITS) - 1));
--- a/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/PeerTableTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
+import org.tanagerhinge.core.store.StorePosition;
 
 /** Tests which peer reports are accepted and which node reads the store for all. */
 class PeerTableTest {
@@ -27,6 +28,7 @@
                 0,
                 0,
                 0,
+                StorePosition.NONE,
                 intervalMillis,
                 Map.of("a", RankedLoad.of(2, 100)),
                 Map.of("model", new LaneDemand(1, 2, 3)),
--- a/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
@@ -7,6 +7,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.tanagerhinge.core.store.StorePosition;
 
 /** Tests which backend servers are known after a sequence of registration lists. */
 class ServerDirectoryTest {
@@ -89,4 +90,28 @@
         other.apply(List.of(registration("b", true), registration("a", false)), 2);
         assertNotEquals(one.digest(), other.digest());
     }
+
+    /**
+     * Guards against a list that keeps servers which have left: the host was suspended while the list was requested, so
+     * that its clock puts the request before the confirmation of an older list.
+     */
+    @Test
+    void listReadLaterIsNewestThoughItSeemsToBeRequestedEarlier() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false), registration("b", false)), 1_000, StorePosition.of(1, 10));
+        directory.confirmList(1_500);
+        directory.apply(List.of(registration("a", false)), 1_400, StorePosition.of(1, 20));
+        assertEquals(1, directory.available("model").size());
+        assertEquals(StorePosition.of(1, 20), directory.position());
+    }
+
+    /** Guards against a false position of a peer's list that would outlast all answers of the store. */
+    @Test
+    void storeIsBelievedAgainAfterAListFromTheFuture() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false)), 1_000, StorePosition.of(1, 1_000_000));
+        directory.apply(List.of(registration("b", false)), 1_800, StorePosition.of(1, 20));
+        assertEquals("b", directory.available("model").getFirst().id());
+        assertEquals(1, directory.available("model").size());
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -37,6 +37,7 @@
 import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.store.StoreEra;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
@@ -391,10 +392,14 @@
         return true;
     }
 
-    /** Applies a list of registered servers that was requested at a time; returns whether it changed anything. */
-    boolean apply(List<ServerRegistration> registrations, long requestedAtMillis) {
+    /**
+     * Applies a list of registered servers; returns whether it changed anything.
+     *
+     * @param position point in the store's history at which the list was read
+     */
+    boolean apply(List<ServerRegistration> registrations, long requestedAtMillis, StorePosition position) {
         boolean wasInitialized = initialized();
-        List<ServerChange> changes = directory.apply(registrations, requestedAtMillis);
+        List<ServerChange> changes = directory.apply(registrations, requestedAtMillis, position);
         for (ServerChange change : changes) {
             LogLine.of(event(change.kind()))
                     .with(LogField.SERVER, change.id())
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -66,17 +66,18 @@
     /**
      * Holds what the store lists under a prefix.
      *
+     * @param position point in the store's history that the first page shows; later pages may show later ones
      * @param entries valid entries
      * @param unreadable the first entries that are not valid, {@link #MAX_UNREADABLE} at most
      * @param unreadableCount number of all entries that are not valid
      */
-    record Listing<T>(List<T> entries, List<UnreadableEntry> unreadable, int unreadableCount) {
+    record Listing<T>(StorePosition position, List<T> entries, List<UnreadableEntry> unreadable, int unreadableCount) {
         /** Number of invalid entries that are described; other writers may leave any number. */
         public static final int MAX_UNREADABLE = 20;
 
-        /** Returns a listing without invalid entries. */
+        /** Returns a listing without invalid entries, from a store that does not tell its position. */
         public static <T> Listing<T> of(List<T> entries) {
-            return new Listing<>(entries, List.of(), 0);
+            return new Listing<>(StorePosition.NONE, entries, List.of(), 0);
         }
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -19,6 +19,7 @@
 import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.relay.WorkspaceUses;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.wire.peer.DepartedVersion;
 import org.tanagerhinge.wire.peer.KeptParts;
 import org.tanagerhinge.wire.peer.Part;
@@ -72,12 +73,14 @@
      * Holds a server list.
      *
      * @param ageMillis time since the list was requested
+     * @param position point in the store's history at which the list was read
      * @param departed software versions of which servers have left lately
      * @param departedComplete whether no such version is missing
      */
     record ServerSnapshot(
             List<ServerRegistration> list,
             long ageMillis,
+            StorePosition position,
             List<SoftwareVersions.Departed> departed,
             boolean departedComplete) {}
 
@@ -94,6 +97,8 @@
                 .setConfigAgeMillis((int) Math.min(Integer.MAX_VALUE, report.configAgeMillis()))
                 .setServersAgeMillis((int) Math.min(Integer.MAX_VALUE, report.serverListAgeMillis()))
                 .setServersDigest(report.serverListDigest())
+                .setServersEra(report.serverListPosition().era())
+                .setServersRevision(report.serverListPosition().revision())
                 .setIntervalMillis((int) report.reportIntervalMillis());
         report.prefillTokensPerMilli().ifPresent(rate -> state.setPrefillTokensPerMilli((float) rate));
         report.connectionsPerSecond().ifPresent(rate -> state.setConnectionsPerSecond(1 + (int) Math.round(rate)));
@@ -197,6 +202,7 @@
                 state.getConfigAgeMillis(),
                 state.getServersAgeMillis(),
                 state.getServersDigest(),
+                StorePosition.of(state.getServersEra(), state.getServersRevision()),
                 state.getIntervalMillis(),
                 uses,
                 demands,
@@ -283,6 +289,8 @@
     static byte[] encodeServers(ServerSnapshot servers) {
         ServerList.Builder list = ServerList.newBuilder()
                 .setAgeMillis((int) Math.min(Integer.MAX_VALUE, servers.ageMillis()))
+                .setEra(servers.position().era())
+                .setRevision(servers.position().revision())
                 .setDepartedComplete(servers.departedComplete());
         for (SoftwareVersions.Departed version : servers.departed()) {
             list.addDeparted(DepartedVersion.newBuilder()
@@ -323,7 +331,12 @@
                 .map(version -> new SoftwareVersions.Departed(
                         version.getService(), version.getSoftwareVersion(), version.getAgeMillis()))
                 .toList();
-        return new ServerSnapshot(servers, list.getAgeMillis(), departed, list.getDepartedComplete());
+        return new ServerSnapshot(
+                servers,
+                list.getAgeMillis(),
+                StorePosition.of(list.getEra(), list.getRevision()),
+                departed,
+                list.getDepartedComplete());
     }
 
     /** Formats an address as IP:PORT. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerRequestHandler.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerRequestHandler.java
@@ -64,6 +64,7 @@
                 gateway.directory().hasList()
                         ? gateway.nowMillis() - gateway.directory().newestListMillis()
                         : Integer.MAX_VALUE,
+                gateway.directory().position(),
                 gateway.directory().versionHistory().history(gateway.nowMillis()),
                 gateway.directory().versionHistory().complete(gateway.nowMillis())));
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -37,6 +37,7 @@
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.ReportSchedule;
 import org.tanagerhinge.core.relay.ServerInstance;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.daemon.Incarnation;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
@@ -292,6 +293,7 @@
                 gateway.configAgeMillis(),
                 gateway.directory().hasList() ? nowMillis - gateway.directory().newestListMillis() : Integer.MAX_VALUE,
                 gateway.directory().digest(),
+                gateway.directory().position(),
                 intervalMillis(),
                 uses,
                 gateway.placement().localDemands(nowMillis),
@@ -325,18 +327,36 @@
         if (report.configVersion() > gateway.configVersion()) {
             requestConfig(report);
         }
-        long ageMillis =
-                gateway.directory().hasList() ? nowMillis - gateway.directory().newestListMillis() : Long.MAX_VALUE;
-        if (report.serverListAgeMillis() + MIN_AGE_GAIN_MILLIS < ageMillis) {
-            if (report.serverListDigest() == gateway.directory().digest()
-                    && gateway.directory().hasList()) {
+        compareServerLists(report, nowMillis);
+    }
+
+    /**
+     * Confirms this gateway's server list, or requests the peer's if that is newer. A list that was read at an earlier
+     * point of the store's history is never newer, whatever its stated age: the clock of a host does not count the time
+     * for which it was suspended, and a report may have waited in a suspended host's socket.
+     */
+    private void compareServerLists(PeerReport report, long nowMillis) {
+        boolean hasList = gateway.directory().hasList();
+        if (hasList && isOutdated(report.serverListPosition())) {
+            return;
+        }
+        long ageMillis = hasList ? nowMillis - gateway.directory().newestListMillis() : Long.MAX_VALUE;
+        boolean younger = report.serverListAgeMillis() + MIN_AGE_GAIN_MILLIS < ageMillis;
+        if (hasList && report.serverListDigest() == gateway.directory().digest()) {
+            if (younger) {
                 gateway.directory().confirmList(nowMillis - report.serverListAgeMillis());
-            } else {
-                requestServers(report);
             }
+        } else if (younger || gateway.directory().position().isBefore(report.serverListPosition())) {
+            requestServers(report);
         }
     }
 
+    /** Returns whether a server list was read before this gateway's; not if a peer doesn't tell. */
+    private boolean isOutdated(StorePosition position) {
+        return !position.equals(StorePosition.NONE)
+                && position.isBefore(gateway.directory().position());
+    }
+
     /**
      * Applies the load change of one peer's report. Recomputing the totals for each report would cost quadratic time in
      * the number of peers; they are recomputed periodically, when silent peers drop out.
@@ -450,7 +470,9 @@
                     if (servers.departedComplete()) {
                         gateway.softwareVersionHistory(servers.departed());
                     }
-                    gateway.apply(servers.list(), requestedAtMillis - servers.ageMillis());
+                    if (!gateway.directory().hasList() || !isOutdated(servers.position())) {
+                        gateway.apply(servers.list(), requestedAtMillis - servers.ageMillis(), servers.position());
+                    }
                 } catch (IOException e) {
                     LOG.log(
                             Level.ERROR,
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -218,7 +218,10 @@
             if (reply instanceof MetadataStore.Success<MetadataStore.Listing<ServerRegistration>> success) {
                 markReachable();
                 recordUnreadable(servers.name(), success.value());
-                if (gateway.apply(success.value().entries(), requestedAtMillis)) {
+                if (gateway.apply(
+                        success.value().entries(),
+                        requestedAtMillis,
+                        success.value().position())) {
                     peers.reportNow();
                 }
                 recordSoftwareVersions();
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerCodecTest.java
@@ -28,6 +28,7 @@
 import org.tanagerhinge.core.relay.RankedLoad;
 import org.tanagerhinge.core.relay.ReportSchedule;
 import org.tanagerhinge.core.relay.ServerAnnouncements;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.wire.peer.PeerState;
 import org.tanagerhinge.wire.peer.ServerList;
 
@@ -47,6 +48,7 @@
             7,
             4,
             5,
+            StorePosition.of(6, 1_234),
             250,
             Map.of(),
             Map.of(),
@@ -208,6 +210,7 @@
                 7,
                 4,
                 5,
+                StorePosition.NONE,
                 250,
                 loads,
                 Map.of(),
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeerReportBacklogTest.java
@@ -20,6 +20,7 @@
 import org.tanagerhinge.core.relay.LeastInFlightPlacement;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.RelayConfig;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** Tests how a gateway catches up with reports of its peers that have queued up. */
@@ -48,6 +49,7 @@
                 0,
                 Integer.MAX_VALUE,
                 0,
+                StorePosition.NONE,
                 250,
                 Map.of(),
                 Map.of(),
--- a/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/RequestAdmissionTest.java
@@ -31,6 +31,7 @@
 import org.tanagerhinge.core.relay.WeightedService;
 import org.tanagerhinge.core.relay.WorkspaceConfig;
 import org.tanagerhinge.core.relay.WorkspaceUses;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** Tests what the admission policy learns about requests to servers that are full. */
@@ -110,7 +111,7 @@
     @ParameterizedTest
     @CsvSource({"true, true", "false, false"})
     void requestWithoutServerIsASignIfServersAreFull(boolean full, boolean sign) {
-        gateway.apply(List.of(registration), gateway.nowMillis());
+        gateway.apply(List.of(registration), gateway.nowMillis(), StorePosition.NONE);
         if (full) {
             gateway.serverAnnouncements()
                     .recordBackoff(gateway.directory().all().iterator().next().instanceId(), Long.MAX_VALUE);
--- a/gateway/src/test/java/org/tanagerhinge/gateway/StreamTrackerTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/StreamTrackerTest.java
@@ -25,6 +25,7 @@
 import org.tanagerhinge.core.relay.StreamOrigin;
 import org.tanagerhinge.core.relay.StreamOrigins;
 import org.tanagerhinge.core.relay.WeightedService;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /** Guards against streams that are taken for one of a wrong software version, and against needless messages. */
@@ -88,7 +89,7 @@
     private void serve(ServerRegistration... servers) {
         run(() -> {
             gateway.streams().connect(peers);
-            gateway.apply(List.of(servers), gateway.nowMillis());
+            gateway.apply(List.of(servers), gateway.nowMillis(), StorePosition.NONE);
             gateway.softwareVersionHistory(List.of());
         });
     }
@@ -129,7 +130,8 @@
         serve(server("a", "v1"));
         run(() -> gateway.streams().begun(STREAM, ORIGIN, ROUTE));
         assertEquals(0, peers.told());
-        run(() -> gateway.apply(List.of(server("a", "v1"), server("b", "v2")), gateway.nowMillis()));
+        run(() ->
+                gateway.apply(List.of(server("a", "v1"), server("b", "v2")), gateway.nowMillis(), StorePosition.NONE));
         assertEquals(StreamTracker.WITNESSES, peers.told());
     }
 
--- a/gateway/src/test/java/org/tanagerhinge/gateway/WorkspaceUsesCodecTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/WorkspaceUsesCodecTest.java
@@ -21,6 +21,7 @@
 import org.tanagerhinge.core.relay.WorkRate;
 import org.tanagerhinge.core.relay.WorkspaceShares;
 import org.tanagerhinge.core.relay.WorkspaceUses;
+import org.tanagerhinge.core.store.StorePosition;
 import org.tanagerhinge.wire.peer.PeerState;
 
 /** Guards against figures of workspaces that are lost in messages or outgrow their share of the control bandwidth. */
@@ -39,6 +40,7 @@
                 7,
                 4,
                 5,
+                StorePosition.NONE,
                 250,
                 Map.of(),
                 Map.of(),
--- a/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/fleet/ModelGateway.java
@@ -27,6 +27,7 @@
 import org.tanagerhinge.core.relay.ServerRegistration;
 import org.tanagerhinge.core.relay.ServiceConfig;
 import org.tanagerhinge.core.relay.WorkspaceUses;
+import org.tanagerhinge.core.store.StorePosition;
 
 /** Simulates a gateway that runs the real placement code and receives delayed reports of its peers. */
 final class ModelGateway {
@@ -256,6 +257,7 @@
                 0,
                 0,
                 0,
+                StorePosition.NONE,
                 intervalMillis,
                 loads,
                 placement.localDemands(floorMillis(fleet.nowMillis())),
