Answers without a length are complete only if their server is still up, also if it is leaving

Cause: a crash closes connections as the end of such an answer does. The check that tells them apart, another connection, was left out for servers that drain, have left or say that they leave. They serve on for drainMs and longer, so a refused connection shows that they are gone.

Now the check is the same for all. AnswerWithoutFramingTest with a draining server that crashes failed before (1 of 3 ends; the other two held).

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -68,7 +68,6 @@
     private boolean broken;
     private boolean closeAfter;
     private boolean unframed;
-    private boolean leaving;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
     private long bytesBeforeResponse;
@@ -193,7 +192,6 @@
         }
         skipping = false;
         responding = true;
-        leaving = metadata.leaving();
         readKeepAlive(response);
         activeListener.responseHead(response, metadata);
     }
@@ -226,16 +224,12 @@
 
     /**
      * Finishes a response that has ended with its connection. A crashing server closes its connections in the same way,
-     * so the response counts as complete only if the server doesn't refuse another connection. One that is leaving may
-     * end after its last response without a crash.
+     * so the response counts as complete only if the server doesn't refuse another connection, also if it is leaving:
+     * it serves on after its last response.
      */
     private void finishUnframed() {
         AttemptListener listener = activeListener;
         activeListener = null;
-        if (leaving) {
-            listener.responseCompleted();
-            return;
-        }
         pool.checkNotCrashed(server, running -> {
             if (running) {
                 listener.responseCompleted();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
@@ -112,13 +112,9 @@
 
     /**
      * Opens a connection, which goes to the pool, to find out whether a server has crashed; {@code onResult} receives
-     * false if it refuses the connection and isn't known to be leaving.
+     * false if it refuses the connection.
      */
     void checkNotCrashed(ServerInstance server, Consumer<Boolean> onResult) {
-        if (!server.available()) {
-            onResult.accept(true);
-            return;
-        }
         connect(
                 server,
                 connection -> {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerWithoutFramingTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerWithoutFramingTest.java
@@ -109,4 +109,25 @@
         assertEquals(end == End.CLOSED ? 200 : 502, answer.status());
         assertEquals(end == End.CLOSED, answer.body().equals("whole"));
     }
+
+    /** Guards against a stream that looks complete although its server was killed while it was draining. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void streamOfADrainingServerIsWholeOnlyIfItsServerIsStillUp(End end) throws IOException {
+        ServerStandin server = scene.server("e-1", "model", unframedWhileDraining(end));
+        RawCaller.Answer answer = ask("/stream/x");
+        assertEquals(1, server.receivedRequests().size());
+        assertEquals(EVENTS, answer.body());
+        assertEquals(end == End.CLOSED, answer.whole());
+    }
+
+    /** Returns a script whose server drains, and is known to, before the answer ends. */
+    private ServerStandin.ResponseScript unframedWhileDraining(End end) {
+        return (server, request, connection) -> {
+            scene.platform.register(server, "model", "draining");
+            int listings = scene.store.calls(PlatformNames.RANGE_PATH);
+            RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_PATH) > listings + 1);
+            unframed(EVENTS, end).answer(server, request, connection);
+        };
+    }
 }
