--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerWithoutFramingTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerWithoutFramingTest.java
@@ -124,7 +124,7 @@
     /** Returns a script whose server drains, and is known to, before the answer ends. */
     private ServerStandin.ResponseScript unframedWhileDraining(End end) {
         return (server, request, connection) -> {
-            scene.platform.register(server, "model", "draining");
+            scene.platform.register(server, "model", PlatformNames.DRAINING);
             int listings = scene.store.calls(PlatformNames.RANGE_PATH);
             RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_PATH) > listings + 1);
             unframed(EVENTS, end).answer(server, request, connection);
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/UnreadableEntriesTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/UnreadableEntriesTest.java
@@ -87,7 +87,7 @@
 
     /** Checks that gateways send requests to a server that registers now, and none to one that has left. */
     private void assertFollowsServers(ServerStandin leaving, ServerStandin newServer, List<GatewayDaemon> gateways) {
-        scene.platform.register(leaving, "plain", "draining");
+        scene.platform.register(leaving, "plain", PlatformNames.DRAINING);
         for (GatewayDaemon gateway : gateways) {
             int before = newServer.receivedRequests().size();
             RelayScene.await(() -> {
