--- a/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
@@ -29,7 +29,10 @@
 
 /** Guards against calls that get no reply, and against connections that stay open, whatever the other side sends. */
 class SequentialHttpClientTest {
-    private static final int TIMEOUT_MILLIS = 400;
+    /** Timeout of calls that get no response. */
+    private static final int SHORT_TIMEOUT_MILLIS = 400;
+
+    private static final int TIMEOUT_MILLIS = 20_000;
     private static final long PATIENCE_SECONDS = 20;
     private static final int BUFFER_BYTES = 65_536;
     private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -117,8 +120,8 @@
         }
     }
 
-    private void call(Consumer<SequentialHttpClient.Response> onResponse) {
-        loop.next().execute(() -> client.call(HttpMethod.GET, "/", "", TIMEOUT_MILLIS, onResponse));
+    private void call(int timeoutMillis, Consumer<SequentialHttpClient.Response> onResponse) {
+        loop.next().execute(() -> client.call(HttpMethod.GET, "/", "", timeoutMillis, onResponse));
     }
 
     private SequentialHttpClient.Response nextResponse() throws InterruptedException {
@@ -140,10 +143,10 @@
             }
             writerEnded.countDown();
         });
-        call(responses::add);
+        call(SHORT_TIMEOUT_MILLIS, responses::add);
         assertEquals(0, nextResponse().status());
         assertTrue(writerEnded.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "connection is still open");
-        call(responses::add);
+        call(TIMEOUT_MILLIS, responses::add);
         assertEquals(200, nextResponse().status());
     }
 
@@ -151,7 +154,7 @@
     void informationalResponsesAreNotTakenForTheResponse() throws InterruptedException {
         serve(out -> write(out, "HTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\n" + ANSWER));
         for (int i = 0; i < 2; i++) {
-            call(responses::add);
+            call(TIMEOUT_MILLIS, responses::add);
             assertEquals(200, nextResponse().status());
         }
     }
@@ -160,12 +163,12 @@
     @Test
     void callsGoOnAfterAReceiverThrows() throws InterruptedException {
         serve(out -> write(out, ANSWER));
-        call(response -> {
+        call(TIMEOUT_MILLIS, response -> {
             throw new StackOverflowError("deliberate");
         });
-        call(responses::add);
+        call(TIMEOUT_MILLIS, responses::add);
         assertEquals(200, nextResponse().status());
-        call(responses::add);
+        call(TIMEOUT_MILLIS, responses::add);
         assertEquals(200, nextResponse().status());
     }
 }
