Review rig: ports below the range of outgoing connections

Cause: of 25 runs of the scripts beside each other, one could not start (exit 2): a port of a gateway was taken by an outgoing connection between its choice and its use.

--- a/review/rig/RecoverCase.java
+++ b/review/rig/RecoverCase.java
@@ -54,9 +54,10 @@
         rig.platform.service("ledger", 0);
         rig.platform.route("/plan/", "safe", "ledger").put("timeoutMs", 4_000);
         rig.platform.publish();
+        int[] ports = Rig.freePorts(SERVERS);
         List<RawServer> servers = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
-            servers.add(server("s" + i, 0));
+            servers.add(server("s" + i, ports[i]));
             rig.register("s" + i, servers.get(i).address().getPort(), "ledger", 6);
         }
         for (int i = 0; i < GATEWAYS.length; i++) {
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -18,6 +19,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -33,6 +35,8 @@
     static final String KEY = "key1";
     static final String TENANT = "tenant1";
     static final int HEARTBEAT_MILLIS = 1_200;
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 32_000;
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final StoreStandin store;
@@ -270,18 +274,34 @@
 
     // ---- helpers
 
+    /**
+     * Returns ports that are free for TCP and UDP, below the range from which the system takes those of outgoing
+     * connections, so that none is taken before it is used, or while a server is down.
+     */
     static int[] freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+        List<AutoCloseable> sockets = new ArrayList<>();
         int[] ports = new int[count];
         try {
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-                sockets.add(socket);
-                ports[i] = socket.getLocalPort();
+            InetAddress loopback = InetAddress.getByName("127.0.0.1");
+            for (int found = 0, tries = 0; found < count; tries++) {
+                int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+                try {
+                    sockets.add(new ServerSocket(port, 1, loopback));
+                    sockets.add(new DatagramSocket(port, loopback));
+                    ports[found++] = port;
+                } catch (IOException e) {
+                    if (tries > 1_000) {
+                        throw e;
+                    }
+                }
             }
         } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
+            for (AutoCloseable socket : sockets) {
+                try {
+                    socket.close();
+                } catch (Exception e) {
+                    throw new IOException(e);
+                }
             }
         }
         return ports;
