--- a/review/rig2/AllCrashed.java
+++ b/review/rig/AllCrashed.java
@@ -23,21 +23,21 @@
     private AllCrashed() {}
 
     public static void main(String[] args) throws Exception {
-        Rig.play(args, AllCrashed::run);
+        CaseRig.play(args, AllCrashed::run);
     }
 
-    private static int run(Rig rig) throws Exception {
+    private static int run(CaseRig rig) throws Exception {
         List<Process> servers = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             servers.add(rig.startServer("i-first-" + i, "wuno96b", SLOTS, WORK_MILLIS));
         }
-        String first = Rig.route("/puxa403/", "safe", "wuno96b", 2_000, ",\"public\":true");
-        rig.configure(7, first, Rig.service("wuno96b"), "");
-        List<Rig.Gateway> gateways =
+        String first = CaseRig.route("/puxa403/", "safe", "wuno96b", 2_000, ",\"public\":true");
+        rig.configure(7, first, CaseRig.service("wuno96b"), "");
+        List<CaseRig.Gateway> gateways =
                 List.of(rig.startGateway("front-kita-hall-1", Map.of()), rig.startGateway("front-chuo-hall-1", Map.of()));
         Thread.sleep(1_000);
-        String added = Rig.route("/lohu930/", "safe", "wuno96b", 2_000, ",\"public\":true");
-        rig.configure(12, first + "," + added, Rig.service("wuno96b"), "");
+        String added = CaseRig.route("/lohu930/", "safe", "wuno96b", 2_000, ",\"public\":true");
+        rig.configure(12, first + "," + added, CaseRig.service("wuno96b"), "");
         Thread.sleep(2_500);
         Tally tally = new Tally(rig);
         List<Thread> callers = new ArrayList<>();
@@ -78,9 +78,9 @@
         rig.log("judged requests and answers: " + tally.counts);
         rig.log("share served on the first route " + servedFirst + ", on the route added later " + servedAdded);
         if (tally.sent("/lohu930/") < 20 || servedFirst < 0.5) {
-            return Rig.COULD_NOT_RUN;
+            return CaseRig.COULD_NOT_RUN;
         }
-        return servedAdded < servedFirst / 4 ? Rig.BROKEN : Rig.HELD;
+        return servedAdded < servedFirst / 4 ? CaseRig.BROKEN : CaseRig.HELD;
     }
 
     /** Sends a signal to all servers; stopped ones end at the same moment, none answers in between. */
@@ -92,17 +92,17 @@
 
     /** Counts what callers got in the judged time. */
     private static final class Tally {
-        private final Rig rig;
+        private final CaseRig rig;
         private final Map<String, AtomicInteger> counts = new ConcurrentHashMap<>();
         private volatile boolean judged;
         private volatile boolean stop;
 
-        Tally(Rig rig) {
+        Tally(CaseRig rig) {
             this.rig = rig;
         }
 
         /** Asks again and again, at most ten times a second; {@code distinct}: for another thing each time. */
-        void poll(Rig.Gateway gateway, String caller, String path, boolean distinct) {
+        void poll(CaseRig.Gateway gateway, String caller, String path, boolean distinct) {
             for (int i = 0; !stop; i++) {
                 String id = caller + "-" + i;
                 boolean counted = judged;
@@ -114,7 +114,7 @@
                 int status = 0;
                 String retryAfter = "";
                 try {
-                    Rig.Answer answer = Rig.call(gateway.port(), "GET", target, headers, new byte[0], 3_000);
+                    CaseRig.Answer answer = CaseRig.call(gateway.port(), "GET", target, headers, new byte[0], 3_000);
                     status = answer.status();
                     retryAfter = answer.headers().getOrDefault("retry-after", "");
                 } catch (Exception e) {
--- a/review/rig2/BrokenOffEarly.java
+++ b/review/rig/BrokenOffEarly.java
@@ -1,3 +1,4 @@
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -6,6 +7,9 @@
 /** A server resets the connection of an answer without a length, before it has read all of a long request. */
 final class BrokenOffEarly {
     private static final int BODY_BYTES = 4_190_000;
+    /** What a server takes without reading; with more, the whole body may have been sent when it resets. */
+    private static final int RECEIVE_BUFFER_BYTES = 16_384;
+
     private static final String FIRST = "first half;".repeat(100);
     private static final String SECOND = "second half".repeat(100);
     private static final int REQUESTS = 80;
@@ -15,17 +19,19 @@
     private BrokenOffEarly() {}
 
     public static void main(String[] args) throws Exception {
-        Rig.play(args, BrokenOffEarly::run);
+        CaseRig.play(args, BrokenOffEarly::run);
     }
 
-    private static int run(Rig rig) throws Exception {
+    private static int run(CaseRig rig) throws Exception {
         AtomicInteger answers = new AtomicInteger();
-        int port = Rig.serve((socket, in, out) -> {
-            Rig.Head head = Rig.readHead(in);
+        ServerSocket listener = new ServerSocket();
+        listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        CaseRig.Connection connection = (socket, in, out) -> {
+            CaseRig.Head head = CaseRig.readHead(in);
             if (head == null) {
                 return;
             }
-            Rig.exactly(in, 16_384);
+            CaseRig.exactly(in, 16_384);
             boolean breaksOff = rig.trouble && answers.incrementAndGet() % EVERY == EVERY / 2;
             out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + head.id()
                             + "\r\nX-Server-Seal: 3e1b.07\r\nContent-Type: text/plain\r\n\r\n" + FIRST)
@@ -36,16 +42,16 @@
                 reset(socket);
                 return;
             }
-            Rig.exactly(in, head.length() - 16_384);
+            CaseRig.exactly(in, head.length() - 16_384);
             out.write(SECOND.getBytes());
-        });
-        rig.register("i-7f3a91c2", "huvo11a", port, 6);
+        };
+        rig.register("i-7f3a91c2", "huvo11a", CaseRig.serve(connection, listener), 6);
         rig.configure(
                 7,
-                Rig.route("/pule252/", "unsafe", "huvo11a", 5_000, ",\"public\":true"),
-                Rig.service("huvo11a"),
+                CaseRig.route("/pule252/", "unsafe", "huvo11a", 5_000, ",\"public\":true"),
+                CaseRig.service("huvo11a"),
                 "");
-        Rig.Gateway gateway = rig.startGateway("front-kita-hall-1", Map.of());
+        CaseRig.Gateway gateway = rig.startGateway("front-kita-hall-1", Map.of());
         int wrong = 0;
         int whole = 0;
         for (int i = 0; i < REQUESTS; i++) {
@@ -53,8 +59,8 @@
             headers.put("Host", "ficu95.example");
             headers.put("X-Attempt-Id", "attempt-" + i);
             headers.put("X-Deadline-Ms", "5000");
-            Rig.Answer answer =
-                    Rig.call(gateway.port(), "POST", "/pule252/2f", headers, new byte[BODY_BYTES], 6_000);
+            CaseRig.Answer answer =
+                    CaseRig.call(gateway.port(), "POST", "/pule252/2f", headers, new byte[BODY_BYTES], 6_000);
             boolean success = answer.status() == 200 && answer.complete();
             boolean isWhole = answer.text().equals(FIRST + SECOND);
             rig.log("client got " + answer.status() + " for attempt-" + i + ", " + answer.body().length + " of "
@@ -65,9 +71,9 @@
         }
         rig.log(whole + " whole answers, " + wrong + " successes with a body that is not whole");
         if (whole < REQUESTS / 2) {
-            return Rig.COULD_NOT_RUN;
+            return CaseRig.COULD_NOT_RUN;
         }
-        return wrong > 0 ? Rig.BROKEN : Rig.HELD;
+        return wrong > 0 ? CaseRig.BROKEN : CaseRig.HELD;
     }
 
     private static void reset(Socket socket) throws Exception {
--- a/review/rig2/Rig.java
+++ b/review/rig/CaseRig.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -20,11 +21,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tanagerhinge.standin.relay.StoreStandin;
 
 /** Starts gateways with the command of the deploy file beside a stand-in of the store, and records what happens. */
-final class Rig implements AutoCloseable {
+final class CaseRig implements AutoCloseable {
     /** Exit codes of a case. */
     static final int HELD = 0;
 
@@ -41,7 +43,7 @@
     private final List<Gateway> gateways = new ArrayList<>();
     private final List<Process> servers = Collections.synchronizedList(new ArrayList<>());
 
-    Rig(String caseFolder) throws IOException {
+    CaseRig(String caseFolder) throws IOException {
         folder = Path.of(caseFolder);
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
         temporary = Files.createTempDirectory("review");
@@ -67,10 +69,17 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
     }
 
+    /** Returns a free port below those of outgoing connections, which could take it before the gateway does. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 1_000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // The port is taken.
+            }
         }
+        throw new IOException("no free port");
     }
 
     /** Starts a gateway and waits until it says that it is ready. */
@@ -280,7 +289,12 @@
 
     /** Listens at a port of its own and serves each connection in a thread. */
     static int serve(Connection connection) throws IOException {
-        ServerSocket listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+        return serve(connection, new ServerSocket());
+    }
+
+    /** Listens with a socket that isn't bound yet. */
+    static int serve(Connection connection, ServerSocket listener) throws IOException {
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
         Thread.ofPlatform().daemon().start(() -> {
             while (true) {
                 try {
@@ -361,12 +375,12 @@
 
     /** A case: returns its exit code. */
     interface Case {
-        int run(Rig rig) throws Exception;
+        int run(CaseRig rig) throws Exception;
     }
 
     static void play(String[] args, Case played) throws Exception {
         int code = COULD_NOT_RUN;
-        try (Rig rig = new Rig(args[0])) {
+        try (CaseRig rig = new CaseRig(args[0])) {
             try {
                 code = played.run(rig);
             } catch (Exception e) {
--- a/review/rig2/CrashLoop.java
+++ b/review/rig/CrashLoop.java
@@ -25,24 +25,24 @@
     private CrashLoop() {}
 
     public static void main(String[] args) throws Exception {
-        Rig.play(args, CrashLoop::run);
+        CaseRig.play(args, CrashLoop::run);
     }
 
-    private static int run(Rig rig) throws Exception {
+    private static int run(CaseRig rig) throws Exception {
         rig.startServer("i-plain", "wuno96b", 6, 40);
         List<Process> servers = start(rig, "i-first-", 0);
-        String first = Rig.route("/puxa403/", "safe", "wuno96b", 2_000, ",\"public\":true");
-        String services = Rig.service("wuno96b") + ","
-                + Rig.service("huvo11a")
+        String first = CaseRig.route("/puxa403/", "safe", "wuno96b", 2_000, ",\"public\":true");
+        String services = CaseRig.service("wuno96b") + ","
+                + CaseRig.service("huvo11a")
                         .replace(
                                 "}",
                                 ",\"engine\":{\"slots\":48,\"kvCapacityTokens\":335900,\"kvTokenBytes\":163840,"
                                         + "\"linkMbps\":740000.0,\"models\":[{\"name\":\"m\"}]}}");
         rig.configure(7, first, services, "");
-        List<Rig.Gateway> gateways =
+        List<CaseRig.Gateway> gateways =
                 List.of(rig.startGateway("front-kita-hall-1", Map.of()), rig.startGateway("front-chuo-hall-1", Map.of()));
         Thread.sleep(1_000);
-        String added = Rig.route("/lohu930/", "streaming", "huvo11a", 6_000, ",\"public\":true,\"targetGapMs\":200")
+        String added = CaseRig.route("/lohu930/", "streaming", "huvo11a", 6_000, ",\"public\":true,\"targetGapMs\":200")
                 .replace("\"sticky\":false", "\"sticky\":true")
                 .replace("\"resumable\":false", "\"resumable\":true")
                 .replace("\"maxAttempts\":1", "\"maxAttempts\":2");
@@ -85,12 +85,12 @@
         rig.log("judged requests and answers: " + tally.counts);
         rig.log("share served on the first route " + servedFirst + ", on the route added later " + servedAdded);
         if (tally.sent("/lohu930/") < 20 || servedFirst < 0.5) {
-            return Rig.COULD_NOT_RUN;
+            return CaseRig.COULD_NOT_RUN;
         }
-        return servedAdded < servedFirst / 4 ? Rig.BROKEN : Rig.HELD;
+        return servedAdded < servedFirst / 4 ? CaseRig.BROKEN : CaseRig.HELD;
     }
 
-    private static List<Process> start(Rig rig, String name, long crashAfterMillis) throws Exception {
+    private static List<Process> start(CaseRig rig, String name, long crashAfterMillis) throws Exception {
         List<Process> servers = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             servers.add(rig.startServer("StreamServer", name + i, "huvo11a", SLOTS, crashAfterMillis));
@@ -99,7 +99,7 @@
     }
 
     /** Removes the entries of crashed servers and starts new ones, each at its time after the crash. */
-    private static List<Process> comeBack(Rig rig, String crashed, String name, long crashAfterMillis)
+    private static List<Process> comeBack(CaseRig rig, String crashed, String name, long crashAfterMillis)
             throws Exception {
         Thread.sleep(ENTRY_MILLIS);
         for (int i = 0; i < SERVERS; i++) {
@@ -117,17 +117,17 @@
 
     /** Counts what callers got in the judged time. */
     private static final class Tally {
-        private final Rig rig;
+        private final CaseRig rig;
         private final Map<String, AtomicInteger> counts = new ConcurrentHashMap<>();
         private volatile boolean judged;
         private volatile boolean stop;
 
-        Tally(Rig rig) {
+        Tally(CaseRig rig) {
             this.rig = rig;
         }
 
         /** Asks for drafts whose prompts share their system prompt and differ in the rest. */
-        void draft(Rig.Gateway gateway, String caller) {
+        void draft(CaseRig.Gateway gateway, String caller) {
             Random random = new Random(caller.hashCode());
             for (int i = 0; !stop; i++) {
                 Map<String, String> more = new LinkedHashMap<>();
@@ -138,14 +138,14 @@
             }
         }
 
-        void fetch(Rig.Gateway gateway, String caller) {
+        void fetch(CaseRig.Gateway gateway, String caller) {
             for (int i = 0; !stop; i++) {
                 ask(gateway, caller + "-" + i, "GET", "/puxa403/plan-" + caller + "-" + i, Map.of(), "", 100);
             }
         }
 
         private void ask(
-                Rig.Gateway gateway,
+                CaseRig.Gateway gateway,
                 String id,
                 String method,
                 String path,
@@ -161,7 +161,7 @@
             String what = "0";
             String retryAfter = "";
             try {
-                Rig.Answer answer = Rig.call(gateway.port(), method, path, headers, body.getBytes(), 7_000);
+                CaseRig.Answer answer = CaseRig.call(gateway.port(), method, path, headers, body.getBytes(), 7_000);
                 what = answer.status() + (answer.complete() ? "" : " cut off");
                 retryAfter = answer.headers().getOrDefault("retry-after", "");
             } catch (Exception e) {
--- a/review/rig2/ManyParts.java
+++ b/review/rig/ManyParts.java
@@ -35,18 +35,18 @@
     private ManyParts() {}
 
     public static void main(String[] args) throws Exception {
-        Rig.play(args, ManyParts::run);
+        CaseRig.play(args, ManyParts::run);
     }
 
-    private static int run(Rig rig) throws Exception {
+    private static int run(CaseRig rig) throws Exception {
         StringBuilder events = new StringBuilder();
         for (int event = 1; event <= 10; event++) {
             events.append("id: ").append(event).append("\ndata: word\n\n");
         }
         for (int i = 0; i < SERVERS; i++) {
-            int port = Rig.serve((socket, in, out) -> {
-                for (Rig.Head head = Rig.readHead(in); head != null; head = Rig.readHead(in)) {
-                    Rig.exactly(in, head.length());
+            int port = CaseRig.serve((socket, in, out) -> {
+                for (CaseRig.Head head = CaseRig.readHead(in); head != null; head = CaseRig.readHead(in)) {
+                    CaseRig.exactly(in, head.length());
                     Thread.sleep(60);
                     out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + head.id()
                                     + "\r\nX-Server-Seal: 3e1b.07\r\nContent-Type: text/event-stream\r\n"
@@ -59,17 +59,17 @@
         }
         rig.configure(
                 7,
-                Rig.route("/lohu930/", "streaming", "huvo11a", TIMEOUT_MILLIS, ",\"public\":false,\"targetGapMs\":800")
+                CaseRig.route("/lohu930/", "streaming", "huvo11a", TIMEOUT_MILLIS, ",\"public\":false,\"targetGapMs\":800")
                         .replace("\"sticky\":false", "\"sticky\":true")
                         .replace("\"targetLatencyMs\":300", "\"targetLatencyMs\":1000"),
-                Rig.service("huvo11a")
+                CaseRig.service("huvo11a")
                         .replace(
                                 "}",
                                 ",\"engine\":{\"slots\":96,\"kvCapacityTokens\":" + CAPACITY_TOKENS
                                         + ",\"kvTokenBytes\":163840,\"linkMbps\":740000.0,\"models\":[{\"name\":\"m\"}]}}"),
                 "{\"name\":\"huka270\",\"apiKeys\":[\"xd9dnn2ctnfzs989anu6\"],\"priority\":1},"
                         + "{\"name\":\"puhu251\",\"apiKeys\":[\"wsjnbanfqasnmgkcuyj8\"],\"priority\":1}");
-        Rig.Gateway gateway = rig.startGateway("front-lisboa-a-1", Map.of());
+        CaseRig.Gateway gateway = rig.startGateway("front-lisboa-a-1", Map.of());
         try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
             Random random = new Random(1);
             int sent = 0;
@@ -104,10 +104,10 @@
                 + ", of these without an answer half a second later " + UNANSWERED_LATER + "; the gateway "
                 + (ended ? "ended by itself with code " + gateway.process().exitValue() : "runs"));
         if (SERVED.get() < 100) {
-            return Rig.COULD_NOT_RUN;
+            return CaseRig.COULD_NOT_RUN;
         }
         boolean silent = UNANSWERED_LATER.get() >= 8 && UNANSWERED_LATER.get() > UNANSWERED_AT_TIMEOUT.get() / 2;
-        return silent || ended ? Rig.BROKEN : Rig.HELD;
+        return silent || ended ? CaseRig.BROKEN : CaseRig.HELD;
     }
 
     /** Returns the parts of a chat: a system prompt that all share, its messages so far, and the newest one. */
@@ -119,7 +119,7 @@
         return prefix.append(",e4402b7d:250").toString();
     }
 
-    private static void send(Rig rig, Rig.Gateway gateway, String id, String key, String prefix) {
+    private static void send(CaseRig rig, CaseRig.Gateway gateway, String id, String key, String prefix) {
         long sentMillis = rig.millis();
         String end;
         boolean answered = false;
@@ -137,7 +137,7 @@
                                     + "\r\nX-Model: m\r\nX-Token-Count: " + (600 + MESSAGES * TOKENS_PER_MESSAGE)
                                     + ",50\r\nX-Prompt-Prefix: " + prefix + "\r\nContent-Length: 6\r\n\r\nprompt")
                             .getBytes());
-            Rig.Answer answer = Rig.readAnswer(new BufferedInputStream(socket.getInputStream()));
+            CaseRig.Answer answer = CaseRig.readAnswer(new BufferedInputStream(socket.getInputStream()));
             answered = answer.status() != 0 && answer.complete();
             end = answer.status() + " " + answer.end();
             if (answer.status() == 200 && answer.complete()) {
--- a/review/rig2/SoundServer.java
+++ b/review/rig/SoundServer.java
@@ -5,9 +5,9 @@
     public static void main(String[] args) throws Exception {
         String id = args[0];
         long workMillis = Long.parseLong(args[1]);
-        int port = Rig.serve((socket, in, out) -> {
-            for (Rig.Head head = Rig.readHead(in); head != null; head = Rig.readHead(in)) {
-                Rig.exactly(in, head.length());
+        int port = CaseRig.serve((socket, in, out) -> {
+            for (CaseRig.Head head = CaseRig.readHead(in); head != null; head = CaseRig.readHead(in)) {
+                CaseRig.exactly(in, head.length());
                 String echo = "X-Attempt-Id: " + head.id() + "\r\n";
                 if (!id.equals(head.headers().get("x-expect-instance"))) {
                     out.write(("HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\nX-Instance-Id: " + id + "\r\n"
--- a/review/rig2/StreamServer.java
+++ b/review/rig/StreamServer.java
@@ -15,9 +15,9 @@
         String id = args[0];
         long crashAfterMillis = Long.parseLong(args[1]);
         AtomicBoolean crashing = new AtomicBoolean(crashAfterMillis <= 0);
-        int port = Rig.serve((socket, in, out) -> {
-            for (Rig.Head head = Rig.readHead(in); head != null; head = Rig.readHead(in)) {
-                Rig.exactly(in, head.length());
+        int port = CaseRig.serve((socket, in, out) -> {
+            for (CaseRig.Head head = CaseRig.readHead(in); head != null; head = CaseRig.readHead(in)) {
+                CaseRig.exactly(in, head.length());
                 if (!crashing.getAndSet(true)) {
                     Thread.ofPlatform().daemon().start(() -> crash(crashAfterMillis));
                 }
@@ -38,7 +38,7 @@
         Runtime.getRuntime().halt(137);
     }
 
-    private static void answer(String id, Rig.Head head, OutputStream out) throws Exception {
+    private static void answer(String id, CaseRig.Head head, OutputStream out) throws Exception {
         out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + head.id() + "\r\nX-Server-Seal: " + id
                         + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
                 .getBytes());
