--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -8,7 +8,7 @@
   echo "build first: deploy/build and review/build-2.sh"
   exit 2
 fi
-timeout -k 5 110 "$java" -cp "target/review-2:standin/target/classes:standin/target/lib/*" UnframedCase review/5/record.txt
+timeout -k 5 115 "$java" -Xmx512m -cp "target/review-2:standin/target/classes:standin/target/lib/*" BrokenOffEarly review/5/record.txt
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/rig/AllCrashed.java
+++ b/review/rig/AllCrashed.java
@@ -55,6 +55,9 @@
             rig.log("all servers of the service crash");
             signal("-STOP", servers);
             signal("-KILL", servers);
+            for (int i = 0; i < SERVERS; i++) {
+                rig.crashed("i-first-" + i);
+            }
             Thread.sleep(ENTRY_MILLIS);
             for (int i = 0; i < SERVERS; i++) {
                 rig.store.remove("servers/i-first-" + i);
--- a/review/rig/CaseRig.java
+++ b/review/rig/CaseRig.java
@@ -21,8 +21,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.tanagerhinge.standin.relay.StoreStandin;
 
 /** Starts gateways with the command of the deploy file beside a stand-in of the store, and records what happens. */
@@ -34,8 +36,13 @@
     static final int COULD_NOT_RUN = 2;
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    private static final long HEARTBEAT_MILLIS = 1_200;
+
     final StoreStandin store = StoreStandin.start(0);
-    final Path folder;
+    /** Entries of running servers without their sequence, by id. */
+    private final Map<String, String> entries = new ConcurrentHashMap<>();
+
+    private final AtomicLong beats = new AtomicLong();
     private final long startedNanos = System.nanoTime();
     private final PrintWriter record;
     private boolean closed;
@@ -43,11 +50,11 @@
     private final List<Gateway> gateways = new ArrayList<>();
     private final List<Process> servers = Collections.synchronizedList(new ArrayList<>());
 
-    CaseRig(String caseFolder) throws IOException {
-        folder = Path.of(caseFolder);
-        record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
+    CaseRig(String recordFile) throws IOException {
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)));
         temporary = Files.createTempDirectory("review");
         store.statesEra(false);
+        Thread.ofPlatform().daemon().start(this::beatAll);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             gateways.forEach(gateway -> gateway.process.destroyForcibly());
             servers.forEach(Process::destroyForcibly);
@@ -316,12 +323,40 @@
         return listener.getLocalPort();
     }
 
-    /** Registers a server as ready. */
+    /** Registers a server as ready; it renews its entry until it has crashed. */
     void register(String id, String service, int port, int slots) {
-        store.put(
-                "servers/" + id,
-                "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"kita-hall\",\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1}"
+        entries.put(
+                id,
+                "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"kita-hall\",\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"coldLeftMs\":0"
                         .formatted(service, port, slots));
+        beat(id);
+    }
+
+    private void beat(String id) {
+        String entry = entries.get(id);
+        if (entry != null) {
+            store.put("servers/" + id, entry + ",\"sequence\":" + beats.incrementAndGet() + "}");
+        }
+    }
+
+    private void beatAll() {
+        try {
+            while (true) {
+                Thread.sleep(HEARTBEAT_MILLIS);
+                synchronized (entries) {
+                    entries.keySet().forEach(this::beat);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends the renewal of the entry of a server that has crashed. */
+    void crashed(String id) {
+        synchronized (entries) {
+            entries.remove(id);
+        }
     }
 
     /** Writes a configuration; its acknowledgement is the return of this call. */
--- a/review/rig/CrashLoop.java
+++ b/review/rig/CrashLoop.java
@@ -63,10 +63,16 @@
             rig.log("all model servers crash");
             signal("-STOP", servers);
             signal("-KILL", servers);
+            for (int i = 0; i < SERVERS; i++) {
+                rig.crashed("i-first-" + i);
+            }
             servers = comeBack(rig, "i-first-", "i-second-", SECOND_CRASH_MILLIS);
             for (Process server : servers) {
                 server.waitFor();
             }
+            for (int i = 0; i < SERVERS; i++) {
+                rig.crashed("i-second-" + i);
+            }
             rig.log("all model servers have crashed once more");
             comeBack(rig, "i-second-", "i-third-", 0);
             rig.log("all model servers are back and run well from here on");
