Lines of silent attempts tell how long the server and this node stood still; cut answers of working servers are counted

An attempt that was given up as silent told only its own time, so that a pause of the server, one of the gateway itself and the cut that follows a denied retry could not be told apart. Its line now has the time since the server sent anything and the delay of the node's own check; answers that a node cuts though no server broke off have a counter of their own.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -91,6 +91,7 @@
     private boolean peerLoadAvailable;
     private int peersPresent;
     private long lastSweepMillis;
+    private long sweepDelayMillis;
     private boolean measuringLoopDelay;
     private BiConsumer<ServerInstance, Prompt> sentListener = (server, prompt) -> {};
     private Consumer<String> executionListener = workspace -> {};
@@ -521,6 +522,11 @@
         return nowMillis() - lastSweepMillis >= STALL_MILLIS;
     }
 
+    /** Returns how much later than planned the last periodic check began, in milliseconds. */
+    long sweepDelayMillis() {
+        return sweepDelayMillis;
+    }
+
     private boolean silent(ServerInstance server, long nowMillis) {
         return !stalled() && server.silenceMillis(nowMillis) > SILENT_SERVER_MILLIS;
     }
@@ -715,6 +721,7 @@
     private void sweep() {
         long nowMillis = nowMillis();
         boolean stalled = nowMillis - lastSweepMillis > STALL_MILLIS;
+        sweepDelayMillis = Math.max(0, nowMillis - lastSweepMillis - SWEEP_MILLIS);
         lastSweepMillis = nowMillis;
         if (stalled) {
             directory.all().forEach(server -> server.recordReceived(nowMillis));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -60,6 +60,7 @@
     private boolean streaming;
     private long answerBeganAtMillis = NOT_BEGUN;
     private boolean sound;
+    private long silentMillis;
     private Future<?> responseTimer;
     private RankGate.PendingRequest firstOutputWait;
     private HttpResponse response;
@@ -92,6 +93,11 @@
         return sent;
     }
 
+    /** Returns for how long the server had been silent when the attempt was given up for that, in milliseconds. */
+    long silentMillis() {
+        return silentMillis;
+    }
+
     /** Returns whether the server has gone on with the answer for long enough to show that the prompt is sound. */
     boolean sound() {
         return sound;
@@ -136,14 +142,16 @@
     private void responseTimedOut() {
         if (!finished && response == null && exchange.takeRetryBudget()) {
             retryBudgetTaken = true;
+            silentMillis = gateway.nowMillis() - startedAtMillis;
             connection.abort();
             fail(AttemptFailure.SILENT, "no response in time");
         }
     }
 
     /** Abandons a streaming server that has sent nothing for longer than a time. */
-    void abandonIfSilent(long silentMillis) {
-        if (streaming && server.silenceMillis(gateway.nowMillis()) > silentMillis) {
+    void abandonIfSilent(long maxSilenceMillis) {
+        if (streaming && server.silenceMillis(gateway.nowMillis()) > maxSilenceMillis) {
+            silentMillis = server.silenceMillis(gateway.nowMillis());
             connection.abort();
             fail(AttemptFailure.SILENT, "server stopped sending events");
         }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -406,9 +406,9 @@
         gateway.attemptFailed(ended.server(), failure);
         admission.attemptFailed(ended.server(), failure);
         telemetry.attemptFailed(
+                ended,
                 failure,
                 reason,
-                ended.startedAtMillis(),
                 progress,
                 failure.connectionBroken()
                         ? Optional.of(new RequestTelemetry.Suspect(fingerprint(), metadata.prompt()))
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -35,6 +35,8 @@
     private String service = "";
 
     private boolean begun;
+    private boolean serverBrokeOff;
+    private boolean timeIsUp;
     private int attempts;
     private String server = "";
     private String reason = "";
@@ -177,11 +179,12 @@
 
     /** Logs a failed attempt; {@code suspect} is present if its connection broke. */
     void attemptFailed(
+            RelayAttempt attempt,
             AttemptFailure failure,
             String reason,
-            long startedAtMillis,
             ResponseProgress progress,
             Optional<Suspect> suspect) {
+        serverBrokeOff |= failure.connectionBroken();
         LogLine line = logLine(LogEvent.ATTEMPT_FAILED, true)
                 .with(LogField.SERVER, server)
                 .with(LogField.ATTEMPT, attempts)
@@ -189,7 +192,11 @@
                 .with(LogField.WHY, reason)
                 .with(LogField.RUN, failure.mayHaveRun() ? "unknown" : "not_run")
                 .with(LogField.EVENT_ID, progress.lastEventId())
-                .with(LogField.MS, gateway.nowMillis() - startedAtMillis);
+                .with(LogField.MS, gateway.nowMillis() - attempt.startedAtMillis());
+        if (failure == AttemptFailure.SILENT) {
+            line.with(LogField.SILENT_MS, attempt.silentMillis())
+                    .with(LogField.LOOP_DELAY_MS, gateway.sweepDelayMillis());
+        }
         suspect.ifPresent(found ->
                 line.with(LogField.FINGERPRINT, found.fingerprint().toString()).with(LogField.PARTS, found.parts()));
         line.write();
@@ -223,6 +230,7 @@
     }
 
     void abandoned() {
+        timeIsUp = true;
         gateway.count("given_up");
         logLine(LogEvent.GIVEN_UP, true)
                 .with(LogField.MS, gateway.nowMillis() - arrivedAtMillis)
@@ -299,6 +307,9 @@
 
     void truncated(String reason, ResponseProgress progress) {
         gateway.count("answer_cut");
+        if (!serverBrokeOff && !timeIsUp) {
+            gateway.count("answer_cut_at_working_server");
+        }
         lost("answer_cut");
         finalLine(LogEvent.CUT, true, progress).with(LogField.WHY, reason).write();
     }
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -87,6 +87,10 @@
     FIRST_MS,
     /** Longest gap between two events of a stream. */
     PAUSE_MS,
+    /** Time since the server sent anything to this node, although it has begun to answer. */
+    SILENT_MS,
+    /** How much later than planned the event loop made its last check of servers; what they sent may wait to be read. */
+    LOOP_DELAY_MS,
     /** Whether the answer missed its route's target or maximum event gap. */
     LATE,
     /** Key of the platform's store. */
