--- a/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
@@ -146,11 +146,17 @@
     /** Writes one event as a chunk. */
     public static void writeEvent(ServerStandin server, RawServer.Connection connection, int event) throws IOException {
         String writer = server.softwareVersion.isEmpty() ? "" : " of " + server.softwareVersion;
-        String text = "id: " + event + "\ndata: piece " + event + writer + "\n\n";
+        writeEvent(connection, event, "piece " + event + writer);
+    }
+
+    /** Writes one event with some data as a chunk. */
+    public static void writeEvent(RawServer.Connection connection, int event, String data) throws IOException {
+        String text = "id: " + event + "\ndata: " + data + "\n\n";
         connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
-    private static int firstEvent(RawServer.Request request) {
+    /** Returns the number of the event with which a stream has to begin. */
+    public static int firstEvent(RawServer.Request request) {
         String last = request.header(PlatformNames.LAST_EVENT_ID);
         return last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
     }
