A silent server keeps its request until another one goes on with the answer

Callers saw answers cut whose servers were well: a server that sent nothing for 0.9 s lost all resumable streams, and a safe request without a response after three times its target was taken from its server in the same way. A server that reads several long prompts in a row is silent for as long, and the silence is measured for the server, so all its streams were taken at once and the budget was spent by the first of them.

Now the request is hedged: while its server is silent it is sent to a healthy one as well, if attempts, time and budget allow it. The first of the two attempts that has something for the caller goes on, the other one is cancelled at once; an attempt that fails beside another one ends nothing. A silent server is ejected only when another one has gone on in its place. If the request can't be sent elsewhere, it waits: the answer may still come, and its time and the caller bound the wait. A stream whose caller doesn't read is not hedged: the silence is the caller's.

The cost: the silent server may work on until the other one brings its next event, and the budget pays for an attempt that may be cancelled; before, it paid for the same attempt.

RelayPathTest.aSlowAnswerIsPassedOnIfTheOtherServerRefusesOrHangs failed before, with 502 and 504 in place of the answer (2 of 2), and passes now.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/AttemptHistory.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/AttemptHistory.java
@@ -34,7 +34,7 @@
     }
 
     /**
-     * Records the end of the newest attempt.
+     * Records the end of an attempt.
      *
      * @param mayHaveRun whether that attempt may have run
      */
@@ -46,7 +46,7 @@
         }
     }
 
-    /** Records that the newest attempt met a server that can't be reached, so that nothing was sent. */
+    /** Records that an attempt met a server that can't be reached, so that nothing was sent. */
     public void recordUnreachable() {
         sendCount--;
         unreachableCount++;
@@ -77,7 +77,7 @@
         return allowsRetry(newestMayHaveRun, possibleRunCount, remainingMillis);
     }
 
-    /** Returns whether the request could be retried if its newest attempt ended now and may have run. */
+    /** Returns whether the request could be sent again if its attempt ended now and may have run, or runs on. */
     public boolean couldRetryAfterRun(long remainingMillis) {
         return allowsRetry(true, possibleRunCount + 1, remainingMillis);
     }
--- a/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
@@ -78,16 +78,22 @@
         account.past.recordRequest(nowMillis);
     }
 
+    /** Returns whether {@link #tryTake} would take a retry now. */
+    public boolean allows(String requestClass, long nowMillis) {
+        Account account = account(requestClass, nowMillis);
+        double fromPast = 1 - account.fromBucket();
+        return fromPast <= 0 || fromPast <= account.past.available(pastRatio(), nowMillis);
+    }
+
     /** Takes one retry if the budget allows it; returns whether it does. */
     public boolean tryTake(String requestClass, long nowMillis) {
-        Account account = account(requestClass, nowMillis);
-        double fromBucket = Math.min(1, account.bucket.tokens());
-        double fromPast = 1 - fromBucket;
-        if (fromPast > 0 && fromPast > account.past.available(pastRatio(), nowMillis)) {
+        if (!allows(requestClass, nowMillis)) {
             return false;
         }
+        Account account = account(requestClass, nowMillis);
+        double fromBucket = account.fromBucket();
         account.bucket.take(fromBucket);
-        account.past.recordRetry(fromPast, nowMillis);
+        account.past.recordRetry(1 - fromBucket, nowMillis);
         return true;
     }
 
@@ -137,5 +143,10 @@
     private final class Account {
         private final TokenBucket bucket = TokenBucket.emptyAt(startedAtMillis);
         private final PastRequestAllowance past = PastRequestAllowance.of(windowMillis);
+
+        /** Returns the part of one retry that the bucket pays for. */
+        private double fromBucket() {
+            return Math.min(1, bucket.tokens());
+        }
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -58,8 +58,8 @@
     private static final long SWEEP_MILLIS = 250;
     /** A server that sends nothing for this long, twice the longest usual gap, to open streams gets no new requests. */
     private static final long SILENT_SERVER_MILLIS = 500;
-    /** Resumable streams move to another server after this long without an event. */
-    private static final long ABANDON_STREAM_MILLIS = 900;
+    /** Resumable streams are sent to another server as well if theirs sends nothing for this long. */
+    private static final long HEDGE_STREAM_MILLIS = 900;
     /** Interval at which the delay of the event loop is measured. */
     private static final long LOOP_DELAY_INTERVAL_MILLIS = 50;
     /** If a sweep is this late, the event loop was stalled and the silence of servers cannot be measured. */
@@ -477,8 +477,7 @@
         List<ServerInstance> untried = new ArrayList<>();
         int healthyCount = 0;
         for (ServerInstance server : open) {
-            boolean healthy =
-                    !enabled(Mechanism.EJECTION) || (server.health().usable(nowMillis) && !silent(server, nowMillis));
+            boolean healthy = healthy(server, nowMillis);
             healthyCount += healthy ? 1 : 0;
             if (!triedServers.contains(server.id())) {
                 untried.add(server);
@@ -503,12 +502,18 @@
         return usable.isEmpty() || healthyCount * 2 < open.size() ? untried : usable;
     }
 
-    /** Returns whether there is a server that {@link #candidates} may return. */
-    boolean hasUntriedServer(String service, Optional<String> softwareVersion, Set<String> triedServers) {
-        long nowMillis = nowMillis();
+    /** Returns those servers of {@link #candidates} that show no sign of failure: for requests that run elsewhere too. */
+    List<ServerInstance> healthyCandidates(
+            String service, Optional<String> softwareVersion, Set<String> triedServers, long nowMillis) {
         return available(service, softwareVersion)
-                .anyMatch(server -> !triedServers.contains(server.id())
-                        && serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis));
+                .filter(server -> !triedServers.contains(server.id())
+                        && serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis)
+                        && healthy(server, nowMillis))
+                .toList();
+    }
+
+    private boolean healthy(ServerInstance server, long nowMillis) {
+        return !enabled(Mechanism.EJECTION) || (server.health().usable(nowMillis) && !silent(server, nowMillis));
     }
 
     private Stream<ServerInstance> available(String service, Optional<String> softwareVersion) {
@@ -726,7 +731,7 @@
         if (stalled) {
             directory.all().forEach(server -> server.recordReceived(nowMillis));
         } else {
-            forEachGuarded(exchanges, exchange -> exchange.abandonSilentServer(ABANDON_STREAM_MILLIS));
+            forEachGuarded(exchanges, exchange -> exchange.hedgeSilentStream(HEDGE_STREAM_MILLIS));
             restartOverdueTasks(nowMillis);
         }
         runGuarded(this::measureLoopDelay);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -51,6 +51,7 @@
     private final Route route;
     private final PlacementPolicy.Decision decision;
     private final ServerInstance server;
+    private final int number;
     private final long startedAtMillis;
     private BackendConnection connection;
     private boolean sent;
@@ -60,14 +61,18 @@
     private boolean streaming;
     private long answerBeganAtMillis = NOT_BEGUN;
     private boolean sound;
-    private long silentMillis;
     private Future<?> responseTimer;
     private RankGate.PendingRequest firstOutputWait;
     private HttpResponse response;
     private CompositeByteBuf buffered;
     private EventSplitter events;
 
-    RelayAttempt(Gateway gateway, RelayExchange exchange, PlacementRequest request, PlacementPolicy.Decision decision) {
+    RelayAttempt(
+            Gateway gateway,
+            RelayExchange exchange,
+            PlacementRequest request,
+            PlacementPolicy.Decision decision,
+            int number) {
         this.gateway = gateway;
         this.exchange = exchange;
         this.caller = exchange.caller();
@@ -76,6 +81,7 @@
         this.route = request.route();
         this.decision = decision;
         this.server = decision.server();
+        this.number = number;
         this.startedAtMillis = gateway.nowMillis();
     }
 
@@ -83,6 +89,11 @@
         return server;
     }
 
+    /** Returns the number of the attempt, from 1. */
+    int number() {
+        return number;
+    }
+
     /** Returns the start time of the attempt, in milliseconds. */
     long startedAtMillis() {
         return startedAtMillis;
@@ -93,11 +104,6 @@
         return sent;
     }
 
-    /** Returns for how long the server had been silent when the attempt was given up for that, in milliseconds. */
-    long silentMillis() {
-        return silentMillis;
-    }
-
     /** Returns whether the server has gone on with the answer for long enough to show that the prompt is sound. */
     boolean sound() {
         return sound;
@@ -138,23 +144,23 @@
         }
     }
 
-    /** Abandons a server that has not responded in time if the retry budget allows another attempt. */
     private void responseTimedOut() {
-        if (!finished && response == null && exchange.takeRetryBudget()) {
-            retryBudgetTaken = true;
-            silentMillis = gateway.nowMillis() - startedAtMillis;
-            connection.abort();
-            fail(AttemptFailure.SILENT, "no response in time");
+        if (!finished && response == null) {
+            exchange.hedge(this);
         }
     }
 
-    /** Abandons a streaming server that has sent nothing for longer than a time. */
-    void abandonIfSilent(long maxSilenceMillis) {
-        if (streaming && server.silenceMillis(gateway.nowMillis()) > maxSilenceMillis) {
-            silentMillis = server.silenceMillis(gateway.nowMillis());
-            connection.abort();
-            fail(AttemptFailure.SILENT, "server stopped sending events");
+    /** Returns for how long the server has sent nothing, in milliseconds; 0 if it need not have sent anything yet. */
+    long silenceMillis() {
+        if (streaming) {
+            return server.silenceMillis(gateway.nowMillis());
         }
+        return response == null ? gateway.nowMillis() - startedAtMillis : 0;
+    }
+
+    /** Returns whether the server has sent the first events of a stream. */
+    boolean streaming() {
+        return streaming;
     }
 
     /** Stops or resumes reading from the server with the caller. */
@@ -189,7 +195,7 @@
             fail(AttemptFailure.BROKEN, "response is unsigned or has a content coding");
         } else if (status >= 500 && progress.headForwarded()) {
             failKeepingConnection(AttemptFailure.SERVER_ERROR, "server responded with status " + status);
-        } else if (status >= 500 && exchange.takeRetryBudget()) {
+        } else if (status >= 500 && (exchange.hedged() || exchange.takeRetryBudget())) {
             retryBudgetTaken = true;
             failKeepingConnection(AttemptFailure.SERVER_ERROR, "server responded with status " + status);
         } else {
@@ -243,6 +249,7 @@
                 event.bytes().release();
                 continue;
             }
+            exchange.answeredBy(this);
             if (!progress.headForwarded()) {
                 exchange.streamBegins(server);
                 forwardHead();
@@ -267,6 +274,7 @@
     }
 
     private void forwardHead() {
+        exchange.answeredBy(this);
         HttpHeaders headers = response.headers().copy();
         HopByHopHeaders.remove(headers);
         if (events != null || !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -287,6 +295,7 @@
             return;
         }
         stopTracking();
+        exchange.answeredBy(this);
         if (events == null && buffered != null) {
             writeBuffered();
             return;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -12,8 +12,10 @@
 import io.netty.util.concurrent.Future;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.AttemptHistory;
 import org.tanagerhinge.core.attempt.PartId;
@@ -59,6 +61,10 @@
     private long deadlineMillis;
     private Future<?> timer;
     private RelayAttempt attempt;
+    /** Attempt at another server while that of {@link #attempt} is silent; null if there is none. */
+    private RelayAttempt hedge;
+
+    private boolean hedgeDenied;
     private AttemptHistory history;
     private RequestFingerprint fingerprint;
     private List<PartId> sharedParts;
@@ -197,8 +203,7 @@
         }
         List<ServerInstance> candidates =
                 gateway.candidates(service, softwareVersion(), triedServers, history.metUnreachableServer(), nowMillis);
-        PlacementRequest request =
-                new PlacementRequest(route, config.service(service), metadata.prompt(), gateway.domain());
+        PlacementRequest request = placementRequest();
         Optional<PlacementPolicy.Decision> decision = gateway.placement().place(request, candidates, nowMillis);
         if (decision.isEmpty()) {
             admission.withoutServer(new AdmissionPolicy.Request(config, request, workspace, remainingMillis()));
@@ -208,17 +213,104 @@
         if (rejected(request, decision.get())) {
             return;
         }
-        triedServers.add(decision.get().server().id());
-        history.recordSend();
-        telemetry.sent(
-                decision.get(),
-                candidates.size(),
-                level(decision.get()),
-                gateway.crashQuarantine().suspected(sharedParts()));
-        attempt = new RelayAttempt(gateway, this, request, decision.get());
+        attempt = newAttempt(request, decision.get(), candidates.size());
         attempt.start();
     }
 
+    private PlacementRequest placementRequest() {
+        return new PlacementRequest(route, config.service(service), metadata.prompt(), gateway.domain());
+    }
+
+    private RelayAttempt newAttempt(PlacementRequest request, PlacementPolicy.Decision decision, int candidates) {
+        triedServers.add(decision.server().id());
+        history.recordSend();
+        int number = telemetry.sent(
+                decision, candidates, level(decision), gateway.crashQuarantine().suspected(sharedParts()));
+        return new RelayAttempt(gateway, this, request, decision, number);
+    }
+
+    /** Hedges a resumable stream whose server has sent nothing for longer than a time, though its caller reads. */
+    void hedgeSilentStream(long maxSilenceMillis) {
+        if (attempt != null
+                && attempt.streaming()
+                && attempt.silenceMillis() > maxSilenceMillis
+                && caller.writable()
+                && canResume()
+                && progress.resumeAfterEvent().isPresent()) {
+            hedge(attempt);
+        }
+    }
+
+    /**
+     * Sends the request to another server while that of an attempt is silent, if it may be sent again and another
+     * server can take it. The first attempt to go on with the answer serves the caller, and the other one is
+     * cancelled: a server that is only slow costs nobody an answer.
+     */
+    void hedge(RelayAttempt silent) {
+        long nowMillis = gateway.nowMillis();
+        if (silent != attempt
+                || hedge != null
+                || !gateway.enabled(Mechanism.RETRIES)
+                || !history.couldRetryAfterRun(remainingMillis())) {
+            return;
+        }
+        if (!gateway.budget().allows(service, nowMillis)) {
+            noteHedgeDenied();
+            return;
+        }
+        List<ServerInstance> candidates =
+                gateway.healthyCandidates(service, softwareVersion(), triedServers, nowMillis);
+        PlacementRequest request = placementRequest();
+        Optional<PlacementPolicy.Decision> decision = gateway.placement().place(request, candidates, nowMillis);
+        if (decision.isEmpty()
+                || gateway.crashQuarantine()
+                        .held(this::fingerprint, sharedParts())
+                        .isPresent()
+                || !gateway.budget().tryTake(service, nowMillis)) {
+            return;
+        }
+        telemetry.hedged(attempt);
+        hedge = newAttempt(request, decision.get(), candidates.size());
+        hedge.start();
+    }
+
+    private void noteHedgeDenied() {
+        if (!hedgeDenied) {
+            hedgeDenied = true;
+            telemetry.retryDenied(service);
+        }
+    }
+
+    /** Returns whether two attempts are in progress. */
+    boolean hedged() {
+        return hedge != null;
+    }
+
+    /** Cancels the other attempt, if there is one: this one goes on with the answer. */
+    void answeredBy(RelayAttempt answering) {
+        if (hedge == null) {
+            return;
+        }
+        RelayAttempt other = answering == hedge ? attempt : hedge;
+        boolean moved = answering == hedge;
+        long silenceMillis = other.silenceMillis();
+        attempt = answering;
+        hedge = null;
+        other.cancel();
+        history.recordEnd(other.sent());
+        if (other.sent()) {
+            runEnded(other, false);
+        }
+        telemetry.answeredBy(answering);
+        if (moved) {
+            gateway.attemptFailed(other.server(), AttemptFailure.SILENT);
+            telemetry.replaced(other, silenceMillis, progress);
+            telemetry.retried(service, progress);
+        } else {
+            telemetry.hedgeCancelled();
+        }
+    }
+
     /** Refuses a request that the admission policy rejects; returns whether it did. */
     private boolean rejected(PlacementRequest request, PlacementPolicy.Decision decision) {
         if (origin.isPresent() && gateway.streams().mixed(service)) {
@@ -404,7 +496,9 @@
             markExecutionStarted();
         }
         gateway.attemptFailed(ended.server(), failure);
-        admission.attemptFailed(ended.server(), failure);
+        if (hedge == null || failure.mayHaveRun()) {
+            admission.attemptFailed(ended.server(), failure);
+        }
         telemetry.attemptFailed(
                 ended,
                 failure,
@@ -413,12 +507,18 @@
                 failure.connectionBroken()
                         ? Optional.of(new RequestTelemetry.Suspect(fingerprint(), metadata.prompt()))
                         : Optional.empty());
-        attempt = null;
         if (failure.connectionBroken()) {
             gateway.crashDetector().connectionBroke(ended.server(), suspectRun(ended.sound()));
         } else if (failure.mayHaveRun()) {
             runEnded(ended, false);
         }
+        if (hedge != null) {
+            attempt = ended == hedge ? attempt : hedge;
+            hedge = null;
+            telemetry.answeredBy(attempt);
+            return;
+        }
+        attempt = null;
         boolean retry = history.mayRetry(failure.mayHaveRun(), remainingMillis())
                 && (!failure.mayHaveRun() || gateway.enabled(Mechanism.RETRIES))
                 && (!progress.headForwarded() || canResume())
@@ -498,7 +598,7 @@
         }
         telemetry.abandoned();
         boolean sent = attempt != null && attempt.sent();
-        cancelAttempt();
+        cancelAttempts();
         if (progress.headForwarded()) {
             truncate("deadline expired");
         } else if (sent || history.mayHaveRun()) {
@@ -514,32 +614,28 @@
             return;
         }
         telemetry.callerDisconnected(progress);
-        cancelAttempt();
+        cancelAttempts();
         finish();
     }
 
-    private void cancelAttempt() {
-        if (attempt != null) {
-            attempt.cancel();
-            if (attempt.sent()) {
-                runEnded(attempt, false);
+    private void cancelAttempts() {
+        for (RelayAttempt inProgress : attempts()) {
+            inProgress.cancel();
+            if (inProgress.sent()) {
+                runEnded(inProgress, false);
             }
-            attempt = null;
         }
+        attempt = null;
+        hedge = null;
     }
 
-    /** Moves a resumable stream to another server if the current one has been silent for a time. */
-    void abandonSilentServer(long silentMillis) {
-        if (attempt != null && canResume() && gateway.hasUntriedServer(service, softwareVersion(), triedServers)) {
-            attempt.abandonIfSilent(silentMillis);
-        }
+    private List<RelayAttempt> attempts() {
+        return Stream.of(attempt, hedge).filter(Objects::nonNull).toList();
     }
 
-    /** Passes a change of the caller's writability to the attempt. */
+    /** Passes a change of the caller's writability to the attempts. */
     void callerWritabilityChanged(boolean writable) {
-        if (attempt != null) {
-            attempt.callerWritabilityChanged(writable);
-        }
+        attempts().forEach(inProgress -> inProgress.callerWritabilityChanged(writable));
     }
 
     /** Aborts the exchange when the time for a graceful stop runs out. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RequestTelemetry.java
@@ -124,8 +124,9 @@
      * Logs the start of an attempt, with the server's load at the time of the decision.
      *
      * @param suspects parts of the prompt that are suspected of crashing servers, with the number of crashes
+     * @return the number of the attempt, from 1
      */
-    void sent(PlacementPolicy.Decision decision, int candidates, int level, String suspects) {
+    int sent(PlacementPolicy.Decision decision, int candidates, int level, String suspects) {
         attempts++;
         ServerInstance chosen = decision.server();
         server = chosen.id();
@@ -151,6 +152,7 @@
             line.with(LogField.SUSPECTS, suspects);
         }
         line.with(LogField.PEERS, gateway.peersPresent()).write();
+        return attempts;
     }
 
     /** A request during which a server may have crashed. */
@@ -185,21 +187,50 @@
             ResponseProgress progress,
             Optional<Suspect> suspect) {
         serverBrokeOff |= failure.connectionBroken();
-        LogLine line = logLine(LogEvent.ATTEMPT_FAILED, true)
-                .with(LogField.SERVER, server)
-                .with(LogField.ATTEMPT, attempts)
+        LogLine line = attemptFailedLine(attempt, failure, reason, progress);
+        suspect.ifPresent(found ->
+                line.with(LogField.FINGERPRINT, found.fingerprint().toString()).with(LogField.PARTS, found.parts()));
+        line.write();
+    }
+
+    private LogLine attemptFailedLine(
+            RelayAttempt attempt, AttemptFailure failure, String why, ResponseProgress progress) {
+        return logLine(LogEvent.ATTEMPT_FAILED, true)
+                .with(LogField.SERVER, attempt.server().id())
+                .with(LogField.ATTEMPT, attempt.number())
                 .with(LogField.END, failure.name().toLowerCase(Locale.ROOT))
-                .with(LogField.WHY, reason)
+                .with(LogField.WHY, why)
                 .with(LogField.RUN, failure.mayHaveRun() ? "unknown" : "not_run")
                 .with(LogField.EVENT_ID, progress.lastEventId())
                 .with(LogField.MS, gateway.nowMillis() - attempt.startedAtMillis());
-        if (failure == AttemptFailure.SILENT) {
-            line.with(LogField.SILENT_MS, attempt.silentMillis())
-                    .with(LogField.LOOP_DELAY_MS, gateway.sweepDelayMillis());
-        }
-        suspect.ifPresent(found ->
-                line.with(LogField.FINGERPRINT, found.fingerprint().toString()).with(LogField.PARTS, found.parts()));
-        line.write();
+    }
+
+    /** Logs that the request is sent to another server while that of an attempt is silent. */
+    void hedged(RelayAttempt silent) {
+        gateway.count("hedged");
+        logLine(LogEvent.HEDGED, false)
+                .with(LogField.SERVER, silent.server().id())
+                .with(LogField.ATTEMPT, silent.number())
+                .with(LogField.SILENT_MS, silent.silenceMillis())
+                .with(LogField.LOOP_DELAY_MS, gateway.sweepDelayMillis())
+                .write();
+    }
+
+    /** Notes which attempt goes on with the answer. */
+    void answeredBy(RelayAttempt attempt) {
+        server = attempt.server().id();
+    }
+
+    /** Logs that another attempt goes on with the answer in place of one whose server is silent. */
+    void replaced(RelayAttempt silent, long silenceMillis, ResponseProgress progress) {
+        attemptFailedLine(silent, AttemptFailure.SILENT, "another server answered first", progress)
+                .with(LogField.SILENT_MS, silenceMillis)
+                .write();
+    }
+
+    /** Counts an attempt that was cancelled since the server for which it was to stand in went on. */
+    void hedgeCancelled() {
+        gateway.count("hedge_cancelled");
     }
 
     /** Logs a retry at another server. */
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -148,6 +149,30 @@
         assertEquals("seal-of-s-1", answer.header(PlatformNames.SERVER_SEAL));
     }
 
+    /** Guards against giving up an answer that is only slow for one that never comes. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aSlowAnswerIsPassedOnIfTheOtherServerRefusesOrHangs(boolean refuses) throws IOException {
+        CountDownLatch never = new CountDownLatch(1);
+        AtomicInteger received = new AtomicInteger();
+        ServerStandin.ResponseScript script = (server, request, connection) -> {
+            if (received.incrementAndGet() == 1) {
+                Thread.sleep(1_500);
+                connection.answer(200, server.headers(request), "late");
+            } else if (refuses) {
+                ServerStandin.refusing().answer(server, request, connection);
+            } else {
+                never.await();
+            }
+        };
+        scene.server("s-1", "plain", script);
+        scene.server("s-2", "plain", script);
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals("late", ask(gateway, "GET", "/safe/x", "", "").body());
+        assertEquals(2, received.get());
+        never.countDown();
+    }
+
     /** Guards against a second run of a non-idempotent request whose answer is lost. */
     @Test
     void anUnsafeRequestWhoseAnswerIsLostIsNotSentAgainAndNotPromisedUnrun() throws IOException {
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -11,6 +11,7 @@
     ATTEMPT_FAILED(Subject.REQUEST),
     REPEATED(Subject.REQUEST),
     RESUMED(Subject.REQUEST),
+    HEDGED(Subject.REQUEST),
     RETRY_DENIED(Subject.REQUEST),
     GIVEN_UP(Subject.REQUEST),
     REFUSED(Subject.REQUEST),
