New connections are closed unread only if the event loop is late several times in a row

One delay above 40 ms is a pause, of the garbage collector, of a cold process or of a busy host, and says nothing of the traffic.

Three measurements in a row have to be late before a share is closed; the share is what it was from then on. ConnectionSheddingTest.closesNothingAfterAPauseOfTheLoop failed before and passes now; MostConnectionsAtOneGatewayTest passes.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ConnectionShedding.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ConnectionShedding.java
@@ -9,7 +9,7 @@
  * <p>A load balancer may send most new connections to one node. If that node read all their requests, it would serve
  * none of them in time. A caller whose connection is closed unread reaches another node at once.
  *
- * <p>The share that is closed follows the delay of the node's event loop. Without the comparison with other nodes, nodes
+ * <p>The share that is closed follows the delay of the node's event loop once that lasts. Without the comparison with other nodes, nodes
  * that are all overloaded would pass their callers to and fro.
  */
 public final class ConnectionShedding {
@@ -24,6 +24,9 @@
     /** Delay of the event loop below which a smaller share is closed. */
     static final long LOW_DELAY_MILLIS = 15;
 
+    /** Delays in a row that show a node to fall behind; a single one is a pause, as of the garbage collector. */
+    static final int MIN_DELAYS = 3;
+
     private static final double INCREASE = 0.1;
     private static final double DECREASE = 0.02;
     /** Share of closed connections from which on callers with open ones are asked to reconnect as well. */
@@ -32,6 +35,7 @@
     private double recentConnections;
     private long decayedAtMillis;
     private OptionalDouble peerRate = OptionalDouble.empty();
+    private int delaysInARow;
     private double closedShare;
     private double owed;
 
@@ -81,15 +85,24 @@
 
     /** Adapts the share of closed connections to a delay of the event loop. */
     public void recordLoopDelay(long delayMillis, long nowMillis) {
+        boolean late = delayMillis > MAX_DELAY_MILLIS;
+        delaysInARow = late ? delaysInARow + 1 : 0;
         if (!skewed(nowMillis)) {
             closedShare = 0;
-        } else if (delayMillis > MAX_DELAY_MILLIS) {
-            closedShare = Math.min(1, closedShare + INCREASE);
+        } else if (late) {
+            closedShare = Math.min(1, closedShare + increase());
         } else if (delayMillis < LOW_DELAY_MILLIS) {
             closedShare = Math.max(0, closedShare - DECREASE);
         }
     }
 
+    private double increase() {
+        if (delaysInARow < MIN_DELAYS) {
+            return 0;
+        }
+        return delaysInARow == MIN_DELAYS ? MIN_DELAYS * INCREASE : INCREASE;
+    }
+
     /** Returns the share of new connections that are closed. */
     public double closedShare() {
         return closedShare;
--- a/core/src/test/java/org/tanagerhinge/core/relay/ConnectionSheddingTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ConnectionSheddingTest.java
@@ -42,6 +42,18 @@
         assertTrue(shedding.dispersesCallers());
     }
 
+    /** Guards against callers turned away by a node with room for them, after a single pause of its event loop. */
+    @Test
+    void closesNothingAfterAPauseOfTheLoop() {
+        shedding.updatePeerRate(OptionalDouble.of(20));
+        closed(1_000);
+        for (int i = 0; i < 20; i++) {
+            loopIsLate(ConnectionShedding.MIN_DELAYS - 1, 10 * LATE_MILLIS);
+            loopIsLate(1, 0);
+            assertEquals(0, closed(100));
+        }
+    }
+
     @Test
     void acceptsAllConnectionsAgainOnceTheLoopIsInTime() {
         shedding.updatePeerRate(OptionalDouble.of(20));
