Store the only software version of a service too

What callers saw: all gateways ended at once, the servers of the only version were replaced by another one before any gateway was back, and streams that were resumed went on at the other version with status 200.

Cause: the reader stored versions only where several served. What served alone left no trace when no gateway saw it leave, and a gateway that started took an empty history for a complete one.

The stand-in of the store now rejects transactions that the platform's store rejects.

What remains: a version that appears, serves and leaves again before the reader has stored it, with all gateways ended in between.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Consumer;
 import org.tanagerhinge.core.attempt.CrashSuspect;
 import org.tanagerhinge.core.relay.RelayConfig;
@@ -83,9 +84,9 @@
     }
 
     @Override
-    public void recordSoftwareVersion(
-            String service, String softwareVersion, Duration duration, Consumer<Reply<Long>> onReply) {
-        store.recordSoftwareVersion(service, softwareVersion, duration, timed("record_software", onReply));
+    public void recordSoftwareVersions(
+            List<ServiceVersion> versions, Duration duration, Consumer<Reply<Long>> onReply) {
+        store.recordSoftwareVersions(versions, duration, timed("record_software", onReply));
     }
 
     @Override
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -53,11 +53,10 @@
     /** Lists what is quarantined. */
     void listQuarantined(Consumer<Reply<Listing<CrashSuspect>>> onReply);
 
-    /** Stores for a time that a software version of a service serves beside others. */
-    void recordSoftwareVersion(
-            String service, String softwareVersion, Duration duration, Consumer<Reply<Long>> onReply);
+    /** Stores for a time that software versions of services serve. */
+    void recordSoftwareVersions(List<ServiceVersion> versions, Duration duration, Consumer<Reply<Long>> onReply);
 
-    /** Lists the software versions that are stored as serving beside others. */
+    /** Lists the software versions that are stored as serving. */
     void listSoftwareVersions(long timeoutMillis, Consumer<Reply<Listing<ServiceVersion>>> onReply);
 
     /** A software version of a service. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,7 +63,7 @@
     /** Delay after a restore of the store in which all gateways report whether they reach it again. */
     private static final int STORE_QUARANTINE_DELAY_MILLIS = 1_000;
 
-    /** Time for which the store keeps a software version that serves beside others. */
+    /** Time for which the store keeps a software version that serves. */
     private static final Duration SOFTWARE_TTL = Duration.ofMillis(3 * SoftwareVersions.RETENTION_MILLIS);
 
     /** Time for which the store lists a gateway that does not renew its lease. */
@@ -90,7 +91,7 @@
     private boolean storeReachable = true;
     /** The latest invalid entries by listing. */
     private final Map<String, UnreadableEntries> unreadable = new TreeMap<>();
-    /** When this gateway recorded that a software version serves beside others. */
+    /** When this gateway recorded that a software version serves. */
     private final Map<MetadataStore.ServiceVersion, Long> versionRecordedAtMillis = new HashMap<>();
 
     private final RecurringTask servers;
@@ -409,7 +410,7 @@
     }
 
     /**
-     * Reads which software versions have served beside others lately. Without it, after a simultaneous loss of all
+     * Reads which software versions have served lately. Without it, after a simultaneous loss of all
      * gateways, a stream of a version that has left would be taken for one of the version that serves.
      */
     private void readSoftwareVersions() {
@@ -427,7 +428,10 @@
         }));
     }
 
-    /** Records the software versions of services that have several, if this gateway is the reader. */
+    /**
+     * Records the software versions of all services, if this gateway is the reader. The only version of a service is
+     * recorded too, since it may be replaced while no gateway runs.
+     */
     private void recordSoftwareVersions() {
         if (!isReader()) {
             return;
@@ -437,23 +441,22 @@
                 .values()
                 .removeIf(
                         atMillis -> nowMillis - atMillis > SOFTWARE_TTL.toMillis() - SoftwareVersions.RETENTION_MILLIS);
+        List<MetadataStore.ServiceVersion> unrecorded = new ArrayList<>();
         for (String service : gateway.directory().services()) {
-            Set<String> versions = gateway.directory().softwareVersions(service, nowMillis);
-            for (String version : versions.size() > 1 ? versions : Set.<String>of()) {
-                recordSoftwareVersion(new MetadataStore.ServiceVersion(service, version), nowMillis);
+            for (String softwareVersion : gateway.directory().softwareVersions(service, nowMillis)) {
+                MetadataStore.ServiceVersion version = new MetadataStore.ServiceVersion(service, softwareVersion);
+                if (!softwareVersion.isEmpty() && versionRecordedAtMillis.putIfAbsent(version, nowMillis) == null) {
+                    unrecorded.add(version);
+                }
             }
         }
-    }
-
-    private void recordSoftwareVersion(MetadataStore.ServiceVersion version, long nowMillis) {
-        if (version.softwareVersion().isEmpty() || versionRecordedAtMillis.putIfAbsent(version, nowMillis) != null) {
-            return;
+        if (!unrecorded.isEmpty()) {
+            store.recordSoftwareVersions(unrecorded, SOFTWARE_TTL, reply -> {
+                if (!(reply instanceof MetadataStore.Success<Long>)) {
+                    unrecorded.forEach(versionRecordedAtMillis::remove);
+                }
+            });
         }
-        store.recordSoftwareVersion(version.service(), version.softwareVersion(), SOFTWARE_TTL, reply -> {
-            if (!(reply instanceof MetadataStore.Success<Long>)) {
-                versionRecordedAtMillis.remove(version);
-            }
-        });
     }
 
     private void quarantine(CrashSuspect suspect) {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -131,8 +131,8 @@
         }
 
         @Override
-        public void recordSoftwareVersion(
-                String service, String softwareVersion, Duration time, Consumer<Reply<Long>> onReply) {
+        public void recordSoftwareVersions(
+                List<ServiceVersion> versions, Duration time, Consumer<Reply<Long>> onReply) {
             reply("record_software", 7L, onReply);
         }
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -121,6 +121,22 @@
         gateway.close();
     }
 
+    /** Ends gateways at the same time. */
+    void stopTogether(List<GatewayDaemon> ended) {
+        anyStopped = true;
+        gateways.removeAll(ended);
+        List<Thread> ends = ended.stream()
+                .map(gateway -> Thread.ofVirtual().start(gateway::close))
+                .toList();
+        for (Thread end : ends) {
+            try {
+                end.join();
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
     /** Sends a GET request to a gateway and returns the status of the response. */
     static int status(GatewayDaemon gateway, String path) {
         try (RawCaller caller = RawCaller.to(gateway.address())) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -22,6 +22,9 @@
 class SoftwareVersionsTest {
     private static final int EVENTS = 12;
     private static final int STREAMS = 8;
+    /** Number of services; more than a transaction of the store takes. */
+    private static final int MANY = 40;
+
     private static final long EVENT_GAP_MILLIS = 10;
 
     private RelayScene scene;
@@ -240,6 +243,34 @@
         }
     }
 
+    /** Guards against a stream whose version was replaced by another while no gateway ran, and that continues there. */
+    @Test
+    void streamOfASoftwareVersionThatWasReplacedWhileNoGatewayRanIsRefused() throws IOException {
+        ServerStandin old = sound("e-1", "v1");
+        List<GatewayDaemon> gateways = gateways(2);
+        List<StreamCaller> callers = begin(gateways.get(0));
+        scene.stopTogether(gateways);
+        scene.platform.unregister(old);
+        ServerStandin other = sound("e-2", "v2");
+        GatewayDaemon started = scene.gateway();
+        for (StreamCaller caller : callers) {
+            assertEquals(503, caller.send(started));
+            caller.close();
+        }
+        assertTrue(other.receivedRequests().isEmpty());
+    }
+
+    /** Guards against versions that are not stored, since the store rejects a transaction with too many or too long keys. */
+    @Test
+    void versionsOfManyServicesAreStored() throws IOException {
+        for (int i = 0; i < MANY; i++) {
+            scene.server("s-" + i, "service-" + i, "v1", ServerStandin.plain(200, "x"));
+        }
+        scene.server("t", "service-t", "v".repeat(MANY * MANY), ServerStandin.plain(200, "x"));
+        scene.gateway();
+        RelayScene.await(() -> scene.store.keys("software/").size() == MANY);
+    }
+
     /** Guards against refused streams where a single software version serves, whatever gateways know of them. */
     @Test
     void streamsContinueWithoutKnowledgeWhereOneSoftwareVersionServes() throws IOException {
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/StoreStandin.java
@@ -46,6 +46,8 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int PAGE_SIZE = 50;
+    private static final int MAX_TRANSACTION_ENTRIES = 32;
+    private static final int MAX_KEY_BYTES = 200;
 
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
@@ -399,6 +401,9 @@
     }
 
     private Reply write(JsonNode call) {
+        if (invalid(call)) {
+            return new Reply(400, "{}");
+        }
         ObjectNode conflict = JSON.createObjectNode();
         ArrayNode current = conflict.putArray("items");
         boolean matches = true;
@@ -429,6 +434,17 @@
         return new Reply(200, JSON.createObjectNode().put("revision", revision).toString());
     }
 
+    private static boolean invalid(JsonNode call) {
+        int entries = call.path(PlatformNames.EXPECTED_REVISIONS).size()
+                + call.path(PlatformNames.PUTS).size()
+                + call.path(PlatformNames.REMOVALS).size();
+        boolean keyTooLong = false;
+        for (JsonNode put : call.path(PlatformNames.PUTS)) {
+            keyTooLong |= put.path("key").asText().getBytes(StandardCharsets.UTF_8).length > MAX_KEY_BYTES;
+        }
+        return entries > MAX_TRANSACTION_ENTRIES || keyTooLong;
+    }
+
     private Reply lease(JsonNode call) {
         long ttl = call.path(PlatformNames.TTL_MILLIS).asLong();
         ObjectNode body = JSON.createObjectNode().put("lease", grantLease(ttl)).put(PlatformNames.TTL_MILLIS, ttl);
