Store software versions again after a restore of the store

A restore from an older copy loses versions that were stored since, while the reader took them for stored for two minutes more. Had all gateways ended then, streams of a version that had left would have gone on at another one.

The reader stores them again, as it does with quarantined requests. RestoredStoreTest.softwareVersionsAreStoredAgain failed before: the key did not come back within 30 s.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -149,6 +149,7 @@
     private void storeRestored(long era, String source) {
         gateway.count("store_restored");
         gateway.directory().storeRestored(gateway.nowMillis());
+        versionRecordedAtMillis.clear();
         gateway.schedule(this::storeQuarantineAgain, spread(STORE_QUARANTINE_DELAY_MILLIS));
         LogLine.of(LogEvent.STORE_RESTORED)
                 .with(LogField.ERA, era)
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RestoredStoreTest.java
@@ -122,6 +122,17 @@
         RelayScene.await(() -> scene.store.keys("held/").contains("held/" + request));
     }
 
+    /** Guards against losing the software versions that have served, when all gateways stop later. */
+    @Test
+    void softwareVersionsAreStoredAgain() throws IOException {
+        scene.server("s-2", "plain", "v1", ServerStandin.plain(200, "x"));
+        StoreStandin.Snapshot copy = scene.store.snapshot();
+        scene.gateway();
+        RelayScene.await(() -> scene.store.keys("software/").contains("software/plain/v1"));
+        scene.store.restore(copy, StoreStandin.WaitingCalls.RESET);
+        RelayScene.await(() -> scene.store.keys("software/").contains("software/plain/v1"));
+    }
+
     /**
      * Guards against a watch that outlasts a restore and is answered from the new data, without the versions that were
      * written at or below the revision it had asked for.
