Read the history of software versions no earlier than the first list of servers

A gateway that started while the store answered its listing of versions, but none of its listings of servers, took the history for complete. A version that came, served through another gateway and left before the first list of servers was in neither, and its streams went on at the version that served then.

SoftwareVersionsTest.versionThatLeftBeforeTheFirstListOfServersIsKnown answered 200 in place of 503 before.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -220,6 +220,7 @@
             if (reply instanceof MetadataStore.Success<MetadataStore.Listing<ServerRegistration>> success) {
                 markReachable();
                 recordUnreadable(servers.name(), success.value());
+                boolean firstList = !gateway.directory().hasList();
                 if (gateway.apply(
                         success.value().entries(),
                         requestedAtMillis,
@@ -227,6 +228,9 @@
                     peers.reportNow();
                 }
                 recordSoftwareVersions();
+                if (firstList) {
+                    softwareVersions.run();
+                }
                 boolean empty = gateway.directory().all().isEmpty();
                 servers.runAfter(spread(empty ? RETRY_MILLIS : SERVERS_POLL_MILLIS));
                 return;
@@ -415,6 +419,11 @@
      * gateways, a stream of a version that has left would be taken for one of the version that serves.
      */
     private void readSoftwareVersions() {
+        if (!gateway.directory().hasList()) {
+            // A version that served between this listing and the first list of servers would be missed.
+            softwareVersions.runAfter(spread(retryMillis()));
+            return;
+        }
         store.listSoftwareVersions(timeoutMillis(), softwareVersions.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<MetadataStore.Listing<MetadataStore.ServiceVersion>> success) {
                 markReachable();
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -17,6 +17,7 @@
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
 import org.tanagerhinge.standin.relay.ServerStandin;
+import org.tanagerhinge.standin.relay.StoreStandin;
 
 /** Streams where servers of several software versions serve side by side: each holds events of one version only. */
 class SoftwareVersionsTest {
@@ -260,6 +261,36 @@
         assertTrue(other.receivedRequests().isEmpty());
     }
 
+    /** Guards against a gateway that does not know a version which left between its listing of versions and of servers. */
+    @Test
+    void versionThatLeftBeforeTheFirstListOfServersIsKnown() throws IOException {
+        ServerStandin first = sound("e-1", "v1");
+        scene.stop(scene.gateway());
+        scene.store.alterResponses(
+                body -> body.contains("\"servers/") || body.contains(PlatformNames.TTL_MILLIS) ? "{" : body);
+        GatewayDaemon late = scene.start("late", scene.store.sideAddress());
+        int listings = scene.store.calls(PlatformNames.RANGE_PATH);
+        RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_PATH) > listings + 5);
+        scene.store.sideFaultMode(StoreStandin.FaultMode.SILENT);
+        scene.store.alterResponses(body -> body);
+
+        scene.platform.unregister(first);
+        ServerStandin second = sound("e-2", "v2");
+        GatewayDaemon other = scene.gateway();
+        List<StreamCaller> callers = begin(other);
+        RelayScene.await(() -> scene.store.keys("software/").contains("software/model/v2"));
+        scene.stop(other);
+        scene.platform.unregister(second);
+        sound("e-3", "v1");
+
+        scene.store.sideFaultMode(StoreStandin.FaultMode.SERVES);
+        RelayScene.await(late::ready);
+        for (StreamCaller caller : callers) {
+            assertEquals(503, caller.send(late));
+            caller.close();
+        }
+    }
+
     /** Guards against versions that are not stored, since the store rejects a transaction with too many or too long keys. */
     @Test
     void versionsOfManyServicesAreStored() throws IOException {
