Take over a peer's history of software versions only with its list

A peer whose list of servers was outdated passed its history on, which the gateway took for complete although it ended before the gateway's own first list: what left in between was in neither, and a stream of it went on at the version that served.

The history now counts only where the list that comes with it is taken over. OutdatedServerListTest.historyOfSoftwareVersionsFromBeforeTheFirstListIsNotComplete answered 200 in place of 503 before.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -467,10 +467,11 @@
             if (body != null) {
                 try {
                     PeerCodec.ServerSnapshot servers = PeerCodec.decodeServers(body);
-                    if (servers.departedComplete()) {
-                        gateway.softwareVersionHistory(servers.departed());
-                    }
                     if (!gateway.directory().hasList() || !isOutdated(servers.position())) {
+                        // An earlier history misses what served before this gateway's first list.
+                        if (servers.departedComplete()) {
+                            gateway.softwareVersionHistory(servers.departed());
+                        }
                         gateway.apply(servers.list(), requestedAtMillis - servers.ageMillis(), servers.position());
                     }
                 } catch (IOException e) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/OutdatedServerListTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/OutdatedServerListTest.java
@@ -59,12 +59,13 @@
     }
 
     /** Serves a server list that is stated to be new. */
-    private static RawServer serve(List<ServerStandin> servers, long revision) {
+    private static RawServer serve(List<ServerStandin> servers, long revision, boolean historyComplete) {
         byte[] list = ServerList.newBuilder()
                 .addAllServers(
                         servers.stream().map(OutdatedServerListTest::entry).toList())
                 .setEra(1)
                 .setRevision(revision)
+                .setDepartedComplete(historyComplete)
                 .build()
                 .toByteArray();
         return RawServer.start(0, (request, connection) -> {
@@ -97,7 +98,7 @@
     /** Reports to a gateway as the peer that reads the store for all, while requests arrive. */
     private void reportAndAsk(GatewayDaemon gateway, List<ServerStandin> servers, long revision) throws IOException {
         try (DatagramSocket socket = new DatagramSocket();
-                RawServer peer = serve(servers, revision)) {
+                RawServer peer = serve(servers, revision, false)) {
             for (int i = 1; i <= REPORTS; i++) {
                 byte[] report = report(i, peer, servers, revision);
                 socket.send(new DatagramPacket(report, report.length, scene.peerAddress(gateway)));
@@ -125,6 +126,33 @@
         assertEquals(before, gone.receivedRequests().size());
     }
 
+    /** Guards against a stream of a version that had left, since a peer whose list is outdated knows of none that did. */
+    @Test
+    void historyOfSoftwareVersionsFromBeforeTheFirstListIsNotComplete() throws IOException {
+        scene.platform.route("/stream/", "streaming", "plain").put(PlatformNames.RESUMABLE, true);
+        scene.platform.publish();
+        ServerStandin server = scene.server("s-1", "plain", ServerStandin.events(2, 1));
+        scene.store.alterResponses(body -> body.contains("\"items\":[]") ? "{" : body);
+        GatewayDaemon gateway = scene.gateway();
+        long revision = scene.store.revision();
+        try (DatagramSocket socket = new DatagramSocket();
+                RawServer peer = serve(List.of(server), 1, true)) {
+            for (int i = 1; i <= REPORTS; i++) {
+                byte[] report = report(i, peer, List.of(), revision + 1_000);
+                socket.send(new DatagramPacket(report, report.length, scene.peerAddress(gateway)));
+                RelayScene.sleep(REPORT_INTERVAL_MILLIS);
+            }
+        }
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            String resumption = PlatformNames.RESUMES + ": nobody-knows\r\n" + PlatformNames.LAST_EVENT_ID + ": 1\r\n";
+            assertEquals(
+                    503,
+                    caller.exchange(RawCaller.request("POST", "/stream/x", "attempt", resumption, "{}"))
+                            .status());
+        }
+        assertTrue(server.receivedRequests().isEmpty());
+    }
+
     @Test
     void listThatWasReadLaterIsTakenOver() throws IOException {
         scene.server("s-1", "plain", ServerStandin.plain(200, "x"));
