Read the history of software versions again after a time without lists

A gateway that had no list of servers for a time, as one cut off from the store and its peers, kept its history as complete: a version that came, served through other gateways and left meanwhile was unknown to it, and streams of it that callers resumed there went on at the version that serves.

After five seconds without a list the history is incomplete, until it is read again or no stream can be older than the lists since.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -83,7 +83,7 @@
             keepMissingUntilMillis = requestedAtMillis + REGISTRATION_RECOVERY_MILLIS;
         }
         newestListMillis = Math.max(newestListMillis, requestedAtMillis);
-        softwareVersions.trackedSince(requestedAtMillis);
+        softwareVersions.trackedAt(requestedAtMillis);
         Map<String, ServerRegistration> listed = new HashMap<>();
         for (ServerRegistration registration : registrations) {
             listed.put(registration.id(), registration);
@@ -168,6 +168,7 @@
     /** Records that a peer has an equal list that was requested at a time. */
     public void confirmList(long requestedAtMillis) {
         newestListMillis = Math.max(newestListMillis, requestedAtMillis);
+        softwareVersions.trackedAt(requestedAtMillis);
     }
 
     /** Returns a digest that is equal for equal lists, whatever their order. */
--- a/core/src/main/java/org/tanagerhinge/core/relay/SoftwareVersions.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/SoftwareVersions.java
@@ -12,14 +12,17 @@
  * the versions that still serve.
  *
  * <p>A node that has just started doesn't know what left before. It learns it from another node or from the platform's
- * store, or by waiting until no stream can be older than itself.
+ * store, or by waiting until no stream can be older than itself. So does a node that had no list of servers for a time.
  */
 public final class SoftwareVersions {
     /** Time after which no caller resumes a stream of a version that has left, in milliseconds. */
     public static final long RETENTION_MILLIS = StreamOrigins.RETENTION_MILLIS;
+    /** Time between two lists of servers, in milliseconds, in which a version may come and leave unnoticed. */
+    static final long MAX_LIST_GAP_MILLIS = 5_000;
 
     private final Map<String, Map<String, Long>> departedAtMillis = new HashMap<>();
     private long trackedSinceMillis = Long.MAX_VALUE;
+    private long trackedUntilMillis = Long.MIN_VALUE;
     private boolean historyReceived;
 
     private SoftwareVersions() {}
@@ -36,9 +39,15 @@
      */
     public record Departed(String service, String softwareVersion, long ageMillis) {}
 
-    /** Records that servers are tracked from a time on, in milliseconds. */
-    void trackedSince(long nowMillis) {
-        trackedSinceMillis = Math.min(trackedSinceMillis, nowMillis);
+    /** Records that a list of servers was current at a time, in milliseconds. */
+    void trackedAt(long listMillis) {
+        boolean interrupted =
+                trackedUntilMillis != Long.MIN_VALUE && listMillis - trackedUntilMillis > MAX_LIST_GAP_MILLIS;
+        if (interrupted) {
+            historyReceived = false;
+        }
+        trackedSinceMillis = interrupted ? listMillis : Math.min(trackedSinceMillis, listMillis);
+        trackedUntilMillis = Math.max(trackedUntilMillis, listMillis);
     }
 
     /** Records that a server of a version has left. */
--- a/core/src/test/java/org/tanagerhinge/core/relay/SoftwareVersionsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/SoftwareVersionsTest.java
@@ -44,6 +44,21 @@
         assertEquals("v1", directory.instance("a").softwareVersion());
     }
 
+    /** Covers a version that comes and leaves while this node has no list, as one that is cut off. */
+    @Test
+    void historyIsIncompleteAfterATimeWithoutAList() {
+        directory.apply(List.of(registration("b", "v2")), 0);
+        directory.versionHistory().recordHistory(List.of(), 0);
+        directory.confirmList(SoftwareVersions.MAX_LIST_GAP_MILLIS);
+        assertTrue(directory.versionHistory().complete(SoftwareVersions.MAX_LIST_GAP_MILLIS));
+        long later = 2 * SoftwareVersions.MAX_LIST_GAP_MILLIS + 1;
+        directory.confirmList(later);
+        assertFalse(directory.versionHistory().complete(later + SoftwareVersions.RETENTION_MILLIS));
+        assertTrue(directory.versionHistory().complete(later + SoftwareVersions.RETENTION_MILLIS + 1));
+        directory.versionHistory().recordHistory(List.of(), later);
+        assertTrue(directory.versionHistory().complete(later));
+    }
+
     @Test
     void historyIsCompleteOnceItIsReceivedOrNoStreamIsOlder() {
         assertFalse(directory.versionHistory().complete(0));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -57,7 +57,7 @@
     private static final int INITIAL_RETRY_MILLIS = 100;
     /** Minimum time between two catch-up reads; many peer reports may announce the same version. */
     private static final long MIN_CATCH_UP_INTERVAL_MILLIS = 400;
-    /** Interval at which a gateway that is no reader checks whether it must read. */
+    /** Interval at which a gateway checks whether it must read what it gets from peers or has read already. */
     private static final int STANDBY_CHECK_MILLIS = 200;
 
     /** Delay after a restore of the store in which all gateways report whether they reach it again. */
@@ -424,6 +424,10 @@
             softwareVersions.runAfter(spread(retryMillis()));
             return;
         }
+        if (gateway.directory().versionHistory().complete(gateway.nowMillis())) {
+            softwareVersions.runAfter(spread(STANDBY_CHECK_MILLIS));
+            return;
+        }
         store.listSoftwareVersions(timeoutMillis(), softwareVersions.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<MetadataStore.Listing<MetadataStore.ServiceVersion>> success) {
                 markReachable();
@@ -431,7 +435,7 @@
                 gateway.softwareVersionHistory(success.value().entries().stream()
                         .map(version -> new SoftwareVersions.Departed(version.service(), version.softwareVersion(), 0))
                         .toList());
-                softwareVersions.finish();
+                softwareVersions.runAfter(spread(STANDBY_CHECK_MILLIS));
             } else {
                 softwareVersions.runAfter(spread(retryMillis()));
             }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -23,6 +23,8 @@
 class SoftwareVersionsTest {
     private static final int EVENTS = 12;
     private static final int STREAMS = 8;
+    /** Time without a list, longer than that in which a version cannot have served unnoticed. */
+    private static final long LIST_GAP_MILLIS = 7_000;
     /** Number of services; more than a transaction of the store takes. */
     private static final int MANY = 40;
 
@@ -291,6 +293,23 @@
         }
     }
 
+    /** Guards against a gateway that does not know a version which came and left while it had no list of servers. */
+    @Test
+    void versionThatServedWhileAGatewayHadNoListIsKnown() throws IOException {
+        ServerStandin server = sound("e-1", "v1");
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals(200, resumeUnknownStream(gateway, "first"));
+        int before = server.receivedRequests().size();
+        scene.store.faultMode(StoreStandin.FaultMode.SILENT);
+        scene.store.put("software/model/v2", "v2");
+        RelayScene.sleep(LIST_GAP_MILLIS);
+        scene.store.faultMode(StoreStandin.FaultMode.SERVES);
+        int listings = scene.store.calls(PlatformNames.RANGE_PATH);
+        RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_PATH) > listings + 3);
+        assertEquals(503, resumeUnknownStream(gateway, "second"));
+        assertEquals(before, server.receivedRequests().size());
+    }
+
     /** Guards against versions that are not stored, since the store rejects a transaction with too many or too long keys. */
     @Test
     void versionsOfManyServicesAreStored() throws IOException {
@@ -339,6 +358,14 @@
         }
     }
 
+    private static int resumeUnknownStream(GatewayDaemon gateway, String stream) throws IOException {
+        String resumption = PlatformNames.RESUMES + ": " + stream + "\r\n" + PlatformNames.LAST_EVENT_ID + ": 3\r\n";
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            return caller.exchange(RawCaller.request("POST", "/stream/x", "attempt", resumption, "{}"))
+                    .status();
+        }
+    }
+
     /** Guards against a refusal that is no promise: an unknown stream reaches no server. */
     @Test
     void streamWhoseBeginningNobodyKnowsIsRefusedUnrun() throws IOException {
