--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,13 +57,13 @@
     private static final int INITIAL_RETRY_MILLIS = 100;
     /** Minimum time between two catch-up reads; many peer reports may announce the same version. */
     private static final long MIN_CATCH_UP_INTERVAL_MILLIS = 400;
-    /** Interval at which a gateway that is no reader checks whether it must read. */
+    /** Interval at which a gateway checks whether it must read what it gets from peers or has read already. */
     private static final int STANDBY_CHECK_MILLIS = 200;
 
     /** Delay after a restore of the store in which all gateways report whether they reach it again. */
     private static final int STORE_QUARANTINE_DELAY_MILLIS = 1_000;
 
-    /** Time for which the store keeps a software version that serves beside others. */
+    /** Time for which the store keeps a software version that serves. */
     private static final Duration SOFTWARE_TTL = Duration.ofMillis(3 * SoftwareVersions.RETENTION_MILLIS);
 
     /** Time for which the store lists a gateway that does not renew its lease. */
@@ -90,7 +91,7 @@
     private boolean storeReachable = true;
     /** The latest invalid entries by listing. */
     private final Map<String, UnreadableEntries> unreadable = new TreeMap<>();
-    /** When this gateway recorded that a software version serves beside others. */
+    /** When this gateway recorded that a software version serves. */
     private final Map<MetadataStore.ServiceVersion, Long> versionRecordedAtMillis = new HashMap<>();
 
     private final RecurringTask servers;
@@ -148,6 +149,7 @@
     private void storeRestored(long era, String source) {
         gateway.count("store_restored");
         gateway.directory().storeRestored(gateway.nowMillis());
+        versionRecordedAtMillis.clear();
         gateway.schedule(this::storeQuarantineAgain, spread(STORE_QUARANTINE_DELAY_MILLIS));
         LogLine.of(LogEvent.STORE_RESTORED)
                 .with(LogField.ERA, era)
@@ -218,6 +220,7 @@
             if (reply instanceof MetadataStore.Success<MetadataStore.Listing<ServerRegistration>> success) {
                 markReachable();
                 recordUnreadable(servers.name(), success.value());
+                boolean firstList = !gateway.directory().hasList();
                 if (gateway.apply(
                         success.value().entries(),
                         requestedAtMillis,
@@ -225,6 +228,9 @@
                     peers.reportNow();
                 }
                 recordSoftwareVersions();
+                if (firstList) {
+                    softwareVersions.run();
+                }
                 boolean empty = gateway.directory().all().isEmpty();
                 servers.runAfter(spread(empty ? RETRY_MILLIS : SERVERS_POLL_MILLIS));
                 return;
@@ -409,10 +415,19 @@
     }
 
     /**
-     * Reads which software versions have served beside others lately. Without it, after a simultaneous loss of all
+     * Reads which software versions have served lately. Without it, after a simultaneous loss of all
      * gateways, a stream of a version that has left would be taken for one of the version that serves.
      */
     private void readSoftwareVersions() {
+        if (!gateway.directory().hasList()) {
+            // A version that served between this listing and the first list of servers would be missed.
+            softwareVersions.runAfter(spread(retryMillis()));
+            return;
+        }
+        if (gateway.directory().versionHistory().complete(gateway.nowMillis())) {
+            softwareVersions.runAfter(spread(STANDBY_CHECK_MILLIS));
+            return;
+        }
         store.listSoftwareVersions(timeoutMillis(), softwareVersions.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<MetadataStore.Listing<MetadataStore.ServiceVersion>> success) {
                 markReachable();
@@ -420,14 +435,17 @@
                 gateway.softwareVersionHistory(success.value().entries().stream()
                         .map(version -> new SoftwareVersions.Departed(version.service(), version.softwareVersion(), 0))
                         .toList());
-                softwareVersions.finish();
+                softwareVersions.runAfter(spread(STANDBY_CHECK_MILLIS));
             } else {
                 softwareVersions.runAfter(spread(retryMillis()));
             }
         }));
     }
 
-    /** Records the software versions of services that have several, if this gateway is the reader. */
+    /**
+     * Records the software versions of all services, if this gateway is the reader. The only version of a service is
+     * recorded too, since it may be replaced while no gateway runs.
+     */
     private void recordSoftwareVersions() {
         if (!isReader()) {
             return;
@@ -437,23 +455,22 @@
                 .values()
                 .removeIf(
                         atMillis -> nowMillis - atMillis > SOFTWARE_TTL.toMillis() - SoftwareVersions.RETENTION_MILLIS);
+        List<MetadataStore.ServiceVersion> unrecorded = new ArrayList<>();
         for (String service : gateway.directory().services()) {
-            Set<String> versions = gateway.directory().softwareVersions(service, nowMillis);
-            for (String version : versions.size() > 1 ? versions : Set.<String>of()) {
-                recordSoftwareVersion(new MetadataStore.ServiceVersion(service, version), nowMillis);
+            for (String softwareVersion : gateway.directory().softwareVersions(service, nowMillis)) {
+                MetadataStore.ServiceVersion version = new MetadataStore.ServiceVersion(service, softwareVersion);
+                if (!softwareVersion.isEmpty() && versionRecordedAtMillis.putIfAbsent(version, nowMillis) == null) {
+                    unrecorded.add(version);
+                }
             }
         }
-    }
-
-    private void recordSoftwareVersion(MetadataStore.ServiceVersion version, long nowMillis) {
-        if (version.softwareVersion().isEmpty() || versionRecordedAtMillis.putIfAbsent(version, nowMillis) != null) {
-            return;
+        if (!unrecorded.isEmpty()) {
+            store.recordSoftwareVersions(unrecorded, SOFTWARE_TTL, reply -> {
+                if (!(reply instanceof MetadataStore.Success<Long>)) {
+                    unrecorded.forEach(versionRecordedAtMillis::remove);
+                }
+            });
         }
-        store.recordSoftwareVersion(version.service(), version.softwareVersion(), SOFTWARE_TTL, reply -> {
-            if (!(reply instanceof MetadataStore.Success<Long>)) {
-                versionRecordedAtMillis.remove(version);
-            }
-        });
     }
 
     private void quarantine(CrashSuspect suspect) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -17,11 +17,17 @@
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
 import org.tanagerhinge.standin.relay.ServerStandin;
+import org.tanagerhinge.standin.relay.StoreStandin;
 
 /** Streams where servers of several software versions serve side by side: each holds events of one version only. */
 class SoftwareVersionsTest {
     private static final int EVENTS = 12;
     private static final int STREAMS = 8;
+    /** Time without a list, longer than that in which a version cannot have served unnoticed. */
+    private static final long LIST_GAP_MILLIS = 7_000;
+    /** Number of services; more than a transaction of the store takes. */
+    private static final int MANY = 40;
+
     private static final long EVENT_GAP_MILLIS = 10;
 
     private RelayScene scene;
@@ -240,6 +246,81 @@
         }
     }
 
+    /** Guards against a stream whose version was replaced by another while no gateway ran, and that continues there. */
+    @Test
+    void streamOfASoftwareVersionThatWasReplacedWhileNoGatewayRanIsRefused() throws IOException {
+        ServerStandin old = sound("e-1", "v1");
+        List<GatewayDaemon> gateways = gateways(2);
+        List<StreamCaller> callers = begin(gateways.get(0));
+        scene.stopTogether(gateways);
+        scene.platform.unregister(old);
+        ServerStandin other = sound("e-2", "v2");
+        GatewayDaemon started = scene.gateway();
+        for (StreamCaller caller : callers) {
+            assertEquals(503, caller.send(started));
+            caller.close();
+        }
+        assertTrue(other.receivedRequests().isEmpty());
+    }
+
+    /** Guards against a gateway that does not know a version which left between its listing of versions and of servers. */
+    @Test
+    void versionThatLeftBeforeTheFirstListOfServersIsKnown() throws IOException {
+        ServerStandin first = sound("e-1", "v1");
+        scene.stop(scene.gateway());
+        scene.store.alterResponses(
+                body -> body.contains("\"servers/") || body.contains(PlatformNames.TTL_MILLIS) ? "{" : body);
+        GatewayDaemon late = scene.start("late", scene.store.sideAddress());
+        int listings = scene.store.calls(PlatformNames.RANGE_PATH);
+        RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_PATH) > listings + 5);
+        scene.store.sideFaultMode(StoreStandin.FaultMode.SILENT);
+        scene.store.alterResponses(body -> body);
+
+        scene.platform.unregister(first);
+        ServerStandin second = sound("e-2", "v2");
+        GatewayDaemon other = scene.gateway();
+        List<StreamCaller> callers = begin(other);
+        RelayScene.await(() -> scene.store.keys("software/").contains("software/model/v2"));
+        scene.stop(other);
+        scene.platform.unregister(second);
+        sound("e-3", "v1");
+
+        scene.store.sideFaultMode(StoreStandin.FaultMode.SERVES);
+        RelayScene.await(late::ready);
+        for (StreamCaller caller : callers) {
+            assertEquals(503, caller.send(late));
+            caller.close();
+        }
+    }
+
+    /** Guards against a gateway that does not know a version which came and left while it had no list of servers. */
+    @Test
+    void versionThatServedWhileAGatewayHadNoListIsKnown() throws IOException {
+        ServerStandin server = sound("e-1", "v1");
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals(200, resumeUnknownStream(gateway, "first"));
+        int before = server.receivedRequests().size();
+        scene.store.faultMode(StoreStandin.FaultMode.SILENT);
+        scene.store.put("software/model/v2", "v2");
+        RelayScene.sleep(LIST_GAP_MILLIS);
+        scene.store.faultMode(StoreStandin.FaultMode.SERVES);
+        int listings = scene.store.calls(PlatformNames.RANGE_PATH);
+        RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_PATH) > listings + 3);
+        assertEquals(503, resumeUnknownStream(gateway, "second"));
+        assertEquals(before, server.receivedRequests().size());
+    }
+
+    /** Guards against versions that are not stored, since the store rejects a transaction with too many or too long keys. */
+    @Test
+    void versionsOfManyServicesAreStored() throws IOException {
+        for (int i = 0; i < MANY; i++) {
+            scene.server("s-" + i, "service-" + i, "v1", ServerStandin.plain(200, "x"));
+        }
+        scene.server("t", "service-t", "v".repeat(MANY * MANY), ServerStandin.plain(200, "x"));
+        scene.gateway();
+        RelayScene.await(() -> scene.store.keys("software/").size() == MANY);
+    }
+
     /** Guards against refused streams where a single software version serves, whatever gateways know of them. */
     @Test
     void streamsContinueWithoutKnowledgeWhereOneSoftwareVersionServes() throws IOException {
@@ -277,6 +358,14 @@
         }
     }
 
+    private static int resumeUnknownStream(GatewayDaemon gateway, String stream) throws IOException {
+        String resumption = PlatformNames.RESUMES + ": " + stream + "\r\n" + PlatformNames.LAST_EVENT_ID + ": 3\r\n";
+        try (RawCaller caller = RawCaller.to(gateway.address())) {
+            return caller.exchange(RawCaller.request("POST", "/stream/x", "attempt", resumption, "{}"))
+                    .status();
+        }
+    }
+
     /** Guards against a refusal that is no promise: an unknown stream reaches no server. */
     @Test
     void streamWhoseBeginningNobodyKnowsIsRefusedUnrun() throws IOException {
