Keep a stalled attempt until its replacement runs

Callers of idempotent requests lost answers that their backend server was still computing. After 3 s without output (10 s before the first) the router cancelled the attempt, and looked for another server only then: if the retry budget was spent, no other server took work, none had the software version in which the answer began, the request was quarantined, or the agent that was chosen returned it as not run, the caller got a failure or a truncated answer. An answer of a plain service that had begun was always cut, since it can't be resumed.

The router now looks for a replacement first and leaves the attempt alone if there is none. If there is one, the stalled attempt goes on until the agent reports the replacement as started, and is cancelled then. If the replacement is refused or lost, or the stalled server produces output first, the stalled attempt stays, and the replacement is cancelled. A replacement that was refused doesn't count against the limit of refusals, and is tried again after the same timeout.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RetryBudget.java
@@ -78,16 +78,22 @@
         account.past.recordRequest(nowMillis);
     }
 
+    /** Returns whether the budget allows a retry. */
+    public boolean allows(String requestClass, long nowMillis) {
+        Account account = account(requestClass, nowMillis);
+        double fromPast = 1 - Math.min(1, account.bucket.tokens());
+        return fromPast <= 0 || fromPast <= account.past.available(pastRatio(), nowMillis);
+    }
+
     /** Takes one retry if the budget allows it; returns whether it does. */
     public boolean tryTake(String requestClass, long nowMillis) {
-        Account account = account(requestClass, nowMillis);
-        double fromBucket = Math.min(1, account.bucket.tokens());
-        double fromPast = 1 - fromBucket;
-        if (fromPast > 0 && fromPast > account.past.available(pastRatio(), nowMillis)) {
+        if (!allows(requestClass, nowMillis)) {
             return false;
         }
+        Account account = account(requestClass, nowMillis);
+        double fromBucket = Math.min(1, account.bucket.tokens());
         account.bucket.take(fromBucket);
-        account.past.recordRetry(fromPast, nowMillis);
+        account.past.recordRetry(1 - fromBucket, nowMillis);
         return true;
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -28,6 +28,14 @@
 final class Exchange {
     private static final StateChart<ExchangeState, ExchangeEvent> CHART =
             StateChart.load("exchange", ExchangeState.class, ExchangeEvent.class);
+    private static final long NO_ATTEMPT = 0;
+
+    /**
+     * An attempt that has stalled, and goes on until another one that is to replace it runs.
+     *
+     * @param uncreditedUnits units that the caller consumed and for which its agent has not been granted credit yet
+     */
+    record StalledAttempt(long number, ServerId server, long incarnation, long uncreditedUnits) {}
 
     private final IncomingRequest request;
     private final Workspace workspace;
@@ -51,6 +59,8 @@
     private Instant lastQueriedAt = Instant.MIN;
     private long deliveredUnits;
     private long uncreditedUnits;
+    private long unreadUnits;
+    private StalledAttempt stalledAttempt;
     private String softwareVersion = "";
     private boolean headSent;
     private boolean attemptUnresolved;
@@ -208,6 +218,42 @@
         waitingSince = null;
     }
 
+    /** Keeps the newest attempt, which has stalled, while another server is to take it over. */
+    void keepStalledAttempt() {
+        stalledAttempt = new StalledAttempt(attemptNumber, server, serverIncarnation, uncreditedUnits);
+        attemptNumber = NO_ATTEMPT;
+        uncreditedUnits = 0;
+        attemptMayHaveRun();
+    }
+
+    /** Returns the attempt that goes on until the newest one runs, if any. */
+    Optional<StalledAttempt> stalledAttempt() {
+        return Optional.ofNullable(stalledAttempt);
+    }
+
+    boolean isStalledAttempt(long number) {
+        return stalledAttempt != null && stalledAttempt.number() == number;
+    }
+
+    void forgetStalledAttempt() {
+        stalledAttempt = null;
+    }
+
+    /** Makes the stalled attempt the newest one again, instead of the one that was to replace it. */
+    void restoreStalledAttempt(Instant now) {
+        attemptNumber = stalledAttempt.number();
+        assignServer(stalledAttempt.server(), stalledAttempt.incarnation());
+        uncreditedUnits = stalledAttempt.uncreditedUnits();
+        attemptUnresolved = true;
+        lastProgressAt = now;
+        stalledAttempt = null;
+    }
+
+    /** Returns whether the newest or the stalled attempt is at a server. */
+    boolean isAt(ServerId id) {
+        return id.equals(server) || (stalledAttempt != null && id.equals(stalledAttempt.server()));
+    }
+
     /** Returns the execution under which the next attempt may run; empty for an idempotent request. */
     Optional<Execution> execution() {
         if (idempotent()) {
--- a/core/src/main/java/org/tanagerhinge/core/router/ExchangeRegistry.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ExchangeRegistry.java
@@ -50,9 +50,15 @@
         byAttempt.remove(exchange.attemptNumber());
     }
 
-    /** Returns the exchange whose newest attempt has this number, if it is assigned to that server. */
+    /** Drops the stalled attempt of an exchange; later messages about it are ignored. */
+    void forgetStalledAttempt(Exchange exchange) {
+        exchange.stalledAttempt().ifPresent(stalled -> byAttempt.remove(stalled.number()));
+        exchange.forgetStalledAttempt();
+    }
+
+    /** Returns the exchange whose newest or stalled attempt has this number, if it is assigned to that server. */
     Optional<Exchange> findByAttempt(long attempt, ServerId server) {
-        return Optional.ofNullable(byAttempt.get(attempt)).filter(exchange -> server.equals(exchange.server()));
+        return Optional.ofNullable(byAttempt.get(attempt)).filter(exchange -> exchange.isAt(server));
     }
 
     /** Assigns an exchange a new claim number, and drops the previous one. */
@@ -73,6 +79,7 @@
 
     void remove(Exchange exchange) {
         forgetAttempt(exchange);
+        forgetStalledAttempt(exchange);
         forgetClaim(exchange);
         exchanges.remove(exchange.id());
     }
--- a/core/src/main/java/org/tanagerhinge/core/router/ExchangeTimeouts.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ExchangeTimeouts.java
@@ -75,10 +75,11 @@
             return;
         }
         Duration timeout = exchange.deliveredUnits() > 0 ? options.stallTimeout() : options.firstOutputTimeout();
-        if (exchange.lastProgressAt().plus(timeout).isBefore(now)) {
-            core.cancelAttempt(exchange);
-            core.onAttemptLost(
-                    exchange, ResultCode.STALLED, "the backend server produced no output within the timeout");
+        boolean retryDue =
+                exchange.lastQueriedAt().plus(RouterCore.QUERY_RETRY_INTERVAL).isBefore(now);
+        if (exchange.lastProgressAt().plus(timeout).isBefore(now) && retryDue) {
+            exchange.lastQueriedAt(now);
+            core.replaceStalledAttempt(exchange);
         }
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -274,16 +274,7 @@
             refuse(exchange, withActualOutcome(exchange, quarantineFailure(quarantinedFor.get())));
             return;
         }
-        List<ServerView> candidates = servers.accepting(exchange.request().kind(), exchange.target()).stream()
-                .filter(view -> !exchange.triedServers().contains(view.server().id()))
-                .toList();
-        if (exchange.resumes() && !exchange.softwareVersion().isEmpty()) {
-            candidates = ofVersion(candidates, exchange.softwareVersion());
-        }
-        Optional<ServerView> chosen = switch (options.policy()) {
-            case RouterOptions.Policy.LeastTime any -> loadBalancer.leastExpectedTime(candidates, exchange, now());
-            case RouterOptions.Policy.RoundRobin any -> loadBalancer.roundRobin(candidates);
-        };
+        Optional<ServerView> chosen = chooseServer(exchange);
         if (chosen.isEmpty()) {
             refuse(exchange, withActualOutcome(exchange, exchange.lastFailure().orElseGet(() -> noServer(exchange))));
             return;
@@ -297,6 +288,20 @@
         }
     }
 
+    /** Returns the server for the next attempt of an exchange. */
+    private Optional<ServerView> chooseServer(Exchange exchange) {
+        List<ServerView> candidates = servers.accepting(exchange.request().kind(), exchange.target()).stream()
+                .filter(view -> !exchange.triedServers().contains(view.server().id()))
+                .toList();
+        if (exchange.resumes() && !exchange.softwareVersion().isEmpty()) {
+            candidates = ofVersion(candidates, exchange.softwareVersion());
+        }
+        return switch (options.policy()) {
+            case RouterOptions.Policy.LeastTime any -> loadBalancer.leastExpectedTime(candidates, exchange, now());
+            case RouterOptions.Policy.RoundRobin any -> loadBalancer.roundRobin(candidates);
+        };
+    }
+
     /**
      * Returns the servers of a software version, or those that haven't stated one yet if there is none; the agent of such
      * a server fails the run if the version turns out to be another.
@@ -392,6 +397,12 @@
         exchanges.all().stream()
                 .filter(exchange -> server.equals(exchange.server()))
                 .forEach(exchange -> exchange.attached(false));
+        exchanges.all().stream()
+                .filter(exchange -> exchange.stalledAttempt()
+                        .filter(stalled -> server.equals(stalled.server()))
+                        .isPresent())
+                .forEach(exchange -> endStalledAttempt(
+                        exchange, ResultCode.CONNECTION_LOST, "the connection to the agent was lost"));
         List<Exchange> affected = exchanges.all().stream()
                 .filter(exchange -> server.equals(exchange.server()))
                 .filter(exchange -> exchange.in(ExchangeState.SUBMITTED) || exchange.in(ExchangeState.RUNNING))
@@ -420,10 +431,13 @@
      */
     private void retryOrRefuse(Exchange exchange, ResultCode code, String detail) {
         boolean retriesDisabled = options.policy() instanceof RouterOptions.Policy.RoundRobin;
-        boolean service = exchange.request().kind() == ServerKind.SERVICE;
-        boolean notResumable = service && exchange.anythingDelivered();
+        boolean notResumable = !resumable(exchange);
         exchange.triedServers().add(exchange.server());
         exchange.attemptMayHaveRun();
+        if (exchange.stalledAttempt().isPresent()) {
+            resumeStalledAttempt(exchange);
+            return;
+        }
         if (retriesDisabled || notResumable || !mayRetry(exchange, true)) {
             refuse(exchange, RequestFailure.outcomeUnknown(code, detail));
         } else if (!tryTakeRetry(exchange)) {
@@ -438,6 +452,57 @@
         }
     }
 
+    /** Returns whether another server could give the rest of the answer. */
+    private static boolean resumable(Exchange exchange) {
+        return exchange.request().kind() == ServerKind.MODEL || !exchange.anythingDelivered();
+    }
+
+    /**
+     * Sends an idempotent request whose attempt has stalled to another server, if one may take it over. The attempt goes on
+     * until the other one runs, and instead of it if that is refused or lost: a server that is slow to answer may still be
+     * the only one that does.
+     */
+    void replaceStalledAttempt(Exchange exchange) {
+        boolean permitted = exchange.stalledAttempt().isEmpty()
+                && resumable(exchange)
+                && exchange.history()
+                        .couldRetryAfterRun(exchange.timeLeft(now()).toMillis())
+                && quarantinedFor(exchange.request(), exchange.workspace()).isEmpty()
+                && retryBudget.allows(exchange.profile().name().value(), now().toEpochMilli());
+        if (!permitted) {
+            return;
+        }
+        exchange.triedServers().add(exchange.server());
+        Optional<ServerView> replacement = chooseServer(exchange);
+        if (replacement.isEmpty() || !tryTakeRetry(exchange)) {
+            return;
+        }
+        port.countDecision("retry_" + ResultCode.STALLED.label());
+        exchange.keepStalledAttempt();
+        exchange.machine().fire(ExchangeEvent.LOSE);
+        exchange.assignServer(replacement.get().server().id(), replacement.get().incarnation());
+        exchange.advanceGeneration();
+        submit(exchange);
+    }
+
+    /** Makes a stalled attempt the only one of its exchange, after the one that was to replace it has ended. */
+    private void resumeStalledAttempt(Exchange exchange) {
+        exchange.restoreStalledAttempt(now());
+        exchange.machine().tryFire(ExchangeEvent.START);
+    }
+
+    private void endStalledAttempt(Exchange exchange, ResultCode code, String detail) {
+        Exchange.StalledAttempt stalled = exchange.stalledAttempt().orElseThrow();
+        port.attemptFailed(exchange.id(), stalled.server(), code, RunOutcome.UNKNOWN, detail);
+        exchanges.forgetStalledAttempt(exchange);
+    }
+
+    private void cancelStalledAttempt(Exchange exchange) {
+        exchange.stalledAttempt()
+                .filter(stalled -> links.isLinked(stalled.server()))
+                .ifPresent(stalled -> port.send(stalled.server(), new Frame.Cancel(stalled.number(), false)));
+    }
+
     // ---- messages from agents
 
     /** Handles a message from an agent. */
@@ -450,13 +515,15 @@
         switch (frame) {
             case Frame.Queued queued -> findByAttempt(queued.attempt(), server).ifPresent(this::onQueued);
             case Frame.Started started ->
-                findByAttempt(started.attempt(), server).ifPresent(this::onStarted);
-            case Frame.Head head -> findByAttempt(head.attempt(), server).ifPresent(exchange -> onHead(exchange, head));
+                findByAttempt(started.attempt(), server)
+                        .filter(exchange -> !exchange.isStalledAttempt(started.attempt()))
+                        .ifPresent(this::onStarted);
+            case Frame.Head head -> findProducing(head.attempt(), server).ifPresent(exchange -> onHead(exchange, head));
             case Frame.Chunk chunk ->
-                findByAttempt(chunk.attempt(), server).ifPresent(exchange -> onChunk(exchange, chunk));
+                findProducing(chunk.attempt(), server).ifPresent(exchange -> onChunk(exchange, chunk));
             case Frame.Done done -> {
                 onLoad(view, done.load());
-                findByAttempt(done.attempt(), server).ifPresent(exchange -> onDone(exchange, done));
+                findProducing(done.attempt(), server).ifPresent(exchange -> onDone(exchange, done));
             }
             case Frame.NotRun notRun -> {
                 onLoad(view, notRun.load());
@@ -464,7 +531,7 @@
             }
             case Frame.Failed failed -> {
                 onLoad(view, failed.load());
-                findByAttempt(failed.attempt(), server).ifPresent(exchange -> onFailed(exchange, failed));
+                findByAttempt(failed.attempt(), server).ifPresent(exchange -> onFailed(exchange, view, failed));
             }
             case Frame.LoadReport report -> onLoad(view, report.load());
             case Frame.ClaimReport report -> port.keepClaims(report.claims());
@@ -490,6 +557,18 @@
         return found;
     }
 
+    /** Returns the exchange of an attempt that produces output; if the attempt was stalled, its replacement is cancelled. */
+    private Optional<Exchange> findProducing(long attempt, ServerId server) {
+        Optional<Exchange> found = findByAttempt(attempt, server);
+        found.filter(exchange -> exchange.isStalledAttempt(attempt)).ifPresent(exchange -> {
+            port.countDecision("stalled_attempt_resumed");
+            port.send(exchange.server(), new Frame.Cancel(exchange.attemptNumber(), false));
+            exchanges.forgetAttempt(exchange);
+            resumeStalledAttempt(exchange);
+        });
+        return found;
+    }
+
     private void onLoad(ServerView view, AgentLoad load) {
         view.recordLoad(load, now());
         recordIfDown(view);
@@ -533,6 +612,10 @@
         }
         exchange.machine().tryFire(ExchangeEvent.START);
         exchange.recordProgress(now());
+        if (exchange.stalledAttempt().isPresent()) {
+            cancelStalledAttempt(exchange);
+            endStalledAttempt(exchange, ResultCode.STALLED, "the backend server produced no output within the timeout");
+        }
     }
 
     private void onHead(Exchange exchange, Frame.Head head) {
@@ -600,6 +683,10 @@
     }
 
     private void onNotRun(Exchange exchange, Frame.NotRun notRun) {
+        if (exchange.isStalledAttempt(notRun.attempt())) {
+            endStalledAttempt(exchange, notRun.code(), notRun.code().meaning());
+            return;
+        }
         exchanges.forgetAttempt(exchange);
         RequestFailure failure = RequestFailure.notRun(
                 notRun.code(), notRun.retryAfter(), notRun.code().meaning());
@@ -608,6 +695,10 @@
             onConfirmedNotRun(exchange, failure);
             return;
         }
+        if (exchange.stalledAttempt().isPresent()) {
+            resumeStalledAttempt(exchange);
+            return;
+        }
         boolean costsBudget = !BUDGET_FREE_CODES.contains(notRun.code());
         exchange.attemptNotRun(failure);
         exchange.machine().fire(ExchangeEvent.RETURN);
@@ -653,10 +744,14 @@
         }
     }
 
-    private void onFailed(Exchange exchange, Frame.Failed failed) {
+    private void onFailed(Exchange exchange, ServerView view, Frame.Failed failed) {
+        crashAttribution.recordFailedRun(view.server().id(), suspectRun(exchange), now());
+        recordIfDown(view);
+        if (exchange.isStalledAttempt(failed.attempt())) {
+            endStalledAttempt(exchange, failed.code(), failed.detail());
+            return;
+        }
         exchanges.forgetAttempt(exchange);
-        crashAttribution.recordFailedRun(exchange.server(), suspectRun(exchange), now());
-        servers.find(exchange.server()).ifPresent(this::recordIfDown);
         port.attemptFailed(exchange.id(), exchange.server(), failed.code(), RunOutcome.UNKNOWN, failed.detail());
         if (exchange.idempotent()) {
             retryOrRefuse(exchange, failed.code(), failed.detail());
@@ -702,6 +797,7 @@
         if (sent && links.isLinked(exchange.server())) {
             port.send(exchange.server(), new Frame.Cancel(exchange.attemptNumber(), exchange.keyed()));
         }
+        cancelStalledAttempt(exchange);
     }
 
     private ExchangeOutcome outcome(Exchange exchange, ResultCode code, RunOutcome runOutcome) {
@@ -742,7 +838,7 @@
     }
 
     private boolean inUse(ServerId id) {
-        return exchanges.all().stream().anyMatch(exchange -> id.equals(exchange.server()));
+        return exchanges.all().stream().anyMatch(exchange -> exchange.isAt(id));
     }
 
     /** Begins a planned stop: new requests are rejected, those in flight are finished. */
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterOptions.java
@@ -109,6 +109,26 @@
                 policy);
     }
 
+    /** Returns these options with other limits of retries. */
+    public RouterOptions withRetryBudget(double nextRatio, int nextSlack) {
+        return new RouterOptions(
+                failureDomain,
+                maxLinksPerTarget,
+                routers,
+                nextRatio,
+                nextSlack,
+                retryWindow,
+                maxNotRunRetries,
+                claimTimeout,
+                uncertainTimeout,
+                stallTimeout,
+                firstOutputTimeout,
+                deadlineGrace,
+                heartbeatInterval,
+                maxExchanges,
+                policy);
+    }
+
     /** Returns these options with another maximum of links per target. */
     public RouterOptions withMaxLinksPerTarget(int next) {
         return new RouterOptions(
