Don't take a slow caller for a stalled backend server

An agent stops reading from its backend server while a caller is far behind, so a caller that read nothing for 3 s made the router declare the attempt stalled: the answer was moved to another server, which cost a retry, or was cut if none was left. The time in which a part of the answer waits to be written to the caller no longer counts as the server's silence.

The test failed before: the request was sent to a second server.

--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -370,6 +370,7 @@
 
     void delivered(long units, byte[] data, Instant now) {
         deliveredUnits += units;
+        unreadUnits += units;
         lastProgressAt = now;
         if (firstOutputAt == null) {
             firstOutputAt = now;
@@ -384,6 +385,17 @@
         return delivered.toString(StandardCharsets.UTF_8);
     }
 
+    /** Records that the caller consumed units. */
+    void recordRead(long units, Instant now) {
+        unreadUnits = Math.max(0, unreadUnits - units);
+        lastProgressAt = now;
+    }
+
+    /** Returns whether the caller has yet to consume a part of what was delivered. */
+    boolean callerBehind() {
+        return unreadUnits > 0;
+    }
+
     /** Adds units that the caller consumed; returns all uncredited units once they reach the minimum, else zero. */
     long takeDueCredit(long units, long minUnits) {
         uncreditedUnits += units;
--- a/core/src/main/java/org/tanagerhinge/core/router/ExchangeTimeouts.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ExchangeTimeouts.java
@@ -74,6 +74,10 @@
         if (retriesDisabled || !exchange.idempotent() || !exchange.in(ExchangeState.RUNNING)) {
             return;
         }
+        if (exchange.callerBehind()) {
+            // The agent stops reading from a server whose caller is far behind.
+            return;
+        }
         Duration timeout = exchange.deliveredUnits() > 0 ? options.stallTimeout() : options.firstOutputTimeout();
         boolean retryDue =
                 exchange.lastQueriedAt().plus(RouterCore.QUERY_RETRY_INTERVAL).isBefore(now);
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -258,6 +258,7 @@
         if (exchange == null || exchange.server() == null) {
             return;
         }
+        exchange.recordRead(units, now());
         long minUnits =
                 exchange.request().kind() == ServerKind.MODEL ? MIN_MODEL_CREDIT_TOKENS : MIN_SERVICE_CREDIT_BYTES;
         long creditUnits = exchange.takeDueCredit(units, minUnits);
--- a/core/src/test/java/org/tanagerhinge/core/router/StalledAttemptTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/router/StalledAttemptTest.java
@@ -144,4 +144,20 @@
         assertTrue(router.cancelled(first));
         assertTrue(router.cancelled(router.newest(id)));
     }
+
+    /** Guards against an answer that is moved or ended because its caller reads slowly. */
+    @Test
+    void timeInWhichTheCallerDoesNotReadIsNotTheServersSilence() {
+        RouterFixture router = RouterFixture.withEngines("engine-1", "engine-2");
+        RequestId id = router.ask(ServerKind.MODEL);
+        Sent first = router.newest(id);
+        router.started(first);
+        router.unreadOutput(first, 0, "a");
+        router.pass(STALL);
+        assertEquals(1, router.submitted(id).size());
+        router.core.onCallerConsumed(id, 1);
+        router.pass(Duration.ofSeconds(2));
+        assertEquals(1, router.submitted(id).size());
+        assertGoesOn(router, id, first);
+    }
 }
