Don't take a pause of the router for silence of its servers

When a router had not run for some seconds (a frozen process, a host short of processor time), its first timer tick came before the messages that had arrived meanwhile. It declared all streams stalled and moved them, which spent the retry budget and cut the rest, and refused requests whose deadline had passed although their complete answers were waiting to be read.

A tick that is late by half a second or more is now excluded from the waits for output, for claims and for outcomes, and timeouts are not checked for half a second after it. If the next tick is late as well, deadlines are enforced. The counter process_paused tells such a pause from silence of a server.

--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -330,6 +330,20 @@
         attached = next;
     }
 
+    /** Excludes a time in which the router did not run from the waits of this exchange. */
+    void excludePause(Duration pause, Instant now) {
+        if (lastProgressAt != null) {
+            lastProgressAt = earlier(lastProgressAt.plus(pause), now);
+        }
+        if (waitingSince != null) {
+            waitingSince = earlier(waitingSince.plus(pause), now);
+        }
+    }
+
+    private static Instant earlier(Instant first, Instant second) {
+        return first.isBefore(second) ? first : second;
+    }
+
     /** Restores the start of the wait, which sending an attempt resets. */
     void restoreWaitingSince(Instant earlier) {
         waitingSince = earlier;
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -46,6 +46,10 @@
     private static final long MIN_SERVICE_CREDIT_BYTES = 64 * 1024;
     private static final long PROMPT_TOKENS_PER_UNIT = 16;
     private static final Duration EJECTION_CHECK_INTERVAL = Duration.ofMillis(300);
+    /** Time between two ticks from which on the process counts as not having run in between. */
+    private static final Duration MIN_PAUSE = Duration.ofMillis(500);
+    /** Time after a pause in which messages that arrived meanwhile are handled before timeouts are checked. */
+    private static final Duration PAUSE_RECOVERY = Duration.ofMillis(500);
 
     /**
      * Codes of a not-run return that are not caused by load of the request's class; retrying these is not charged to
@@ -72,6 +76,9 @@
     private final ExchangeTimeouts timeouts;
     private ClusterConfig config = ClusterConfig.EMPTY;
     private Instant lastEjectionCheck = Instant.MIN;
+    private Instant lastTickAt;
+    private Instant checkTimeoutsFrom;
+    private boolean lastTickLate;
     private boolean stopping;
 
     private RouterCore(
@@ -87,6 +94,8 @@
         this.port = port;
         this.monitor = monitor;
         this.servers = new ServerTable(id.name(), options.maxLinksPerTarget());
+        this.lastTickAt = clock.instant();
+        this.checkTimeoutsFrom = lastTickAt;
         this.links = new AgentLinks(servers, port, options.heartbeatInterval(), this::inUse, this::onLinkDown);
         this.claims = new IdempotencyClaims(this, exchanges, links, port, options, clock);
         this.timeouts = new ExchangeTimeouts(this, claims, options);
@@ -850,9 +859,12 @@
     /** Checks timeouts and does periodic work; called several times a second. */
     public void onTick() {
         Instant now = now();
-        for (Exchange exchange : exchanges.all()) {
-            if (exchanges.contains(exchange)) {
-                timeouts.check(exchange, now);
+        excludePause(now);
+        if (!now.isBefore(checkTimeoutsFrom)) {
+            for (Exchange exchange : exchanges.all()) {
+                if (exchanges.contains(exchange)) {
+                    timeouts.check(exchange, now);
+                }
             }
         }
         updateEjections(now);
@@ -860,6 +872,21 @@
         crashAttribution.evictExpired(now);
     }
 
+    /** Excludes a time in which this process did not run from all waits, since messages may have arrived meanwhile. */
+    private void excludePause(Instant now) {
+        Duration sinceLastTick = Duration.between(lastTickAt, now);
+        boolean late = sinceLastTick.compareTo(MIN_PAUSE) >= 0;
+        if (late) {
+            port.countDecision("process_paused");
+            exchanges.all().forEach(exchange -> exchange.excludePause(sinceLastTick, now));
+        }
+        if (late && !lastTickLate) {
+            checkTimeoutsFrom = now.plus(PAUSE_RECOVERY);
+        }
+        lastTickAt = now;
+        lastTickLate = late;
+    }
+
     private Instant now() {
         return clock.instant();
     }
--- a/core/src/test/java/org/tanagerhinge/core/router/StalledAttemptTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/router/StalledAttemptTest.java
@@ -160,4 +160,41 @@
         assertEquals(1, router.submitted(id).size());
         assertGoesOn(router, id, first);
     }
+
+    /** Guards against answers that are moved or ended because the router itself did not run for a time. */
+    @Test
+    void timeInWhichTheRouterDidNotRunIsNotTheServersSilence() {
+        RouterFixture router = RouterFixture.withEngines("engine-1", "engine-2");
+        RequestId id = router.ask(ServerKind.MODEL);
+        Sent first = runningWithOutput(router, id);
+        router.pass(Duration.ofMillis(500));
+        router.pause(Duration.ofSeconds(20));
+        router.pass(Duration.ofSeconds(1));
+        assertEquals(1, router.submitted(id).size());
+        assertGoesOn(router, id, first);
+    }
+
+    /** Guards against an answer that has arrived and is thrown away because the router did not run for a time. */
+    @Test
+    void answerThatArrivedDuringAPauseOfTheRouterIsDelivered() {
+        RouterFixture router = RouterFixture.withEngines("engine-1");
+        RequestId id = router.ask(ServerKind.MODEL);
+        Sent first = runningWithOutput(router, id);
+        router.pause(RouterFixture.DEADLINE.plusSeconds(1));
+        router.core.onTick();
+        assertGoesOn(router, id, first);
+    }
+
+    /** Guards against deadlines that a router never enforces while it is short of processor time. */
+    @Test
+    void deadlineIsEnforcedAlthoughEveryTickIsLate() {
+        RouterFixture router = RouterFixture.withEngines("engine-1");
+        RequestId id = router.ask(ServerKind.MODEL);
+        runningWithOutput(router, id);
+        for (int i = 0; i < RouterFixture.DEADLINE.toSeconds() + 2; i++) {
+            router.pause(Duration.ofSeconds(1));
+            router.core.onTick();
+        }
+        assertEquals(Optional.of(ResultCode.ANSWER_TOO_LATE), router.result(id));
+    }
 }
