Let a router finish its requests after its successor has connected

An agent dropped the connection state of every other process of a router's name as soon as one connected. If a router's successor started while the old process still finished its requests, all of that process's idempotent runs were aborted at the engines without a word to it, its later frames were ignored, and after 3 s of silence it reconnected and dropped the successor in turn.

Only an earlier connection of the same process is replaced now. The connection of a process that has ended is closed by its host, or by the idle timeout.

--- a/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/AgentCore.java
@@ -132,9 +132,12 @@
 
     // ---- router connections
 
-    /** Handles a new connection from a router; replaces connections of earlier incarnations of that router. */
+    /**
+     * Handles a new connection from a router; replaces an earlier one of the same process. Another process of the same name
+     * may still be finishing its requests, and its connection ends by itself.
+     */
     public void onRouterConnected(RouterId router) {
-        links.withSameName(router).forEach(this::onRouterDisconnected);
+        onRouterDisconnected(router);
         links.connect(router);
         sendStatus(router);
     }
--- a/core/src/main/java/org/tanagerhinge/core/agent/RouterLinks.java
+++ b/core/src/main/java/org/tanagerhinge/core/agent/RouterLinks.java
@@ -35,13 +35,6 @@
         return List.copyOf(runsByAttempt.keySet());
     }
 
-    /** Returns the connected routers with the same name: other incarnations of the same router. */
-    List<RouterId> withSameName(RouterId router) {
-        return runsByAttempt.keySet().stream()
-                .filter(other -> other.name().equals(router.name()))
-                .toList();
-    }
-
     void connect(RouterId router) {
         runsByAttempt.put(router, new HashMap<>());
     }
