Finish answers of a server that is taken from the list

When operators removed a backend server from the list, or moved its agent to another address, every router closed its connection at once. The agent then aborted its idempotent runs, so that answers in progress were moved, which cost retries, or cut; non-idempotent requests ended with an unknown outcome.

A server that is listed no longer, or at another address, gets no new requests, and its connection is closed once none is in progress there, or when it is lost.

--- a/core/src/main/java/org/tanagerhinge/core/router/AgentLinks.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/AgentLinks.java
@@ -78,9 +78,12 @@
         }
     }
 
-    /** Sends heartbeats that are due, and closes on-demand links that have been idle too long. */
+    /** Sends heartbeats that are due, and closes links that are no longer needed. */
     void tick(Instant now) {
         sendHeartbeats(now);
+        if (servers.all().stream().anyMatch(this::retirementEnds)) {
+            updateLinks();
+        }
         closeIdleLinks(now);
     }
 
@@ -91,6 +94,10 @@
             Optional<BackendServer> listed = config.servers().server(id);
             boolean removedOrMoved = listed.isEmpty()
                     || !listed.get().agentAddress().equals(view.server().agentAddress());
+            view.retired(removedOrMoved && view.linked() && inUse.test(id));
+            if (view.retired()) {
+                continue;
+            }
             listed.ifPresent(view::server);
             if (removedOrMoved || (!subset.contains(id) && !inUse.test(id))) {
                 unlink(id);
@@ -105,6 +112,10 @@
         }
     }
 
+    private boolean retirementEnds(ServerView view) {
+        return view.retired() && !(view.linked() && inUse.test(view.server().id()));
+    }
+
     private void unlink(ServerId id) {
         onUnlink.accept(id);
         servers.remove(id);
--- a/core/src/main/java/org/tanagerhinge/core/router/ServerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ServerTable.java
@@ -61,6 +61,7 @@
             boolean serves =
                     view.server().kind() == kind && view.server().targets().contains(target);
             boolean takesWork = view.linked()
+                    && !view.retired()
                     && view.server().desiredState() == DesiredServerState.SERVING
                     && view.load().accepting();
             if (serves && takesWork) {
--- a/core/src/main/java/org/tanagerhinge/core/router/ServerView.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/ServerView.java
@@ -29,6 +29,7 @@
     private Instant lastUsedAt = Instant.MIN;
     private int consecutiveSlowChecks;
     private boolean acceptsClaimReports;
+    private boolean retired;
 
     ServerView(BackendServer server) {
         this.server = server;
@@ -125,6 +126,15 @@
         acceptsClaimReports = next;
     }
 
+    /** Returns whether the server is listed no longer, or at another address, and finishes what it was given. */
+    boolean retired() {
+        return retired;
+    }
+
+    void retired(boolean next) {
+        retired = next;
+    }
+
     int consecutiveSlowChecks() {
         return consecutiveSlowChecks;
     }
