Keep a stalled attempt until its replacement produces output

A replacement that has started may still be slower than the attempt that it replaces, which was cancelled by then: with engines whose tokens are 3.5 s apart, answers were moved in the middle of a gap, waited for their first token elsewhere, and were cut at their deadline. Both attempts now go on until one of them produces output; the other one is cancelled.

The new case of the unit test failed before: the stalled attempt was cancelled.

--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -31,7 +31,7 @@
     private static final long NO_ATTEMPT = 0;
 
     /**
-     * An attempt that has stalled, and goes on until another one that is to replace it runs.
+     * An attempt that has stalled, and goes on until another one that is to replace it produces output.
      *
      * @param uncreditedUnits units that the caller consumed and for which its agent has not been granted credit yet
      */
@@ -226,7 +226,7 @@
         attemptMayHaveRun();
     }
 
-    /** Returns the attempt that goes on until the newest one runs, if any. */
+    /** Returns the attempt that goes on until the newest one produces output, if any. */
     Optional<StalledAttempt> stalledAttempt() {
         return Optional.ofNullable(stalledAttempt);
     }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -468,9 +468,8 @@
     }
 
     /**
-     * Sends an idempotent request whose attempt has stalled to another server, if one may take it over. The attempt goes on
-     * until the other one runs, and instead of it if that is refused or lost: a server that is slow to answer may still be
-     * the only one that does.
+     * Sends an idempotent request whose attempt has stalled to another server, if one may take it over. Both go on until one
+     * of them produces output: a server that is slow to answer may still be the first, or the only one, that does.
      */
     void replaceStalledAttempt(Exchange exchange) {
         boolean permitted = exchange.stalledAttempt().isEmpty()
@@ -567,14 +566,20 @@
         return found;
     }
 
-    /** Returns the exchange of an attempt that produces output; if the attempt was stalled, its replacement is cancelled. */
+    /** Returns the exchange of an attempt that produces output, and cancels the other one if a stalled one was kept. */
     private Optional<Exchange> findProducing(long attempt, ServerId server) {
         Optional<Exchange> found = findByAttempt(attempt, server);
-        found.filter(exchange -> exchange.isStalledAttempt(attempt)).ifPresent(exchange -> {
-            port.countDecision("stalled_attempt_resumed");
-            port.send(exchange.server(), new Frame.Cancel(exchange.attemptNumber(), false));
-            exchanges.forgetAttempt(exchange);
-            resumeStalledAttempt(exchange);
+        found.filter(exchange -> exchange.stalledAttempt().isPresent()).ifPresent(exchange -> {
+            if (exchange.isStalledAttempt(attempt)) {
+                port.countDecision("stalled_attempt_resumed");
+                port.send(exchange.server(), new Frame.Cancel(exchange.attemptNumber(), false));
+                exchanges.forgetAttempt(exchange);
+                resumeStalledAttempt(exchange);
+            } else {
+                cancelStalledAttempt(exchange);
+                endStalledAttempt(
+                        exchange, ResultCode.STALLED, "the backend server produced no output within the timeout");
+            }
         });
         return found;
     }
@@ -622,10 +627,6 @@
         }
         exchange.machine().tryFire(ExchangeEvent.START);
         exchange.recordProgress(now());
-        if (exchange.stalledAttempt().isPresent()) {
-            cancelStalledAttempt(exchange);
-            endStalledAttempt(exchange, ResultCode.STALLED, "the backend server produced no output within the timeout");
-        }
     }
 
     private void onHead(Exchange exchange, Frame.Head head) {
--- a/core/src/test/java/org/tanagerhinge/core/router/StalledAttemptTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/router/StalledAttemptTest.java
@@ -8,6 +8,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.core.config.ServerKind;
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.result.ResultCode;
@@ -87,14 +89,19 @@
         assertGoesOn(router, id, first);
     }
 
-    /** Guards against a working attempt that is given up while its replacement waits in a queue. */
-    @Test
-    void attemptThatProducesOutputAgainReplacesItsQueuedReplacement() {
+    /** Guards against a working attempt that is given up while its replacement waits in a queue or is slower. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void attemptThatProducesOutputFirstIsKept(boolean replacementStarted) {
         RouterFixture router = RouterFixture.withEngines("engine-1", "engine-2");
         RequestId id = router.ask(ServerKind.MODEL);
         Sent first = runningWithOutput(router, id);
         router.pass(STALL);
         Sent second = router.newest(id);
+        if (replacementStarted) {
+            router.started(second);
+            router.pass(STALL);
+        }
         assertFalse(router.cancelled(first));
         assertGoesOn(router, id, first);
         assertTrue(router.cancelled(second));
@@ -102,16 +109,16 @@
 
     /** Guards against two engines that go on with the same answer. */
     @Test
-    void attemptIsCancelledOnceItsReplacementRuns() {
+    void attemptIsCancelledOnceItsReplacementProducesOutput() {
         RouterFixture router = RouterFixture.withEngines("engine-1", "engine-2");
         RequestId id = router.ask(ServerKind.MODEL);
         Sent first = runningWithOutput(router, id);
         router.pass(STALL);
         Sent second = router.newest(id);
         router.started(second);
+        router.output(second, id, 1, "b");
         assertTrue(router.cancelled(first));
         router.unreadOutput(first, 1, "x");
-        router.output(second, id, 1, "b");
         router.done(second, 2);
         assertEquals(Optional.of(ResultCode.OK), router.result(id));
         assertEquals("ab", router.delivered(id));
