Don't take a pause of a process for silence of its peer

A router or agent that had not run for longer than the idle timeout could close a connection whose frames were waiting to be read: its idle timer was due before the next read. The router then moved or cut all answers of that agent; the agent aborted all idempotent runs of that router.

The idle timeout is now divided into three checks, each of which must find that nothing was received; a pause delays all but one of them.

--- a/wire/src/main/java/org/tanagerhinge/wire/LinkHandler.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/LinkHandler.java
@@ -18,6 +18,12 @@
  * process keeps its connections open, and requests would wait for it forever.
  */
 final class LinkHandler extends SimpleChannelInboundHandler<Packet> implements Link {
+    /**
+     * Checks within the idle timeout that must find nothing received before the peer counts as lost. A pause of this process
+     * delays all but one of them, so that it isn't taken for silence of the peer.
+     */
+    static final int IDLE_CHECKS = 3;
+
     private static final int PROTOCOL_VERSION = 1;
 
     private final Peer self;
@@ -30,6 +36,7 @@
     private volatile Peer peer;
     private byte[] peerNonce;
     private boolean authenticated;
+    private int idleChecks;
 
     LinkHandler(
             Peer self,
@@ -119,7 +126,11 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof IdleStateEvent) {
+        if (!(event instanceof IdleStateEvent idle)) {
+            return;
+        }
+        idleChecks = idle.isFirst() ? 1 : idleChecks + 1;
+        if (idleChecks >= IDLE_CHECKS) {
             listener.onRefused("silent_peer");
             ctx.close();
         }
--- a/wire/src/main/java/org/tanagerhinge/wire/LinkInitializer.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/LinkInitializer.java
@@ -44,7 +44,8 @@
                         new WriteBufferWaterMark(LOW_WATERMARK_BYTES, HIGH_WATERMARK_BYTES));
         channel.pipeline()
                 .addLast(new FlushConsolidationHandler(64, true))
-                .addLast(new IdleStateHandler(idleTimeout.toMillis(), 0, 0, TimeUnit.MILLISECONDS))
+                .addLast(new IdleStateHandler(
+                        idleTimeout.toMillis() / LinkHandler.IDLE_CHECKS, 0, 0, TimeUnit.MILLISECONDS))
                 .addLast(new LengthFieldBasedFrameDecoder(MAX_PACKET_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
                 .addLast(new ProtobufDecoder(Packet.getDefaultInstance()))
