--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -28,6 +28,14 @@
 final class Exchange {
     private static final StateChart<ExchangeState, ExchangeEvent> CHART =
             StateChart.load("exchange", ExchangeState.class, ExchangeEvent.class);
+    private static final long NO_ATTEMPT = 0;
+
+    /**
+     * An attempt that has stalled, and goes on until another one that is to replace it produces output.
+     *
+     * @param uncreditedUnits units that the caller consumed and for which its agent has not been granted credit yet
+     */
+    record StalledAttempt(long number, ServerId server, long incarnation, long uncreditedUnits) {}
 
     private final IncomingRequest request;
     private final Workspace workspace;
@@ -51,6 +59,8 @@
     private Instant lastQueriedAt = Instant.MIN;
     private long deliveredUnits;
     private long uncreditedUnits;
+    private long unreadUnits;
+    private StalledAttempt stalledAttempt;
     private String softwareVersion = "";
     private boolean headSent;
     private boolean attemptUnresolved;
@@ -208,6 +218,42 @@
         waitingSince = null;
     }
 
+    /** Keeps the newest attempt, which has stalled, while another server is to take it over. */
+    void keepStalledAttempt() {
+        stalledAttempt = new StalledAttempt(attemptNumber, server, serverIncarnation, uncreditedUnits);
+        attemptNumber = NO_ATTEMPT;
+        uncreditedUnits = 0;
+        attemptMayHaveRun();
+    }
+
+    /** Returns the attempt that goes on until the newest one produces output, if any. */
+    Optional<StalledAttempt> stalledAttempt() {
+        return Optional.ofNullable(stalledAttempt);
+    }
+
+    boolean isStalledAttempt(long number) {
+        return stalledAttempt != null && stalledAttempt.number() == number;
+    }
+
+    void forgetStalledAttempt() {
+        stalledAttempt = null;
+    }
+
+    /** Makes the stalled attempt the newest one again, instead of the one that was to replace it. */
+    void restoreStalledAttempt(Instant now) {
+        attemptNumber = stalledAttempt.number();
+        assignServer(stalledAttempt.server(), stalledAttempt.incarnation());
+        uncreditedUnits = stalledAttempt.uncreditedUnits();
+        attemptUnresolved = true;
+        lastProgressAt = now;
+        stalledAttempt = null;
+    }
+
+    /** Returns whether the newest or the stalled attempt is at a server. */
+    boolean isAt(ServerId id) {
+        return id.equals(server) || (stalledAttempt != null && id.equals(stalledAttempt.server()));
+    }
+
     /** Returns the execution under which the next attempt may run; empty for an idempotent request. */
     Optional<Execution> execution() {
         if (idempotent()) {
@@ -284,6 +330,20 @@
         attached = next;
     }
 
+    /** Excludes a time in which the router did not run from the waits of this exchange. */
+    void excludePause(Duration pause, Instant now) {
+        if (lastProgressAt != null) {
+            lastProgressAt = earlier(lastProgressAt.plus(pause), now);
+        }
+        if (waitingSince != null) {
+            waitingSince = earlier(waitingSince.plus(pause), now);
+        }
+    }
+
+    private static Instant earlier(Instant first, Instant second) {
+        return first.isBefore(second) ? first : second;
+    }
+
     /** Restores the start of the wait, which sending an attempt resets. */
     void restoreWaitingSince(Instant earlier) {
         waitingSince = earlier;
@@ -324,6 +384,7 @@
 
     void delivered(long units, byte[] data, Instant now) {
         deliveredUnits += units;
+        unreadUnits += units;
         lastProgressAt = now;
         if (firstOutputAt == null) {
             firstOutputAt = now;
@@ -338,6 +399,17 @@
         return delivered.toString(StandardCharsets.UTF_8);
     }
 
+    /** Records that the caller consumed units. */
+    void recordRead(long units, Instant now) {
+        unreadUnits = Math.max(0, unreadUnits - units);
+        lastProgressAt = now;
+    }
+
+    /** Returns whether the caller has yet to consume a part of what was delivered. */
+    boolean callerBehind() {
+        return unreadUnits > 0;
+    }
+
     /** Adds units that the caller consumed; returns all uncredited units once they reach the minimum, else zero. */
     long takeDueCredit(long units, long minUnits) {
         uncreditedUnits += units;
