A request whose server hangs goes on to a third server if the second refuses or fails

Callers got 504 at the end of their time where a safe request hung at one server and the first server that was asked in its place refused it, failed or could not be reached: the check of the response time runs once for an attempt, and an attempt that failed beside another one ended nothing and began nothing either.

Now the remaining attempt is hedged again at once if its server is overdue, within the limits of attempts, refusals and the retry budget. A hedge that reached no server leaves its retry to the next one, as with other attempts: no server has received anything that the budget counts.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -62,6 +62,7 @@
     private long answerBeganAtMillis = NOT_BEGUN;
     private boolean sound;
     private Future<?> responseTimer;
+    private boolean overdue;
     private RankGate.PendingRequest firstOutputWait;
     private HttpResponse response;
     private CompositeByteBuf buffered;
@@ -145,7 +146,13 @@
     }
 
     private void responseTimedOut() {
-        if (!finished && response == null) {
+        overdue = true;
+        hedgeIfOverdue();
+    }
+
+    /** Hedges the request if the server has not responded in time. */
+    void hedgeIfOverdue() {
+        if (overdue && !finished && response == null) {
             exchange.hedge(this);
         }
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -65,6 +65,9 @@
     private RelayAttempt hedge;
 
     private boolean hedgeDenied;
+    /** Whether the retry budget was charged for a hedge that reached no server. */
+    private boolean retryUnused;
+
     private AttemptHistory history;
     private RequestFingerprint fingerprint;
     private List<PartId> sharedParts;
@@ -254,7 +257,7 @@
                 || !history.couldRetryAfterRun(remainingMillis())) {
             return;
         }
-        if (!gateway.budget().allows(service, nowMillis)) {
+        if (!retryUnused && !gateway.budget().allows(service, nowMillis)) {
             noteHedgeDenied();
             return;
         }
@@ -266,9 +269,10 @@
                 || gateway.crashQuarantine()
                         .held(this::fingerprint, sharedParts())
                         .isPresent()
-                || !gateway.budget().tryTake(service, nowMillis)) {
+                || !(retryUnused || gateway.budget().tryTake(service, nowMillis))) {
             return;
         }
+        retryUnused = false;
         telemetry.hedged(attempt);
         hedge = newAttempt(request, decision.get(), candidates.size());
         hedge.start();
@@ -513,9 +517,11 @@
             runEnded(ended, false);
         }
         if (hedge != null) {
+            retryUnused = ended == hedge && !failure.reachedServer();
             attempt = ended == hedge ? attempt : hedge;
             hedge = null;
             telemetry.answeredBy(attempt);
+            attempt.hedgeIfOverdue();
             return;
         }
         attempt = null;
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -173,6 +173,35 @@
         never.countDown();
     }
 
+    /** Guards against waiting for a server that hangs when the first server asked in its place refuses or fails. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRequestWhoseServerHangsReachesAThirdServerIfTheSecondRefusesOrFails(boolean refuses) throws IOException {
+        CountDownLatch never = new CountDownLatch(1);
+        AtomicInteger received = new AtomicInteger();
+        ServerStandin.ResponseScript script = (server, request, connection) -> {
+            switch (received.incrementAndGet()) {
+                case 1 -> never.await();
+                case 2 -> {
+                    if (refuses) {
+                        ServerStandin.refusing().answer(server, request, connection);
+                    } else {
+                        connection.reset();
+                    }
+                }
+                default -> connection.answer(200, server.headers(request), "third");
+            }
+        };
+        scene.platform.route("/safe/", "safe", "plain").put(PlatformNames.MAX_ATTEMPTS, 3);
+        scene.platform.publish();
+        scene.server("s-1", "plain", script);
+        scene.server("s-2", "plain", script);
+        scene.server("s-3", "plain", script);
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals("third", ask(gateway, "GET", "/safe/x", "", "").body());
+        never.countDown();
+    }
+
     /** Guards against a second run of a non-idempotent request whose answer is lost. */
     @Test
     void anUnsafeRequestWhoseAnswerIsLostIsNotSentAgainAndNotPromisedUnrun() throws IOException {
