A request whose server hangs is hedged when another server accepts requests again

Callers got 504 at the end of their time where a safe request hung at its server and the others were unavailable at the one moment at which the gateway looked for another: three times the target after the send, a server that wants nothing for two seconds, one that is ejected or silent for a moment and a retry budget that is spent just then each ended the search for good.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -731,7 +731,7 @@
         if (stalled) {
             directory.all().forEach(server -> server.recordReceived(nowMillis));
         } else {
-            forEachGuarded(exchanges, exchange -> exchange.hedgeSilentStream(HEDGE_STREAM_MILLIS));
+            forEachGuarded(exchanges, exchange -> exchange.hedgeIfSilent(HEDGE_STREAM_MILLIS));
             restartOverdueTasks(nowMillis);
         }
         runGuarded(this::measureLoopDelay);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -232,15 +232,22 @@
         return new RelayAttempt(gateway, this, request, decision, number);
     }
 
-    /** Hedges a resumable stream whose server has sent nothing for longer than a time, though its caller reads. */
-    void hedgeSilentStream(long maxSilenceMillis) {
-        if (attempt != null
-                && attempt.streaming()
-                && attempt.silenceMillis() > maxSilenceMillis
+    /**
+     * Hedges a request whose server is silent: a resumable stream whose server has sent nothing for longer than a time,
+     * though its caller reads, or one whose response is overdue and which could not be hedged before.
+     */
+    void hedgeIfSilent(long maxStreamSilenceMillis) {
+        if (attempt == null || hedge != null) {
+            return;
+        }
+        if (attempt.streaming()
+                && attempt.silenceMillis() > maxStreamSilenceMillis
                 && caller.writable()
                 && canResume()
                 && progress.resumeAfterEvent().isPresent()) {
             hedge(attempt);
+        } else {
+            attempt.hedgeIfOverdue();
         }
     }
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -20,6 +21,8 @@
 
 /** What callers see of the relay when servers answer, fail, lie and break off. */
 class RelayPathTest {
+    private static final int BACKOFF_SECONDS = 2;
+
     private RelayScene scene;
 
     @BeforeEach
@@ -202,6 +205,30 @@
         never.countDown();
     }
 
+    /** Guards against waiting for a server that hangs when another one is only unavailable for a moment. */
+    @Test
+    void aRequestWhoseServerHangsReachesAnotherOneThatAcceptsRequestsAgain() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        AtomicInteger received = new AtomicInteger();
+        ServerStandin.ResponseScript script = (server, request, connection) -> {
+            switch (received.incrementAndGet()) {
+                case 1, 3 -> never.await();
+                case 2 ->
+                    connection.answer(503, PlatformNames.NOT_EXECUTED + ": 1\r\nRetry-After: " + BACKOFF_SECONDS + "\r\n", "");
+                default -> connection.answer(200, server.headers(request), "other");
+            }
+        };
+        scene.server("s-1", "plain", script);
+        scene.server("s-2", "plain", script);
+        GatewayDaemon gateway = scene.gateway();
+        FutureTask<RawCaller.Answer> first = new FutureTask<>(() -> ask(gateway, "GET", "/safe/x", "", ""));
+        Thread.ofVirtual().start(first);
+        RelayScene.await(() -> received.get() == 1);
+        Thread.ofVirtual().start(new FutureTask<>(() -> ask(gateway, "GET", "/safe/x", "", "")));
+        assertEquals("other", first.get().body());
+        never.countDown();
+    }
+
     /** Guards against a second run of a non-idempotent request whose answer is lost. */
     @Test
     void anUnsafeRequestWhoseAnswerIsLostIsNotSentAgainAndNotPromisedUnrun() throws IOException {
