A request that hangs at two servers goes on to a third

Callers with three attempts or more got 504 at the end of their time where a safe request hung at its server and at the one asked in its place, while others were well: at most two attempts could be in progress, and neither ends while it is silent.

Now the newest attempt is hedged when its server is overdue. Every attempt in progress counts as a run for the route's maximum, and each hedge is paid for from the retry budget, so the load stays within the same limits. Streams have one hedge at most, as before: a stream's attempt has no time for its first event.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/AttemptHistory.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/AttemptHistory.java
@@ -77,9 +77,14 @@
         return allowsRetry(newestMayHaveRun, possibleRunCount, remainingMillis);
     }
 
-    /** Returns whether the request could be sent again if its attempt ended now and may have run, or runs on. */
-    public boolean couldRetryAfterRun(long remainingMillis) {
-        return allowsRetry(true, possibleRunCount + 1, remainingMillis);
+    /**
+     * Returns whether the request could be sent again if its attempts in progress ended now and may have run, or run on.
+     *
+     * @param inProgress number of attempts in progress
+     * @param remainingMillis time left until the request is abandoned
+     */
+    public boolean couldRetryAfterRuns(int inProgress, long remainingMillis) {
+        return allowsRetry(true, possibleRunCount + inProgress, remainingMillis);
     }
 
     private boolean allowsRetry(boolean newestMayHaveRun, int possibleRuns, long remainingMillis) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -10,9 +10,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -61,8 +61,8 @@
     private long deadlineMillis;
     private Future<?> timer;
     private RelayAttempt attempt;
-    /** Attempt at another server while that of {@link #attempt} is silent; null if there is none. */
-    private RelayAttempt hedge;
+    /** Attempts at other servers while that of {@link #attempt} is silent, the newest last. */
+    private final List<RelayAttempt> hedges = new ArrayList<>();
 
     private boolean hedgeDenied;
     /** Whether the retry budget was charged for a hedge that reached no server. */
@@ -237,31 +237,31 @@
      * though its caller reads, or one whose response is overdue and which could not be hedged before.
      */
     void hedgeIfSilent(long maxStreamSilenceMillis) {
-        if (attempt == null || hedge != null) {
+        if (attempt == null) {
             return;
         }
-        if (attempt.streaming()
+        if (!hedged()
+                && attempt.streaming()
                 && attempt.silenceMillis() > maxStreamSilenceMillis
                 && caller.writable()
                 && canResume()
                 && progress.resumeAfterEvent().isPresent()) {
             hedge(attempt);
         } else {
-            attempt.hedgeIfOverdue();
+            newestAttempt().hedgeIfOverdue();
         }
     }
 
     /**
-     * Sends the request to another server while that of an attempt is silent, if it may be sent again and another
-     * server can take it. The first attempt to go on with the answer serves the caller, and the other one is
+     * Sends the request to another server while that of its newest attempt is silent, if it may be sent again and
+     * another server can take it. The first attempt to go on with the answer serves the caller, and the others are
      * cancelled: a server that is only slow costs nobody an answer.
      */
     void hedge(RelayAttempt silent) {
         long nowMillis = gateway.nowMillis();
-        if (silent != attempt
-                || hedge != null
+        if (silent != newestAttempt()
                 || !gateway.enabled(Mechanism.RETRIES)
-                || !history.couldRetryAfterRun(remainingMillis())) {
+                || !history.couldRetryAfterRuns(attempts().size(), remainingMillis())) {
             return;
         }
         if (!retryUnused && !gateway.budget().allows(service, nowMillis)) {
@@ -280,8 +280,9 @@
             return;
         }
         retryUnused = false;
-        telemetry.hedged(attempt);
-        hedge = newAttempt(request, decision.get(), candidates.size());
+        telemetry.hedged(silent);
+        RelayAttempt hedge = newAttempt(request, decision.get(), candidates.size());
+        hedges.add(hedge);
         hedge.start();
     }
 
@@ -292,31 +293,42 @@
         }
     }
 
-    /** Returns whether two attempts are in progress. */
+    /** Returns whether more than one attempt is in progress. */
     boolean hedged() {
-        return hedge != null;
+        return !hedges.isEmpty();
     }
 
-    /** Cancels the other attempt, if there is one: this one goes on with the answer. */
+    private RelayAttempt newestAttempt() {
+        return hedged() ? hedges.getLast() : attempt;
+    }
+
+    /** Cancels the other attempts, if there are any: this one goes on with the answer. */
     void answeredBy(RelayAttempt answering) {
-        if (hedge == null) {
+        if (!hedged()) {
             return;
         }
-        RelayAttempt other = answering == hedge ? attempt : hedge;
-        boolean moved = answering == hedge;
-        long silenceMillis = other.silenceMillis();
+        boolean moved = answering != attempt;
+        List<RelayAttempt> others =
+                attempts().stream().filter(other -> other != answering).toList();
         attempt = answering;
-        hedge = null;
+        hedges.clear();
+        telemetry.answeredBy(answering);
+        others.forEach(other -> cancelBeside(answering, other));
+        if (moved) {
+            telemetry.retried(service, progress);
+        }
+    }
+
+    private void cancelBeside(RelayAttempt answering, RelayAttempt other) {
+        long silenceMillis = other.silenceMillis();
         other.cancel();
         history.recordEnd(other.sent());
         if (other.sent()) {
             runEnded(other, false);
         }
-        telemetry.answeredBy(answering);
-        if (moved) {
+        if (other.number() < answering.number()) {
             gateway.attemptFailed(other.server(), AttemptFailure.SILENT);
             telemetry.replaced(other, silenceMillis, progress);
-            telemetry.retried(service, progress);
         } else {
             telemetry.hedgeCancelled();
         }
@@ -482,7 +494,7 @@
 
     /** Takes a retry from the budget for a request that may have been executed; returns whether it may be retried. */
     boolean takeRetryBudget() {
-        return gateway.enabled(Mechanism.RETRIES) && history.couldRetryAfterRun(remainingMillis()) && tryTakeRetry();
+        return gateway.enabled(Mechanism.RETRIES) && history.couldRetryAfterRuns(1, remainingMillis()) && tryTakeRetry();
     }
 
     private boolean tryTakeRetry() {
@@ -507,7 +519,7 @@
             markExecutionStarted();
         }
         gateway.attemptFailed(ended.server(), failure);
-        if (hedge == null || failure.mayHaveRun()) {
+        if (!hedged() || failure.mayHaveRun()) {
             admission.attemptFailed(ended.server(), failure);
         }
         telemetry.attemptFailed(
@@ -523,12 +535,13 @@
         } else if (failure.mayHaveRun()) {
             runEnded(ended, false);
         }
-        if (hedge != null) {
-            retryUnused = ended == hedge && !failure.reachedServer();
-            attempt = ended == hedge ? attempt : hedge;
-            hedge = null;
+        if (hedged()) {
+            retryUnused = !failure.reachedServer();
+            if (!hedges.remove(ended)) {
+                attempt = hedges.removeFirst();
+            }
             telemetry.answeredBy(attempt);
-            attempt.hedgeIfOverdue();
+            newestAttempt().hedgeIfOverdue();
             return;
         }
         attempt = null;
@@ -639,11 +652,11 @@
             }
         }
         attempt = null;
-        hedge = null;
+        hedges.clear();
     }
 
     private List<RelayAttempt> attempts() {
-        return Stream.of(attempt, hedge).filter(Objects::nonNull).toList();
+        return Stream.concat(Stream.ofNullable(attempt), hedges.stream()).toList();
     }
 
     /** Passes a change of the caller's writability to the attempts. */
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -205,6 +205,27 @@
         never.countDown();
     }
 
+    /** Guards against waiting for two servers that hang when a third one could answer. */
+    @Test
+    void aRequestThatHangsAtTwoServersReachesAThird() throws IOException {
+        CountDownLatch never = new CountDownLatch(1);
+        AtomicInteger received = new AtomicInteger();
+        ServerStandin.ResponseScript script = (server, request, connection) -> {
+            if (received.incrementAndGet() <= 2) {
+                never.await();
+            }
+            connection.answer(200, server.headers(request), "third");
+        };
+        scene.platform.route("/safe/", "safe", "plain").put(PlatformNames.MAX_ATTEMPTS, 3);
+        scene.platform.publish();
+        scene.server("s-1", "plain", script);
+        scene.server("s-2", "plain", script);
+        scene.server("s-3", "plain", script);
+        GatewayDaemon gateway = scene.gateway();
+        assertEquals("third", ask(gateway, "GET", "/safe/x", "", "").body());
+        never.countDown();
+    }
+
     /** Guards against waiting for a server that hangs when another one is only unavailable for a moment. */
     @Test
     void aRequestWhoseServerHangsReachesAnotherOneThatAcceptsRequestsAgain() throws Exception {
