A server's own error is passed on if there is no other server to retry at

Callers got 502 without a signature where the only server of a service answered a safe request with an error of its own: the gateway took a retry from the budget and dropped the answer before it looked for another server, and then found none. Now the answer is dropped only if there is a server that has not been tried and accepts requests. Whether that one rejects the request is known only later: then the caller still gets 502.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -502,6 +502,14 @@
         return usable.isEmpty() || healthyCount * 2 < open.size() ? untried : usable;
     }
 
+    /** Returns whether there is a server that {@link #candidates} may return. */
+    boolean hasUntriedServer(String service, Optional<String> softwareVersion, Set<String> triedServers) {
+        long nowMillis = nowMillis();
+        return available(service, softwareVersion)
+                .anyMatch(server -> !triedServers.contains(server.id())
+                        && serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis));
+    }
+
     /** Returns those servers of {@link #candidates} that show no sign of failure: for requests that run elsewhere too. */
     List<ServerInstance> healthyCandidates(
             String service, Optional<String> softwareVersion, Set<String> triedServers, long nowMillis) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -492,9 +492,15 @@
         return method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD) || method.equals(HttpMethod.DELETE);
     }
 
-    /** Takes a retry from the budget for a request that may have been executed; returns whether it may be retried. */
+    /**
+     * Takes a retry from the budget for a request that may have been executed; returns whether it may be retried and
+     * there is a server to retry it at.
+     */
     boolean takeRetryBudget() {
-        return gateway.enabled(Mechanism.RETRIES) && history.couldRetryAfterRuns(1, remainingMillis()) && tryTakeRetry();
+        return gateway.enabled(Mechanism.RETRIES)
+                && history.couldRetryAfterRuns(1, remainingMillis())
+                && gateway.hasUntriedServer(service, softwareVersion(), triedServers)
+                && tryTakeRetry();
     }
 
     private boolean tryTakeRetry() {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -152,6 +152,16 @@
         assertEquals("seal-of-s-1", answer.header(PlatformNames.SERVER_SEAL));
     }
 
+    /** Guards against dropping a server's own error for a retry when there is no server to retry at. */
+    @Test
+    void aServersOwnErrorOfASafeRequestIsPassedOnWhenNoOtherServerIsLeft() throws IOException {
+        scene.server("s-1", "plain", ServerStandin.plain(500, "no"));
+        GatewayDaemon gateway = scene.gateway();
+        RawCaller.Answer answer = ask(gateway, "GET", "/safe/x", "", "");
+        assertEquals(500, answer.status());
+        assertEquals("seal-of-s-1", answer.header(PlatformNames.SERVER_SEAL));
+    }
+
     /** Guards against giving up an answer that is only slow for one that never comes. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
