--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -245,7 +245,8 @@
             switch (received.incrementAndGet()) {
                 case 1, 3 -> never.await();
                 case 2 ->
-                    connection.answer(503, PlatformNames.NOT_EXECUTED + ": 1\r\nRetry-After: " + BACKOFF_SECONDS + "\r\n", "");
+                    connection.answer(
+                            503, PlatformNames.NOT_EXECUTED + ": 1\r\nRetry-After: " + BACKOFF_SECONDS + "\r\n", "");
                 default -> connection.answer(200, server.headers(request), "other");
             }
         };
