Reject agents' addresses to which no connection can be made

An operator of another system reported machines that stopped following the list of servers because of one entry with a port out of range. Routers here accepted any five digits as a port, and any text of hexadecimal digits as a host. With port 70000 the link threw on the control thread in the middle of updating the links: the servers after it got none, and no agent heard of the new revision. Nothing tried again until the document changed. A name such as dead.beef was looked up on the control thread.

The address is now parsed by the one parser that gateways use, which moves to core, while the document is read. It also rejects the zone of an IPv6 address: it names an interface of one host, so that peers would reject a whole list for it.

ConfigJsonTest: the new addresses were accepted before, except the two without port or host.

--- a/core/src/main/java/org/tanagerhinge/core/config/ConfigJson.java
+++ b/core/src/main/java/org/tanagerhinge/core/config/ConfigJson.java
@@ -16,6 +16,7 @@
 import org.tanagerhinge.core.id.ServerId;
 import org.tanagerhinge.core.id.TargetName;
 import org.tanagerhinge.core.id.WorkspaceId;
+import org.tanagerhinge.core.net.SocketAddresses;
 
 /**
  * Reads and writes the shared documents as JSON and validates every value.
@@ -24,7 +25,6 @@
  */
 public final class ConfigJson {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final Pattern ADDRESS = Pattern.compile("[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}");
     private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
     private static final long MAX_DURATION_MILLIS = 86_400_000L;
     private static final long DEFAULT_DEADLINE_MILLIS = 60_000L;
@@ -175,7 +175,7 @@
         JsonFields fields = new JsonFields(node, path, problems);
         ServerId id = fields.id("id", ServerId::of);
         String address = fields.string("agentAddress", "");
-        if (!ADDRESS.matcher(address).matches()) {
+        if (SocketAddresses.parse(address).isEmpty()) {
             problems.add(path + ".agentAddress: '" + address + "': expected IP:PORT, for example 127.0.0.1:7701");
         }
         FailureDomain domain = fields.id("failureDomain", FailureDomain::of);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/SocketAddresses.java
+++ b/core/src/main/java/org/tanagerhinge/core/net/SocketAddresses.java
@@ -1,13 +1,15 @@
-package org.tanagerhinge.gateway;
+package org.tanagerhinge.core.net;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 
-/** Parses socket addresses without a name lookup, which would block the event loop. */
+/** Parses socket addresses without a name lookup, which would block the calling thread. */
 public final class SocketAddresses {
     private static final int MAX_PORT = 65_535;
     private static final int MAX_PORT_DIGITS = 5;
+    /** Precedes the zone of an IPv6 address, which names an interface of one host and means nothing to others. */
+    private static final char ZONE_SEPARATOR = '%';
 
     private SocketAddresses() {}
 
@@ -18,7 +20,11 @@
         boolean isNumber = !port.isEmpty()
                 && port.length() <= MAX_PORT_DIGITS
                 && port.chars().allMatch(c -> c >= '0' && c <= '9');
-        if (colon < 1 || !isNumber || Integer.parseInt(port) < 1 || Integer.parseInt(port) > MAX_PORT) {
+        if (colon < 1
+                || text.indexOf(ZONE_SEPARATOR) >= 0
+                || !isNumber
+                || Integer.parseInt(port) < 1
+                || Integer.parseInt(port) > MAX_PORT) {
             return Optional.empty();
         }
         try {
--- /dev/null
+++ b/core/src/main/java/org/tanagerhinge/core/net/package-info.java
@@ -0,0 +1,2 @@
+/** Network addresses. */
+package org.tanagerhinge.core.net;
--- a/core/src/test/java/org/tanagerhinge/core/config/ConfigJsonTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/config/ConfigJsonTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that documents are written and read back unchanged, and that every problem of an invalid one is reported. */
 class ConfigJsonTest {
@@ -48,6 +49,27 @@
         assertTrue(thrown.getMessage().contains(problem), thrown.getMessage());
     }
 
+    /** Guards against an address to which no connection can be made, or for which a name is looked up. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "127.0.0.1:0",
+                "127.0.0.1:65536",
+                "127.0.0.1:70000",
+                "127.0.0.1:99999999999",
+                "256.1.1.1:80",
+                "dead.beef:80",
+                "::1%lo:80",
+                ":80",
+                "127.0.0.1"
+            })
+    void reportsInvalidAddress(String address) {
+        String text = withDoubleQuotes("{'revision':1,'servers':[{'id':'e1','agentAddress':'" + address
+                + "','failureDomain':'kita','kind':'model','targets':['m']}]}");
+        InvalidConfigException thrown = assertThrows(InvalidConfigException.class, () -> ConfigJson.parseServers(text));
+        assertTrue(thrown.getMessage().contains("expected IP:PORT"), thrown.getMessage());
+    }
+
     @Test
     void reportsAllProblemsTogether() {
         InvalidConfigException thrown = assertThrows(
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -12,6 +12,7 @@
 import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.duty.DutyAnnouncement;
+import org.tanagerhinge.core.net.SocketAddresses;
 import org.tanagerhinge.core.relay.LaneDemand;
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PromptPart;
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -32,6 +32,7 @@
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.StoredClaim;
+import org.tanagerhinge.core.net.SocketAddresses;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.result.RunOutcome;
@@ -363,10 +364,8 @@
 
         @Override
         public void link(BackendServer server) {
-            String address = server.agentAddress();
-            int colon = address.lastIndexOf(':');
             InetSocketAddress agentAddress =
-                    new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+                    SocketAddresses.parse(server.agentAddress()).orElseThrow();
             linkClients.put(
                     server.id(),
                     LinkClient.start(
