Leave out an invalid server without effect on the others

Routers and agents rejected the whole document of servers for one invalid entry in it. Running ones kept the last document and followed no later change while the entry stood; those that started beside it got no configuration and never became ready.

They now read all other servers and log the problems of the invalid entry once (entry_unreadable). Edits still check everything. Also from the same search:

- Large entries of others beside the two documents made the answer larger than a response may be, so that no poll succeeded.
Only the two keys are read.
- A revision near the largest long had no successor.
It is rejected.
- A document of a megabyte may have some hundred thousand problems, each with the value in full.
At most 100 are kept, with short values, and names of which none can be a misspelling are not compared character by character.

The stand-in of the platform loses answers of writes only; a transaction that reads had counted as a write.

--- a/core/src/main/java/org/tanagerhinge/core/config/ConfigJson.java
+++ b/core/src/main/java/org/tanagerhinge/core/config/ConfigJson.java
@@ -7,9 +7,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.tanagerhinge.core.id.FailureDomain;
 import org.tanagerhinge.core.id.ProfileName;
@@ -26,6 +29,7 @@
 public final class ConfigJson {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
+    private static final String SERVERS_DOCUMENT = "servers document";
     private static final long MAX_DURATION_MILLIS = 86_400_000L;
     private static final long DEFAULT_DEADLINE_MILLIS = 60_000L;
     private static final int DEFAULT_MAX_QUEUED_REQUESTS = 64;
@@ -41,17 +45,17 @@
         JsonFields fields = new JsonFields(root, "document", problems);
         List<Profile> profiles = new ArrayList<>();
         int index = 0;
-        for (JsonNode node : root.path("profiles")) {
+        for (JsonNode node : fields.objects("profiles")) {
             profiles.add(parseProfile(node, "profiles[" + index++ + "]", problems));
         }
         List<Workspace> workspaces = new ArrayList<>();
         index = 0;
-        for (JsonNode node : root.path("workspaces")) {
+        for (JsonNode node : fields.objects("workspaces")) {
             workspaces.add(parseWorkspace(node, "workspaces[" + index++ + "]", problems));
         }
-        long revision = (long) fields.number("revision", 0, Long.MAX_VALUE, 0);
+        long revision = fields.revision();
         List<String> changeIds = fields.strings("changes");
-        problems.addAll(findConflicts(profiles, workspaces));
+        findConflicts(profiles, workspaces).forEach(problem -> JsonFields.addProblem(problems, problem));
         throwIfInvalid("profiles document", problems);
         return new ProfilesDocument(revision, changeIds, profiles, workspaces);
     }
@@ -59,24 +63,47 @@
     /** Reads and validates a servers document. */
     public static ServersDocument parseServers(String text) throws InvalidConfigException {
         List<String> problems = new ArrayList<>();
-        JsonNode root = parseTree("servers document", text);
-        JsonFields fields = new JsonFields(root, "document", problems);
-        List<BackendServer> servers = new ArrayList<>();
-        Set<Object> ids = new HashSet<>();
+        ServersDocument document = readServers(text, problems::add);
+        throwIfInvalid(SERVERS_DOCUMENT, problems);
+        return document;
+    }
+
+    /**
+     * Reads a servers document that others may have written without the checks of an edit. A server whose entry is
+     * invalid is left out, without effect on the others.
+     *
+     * @param onProblem receives the problems of entries
+     * @throws InvalidConfigException if the document as a whole is invalid
+     */
+    public static ServersDocument readServers(String text, Consumer<String> onProblem) throws InvalidConfigException {
+        List<String> documentProblems = new ArrayList<>();
+        JsonNode root = parseTree(SERVERS_DOCUMENT, text);
+        JsonFields fields = new JsonFields(root, "document", documentProblems);
+        Map<ServerId, BackendServer> servers = new LinkedHashMap<>();
+        int reported = 0;
         int index = 0;
-        for (JsonNode node : root.path("servers")) {
+        JsonNode nodes = root.path("servers");
+        if (!nodes.isMissingNode() && !nodes.isArray()) {
+            documentProblems.add("document.servers: expected an array");
+        }
+        for (JsonNode node : nodes) {
+            List<String> problems = new ArrayList<>();
             BackendServer server = parseServer(node, "servers[" + index++ + "]", problems);
-            if (server != null) {
-                servers.add(server);
-                if (!ids.add(server.id())) {
-                    problems.add("server '" + server.id() + "' is listed twice");
+            if (server != null && servers.containsKey(server.id())) {
+                JsonFields.addProblem(problems, "server '" + server.id() + "' is listed twice");
+            } else if (problems.isEmpty()) {
+                servers.put(server.id(), server);
+            }
+            for (String problem : problems) {
+                if (reported++ < JsonFields.MAX_PROBLEMS) {
+                    onProblem.accept(problem);
                 }
             }
         }
-        long revision = (long) fields.number("revision", 0, Long.MAX_VALUE, 0);
+        long revision = fields.revision();
         List<String> changeIds = fields.strings("changes");
-        throwIfInvalid("servers document", problems);
-        return new ServersDocument(revision, changeIds, servers);
+        throwIfInvalid(SERVERS_DOCUMENT, documentProblems);
+        return new ServersDocument(revision, changeIds, List.copyOf(servers.values()));
     }
 
     /** Writes a profiles document; {@link #parseProfiles} reads it back to an equal one. */
@@ -165,18 +192,25 @@
         fields.rejectUnknownFields();
         for (String hash : workspace.keySha256()) {
             if (!SHA256.matcher(hash).matches()) {
-                problems.add(path + ".keySha256: expected the lower-case hex SHA-256 of a key, not the key");
+                JsonFields.addProblem(
+                        problems, path + ".keySha256: expected the lower-case hex SHA-256 of a key, not the key");
             }
         }
         return workspace;
     }
 
+    /** Returns a server, null if it has no valid id or failure domain. */
     private static BackendServer parseServer(JsonNode node, String path, List<String> problems) {
+        if (!node.isObject()) {
+            JsonFields.addProblem(problems, path + ": expected an object");
+            return null;
+        }
         JsonFields fields = new JsonFields(node, path, problems);
         ServerId id = fields.id("id", ServerId::of);
         String address = fields.string("agentAddress", "");
         if (SocketAddresses.parse(address).isEmpty()) {
-            problems.add(path + ".agentAddress: '" + address + "': expected IP:PORT, for example 127.0.0.1:7701");
+            JsonFields.addProblem(
+                    problems, path + ".agentAddress: '" + address + "': expected IP:PORT, for example 127.0.0.1:7701");
         }
         FailureDomain domain = fields.id("failureDomain", FailureDomain::of);
         ServerKind kind = fields.enumLabel("kind", ServerKind.class, ServerKind.MODEL);
@@ -185,14 +219,14 @@
             try {
                 targets.add(TargetName.of(target));
             } catch (IllegalArgumentException e) {
-                problems.add(path + ".targets: " + e.getMessage());
+                JsonFields.addProblem(problems, path + ".targets: " + e.getMessage());
             }
         }
         DesiredServerState desiredState =
                 fields.enumLabel("mark", DesiredServerState.class, DesiredServerState.SERVING);
         fields.rejectUnknownFields();
         if (targets.isEmpty()) {
-            problems.add(path + ".targets: expected at least one model or service");
+            JsonFields.addProblem(problems, path + ".targets: expected at least one model or service");
         }
         return id == null || domain == null
                 ? null
@@ -206,25 +240,30 @@
         for (Profile profile : profiles) {
             totalSharePercent += profile.sharePercent();
             if (profile.name() != null && !names.add(profile.name())) {
-                problems.add("profile '" + profile.name() + "' is listed twice");
+                JsonFields.addProblem(problems, "profile '" + profile.name() + "' is listed twice");
             }
             if (profile.completionTarget().compareTo(profile.deadline()) > 0) {
-                problems.add("profile '" + profile.name() + "': wholeTargetMillis "
-                        + profile.completionTarget().toMillis() + " exceeds deadlineMillis "
-                        + profile.deadline().toMillis());
+                JsonFields.addProblem(
+                        problems,
+                        "profile '" + profile.name() + "': wholeTargetMillis "
+                                + profile.completionTarget().toMillis() + " exceeds deadlineMillis "
+                                + profile.deadline().toMillis());
             }
         }
         if (totalSharePercent > MAX_TOTAL_SHARE_PERCENT) {
-            problems.add("sharePercent of all profiles adds up to " + totalSharePercent + ": expected at most 100");
+            JsonFields.addProblem(
+                    problems,
+                    "sharePercent of all profiles adds up to " + totalSharePercent + ": expected at most 100");
         }
         Set<String> keyHashes = new HashSet<>();
         for (Workspace workspace : workspaces) {
             if (workspace.id() != null && !names.add(workspace.id())) {
-                problems.add("workspace '" + workspace.id() + "' is listed twice");
+                JsonFields.addProblem(problems, "workspace '" + workspace.id() + "' is listed twice");
             }
             for (String keyHash : workspace.keySha256()) {
                 if (!keyHashes.add(keyHash)) {
-                    problems.add("workspace '" + workspace.id() + "': one of its keys is listed twice");
+                    JsonFields.addProblem(
+                            problems, "workspace '" + workspace.id() + "': one of its keys is listed twice");
                 }
             }
         }
--- a/core/src/main/java/org/tanagerhinge/core/config/JsonFields.java
+++ b/core/src/main/java/org/tanagerhinge/core/config/JsonFields.java
@@ -13,6 +13,15 @@
 
 /** Reads the fields of one JSON object and collects all problems, so that they are reported together. */
 final class JsonFields {
+    /** Far more than there are edits; each may still be followed by another, and a double holds it exactly. */
+    private static final long MAX_REVISION = 1L << 52;
+    /** Maximum number of problems that are reported together. */
+    static final int MAX_PROBLEMS = 100;
+
+    private static final int MAX_PROBLEM_CHARS = 400;
+    /** Maximum length of an invalid value in the description of a problem. */
+    private static final int MAX_SHOWN_CHARS = 40;
+
     private final JsonNode node;
     private final String path;
     private final List<String> problems;
@@ -41,7 +50,7 @@
             return defaultValue;
         }
         if (!value.isTextual()) {
-            addProblem(field, value + ": expected a string");
+            addProblem(field, shown(value) + ": expected a string");
             return defaultValue;
         }
         return value.asText();
@@ -52,12 +61,30 @@
         List<String> values = new ArrayList<>();
         JsonNode array = node.path(field);
         if (!array.isMissingNode() && !array.isArray()) {
-            addProblem(field, array + ": expected an array of strings");
+            addProblem(field, shown(array) + ": expected an array of strings");
         }
         array.forEach(item -> values.add(item.asText()));
         return values;
     }
 
+    /** Returns the objects of an array. */
+    List<JsonNode> objects(String field) {
+        knownFields.add(field);
+        List<JsonNode> objects = new ArrayList<>();
+        JsonNode array = node.path(field);
+        if (!array.isMissingNode() && !array.isArray()) {
+            addProblem(field, shown(array) + ": expected an array of objects");
+        }
+        for (JsonNode item : array) {
+            if (item.isObject()) {
+                objects.add(item);
+            } else {
+                addProblem(field, shown(item) + ": expected an object");
+            }
+        }
+        return objects;
+    }
+
     boolean bool(String field, boolean defaultValue) {
         knownFields.add(field);
         JsonNode value = node.path(field);
@@ -65,7 +92,7 @@
             return defaultValue;
         }
         if (!value.isBoolean()) {
-            addProblem(field, value + ": expected true or false");
+            addProblem(field, shown(value) + ": expected true or false");
         }
         return value.asBoolean();
     }
@@ -77,7 +104,7 @@
             return defaultValue;
         }
         if (!value.isNumber() || value.asDouble() < min || value.asDouble() > max) {
-            addProblem(field, value + ": expected a number from " + plain(min) + " to " + plain(max));
+            addProblem(field, shown(value) + ": expected a number from " + plain(min) + " to " + plain(max));
             return defaultValue;
         }
         return value.asDouble();
@@ -91,6 +118,11 @@
         return (int) value;
     }
 
+    /** Returns the revision of a document, 0 if it has none. */
+    long revision() {
+        return (long) number("revision", 0, MAX_REVISION, 0);
+    }
+
     Duration millis(String field, long min, long max, long defaultValue) {
         return Duration.ofMillis((long) number(field, min, max, defaultValue));
     }
@@ -102,7 +134,9 @@
                 .toList();
         int index = known.indexOf(text);
         if (index < 0) {
-            addProblem(field, "'" + text + "': expected one of " + known + NameSuggestion.didYouMean(text, known));
+            addProblem(
+                    field,
+                    "'" + shortened(text) + "': expected one of " + known + NameSuggestion.didYouMean(text, known));
             return defaultValue;
         }
         return type.getEnumConstants()[index];
@@ -112,13 +146,32 @@
     void rejectUnknownFields() {
         node.fieldNames().forEachRemaining(field -> {
             if (!knownFields.contains(field)) {
-                addProblem(field, "unknown field" + NameSuggestion.didYouMean(field, knownFields));
+                addProblem(shortened(field), "unknown field" + NameSuggestion.didYouMean(field, knownFields));
             }
         });
     }
 
     private void addProblem(String field, String description) {
-        problems.add(path + "." + field + ": " + description);
+        addProblem(problems, path + "." + field + ": " + description);
+    }
+
+    /** Adds a problem unless there are many: a document may have as many as it has bytes. */
+    static void addProblem(List<String> problems, String problem) {
+        if (problems.size() < MAX_PROBLEMS) {
+            problems.add(
+                    problem.length() > MAX_PROBLEM_CHARS ? problem.substring(0, MAX_PROBLEM_CHARS) + "..." : problem);
+        }
+    }
+
+    /** Returns a value for a message, whatever its size. */
+    private static String shown(JsonNode value) {
+        return value.isContainerNode()
+                ? "an " + value.getNodeType().name().toLowerCase(Locale.ROOT)
+                : shortened(value.toString());
+    }
+
+    private static String shortened(String text) {
+        return text.length() > MAX_SHOWN_CHARS ? text.substring(0, MAX_SHOWN_CHARS) + "..." : text;
     }
 
     private static String plain(double value) {
--- a/core/src/main/java/org/tanagerhinge/core/text/NameSuggestion.java
+++ b/core/src/main/java/org/tanagerhinge/core/text/NameSuggestion.java
@@ -15,6 +15,7 @@
     public static Optional<String> nearest(String typed, Collection<String> known) {
         String typedLowerCase = typed.toLowerCase(Locale.ROOT);
         return known.stream()
+                .filter(name -> Math.abs(typed.length() - name.length()) <= MAX_EDIT_DISTANCE)
                 .filter(name ->
                         editDistance(typedLowerCase, name.toLowerCase(Locale.ROOT)) <= maxDistance(typedLowerCase))
                 .min(Comparator.comparingInt(name -> editDistance(typedLowerCase, name.toLowerCase(Locale.ROOT))));
--- a/node/src/main/java/org/tanagerhinge/node/platform/ConfigPoller.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ConfigPoller.java
@@ -3,6 +3,8 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -11,6 +13,9 @@
 import java.util.function.Supplier;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.InvalidConfigException;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 import org.tanagerhinge.node.metrics.NodeMetrics;
 
 /**
@@ -22,6 +27,7 @@
 public final class ConfigPoller implements AutoCloseable {
     private static final Logger LOG = System.getLogger(ConfigPoller.class.getName());
     private static final int MIN_INTERVAL_MILLIS = 20;
+    private static final int MAX_LOGGED_PROBLEMS = 20;
     /** Interval while the control loop does not tell the number of nodes. */
     private static final int FALLBACK_INTERVAL_MILLIS = 1_000;
 
@@ -31,6 +37,7 @@
     private final Supplier<Duration> interval;
     private final Consumer<ClusterConfig> onConfig;
     private final NodeMetrics metrics;
+    private List<String> loggedProblems = List.of();
     private boolean failing;
 
     private ConfigPoller(
@@ -56,7 +63,10 @@
     private void poll() {
         try {
             metrics.count("platform_call");
-            onConfig.accept(store.read());
+            List<String> problems = new ArrayList<>();
+            ClusterConfig config = store.read(problems::add);
+            recordProblems(problems);
+            onConfig.accept(config);
             if (failing) {
                 LOG.log(Level.INFO, "the platform service answers again; configuration is up to date");
             }
@@ -76,6 +86,19 @@
         }
     }
 
+    /** Logs the problems of servers once for as long as they do not change. */
+    private void recordProblems(List<String> problems) {
+        if (!problems.equals(loggedProblems)) {
+            loggedProblems = problems;
+            problems.stream().limit(MAX_LOGGED_PROBLEMS).forEach(problem -> {
+                metrics.count("entry_unreadable");
+                LogLine.failure(LogEvent.ENTRY_UNREADABLE)
+                        .with(LogField.WHY, problem)
+                        .write();
+            });
+        }
+    }
+
     private long intervalMillis() {
         try {
             return Math.max(MIN_INTERVAL_MILLIS, interval.get().toMillis());
--- a/node/src/main/java/org/tanagerhinge/node/platform/ConfigStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ConfigStore.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.tanagerhinge.core.config.ClusterConfig;
 import org.tanagerhinge.core.config.ConfigJson;
@@ -44,12 +45,28 @@
 
     /** Reads both documents; a missing document counts as empty. */
     public ClusterConfig read() throws PlatformException, InvalidConfigException {
-        Map<String, Versioned> values = store.readAll(PREFIX);
-        Versioned profiles = values.get(PROFILES);
+        Map<String, Versioned> values = store.readEach(List.of(PROFILES, SERVERS));
         Versioned servers = values.get(SERVERS);
         return new ClusterConfig(
-                profiles == null ? ProfilesDocument.EMPTY : ConfigJson.parseProfiles(profiles.value()),
-                servers == null ? ServersDocument.EMPTY : ConfigJson.parseServers(servers.value()));
+                profiles(values), servers == null ? ServersDocument.EMPTY : ConfigJson.parseServers(servers.value()));
+    }
+
+    /**
+     * Reads both documents; a server whose entry is invalid is left out.
+     *
+     * @param onProblem receives the problems of servers
+     */
+    public ClusterConfig read(Consumer<String> onProblem) throws PlatformException, InvalidConfigException {
+        Map<String, Versioned> values = store.readEach(List.of(PROFILES, SERVERS));
+        Versioned servers = values.get(SERVERS);
+        return new ClusterConfig(
+                profiles(values),
+                servers == null ? ServersDocument.EMPTY : ConfigJson.readServers(servers.value(), onProblem));
+    }
+
+    private static ProfilesDocument profiles(Map<String, Versioned> values) throws InvalidConfigException {
+        Versioned profiles = values.get(PROFILES);
+        return profiles == null ? ProfilesDocument.EMPTY : ConfigJson.parseProfiles(profiles.value());
     }
 
     /**
--- a/standin/src/main/java/org/tanagerhinge/standin/PlatformStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/PlatformStandin.java
@@ -164,7 +164,13 @@
             case "/v3/kv/range" -> exchange.json(200, range(request));
             case "/v3/kv/put" -> answerWrite(exchange, put(request));
             case "/v3/kv/deleterange" -> answerWrite(exchange, delete(request));
-            case "/v3/kv/txn" -> answerWrite(exchange, txn(request));
+            case "/v3/kv/txn" -> {
+                if (request.path("success").findValue("request_put") == null) {
+                    exchange.json(200, txn(request));
+                } else {
+                    answerWrite(exchange, txn(request));
+                }
+            }
             case "/v3/lease/grant" -> exchange.json(200, grant(request));
             case "/v3/lease/keepalive" -> exchange.json(200, keepAlive(request));
             case "/v3/lease/revoke" -> exchange.json(200, revoke(request));
