Settle claims beside a value that is no claim

After a restore of the store a router writes its claims again and serves no keyed request until all are written. If a value in the place of one of them could not be read, writing them ended there at each attempt, and keyed requests were refused for as long as the value stood. It is now replaced by the claim.

From the same search: a claim with a generation that has no successor, or with the digest of another key, is no claim; a value that is not base64 text fails its call with the declared exception; and a claim ends with a decision whatever the store's code throws, since the request would otherwise get no answer.

--- a/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/ClaimStore.java
@@ -18,6 +18,9 @@
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.store.StoreEra;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 
 /**
  * Stores claims of callers' idempotency keys: one value for each key in the platform's store, written by
@@ -34,6 +37,9 @@
     /** Maximum number of swaps when concurrent writers keep changing the version. */
     private static final int MAX_SWAP_ATTEMPTS = 4;
 
+    /** Far more than a claim changes; each may still be followed by another. */
+    private static final long MAX_GENERATION = 1L << 52;
+
     private static final String KEY_PREFIX = "tanagerhinge/claims/";
     /** Key of the newest era in which a router has waited until others had written their claims again. */
     private static final String SETTLED_ERA_KEY = "tanagerhinge/claims-settled-era";
@@ -100,7 +106,9 @@
         Optional<PlatformStore.Versioned> current =
                 expectedGeneration == 0 ? Optional.empty() : store.read(key(requested.digest()));
         for (int attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt++) {
-            ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
+            ClaimEntry held = current.isEmpty()
+                    ? null
+                    : parse(requested.digest(), current.get().value());
             ClaimDecision decision = ClaimDecision.decide(held, requested, expectedGeneration, era);
             if (decision != null) {
                 return decision;
@@ -130,7 +138,7 @@
         if (current.isEmpty()) {
             return;
         }
-        ClaimEntry held = parse(current.get().value());
+        ClaimEntry held = parse(claim.digest(), current.get().value());
         if (held.generation() == claim.generation()
                 && held.owner().equals(claim.owner())
                 && !held.free()
@@ -205,7 +213,8 @@
             throws PlatformException {
         Optional<PlatformStore.Versioned> current = stored;
         for (int attempt = 0; attempt < MAX_SWAP_ATTEMPTS; attempt++) {
-            ClaimEntry held = current.isEmpty() ? null : parse(current.get().value());
+            // What is no claim is replaced: the claims of all other keys wait until this one is written.
+            ClaimEntry held = claimIn(current, entry.digest()).orElse(null);
             if (!ClaimDecision.restores(held, entry)) {
                 recovery.restored(held, era);
                 return;
@@ -257,19 +266,46 @@
         return root.toString();
     }
 
-    private static ClaimEntry parse(String text) throws PlatformException {
+    private static ClaimEntry parse(KeyDigest digest, String text) throws PlatformException {
         try {
             JsonNode root = JSON.readTree(text);
+            if (!root.path("digest").asText().equals(digest.hex())) {
+                throw new IllegalArgumentException("digest is not that of the key");
+            }
             return new ClaimEntry(
-                    new KeyDigest(root.path("digest").asText()),
+                    digest,
                     root.path("body").asText(),
                     ServerId.of(root.path("executor").asText()),
-                    root.path("executorIncarnation").asLong(),
-                    root.path("generation").asLong(),
+                    integer(root, "executorIncarnation", Long.MAX_VALUE),
+                    integer(root, "generation", MAX_GENERATION),
                     RequestId.of(root.path("owner").asText()),
                     root.path("free").asBoolean());
         } catch (JsonProcessingException | IllegalArgumentException e) {
             throw new PlatformException("read a claim", "not a claim: " + e.getMessage(), e);
         }
     }
+
+    private static long integer(JsonNode root, String field, long max) {
+        JsonNode value = root.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() > max) {
+            throw new IllegalArgumentException(field + " is not an integer of at most " + max);
+        }
+        return value.asLong();
+    }
+
+    /** Returns the claim that a value holds, empty if there is no value or it is none. */
+    private static Optional<ClaimEntry> claimIn(Optional<PlatformStore.Versioned> stored, KeyDigest digest) {
+        if (stored.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(parse(digest, stored.get().value()));
+        } catch (PlatformException e) {
+            LogLine.failure(LogEvent.ENTRY_UNREADABLE)
+                    .with(LogField.KEY, key(digest))
+                    .with(LogField.WHY, e.getMessage())
+                    .write();
+            return Optional.empty();
+        }
+    }
 }
--- a/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
+++ b/node/src/main/java/org/tanagerhinge/node/platform/EtcdStore.java
@@ -75,7 +75,7 @@
         return values;
     }
 
-    private static void putValues(JsonNode range, Map<String, Versioned> values) {
+    private static void putValues(JsonNode range, Map<String, Versioned> values) throws PlatformException {
         for (JsonNode kv : range.path("kvs")) {
             values.put(decode(kv.path("key").asText()), versioned(kv));
         }
@@ -122,7 +122,7 @@
         return request;
     }
 
-    private static Versioned versioned(JsonNode kv) {
+    private static Versioned versioned(JsonNode kv) throws PlatformException {
         return new Versioned(
                 decode(kv.path("value").asText()), kv.path("mod_revision").asLong());
     }
@@ -177,7 +177,11 @@
         return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static String decode(String text) {
-        return new String(Base64.getDecoder().decode(text), StandardCharsets.UTF_8);
+    private static String decode(String text) throws PlatformException {
+        try {
+            return new String(Base64.getDecoder().decode(text), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            throw new PlatformException("read entries", "a key or value is not base64 text", e);
+        }
     }
 }
--- a/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
+++ b/router/src/main/java/org/tanagerhinge/router/AsyncClaimStore.java
@@ -43,7 +43,7 @@
     /** Claims a key; {@code onDecision} is called with the result on one of the store's threads. */
     void claim(ClaimEntry requested, long expectedGeneration, Consumer<ClaimDecision> onDecision) {
         submit(() -> {
-            ClaimDecision decision = store.claim(requested, expectedGeneration);
+            ClaimDecision decision = decide(requested, expectedGeneration);
             if (decision instanceof ClaimDecision.Unsettled && store.recoveryDue()) {
                 metrics.count("claim_held_after_restore");
             }
@@ -51,6 +51,17 @@
         });
     }
 
+    /** Returns the store's decision. Without one, the request would have no answer, whatever the store throws. */
+    private ClaimDecision decide(ClaimEntry requested, long expectedGeneration) {
+        try {
+            return store.claim(requested, expectedGeneration);
+        } catch (Throwable e) {
+            metrics.count("internal_error");
+            LOG.log(Level.ERROR, "the claim " + requested.digest() + " failed", e);
+            return new ClaimDecision.Unsettled("the claim failed: " + e);
+        }
+    }
+
     /** Releases a claim; a failed call is counted and logged, and the claim then ends with its lease. */
     void release(ClaimEntry claim) {
         submit(() -> {
