Ignore usage windows that cannot be true

A holder of the usage duty skips all windows that another holder has committed, one by one. A saved tally that says that windows are committed through a number far ahead kept it in that loop on the event loop: the gateway answered nothing any more. Its lease ended, the next gateway read the same tally, and stood still as well. Committed counts of such a window made all later windows count as committed, so that no usage was reported any more, and the number was saved again for each successor. Only what peers announce was checked.

Committed counts must be of the window of their key.

UsageDutyTest.windowsAreReportedWhateverOthersStateOfLaterOnes: before, TALLY and COMMITTED_COUNTS did not end within 20 s, REPORTED_COUNTS kept the window; HOLDER was not reached within the time of the run.

--- a/core/src/main/java/org/tanagerhinge/core/duty/DutyListener.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/DutyListener.java
@@ -24,4 +24,7 @@
 
     /** Called when a window will not be reported. */
     void windowMissed(long window, String reason);
+
+    /** Called when this node ignores what another node or the store states, because it cannot be true. */
+    void statementIgnored(String statement);
 }
--- a/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/tanagerhinge/core/duty/UsageDuty.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
@@ -35,7 +36,7 @@
      */
     private static final int MATURE_AGE_SECONDS = 15;
 
-    /** A peer's claim that windows further ahead are committed is ignored: this node would skip them all. */
+    /** What others state of windows further ahead is ignored: this node would skip all windows until then. */
     private static final long MAX_CLOCK_ERROR_MILLIS = 24 * 3_600_000L;
 
     private static final long INITIAL_BACKOFF_MILLIS = 300;
@@ -130,9 +131,8 @@
      */
     public void tick(List<DutyPeer> peers, int hostCapacity) {
         clockHistory.record(clock.steadyMillis(), medianClock.epochMillis());
-        long latestPlausible = settings.windowAt(medianClock.epochMillis() + MAX_CLOCK_ERROR_MILLIS);
         peers.stream()
-                .filter(peer -> peer.announcement().committedThrough() <= latestPlausible)
+                .filter(peer -> isPlausible(peer.announcement().committedThrough()))
                 .forEach(peer -> committedWindows.learnFrom(peer, client.storeEra()));
         election.tick(peers, preference(hostCapacity));
         if (!election.isHolder()) {
@@ -144,6 +144,35 @@
         saveIfDue();
     }
 
+    /** Returns whether others may know a window by now; 0 stands for none. */
+    private boolean isPlausible(long window) {
+        return window >= 0 && window <= settings.windowAt(medianClock.epochMillis() + MAX_CLOCK_ERROR_MILLIS);
+    }
+
+    /** Returns a report without the windows that no node can have counted. */
+    private UsageReport plausible(UsageReport report) {
+        if (report.windows().keySet().stream().allMatch(this::isPlausible)) {
+            return report;
+        }
+        SortedMap<Long, SortedMap<String, Long>> windows = new TreeMap<>(report.windows());
+        windows.keySet().removeIf(window -> !isPlausible(window));
+        listener.statementIgnored("usage of implausible windows, reported by " + report.node());
+        return new UsageReport(
+                report.node(), report.incarnation(), report.sinceMillis(), report.asOfMillis(), report.last(), windows);
+    }
+
+    /** Returns a saved tally without implausible windows. */
+    private UsageTally plausible(UsageTally tally) {
+        boolean known = isPlausible(tally.committedThrough());
+        if (!known) {
+            listener.statementIgnored("tally says that windows are committed through " + tally.committedThrough());
+        }
+        return new UsageTally(
+                tally.reports().stream().map(this::plausible).toList(),
+                known ? tally.committedThrough() : 0,
+                tally.era());
+    }
+
     /**
      * Merges the report of a node.
      *
@@ -154,13 +183,15 @@
         if (!election.isHolder()) {
             return OptionalLong.empty();
         }
-        aggregator.merge(report);
+        aggregator.merge(plausible(report));
         return OptionalLong.of(aggregator.committedThrough());
     }
 
     /** Records that a holder has committed the windows up to and including this one. */
     public void recordCommittedThrough(long window) {
-        committedWindows.recordThrough(window);
+        if (isPlausible(window)) {
+            committedWindows.recordThrough(window);
+        }
     }
 
     /** Returns the newest window that this node knows to be committed, 0 if there is none. */
@@ -175,9 +206,13 @@
     }
 
     private void onDutyAcquired(DutyRecord dutyRecord) {
-        committedWindows.dutyAcquired(
-                dutyRecord.tally(), client.storeEra(), settings.windowAt(medianClock.epochMillis()) - 1);
+        UsageTally tally = plausible(dutyRecord.tally());
+        committedWindows.dutyAcquired(tally, client.storeEra(), settings.windowAt(medianClock.epochMillis()) - 1);
         dutyRecord.committedCounts().forEach(counts -> {
+            if (!isPlausible(counts.window())) {
+                listener.statementIgnored("counts of window " + counts.window() + " are committed");
+                return;
+            }
             committedWindows.record(counts);
             aggregator.markCommitted(counts.window());
             if (medianClock.epochMillis()
@@ -185,7 +220,7 @@
                 unreported.put(counts.window(), counts);
             }
         });
-        aggregator.mergeAll(dutyRecord.tally().reports());
+        aggregator.mergeAll(tally.reports());
         holderSinceMillis = clock.steadyMillis();
         nextSaveMillis = holderSinceMillis + SAVE_INTERVAL_MILLIS;
     }
@@ -318,13 +353,16 @@
                 case CallOutcome.Completed<DutyClient.CommitResult>(DutyClient.CommitResult.Committed committed) ->
                     onCommitted(counts);
                 case CallOutcome.Completed<DutyClient.CommitResult>(
-                        DutyClient.CommitResult.AlreadyCommitted(UsageCounts committedBefore)) ->
-                    onCommitted(committedBefore);
-                case CallOutcome.Completed<DutyClient.CommitResult>(
-                        DutyClient.CommitResult.CommittedUnreadable(String reason)) -> {
-                    pendingCommit = null;
-                    skip(counts.window(), "committed with counts that cannot be read: " + reason);
+                        DutyClient.CommitResult.AlreadyCommitted(UsageCounts committedBefore)) -> {
+                    if (committedBefore.window() == counts.window()) {
+                        onCommitted(committedBefore);
+                    } else {
+                        skipUnreadable(counts.window(), "they are of window " + committedBefore.window());
+                    }
                 }
+                case CallOutcome.Completed<DutyClient.CommitResult>(
+                        DutyClient.CommitResult.CommittedUnreadable(String reason)) ->
+                    skipUnreadable(counts.window(), reason);
                 case CallOutcome.Completed<DutyClient.CommitResult>(DutyClient.CommitResult.NotHolder notHolder) ->
                     election.relinquish("ownership key is gone from the store or has another revision");
                 case CallOutcome.Unknown<DutyClient.CommitResult> unknown ->
@@ -334,6 +372,11 @@
         });
     }
 
+    private void skipUnreadable(long window, String reason) {
+        pendingCommit = null;
+        skip(window, "committed with counts that cannot be read: " + reason);
+    }
+
     private void onCommitted(UsageCounts counts) {
         committedWindows.record(counts);
         listener.usageCommitted(election.fencingToken(), counts, coverage.completeNodes(), coverage.knownNodes());
--- a/core/src/test/java/org/tanagerhinge/core/duty/UsageDutyTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/duty/UsageDutyTest.java
@@ -1,13 +1,17 @@
 package org.tanagerhinge.core.duty;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -52,6 +56,10 @@
 
     private final List<Long> reported = new ArrayList<>();
     private final List<Long> skipped = new ArrayList<>();
+    private final List<String> ignored = new ArrayList<>();
+    private UsageTally tally = UsageTally.EMPTY;
+    private List<UsageCounts> committed = List.of();
+    private long committedThroughOfHolder;
     private Optional<Call> lostCall = Optional.empty();
     private boolean committedUnreadable;
     private String claim = "";
@@ -101,7 +109,7 @@
             Optional<DutyRecord.Ownership> ownership = claim.isEmpty() || nowMillis > claimValidUntilMillis
                     ? Optional.empty()
                     : Optional.of(new DutyRecord.Ownership(claim, 5));
-            reply(Call.READ, new DutyRecord(ownership, List.of(), List.of(), UsageTally.EMPTY), callback);
+            reply(Call.READ, new DutyRecord(ownership, List.of(), committed, tally), callback);
         }
 
         @Override
@@ -156,6 +164,11 @@
 
         @Override
         public void windowMissed(long window, String reason) {}
+
+        @Override
+        public void statementIgnored(String statement) {
+            ignored.add(statement);
+        }
     }
 
     /** Runs a node that counts a request at each step. */
@@ -165,6 +178,7 @@
         UsageDuty duty =
                 UsageDuty.of(SETTINGS, clock, medianClock, new Client(), new Random(1), new Listener(), counter, 1);
         long endMillis = nowMillis + time.toMillis();
+        duty.recordCommittedThrough(committedThroughOfHolder);
         while (nowMillis < endMillis) {
             counter.recordStart("coop");
             duty.tick(List.of(), 100);
@@ -191,4 +205,41 @@
         assertTrue(reported.contains(skipped.getFirst() + 1), "reported: " + reported);
         assertTrue(!reported.contains(skipped.getFirst()), "reported: " + reported);
     }
+
+    /** What may state a window. */
+    private enum Statement {
+        TALLY,
+        COMMITTED_COUNTS,
+        REPORTED_COUNTS,
+        HOLDER
+    }
+
+    private void state(Statement statement, long window) {
+        SortedMap<String, Long> counts = new TreeMap<>(Map.of("coop", 1L));
+        switch (statement) {
+            case TALLY -> tally = new UsageTally(List.of(), window, 1);
+            case COMMITTED_COUNTS -> committed = List.of(new UsageCounts(window, counts));
+            case REPORTED_COUNTS ->
+                tally = new UsageTally(
+                        List.of(new UsageReport("b", 1, 0, 0, false, new TreeMap<>(Map.of(window, counts)))), 0, 1);
+            case HOLDER -> committedThroughOfHolder = window;
+        }
+    }
+
+    /** Guards against a node that stands still while it skips all windows up to one that cannot be true. */
+    @ParameterizedTest
+    @EnumSource
+    void windowsAreReportedWhateverOthersStateOfLaterOnes(Statement statement) {
+        for (long window : new long[] {Long.MAX_VALUE, Long.MAX_VALUE - 1, 1L << 40, -1, Long.MIN_VALUE}) {
+            reported.clear();
+            ignored.clear();
+            claim = "";
+            state(statement, window);
+            assertTimeoutPreemptively(Duration.ofSeconds(20), () -> run(Duration.ofMinutes(1)));
+            long lastWindow = SETTINGS.windowAt(nowMillis) - 1;
+            assertTrue(reported.contains(lastWindow - 1), "reported: " + reported);
+            assertTrue(!reported.contains(window), "reported: " + reported);
+            assertTrue(statement == Statement.HOLDER || !ignored.isEmpty());
+        }
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/DutyTelemetry.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/DutyTelemetry.java
@@ -78,6 +78,12 @@
         recordUnreported("usage_missed", LogEvent.USAGE_MISSED, window, reason);
     }
 
+    @Override
+    public void statementIgnored(String statement) {
+        gateway.count("entry_unreadable");
+        LogLine.failure(LogEvent.ENTRY_UNREADABLE).with(LogField.WHY, statement).write();
+    }
+
     private void recordUnreported(String counter, LogEvent event, long window, String reason) {
         gateway.count(counter);
         LogLine.failure(event)
--- a/harness/src/main/java/org/tanagerhinge/bench/duty/DutyNode.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/duty/DutyNode.java
@@ -525,5 +525,10 @@
         public void windowMissed(long window, String reason) {
             simulation.logEvent(name + " missed window " + window + ": " + reason);
         }
+
+        @Override
+        public void statementIgnored(String statement) {
+            simulation.logEvent(name + " ignores: " + statement);
+        }
     }
 }
