--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
@@ -58,6 +58,16 @@
         platform.register(server, service, "ready");
     }
 
+    /** Removes a server's registration. */
+    public void unregister(String id) {
+        servers.stream().filter(server -> server.id().equals(id)).forEach(platform::unregister);
+    }
+
+    /** Returns the store. */
+    public StoreStandin store() {
+        return store;
+    }
+
     /** Returns whether a server has received a request whose id starts with a text. */
     public boolean received(String id) {
         return servers.stream()
