Keep no more than a megabyte of one line of an engine

The agent kept the bytes of an event until its line ended. An engine that sends bytes without a line end filled the agent's memory.

A line beyond 1 MiB, as at gateways, is malformed and its rest is not kept; the run fails when the response ends, or at its deadline.

--- a/agent/src/main/java/org/tanagerhinge/agent/CompletionStreamParser.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/CompletionStreamParser.java
@@ -12,6 +12,8 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String DATA_PREFIX = "data:";
     private static final String END_MARKER = "[DONE]";
+    /** Maximum size of a line; a longer one is malformed and is not kept, since it may have no end. */
+    private static final int MAX_LINE_BYTES = 1 << 20;
 
     /** Tokens and UTF-8 text parsed since the last call of {@link #takeOutput}. */
     record Output(long tokens, byte[] text) {}
@@ -30,8 +32,10 @@
             if (b == '\n') {
                 parseLine(line.toString(StandardCharsets.UTF_8));
                 line.reset();
-            } else {
+            } else if (line.size() < MAX_LINE_BYTES) {
                 line.write(b);
+            } else {
+                malformed = true;
             }
         }
     }
