--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
@@ -63,6 +63,16 @@
         platform.route(prefix, "streaming", service).put(PlatformNames.TIMEOUT_MILLIS, STREAM_TIMEOUT_MILLIS);
     }
 
+    /** Removes a server's registration. */
+    public void unregister(String id) {
+        servers.stream().filter(server -> server.id().equals(id)).forEach(platform::unregister);
+    }
+
+    /** Returns the store. */
+    public StoreStandin store() {
+        return store;
+    }
+
     /** Returns whether a server has received a request whose id starts with a text. */
     public boolean received(String id) {
         return servers.stream()
