Require keys while there are workspaces, although none has a key

Once the operators had taken the last key away, requests with an unknown key, a revoked one or none ran at servers: whether keys are required was derived from the keys, of which there were none, and not from the workspaces. A configuration whose list of workspaces isn't empty requires keys now.

--- a/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/RelayConfig.java
@@ -14,6 +14,7 @@
     private final Map<String, Map<String, Route>> routes = new HashMap<>();
     private final Map<String, ServiceConfig> services = new HashMap<>();
     private final Map<String, WorkspaceConfig> workspaceByKey;
+    private final boolean requiresKey;
     private final CallerLimits limits;
     private final List<Integer> workspaceRanks;
     private final List<Integer> routeRanks;
@@ -24,6 +25,7 @@
             List<Route> routes,
             List<ServiceConfig> services,
             Map<String, WorkspaceConfig> workspaceByKey,
+            boolean requiresKey,
             CallerLimits limits) {
         this.version = version;
         for (Route route : routes) {
@@ -33,6 +35,7 @@
             this.services.put(service.name(), service);
         }
         this.workspaceByKey = Map.copyOf(workspaceByKey);
+        this.requiresKey = requiresKey;
         this.limits = limits;
         this.workspaceRanks = workspaceByKey.values().stream()
                 .flatMap(workspace -> workspace.priority().stream().boxed())
@@ -63,7 +66,21 @@
             List<ServiceConfig> services,
             Map<String, WorkspaceConfig> workspaceByKey,
             CallerLimits limits) {
-        return new RelayConfig(version, routes, services, workspaceByKey, limits);
+        return new RelayConfig(version, routes, services, workspaceByKey, !workspaceByKey.isEmpty(), limits);
+    }
+
+    /**
+     * Creates a configuration with workspaces, of which none may have a key.
+     *
+     * @param workspaceByKey workspaces by API key
+     */
+    public static RelayConfig withWorkspaces(
+            long version,
+            List<Route> routes,
+            List<ServiceConfig> services,
+            Map<String, WorkspaceConfig> workspaceByKey,
+            CallerLimits limits) {
+        return new RelayConfig(version, routes, services, workspaceByKey, true, limits);
     }
 
     public long version() {
@@ -137,7 +154,7 @@
 
     /** Returns whether callers need a key on routes that aren't anonymous. */
     public boolean requiresKey() {
-        return !workspaceByKey.isEmpty();
+        return requiresKey;
     }
 
     /** Returns the workspace of an API key, if there is one. */
