A stream that nobody knows is taken for one of the only version by what is learned after it was taken up

Cause: a gateway's list of servers counted as proof that there is no other version while it was at most 2 s and two report intervals old, or equal to what peers had reported last. Within that time a version can join, begin a stream and lose it; and a gateway that was suspended can't tell how old what it knows is.

Why the repair holds: a stream began before its caller takes it up, so its version was registered before that. A gateway now goes by a list that it requested from the store after the take-up, or by answers of all other gateways that may be running to a question sent after it. Otherwise the stream is refused as not run (2013). A list that may lack servers, after an outage or a restore of the store, proves nothing. A timer of an earlier search for the same stream no longer ends a later one.

SoftwareVersionsTest gets a case for the other side: where one version serves and the store doesn't answer, streams go on.

--- a/core/src/main/java/org/tanagerhinge/core/relay/FleetSize.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/FleetSize.java
@@ -83,6 +83,11 @@
         return listed && (leased || allHeard(nowMillis)) ? seenAtMillis.size() + 1 : 0;
     }
 
+    /** Returns whether no node but this one and those at the given addresses may be running. */
+    public boolean areAllOthers(Set<String> addresses) {
+        return listed && addresses.containsAll(seenAtMillis.keySet());
+    }
+
     private boolean allHeard(long nowMillis) {
         return seenAtMillis.values().stream().allMatch(millis -> nowMillis - millis < SILENT_MILLIS);
     }
--- a/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServerDirectory.java
@@ -206,6 +206,14 @@
         return versions;
     }
 
+    /**
+     * Returns whether servers may be missing in a list that was requested at a time in milliseconds, since the store was
+     * unavailable or restored shortly before.
+     */
+    public boolean mayMissServers(long requestedAtMillis) {
+        return requestedAtMillis < keepMissingUntilMillis;
+    }
+
     /** Returns the history of software versions that have left. */
     public SoftwareVersions versionHistory() {
         return softwareVersions;
--- a/core/src/test/java/org/tanagerhinge/core/relay/FleetSizeTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/FleetSizeTest.java
@@ -32,6 +32,15 @@
         assertEquals(5, size.count(1_000));
     }
 
+    @Test
+    void nodesAreAllOthersOnceEachThatMayRunIsAmongThem() {
+        assertFalse(size.areAllOthers(Set.of()), "nothing is listed");
+        size.listed(ALL, 0);
+        size.heard("e:1", 1_000);
+        assertFalse(size.areAllOthers(Set.of("b:1", "c:1", "d:1")));
+        assertTrue(size.areAllOthers(Set.of("b:1", "c:1", "d:1", "e:1", "f:1")));
+    }
+
     /** Guards against sides of a cut that each take the whole slack. */
     @Test
     void silentNodesCountWhileTheStoreListsThem() {
--- a/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/relay/ServerDirectoryTest.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.core.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.tanagerhinge.core.relay.RelayFixture.registration;
@@ -35,6 +36,17 @@
         assertEquals(1, directory.available("model").size());
     }
 
+    @Test
+    void listMayMissServersForAWhileAfterAStoreOutage() {
+        ServerDirectory directory = ServerDirectory.create();
+        directory.apply(List.of(registration("a", false)), 1_000);
+        directory.apply(List.of(registration("a", false)), 1_800);
+        assertFalse(directory.mayMissServers(1_800));
+        directory.apply(List.of(), 9_000);
+        assertTrue(directory.mayMissServers(9_000));
+        assertFalse(directory.mayMissServers(11_300));
+    }
+
     /** Guards against losing servers that registered after the copy from which the store was restored. */
     @Test
     void serversMissingAfterARestoreAreKeptUntilTheyCanHaveRegisteredAgain() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -505,9 +505,18 @@
 
         @Override
         public void send(String peer, StreamMessage message) {
+            send(peer, message.encode());
+        }
+
+        @Override
+        public void send(String peer, VersionsMessage message) {
+            send(peer, message.encode());
+        }
+
+        private void send(String peer, byte[] datagram) {
             table.address(peer).ifPresent(address -> {
                 try {
-                    PeerSynchronizer.this.send(PeerCodec.address(address), message.encode());
+                    PeerSynchronizer.this.send(PeerCodec.address(address), datagram);
                 } catch (InvalidProtocolBufferException e) {
                     LOG.log(Level.WARNING, "cannot reach peer " + peer + ": " + e.getMessage());
                 }
@@ -530,6 +539,12 @@
                             .ifPresent(response -> send(packet.sender(), response.encode()));
                     return;
                 }
+                if (VersionsMessage.isIn(bytes)) {
+                    gateway.streams()
+                            .receive(PeerCodec.text(packet.sender()), VersionsMessage.decode(bytes))
+                            .ifPresent(response -> send(packet.sender(), response.encode()));
+                    return;
+                }
                 if (CrashMessage.isIn(bytes)) {
                     gateway.crashQuarantine().receive(CrashMessage.decode(bytes));
                     return;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +57,8 @@
     private static final int INITIAL_RETRY_MILLIS = 100;
     /** Minimum time between two catch-up reads; many peer reports may announce the same version. */
     private static final long MIN_CATCH_UP_INTERVAL_MILLIS = 400;
+    /** Minimum time between two reads of the server list for resumed streams, which wait for them together. */
+    private static final long MIN_STREAM_READ_INTERVAL_MILLIS = 100;
     /** Interval at which a gateway that is no reader checks whether it must read. */
     private static final int STANDBY_CHECK_MILLIS = 200;
 
@@ -88,6 +91,10 @@
 
     private long nextCatchUpMillis = Long.MIN_VALUE;
     private boolean storeReachable = true;
+    /** What waits for a read of the server list that has not begun. */
+    private List<Runnable> waitingForServers = new ArrayList<>();
+
+    private long nextStreamReadMillis;
     /** The latest invalid entries by listing. */
     private final Map<String, UnreadableEntries> unreadable = new TreeMap<>();
     /** When this gateway recorded that a software version serves beside others. */
@@ -103,6 +110,7 @@
         this.gateway = gateway;
         this.store = store;
         this.peers = peers;
+        nextStreamReadMillis = gateway.nowMillis();
         servers = task("servers", this::pollServers);
         configuration = task("configuration", this::watchConfig);
         lease = task("lease", this::keepLeaseAlive);
@@ -141,6 +149,7 @@
         synchronizer.servers.run();
         synchronizer.softwareVersions.run();
         synchronizer.quarantines.run();
+        gateway.streams().connect(synchronizer::readServersFor);
         gateway.crashQuarantine().connectStore(synchronizer.new QuarantineStore());
         return synchronizer;
     }
@@ -216,15 +225,7 @@
         long requestedAtMillis = gateway.nowMillis();
         store.listServers(timeoutMillis(), servers.onReply(reply -> {
             if (reply instanceof MetadataStore.Success<MetadataStore.Listing<ServerRegistration>> success) {
-                markReachable();
-                recordUnreadable(servers.name(), success.value());
-                if (gateway.apply(
-                        success.value().entries(),
-                        requestedAtMillis,
-                        success.value().position())) {
-                    peers.reportNow();
-                }
-                recordSoftwareVersions();
+                applyServers(success.value(), requestedAtMillis);
                 boolean empty = gateway.directory().all().isEmpty();
                 servers.runAfter(spread(empty ? RETRY_MILLIS : SERVERS_POLL_MILLIS));
                 return;
@@ -234,6 +235,41 @@
         }));
     }
 
+    private void applyServers(MetadataStore.Listing<ServerRegistration> listing, long requestedAtMillis) {
+        markReachable();
+        recordUnreadable(servers.name(), listing);
+        if (gateway.apply(listing.entries(), requestedAtMillis, listing.position())) {
+            peers.reportNow();
+        }
+        recordSoftwareVersions();
+    }
+
+    /** Reads the server list, whether or not this gateway is the reader, for one who can't go by what is known. */
+    private void readServersFor(Runnable onRead) {
+        waitingForServers.add(onRead);
+        if (waitingForServers.size() == 1) {
+            long delayMillis = Math.max(0, nextStreamReadMillis - gateway.nowMillis());
+            gateway.schedule(this::readServersForStreams, delayMillis);
+        }
+    }
+
+    private void readServersForStreams() {
+        List<Runnable> readers = waitingForServers;
+        waitingForServers = new ArrayList<>();
+        long requestedAtMillis = gateway.nowMillis();
+        nextStreamReadMillis = requestedAtMillis + MIN_STREAM_READ_INTERVAL_MILLIS;
+        store.listServers(timeoutMillis(), reply -> {
+            if (reply instanceof MetadataStore.Success<MetadataStore.Listing<ServerRegistration>> success) {
+                applyServers(success.value(), requestedAtMillis);
+                if (!gateway.directory().mayMissServers(requestedAtMillis)) {
+                    readers.forEach(gateway::runGuarded);
+                }
+            } else {
+                recordFailure(reply);
+            }
+        });
+    }
+
     /** Logs each invalid entry of a listing once for as long as it does not change. */
     private void recordUnreadable(String listing, MetadataStore.Listing<?> result) {
         List<MetadataStore.UnreadableEntry> before =
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StreamTracker.java
@@ -22,6 +22,10 @@
  * that the gateway at which the caller resumes knows whom to ask when the first gateway has ended. Nothing is reported
  * where a single version serves, as far as a current list of servers shows; streams that are open when a second one
  * appears or the list gets outdated are reported then.
+ *
+ * <p>A stream that nobody knows is one of the only version if that version is shown to be the only one by what was learned
+ * after its caller resumed it: from the platform's store, or from all other gateways. Earlier knowledge proves nothing,
+ * however recent it seems: this gateway may be cut off or may have been suspended while another version joined.
  */
 final class StreamTracker {
     /** Number of peers to which an origin is reported; all of them may end together with the first gateway. */
@@ -35,9 +39,11 @@
 
     private final Gateway gateway;
     private final StreamOrigins origins = StreamOrigins.create();
-    private final Map<StreamId, List<Search>> searches = new HashMap<>();
+    private final Map<StreamId, Search> searches = new HashMap<>();
     private final Set<String> mixedServices = new HashSet<>();
     private Peers peers = new NoPeers();
+    private ServerListReader serverListReader = onRead -> {};
+    private long lastUnnamedStream;
     private boolean serverListWasCurrent = true;
     private boolean witnessesChanged;
     private long nextReportMillis = Long.MIN_VALUE;
@@ -63,6 +69,9 @@
 
         /** Sends a message to a peer; it may get lost. */
         void send(String peer, StreamMessage message);
+
+        /** Sends a message to a peer; it may get lost. */
+        void send(String peer, VersionsMessage message);
     }
 
     private record NoPeers() implements Peers {
@@ -78,16 +87,44 @@
 
         @Override
         public void send(String peer, StreamMessage message) {}
+
+        @Override
+        public void send(String peer, VersionsMessage message) {}
+    }
+
+    /** Reads the server list from the platform's store. */
+    interface ServerListReader {
+        /** Runs {@code onRead} once a list that is requested from now on is applied; never, if that fails. */
+        void read(Runnable onRead);
+    }
+
+    /** Who waits for the origin of a stream. */
+    private record Waiting(Route route, int serviceSelector, Consumer<OriginMatch> onResult) {
+        /** Returns the service at which the stream began unless a configuration has changed its route. */
+        private String service() {
+            return route.service(serviceSelector);
+        }
     }
 
-    /** A search for the origin of a stream, and who waits for its result. */
-    private record Search(Route route, Consumer<OriginMatch> onResult) {}
+    /** A search for the origin of a stream. */
+    private static final class Search {
+        private final List<Waiting> waiting = new ArrayList<>();
+        /** What peers answered that were asked for the versions of a service, by service and address of the peer. */
+        private final Map<String, Map<String, Set<String>>> versionsByPeer = new HashMap<>();
+        /** Whether the server list was read from the store after the search began. */
+        private boolean serverListRead;
+    }
 
     /** Sets the peers of this gateway. */
     void connect(Peers newPeers) {
         peers = newPeers;
     }
 
+    /** Sets what reads the server list from the platform's store. */
+    void connect(ServerListReader newReader) {
+        serverListReader = newReader;
+    }
+
     // ---- streams that begin here
 
     /** Records what began a stream, and reports it to the stream's witnesses if they may be asked for it. */
@@ -130,7 +167,7 @@
 
     /** Handles that other peers are present: they are asked at once, and become witnesses of open streams soon. */
     void peersChanged() {
-        List.copyOf(searches.keySet()).forEach(this::askAll);
+        Map.copyOf(searches).forEach(this::askAll);
         witnessesChanged = true;
     }
 
@@ -188,77 +225,104 @@
      * @param onResult receives the result, at once or later on the event loop
      */
     void find(Optional<StreamId> stream, Route route, int serviceSelector, Consumer<OriginMatch> onResult) {
-        Search search = new Search(
-                route,
-                match -> onResult.accept(
-                        match instanceof OriginMatch.Unknown ? onlyVersion(route, serviceSelector) : match));
         Optional<OriginMatch> known = stream.flatMap(id -> recorded(id, OriginMatch.Basis.RECORDED));
-        boolean mustAsk = route.isSplit() || onlyVersion(route, serviceSelector) instanceof OriginMatch.Unknown;
         if (known.isPresent()) {
-            search.onResult().accept(known.get());
-        } else if (stream.isPresent() && mustAsk) {
-            start(stream.get(), search);
+            onResult.accept(known.get());
         } else {
-            search.onResult().accept(new OriginMatch.Unknown());
+            start(stream.orElseGet(this::unnamedStream), new Waiting(route, serviceSelector, onResult));
         }
     }
 
+    /** Returns an id that no gateway knows. */
+    private StreamId unnamedStream() {
+        return new StreamId(0, --lastUnnamedStream);
+    }
+
     private Optional<OriginMatch> recorded(StreamId stream, OriginMatch.Basis basis) {
         return origins.find(stream, gateway.nowMillis())
                 .map(known -> new OriginMatch.Found(known.origin(), basis, known.ageMillis()));
     }
 
-    /** Returns the only version that can have begun a stream of a route, if there is only one. */
-    private OriginMatch onlyVersion(Route route, int serviceSelector) {
-        String service = route.service(serviceSelector);
+    /** Returns the only version that can have begun a stream, if what was learned in its search shows that. */
+    private OriginMatch onlyVersion(Search search, Waiting waiting) {
+        String service = waiting.service();
         Set<String> versions = softwareVersions(service);
         boolean complete = gateway.directory().versionHistory().complete(gateway.nowMillis());
-        return versions.size() == 1 && complete && peers.serverListCurrent()
+        return versions.size() == 1 && complete && (search.serverListRead || allPeersAgree(search, service, versions))
                 ? new OriginMatch.Found(
                         new StreamOrigin(service, versions.iterator().next()), OriginMatch.Basis.ONLY_VERSION, 0)
                 : new OriginMatch.Unknown();
     }
 
-    private void start(StreamId stream, Search search) {
-        List<Search> waiting = searches.get(stream);
-        if (waiting != null) {
-            waiting.add(search);
+    /** Returns whether all other gateways have answered in a search that they know the same versions of a service. */
+    private boolean allPeersAgree(Search search, String service, Set<String> versions) {
+        Map<String, Set<String>> answers = search.versionsByPeer.getOrDefault(service, Map.of());
+        return gateway.fleetSize().areAllOthers(answers.keySet())
+                && answers.values().stream().allMatch(versions::equals);
+    }
+
+    private void start(StreamId stream, Waiting waiting) {
+        Search running = searches.get(stream);
+        if (running != null) {
+            running.waiting.add(waiting);
             return;
         }
-        searches.put(stream, new ArrayList<>(List.of(search)));
+        Search search = new Search();
+        search.waiting.add(waiting);
+        searches.put(stream, search);
         witnesses(stream, peers.present()).forEach(witness -> peers.send(witness, StreamMessage.asking(stream)));
         for (long delayMillis : REPEAT_MILLIS) {
-            gateway.schedule(() -> askAll(stream), delayMillis);
+            gateway.schedule(() -> askAll(stream, search), delayMillis);
+        }
+        gateway.schedule(() -> giveUp(stream, search), GIVE_UP_MILLIS);
+        if (!mixed(waiting.service())) {
+            serverListReader.read(() -> {
+                search.serverListRead = true;
+                endIfOnlyVersion(stream, search);
+            });
         }
-        gateway.schedule(() -> end(stream, new OriginMatch.Unknown()), GIVE_UP_MILLIS);
     }
 
-    private void askAll(StreamId stream) {
-        if (searches.containsKey(stream)) {
-            peers.present().forEach(peer -> peers.send(peer, StreamMessage.asking(stream)));
+    private void askAll(StreamId stream, Search search) {
+        if (searches.get(stream) != search) {
+            return;
         }
+        Set<String> present = peers.present();
+        present.forEach(peer -> peers.send(peer, StreamMessage.asking(stream)));
+        search.waiting.stream()
+                .map(Waiting::service)
+                .distinct()
+                .filter(service -> !search.serverListRead && !mixed(service))
+                .forEach(service ->
+                        present.forEach(peer -> peers.send(peer, VersionsMessage.question(stream, service))));
     }
 
     private void end(StreamId stream, OriginMatch match) {
-        List<Search> waiting = searches.remove(stream);
-        if (waiting != null) {
-            waiting.forEach(search -> search.onResult().accept(match));
+        Search search = searches.remove(stream);
+        if (search != null) {
+            search.waiting.forEach(waiting -> waiting.onResult().accept(match));
         }
     }
 
-    /** Ends the searches that were waiting for the history of software versions, which this gateway now has. */
-    void historyReceived() {
-        for (StreamId stream : List.copyOf(searches.keySet())) {
-            if (searches.get(stream).stream().noneMatch(search -> mayBeMixed(search.route()))) {
-                end(stream, new OriginMatch.Unknown());
-            }
+    /** Ends a search without an answer: the stream is of the only version, or unknown. */
+    private void giveUp(StreamId stream, Search search) {
+        if (searches.remove(stream, search)) {
+            search.waiting.forEach(waiting -> waiting.onResult().accept(onlyVersion(search, waiting)));
         }
     }
 
-    private boolean mayBeMixed(Route route) {
-        return route.isSplit()
-                || route.weightedServices().stream()
-                        .anyMatch(service -> softwareVersions(service.service()).size() != 1);
+    /** Ends a search if a single version can have begun the stream; on a split route, peers may know its service. */
+    private void endIfOnlyVersion(StreamId stream, Search search) {
+        if (search.waiting.stream()
+                .allMatch(waiting ->
+                        !waiting.route().isSplit() && onlyVersion(search, waiting) instanceof OriginMatch.Found)) {
+            giveUp(stream, search);
+        }
+    }
+
+    /** Ends the searches that were waiting for the history of software versions, which this gateway now has. */
+    void historyReceived() {
+        Map.copyOf(searches).forEach(this::endIfOnlyVersion);
     }
 
     // ---- messages of peers
@@ -280,6 +344,26 @@
         return known.isEmpty() ? Optional.empty() : Optional.of(StreamMessage.telling(known));
     }
 
+    /** Handles a peer's message; returns the answer if the peer asks and this gateway knows all versions. */
+    Optional<VersionsMessage> receive(String peerAddress, VersionsMessage message) {
+        return switch (message.kind()) {
+            case QUESTION ->
+                gateway.directory().versionHistory().complete(gateway.nowMillis())
+                        ? Optional.of(message.answer(softwareVersions(message.service())))
+                        : Optional.empty();
+            case ANSWER -> {
+                Search search = searches.get(message.stream());
+                if (search != null) {
+                    search.versionsByPeer
+                            .computeIfAbsent(message.service(), service -> new HashMap<>())
+                            .put(peerAddress, message.versions());
+                    endIfOnlyVersion(message.stream(), search);
+                }
+                yield Optional.empty();
+            }
+        };
+    }
+
     /** Does periodic work: reports open streams that must be known elsewhere, and removes those that nobody resumes. */
     void sweep() {
         checkServerList();
--- a/gateway/src/test/java/org/tanagerhinge/gateway/StreamTrackerTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/StreamTrackerTest.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -14,6 +15,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -36,6 +38,7 @@
 
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final FakePeers peers = new FakePeers();
+    private final FakeStore store = new FakeStore();
     private final Gateway gateway = Gateway.create(
             loop,
             null,
@@ -46,6 +49,7 @@
     /** Peers that record messages and answer what a test sets. */
     private static final class FakePeers implements StreamTracker.Peers {
         private final Map<String, List<StreamMessage>> sent = new TreeMap<>();
+        private final List<VersionsMessage> questions = new CopyOnWriteArrayList<>();
         private Set<String> present = Set.of("g-1", "g-2", "g-3", "g-4", "g-5");
         private boolean serverListCurrent = true;
 
@@ -64,6 +68,11 @@
             sent.computeIfAbsent(peer, name -> new ArrayList<>()).add(message);
         }
 
+        @Override
+        public void send(String peer, VersionsMessage message) {
+            questions.add(message);
+        }
+
         private long told() {
             return sent.values().stream()
                     .flatMap(List::stream)
@@ -81,6 +90,16 @@
                 id, 0, version, "model", new InetSocketAddress("127.0.0.1", 1), "north", 8, false);
     }
 
+    /** A store that answers when a test says so. */
+    private static final class FakeStore implements StreamTracker.ServerListReader {
+        private final List<Runnable> reads = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void read(Runnable onRead) {
+            reads.add(onRead);
+        }
+    }
+
     /** Runs a step on the event loop. */
     private void run(Runnable step) {
         loop.next().submit(step).syncUninterruptibly();
@@ -89,15 +108,28 @@
     private void serve(ServerRegistration... servers) {
         run(() -> {
             gateway.streams().connect(peers);
+            gateway.streams().connect(store);
             gateway.apply(List.of(servers), gateway.nowMillis(), StorePosition.NONE);
             gateway.softwareVersionHistory(List.of());
         });
     }
 
     private OriginMatch find(Route route) throws Exception {
+        return startToFind(route).get(30, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<OriginMatch> startToFind(Route route) {
         CompletableFuture<OriginMatch> result = new CompletableFuture<>();
         run(() -> gateway.streams().find(Optional.of(STREAM), route, 0, result::complete));
-        return result.get(30, TimeUnit.SECONDS);
+        return result;
+    }
+
+    /** Has peers answer which versions they know. */
+    private void answer(Set<String> versions, String... addresses) {
+        VersionsMessage question = VersionsMessage.question(STREAM, "model");
+        for (String address : addresses) {
+            run(() -> gateway.streams().receive(address, question.answer(versions)));
+        }
     }
 
     @AfterEach
@@ -143,6 +175,74 @@
         assertEquals(new OriginMatch.Unknown(), find(ROUTE));
     }
 
+    /** Covers a gateway that was suspended or cut off so shortly that its server list seems to be current. */
+    @Test
+    void unknownStreamIsUnknownIfNobodyConfirmsTheServerList() throws Exception {
+        serve(server("a", "v1"));
+        run(() -> gateway.fleetSize().listed(Set.of("10.0.0.1:1"), gateway.nowMillis()));
+        assertEquals(new OriginMatch.Unknown(), find(ROUTE));
+    }
+
+    @Test
+    void unknownStreamIsOfTheOnlyVersionIfAListReadMeanwhileShowsIt() throws Exception {
+        serve(server("a", "v1"));
+        CompletableFuture<OriginMatch> result = startToFind(ROUTE);
+        assertFalse(result.isDone());
+        run(store.reads.getFirst());
+        assertEquals(ORIGIN, origin(result.get(30, TimeUnit.SECONDS)));
+    }
+
+    @Test
+    void unknownStreamIsUnknownIfAListReadMeanwhileShowsAnotherVersion() throws Exception {
+        serve(server("a", "v1"));
+        CompletableFuture<OriginMatch> result = startToFind(ROUTE);
+        run(() -> {
+            gateway.apply(List.of(server("b", "v2")), gateway.nowMillis(), StorePosition.NONE);
+            store.reads.getFirst().run();
+        });
+        assertEquals(new OriginMatch.Unknown(), result.get(30, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void unknownStreamIsOfTheOnlyVersionIfAllPeersKnowNoOther() throws Exception {
+        serve(server("a", "v1"));
+        run(() -> gateway.fleetSize().listed(Set.of("10.0.0.1:1", "10.0.0.2:1"), gateway.nowMillis()));
+        CompletableFuture<OriginMatch> result = startToFind(ROUTE);
+        answer(Set.of("v1"), "10.0.0.1:1", "10.0.0.2:1");
+        assertEquals(ORIGIN, origin(result.get(30, TimeUnit.SECONDS)));
+        assertEquals(0, peers.told());
+    }
+
+    @Test
+    void unknownStreamIsUnknownIfAPeerDoesNotAnswer() throws Exception {
+        serve(server("a", "v1"));
+        run(() -> gateway.fleetSize().listed(Set.of("10.0.0.1:1", "10.0.0.2:1"), gateway.nowMillis()));
+        CompletableFuture<OriginMatch> result = startToFind(ROUTE);
+        answer(Set.of("v1"), "10.0.0.1:1");
+        assertEquals(new OriginMatch.Unknown(), result.get(30, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void unknownStreamIsUnknownIfAPeerKnowsAnotherVersion() throws Exception {
+        serve(server("a", "v1"));
+        run(() -> gateway.fleetSize().listed(Set.of("10.0.0.1:1", "10.0.0.2:1"), gateway.nowMillis()));
+        CompletableFuture<OriginMatch> result = startToFind(ROUTE);
+        answer(Set.of("v1"), "10.0.0.1:1");
+        answer(Set.of("v1", "v2"), "10.0.0.2:1");
+        assertEquals(new OriginMatch.Unknown(), result.get(30, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void peersAreAskedForTheVersionsThatTheyKnow() throws Exception {
+        serve(server("a", "v1"));
+        find(ROUTE);
+        VersionsMessage question = VersionsMessage.question(STREAM, "model");
+        assertTrue(peers.questions.contains(question));
+        CompletableFuture<Optional<VersionsMessage>> answer = new CompletableFuture<>();
+        run(() -> answer.complete(gateway.streams().receive("10.0.0.1:1", question)));
+        assertEquals(Optional.of(question.answer(Set.of("v1"))), answer.get());
+    }
+
     @Test
     void streamsAreReportedWhileTheServerListIsOutdated() {
         serve(server("a", "v1"));
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -13,10 +13,12 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
 import org.tanagerhinge.standin.relay.ServerStandin;
+import org.tanagerhinge.standin.relay.StoreStandin;
 
 /** Streams where servers of several software versions serve side by side: each holds events of one version only. */
 class SoftwareVersionsTest {
@@ -255,6 +257,23 @@
         }
     }
 
+    /** Guards against refused streams where a single software version serves, while the store doesn't answer. */
+    @ParameterizedTest
+    @EnumSource(
+            value = StoreStandin.FaultMode.class,
+            names = {"BUSY", "SILENT"})
+    void streamsContinueInAnOutageOfTheStoreWhereOneSoftwareVersionServes(StoreStandin.FaultMode fault)
+            throws IOException {
+        sound("e-1", "v1");
+        sound("e-2", "v1");
+        List<GatewayDaemon> gateways = gateways(3);
+        scene.store.faultMode(fault);
+        for (StreamCaller caller : begin(gateways.get(0))) {
+            assertContinues(caller, gateways.get(1));
+            caller.close();
+        }
+    }
+
     /** Guards against streams that began before a second software version appeared, and are not known afterwards. */
     @Test
     void callerResumesAStreamThatBeganBeforeTheSecondSoftwareVersionAppeared() throws IOException {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/StreamCaller.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/StreamCaller.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.bench.relay;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -34,9 +35,14 @@
 
     /** Sends the request for the stream, or for its rest if events were read, and returns the status. */
     int send(GatewayDaemon gateway) throws IOException {
+        return send(gateway.address());
+    }
+
+    /** Sends the request to the address of a gateway. */
+    int send(InetSocketAddress gateway) throws IOException {
         close();
         attempts++;
-        connection = RawCaller.to(gateway.address(), MAX_GAP_MILLIS);
+        connection = RawCaller.to(gateway, MAX_GAP_MILLIS);
         String id = attempts == 1 ? firstAttempt : firstAttempt + "-" + attempts;
         String resumption = lastEvent == 0
                 ? ""
