Soak of stops: ledger of answers and operator of a gateway in classes of their own

A soak with several gateways needs the same checks. The configuration may be written by several threads.

--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayStopSoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayStopSoakTest.java
@@ -5,18 +5,12 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Queue;
 import java.util.SplittableRandom;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -43,17 +37,8 @@
     private static final int LIVES = 3;
     private static final int CALLERS = 16;
     private static final String HOST = "shop.example";
-    /** Time from SIGTERM until the platform kills the process. */
-    private static final long GRACE_MILLIS = 8_000;
-    /** Requests that are sent later than this after SIGTERM have to be answered whatever time is left. */
-    private static final long LATEST_EXEMPT_SEND_MILLIS = 3_000;
-    /** From this time after SIGTERM on, an answer may be cut whose server is still at work. */
-    private static final long CUT_ALLOWED_MILLIS = GRACE_MILLIS * 5 / 6;
-    /** A connection may end without an answer until this long after the request's last byte was sent. */
-    private static final long CROSSING_MILLIS = 200;
-
-    /** Exit code if SIGHUP comes before the handlers are installed; the process then ends like after SIGTERM. */
-    private static final int HANGUP_BEFORE_HANDLERS = 129;
+    /** Time after its start or its readiness within which a gateway gets SIGTERM. */
+    private static final long MAX_UP_MILLIS = 1_500;
 
     private static final int MEGABYTE = 1 << 20;
     /** Size of the largest streams, which the slowest callers read well within the grace time. */
@@ -63,172 +48,38 @@
         return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS).boxed();
     }
 
-    private static long nowMillis() {
-        return System.nanoTime() / 1_000_000;
-    }
-
-    /** One life of the gateway. */
-    private static final class Life {
-        private final GatewayProcess process;
-        private volatile long termMillis = Long.MAX_VALUE;
-
-        private Life(GatewayProcess process) {
-            this.process = process;
-        }
-    }
-
-    /**
-     * A request that was sent.
-     *
-     * @param taken life of the gateway that accepted its connection
-     */
-    private record Sent(String id, String text, Life taken, long begunMillis, long sentMillis) {
-        /** Returns the timeout of the request's route. */
-        private long timeoutMillis() {
-            return text.startsWith("POST /stream/")
-                    ? GatewayFixture.STREAM_TIMEOUT_MILLIS
-                    : PlatformFixture.TIMEOUT_MILLIS;
-        }
-    }
-
-    /** The run of a request at a server. */
-    private static final class ServerRun {
-        private volatile long finishedMillis = Long.MAX_VALUE;
-    }
-
     private static final class Scene implements AutoCloseable {
         private final GatewayFixture fixture = GatewayFixture.open(HOST);
-        private final SplittableRandom random;
-        private final Path settings;
-        private final Path log;
-        private final GatewayFixture.Ports ports;
-        private final Map<String, ServerRun> runs = new ConcurrentHashMap<>();
-        private final Queue<String> violations = new ConcurrentLinkedQueue<>();
+        private final AnswerLedger ledger = new AnswerLedger();
+        private final PausingServer script = PausingServer.create();
+        private final GatewayOperator operator;
         private final AtomicInteger lastId = new AtomicInteger();
-        private final AtomicInteger whole = new AtomicInteger();
-        private final AtomicInteger exempt = new AtomicInteger();
-        private final AtomicInteger crossed = new AtomicInteger();
-        private volatile Life life;
         private volatile boolean done;
 
         private Scene(int seed, Path folder) throws IOException {
-            random = new SplittableRandom(seed);
-            settings = folder.resolve("gateway.ini");
-            log = Files.createFile(folder.resolve("gateway.log"));
             for (int i = 0; i < 3; i++) {
                 fixture.server("e-" + i, "model", this::answer);
                 fixture.server("p-" + i, "plain", this::answer);
             }
             fixture.publish();
-            ports = fixture.settings(settings, "gateway");
+            operator = GatewayOperator.of(fixture, "gateway", folder, new SplittableRandom(seed), ledger);
         }
 
         private void answer(ServerStandin server, RawServer.Request request, RawServer.Connection connection)
                 throws IOException, InterruptedException {
-            ServerRun run = new ServerRun();
-            runs.put(request.header(PlatformNames.ATTEMPT_ID), run);
-            int size = Integer.parseInt(request.parameter("size"));
-            Thread.sleep(Integer.parseInt(request.parameter("first")));
-            if (request.path().startsWith("/stream/")) {
-                ServerStandin.beginStream(server, request, connection);
-                int events = Integer.parseInt(request.parameter("pieces"));
-                for (int event = 1; event <= events; event++) {
-                    String text = "id: " + event + "\ndata: " + "x".repeat(size) + "\n\n";
-                    connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-                    Thread.sleep(Integer.parseInt(request.parameter("pause")));
-                }
-                connection.write("0\r\n\r\n");
-            } else {
-                connection.answer(200, server.headers(request), "x".repeat(size));
-            }
-            run.finishedMillis = nowMillis();
+            AnswerLedger.ServerRun run = ledger.begin(request.header(PlatformNames.ATTEMPT_ID));
+            script.answer(server, request, connection);
+            run.finish();
         }
 
-        /** Lets the gateway live and end several times, as the platform does. */
+        /** Lets the gateway live and end several times. */
         private void operate() throws IOException, InterruptedException {
             for (int i = 0; i < LIVES; i++) {
-                GatewayProcess process = GatewayProcess.start(settings, log);
-                Life current = new Life(process);
-                life = current;
-                long started = nowMillis();
-                List<Long> reloads = new ArrayList<>();
-                for (int reload = random.nextInt(3); reload > 0; reload--) {
-                    reloads.add(started + random.nextLong(6_000));
-                }
-                if (random.nextInt(3) > 0) {
-                    fixture.awaitReady(ports);
-                    started = nowMillis();
-                }
-                long term = started + random.nextLong(1_500);
-                long secondTerm = random.nextInt(3) == 0 ? term + random.nextLong(7_000) : Long.MAX_VALUE;
-                while (process.alive() && nowMillis() < term + GRACE_MILLIS) {
-                    long now = nowMillis();
-                    if (now >= term && current.termMillis == Long.MAX_VALUE) {
-                        current.termMillis = now;
-                        process.signal(GatewayProcess.Signal.TERM);
-                    }
-                    if (now >= secondTerm) {
-                        process.signal(GatewayProcess.Signal.TERM);
-                        secondTerm = Long.MAX_VALUE;
-                    }
-                    if (reloads.removeIf(time -> now >= time)) {
-                        reload(process);
-                    }
-                    Thread.sleep(2);
-                }
-                if (process.alive()) {
-                    violations.add("life " + i + ": the process was killed at the end of the grace time");
-                    process.kill();
-                    process.awaitEnd(GRACE_MILLIS);
-                } else if (current.termMillis == Long.MAX_VALUE && process.exitCode() != HANGUP_BEFORE_HANDLERS) {
-                    violations.add("life " + i + ": the process ended by itself with code " + process.exitCode());
-                }
+                operator.live(MAX_UP_MILLIS);
             }
             done = true;
         }
 
-        /** Changes the settings or the configuration, with or without a signal. */
-        private void reload(GatewayProcess process) throws IOException {
-            if (random.nextBoolean()) {
-                String changed = Files.readString(settings).replaceFirst("retry_slack = .*", "retry_slack = 51");
-                Files.writeString(settings, changed);
-            }
-            if (random.nextBoolean()) {
-                fixture.publish();
-            }
-            process.signal(GatewayProcess.Signal.HUP);
-        }
-
-        private void judge(Sent sent, boolean read, String how) {
-            long endMillis = nowMillis();
-            if (read) {
-                whole.incrementAndGet();
-                return;
-            }
-            ServerRun run = runs.get(sent.id());
-            long termMillis = sent.taken().termMillis;
-            long sinceTerm = endMillis - termMillis;
-            if (run == null && endMillis - sent.sentMillis() <= CROSSING_MILLIS) {
-                crossed.incrementAndGet();
-                return;
-            }
-            boolean atWork = run != null
-                    && run.finishedMillis >= termMillis + CUT_ALLOWED_MILLIS
-                    && sinceTerm >= CUT_ALLOWED_MILLIS
-                    && sent.sentMillis() - termMillis <= LATEST_EXEMPT_SEND_MILLIS;
-            if (atWork || endMillis - sent.begunMillis() >= sent.timeoutMillis()) {
-                exempt.incrementAndGet();
-                return;
-            }
-            violations.add(sent.text().lines().findFirst().orElse("") + ": " + how
-                    + (run == null ? ", not passed on" : ", passed on")
-                    + (run != null && run.finishedMillis <= endMillis
-                            ? ", server finished " + (endMillis - run.finishedMillis) + " ms before"
-                            : "")
-                    + ", sent " + (sent.sentMillis() - termMillis) + " ms, ended " + sinceTerm + " ms after SIGTERM, "
-                    + (endMillis - sent.taken().process.startedNanos() / 1_000_000) + " ms after the start");
-        }
-
         @Override
         public void close() {
             fixture.close();
@@ -279,8 +130,8 @@
                 }
                 socket.setTcpNoDelay(true);
                 socket.setSoTimeout(30_000);
-                Life taken = scene.life;
-                socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), scene.ports.listenPort()));
+                GatewayLife taken = scene.operator.life();
+                socket.connect(scene.operator.address());
                 RawCaller caller = RawCaller.of(socket, input(socket, reading));
                 boolean kept = true;
                 while (kept && !scene.done) {
@@ -344,9 +195,10 @@
         }
 
         /** Returns whether the connection stays open. */
-        private boolean exchange(RawCaller caller, Life taken, boolean inParts, Reading reading) throws IOException {
+        private boolean exchange(RawCaller caller, GatewayLife taken, boolean inParts, Reading reading)
+                throws IOException {
             Request request = request(reading);
-            long begunMillis = nowMillis();
+            long begunMillis = AnswerLedger.nowMillis();
             try {
                 if (inParts) {
                     int cut = random.nextInt(1, request.text().length());
@@ -359,30 +211,37 @@
             } catch (IOException e) {
                 return false;
             }
-            return read(caller, new Sent(request.id(), request.text(), taken, begunMillis, nowMillis()));
+            return read(caller, sent(request, taken, begunMillis, AnswerLedger.nowMillis()));
         }
 
-        private boolean pipeline(RawCaller caller, Life taken) {
+        private boolean pipeline(RawCaller caller, GatewayLife taken) {
             Request first = request(Reading.AT_ONCE);
             Request second = request(Reading.AT_ONCE);
-            long begunMillis = nowMillis();
+            long begunMillis = AnswerLedger.nowMillis();
             try {
                 caller.send(first.text() + second.text());
             } catch (IOException e) {
                 return false;
             }
-            long sentMillis = nowMillis();
-            return read(caller, new Sent(first.id(), first.text(), taken, begunMillis, sentMillis))
-                    && read(caller, new Sent(second.id(), second.text(), taken, begunMillis, sentMillis));
+            long sentMillis = AnswerLedger.nowMillis();
+            return read(caller, sent(first, taken, begunMillis, sentMillis))
+                    && read(caller, sent(second, taken, begunMillis, sentMillis));
+        }
+
+        private static AnswerLedger.Sent sent(Request request, GatewayLife taken, long begunMillis, long sentMillis) {
+            int timeoutMillis = request.text().startsWith("POST /stream/")
+                    ? GatewayFixture.STREAM_TIMEOUT_MILLIS
+                    : PlatformFixture.TIMEOUT_MILLIS;
+            return new AnswerLedger.Sent(request.id(), request.text(), taken, begunMillis, sentMillis, timeoutMillis);
         }
 
-        private boolean read(RawCaller caller, Sent sent) {
+        private boolean read(RawCaller caller, AnswerLedger.Sent sent) {
             try {
                 RawCaller.Answer answer = caller.readWithoutBody();
-                scene.judge(sent, answer.whole(), "cut with status " + answer.status());
+                scene.ledger.judge(sent, answer.whole(), "cut with status " + answer.status());
                 return answer.whole() && !answer.header("connection").equals("close");
             } catch (IOException e) {
-                scene.judge(sent, false, "no answer (" + e.getMessage() + ")");
+                scene.ledger.judge(sent, false, "no answer (" + e.getMessage() + ")");
                 return false;
             }
         }
@@ -397,11 +256,11 @@
                 try {
                     scene.operate();
                 } catch (IOException | InterruptedException e) {
-                    scene.violations.add("could not run: " + e);
+                    scene.ledger.violation("could not run: " + e);
                     scene.done = true;
                 }
             });
-            RelayScene.await(() -> scene.life != null || scene.done);
+            RelayScene.await(() -> scene.operator.life() != null || scene.done);
             for (int i = 0; i < CALLERS; i++) {
                 callers.add(Thread.ofVirtual().start(new Caller(scene, new SplittableRandom(seed * 1_000L + i))));
             }
@@ -409,15 +268,14 @@
             for (Thread caller : callers) {
                 caller.join();
             }
-            System.out.println("seed " + seed + ": " + scene.whole + " whole, " + scene.exempt + " exempt, "
-                    + scene.crossed + " crossed a close, " + scene.violations.size() + " violations");
-            if (!scene.violations.isEmpty() && System.getProperty("stops.logs") != null) {
-                Files.copy(scene.log, Path.of(System.getProperty("stops.logs"), "stops-" + seed + ".log"));
+            System.out.println("seed " + seed + ": " + scene.ledger.summary());
+            if (!scene.ledger.violations().isEmpty() && System.getProperty("stops.logs") != null) {
+                Files.copy(scene.operator.log(), Path.of(System.getProperty("stops.logs"), "stops-" + seed + ".log"));
             }
             assertTrue(
-                    scene.violations.isEmpty(),
-                    () -> "seed " + seed + ", " + scene.violations.size() + " violations:\n"
-                            + String.join("\n", scene.violations));
+                    scene.ledger.violations().isEmpty(),
+                    () -> "seed " + seed + ", " + scene.ledger.violations().size() + " violations:\n"
+                            + String.join("\n", scene.ledger.violations()));
         }
     }
 }
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
@@ -58,6 +58,11 @@
         platform.register(server, service, "ready");
     }
 
+    /** Adds a route for streams that must not be resumed. */
+    public void streamRoute(String prefix, String service) {
+        platform.route(prefix, "streaming", service).put(PlatformNames.TIMEOUT_MILLIS, STREAM_TIMEOUT_MILLIS);
+    }
+
     /** Returns whether a server has received a request whose id starts with a text. */
     public boolean received(String id) {
         return servers.stream()
@@ -66,7 +71,7 @@
     }
 
     /** Writes the configuration as a new version. */
-    public void publish() {
+    public synchronized void publish() {
         platform.publish();
     }
 
