Tests send SIGTERM themselves, without a process of its own

The grace time was counted from before a "kill" process was started. The checks and their bounds are unchanged.

--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayProcess.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayProcess.java
@@ -77,6 +77,11 @@
 
     /** Sends a signal; does nothing if the process has ended. */
     void signal(Signal signal) {
+        if (signal == Signal.TERM) {
+            // Sent by this process itself, so that the grace time doesn't begin before the signal.
+            process.toHandle().destroy();
+            return;
+        }
         try {
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
                     .redirectErrorStream(true)
