--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerLedger.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerLedger.java
@@ -20,7 +20,8 @@
     private final Map<String, List<ServerRun>> runs = new ConcurrentHashMap<>();
     private final Queue<String> violations = new ConcurrentLinkedQueue<>();
     private final AtomicInteger whole = new AtomicInteger();
-    private final AtomicInteger exempt = new AtomicInteger();
+    private final AtomicInteger atWorkAtEnd = new AtomicInteger();
+    private final AtomicInteger timedOut = new AtomicInteger();
     private final AtomicInteger crossed = new AtomicInteger();
 
     /**
@@ -80,8 +81,8 @@
 
     /** Returns the counts and the number of violations. */
     String summary() {
-        return whole + " whole, " + exempt + " exempt, " + crossed + " crossed a close, " + violations.size()
-                + " violations";
+        return whole + " whole, " + atWorkAtEnd + " at work at the end of the grace time, " + timedOut + " timed out, "
+                + crossed + " crossed a close, " + violations.size() + " violations";
     }
 
     /** Records how a request ended now; it is a violation if its answer was not read though it had to come. */
@@ -106,8 +107,12 @@
                 && finishedMillis >= termMillis + CUT_ALLOWED_MILLIS
                 && sinceTerm >= CUT_ALLOWED_MILLIS
                 && sent.sentMillis() - termMillis <= LATEST_EXEMPT_SEND_MILLIS;
-        if (atWork || endMillis - sent.begunMillis() >= sent.timeoutMillis()) {
-            exempt.incrementAndGet();
+        if (endMillis - sent.begunMillis() >= sent.timeoutMillis()) {
+            timedOut.incrementAndGet();
+            return;
+        }
+        if (atWork) {
+            atWorkAtEnd.incrementAndGet();
             return;
         }
         violations.add(sent.line() + ": " + how
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayFleetStopSoakTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayFleetStopSoakTest.java
@@ -194,7 +194,7 @@
             }
             StreamEvents read = StreamEvents.of(answer.body());
             moves.addAndGet(read.moves());
-            if (!read.inOrder() || read.count() > events || answer.whole() && read.count() < events) {
+            if (!read.inOrder() || read.count() > events || (answer.whole() && read.count() < events)) {
                 ledger.violation(sent.line() + ": events " + read.numbers());
             }
             if (kind == Kind.SINGLE_STREAM && read.moves() > 0) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayLife.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayLife.java
@@ -7,6 +7,7 @@
 
     private final GatewayProcess process;
     private volatile long termMillis = Long.MAX_VALUE;
+    private volatile long termEpochMillis;
 
     private GatewayLife(GatewayProcess process) {
         this.process = process;
@@ -19,6 +20,7 @@
     /** Sends the first SIGTERM at a time in steady milliseconds, which is now. */
     void terminate(long nowMillis) {
         termMillis = nowMillis;
+        termEpochMillis = System.currentTimeMillis();
         process.signal(GatewayProcess.Signal.TERM);
     }
 
@@ -32,6 +34,11 @@
         return termMillis;
     }
 
+    /** Returns the time of the first SIGTERM by the clock of the logs; 0 if there was none. */
+    long termEpochMillis() {
+        return termEpochMillis;
+    }
+
     /** Returns the steady time of the start. */
     long startedMillis() {
         return process.startedNanos() / 1_000_000;
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayOperator.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayOperator.java
@@ -90,7 +90,8 @@
             Thread.sleep(2);
         }
         if (process.alive()) {
-            ledger.violation(name + ", life " + lives + ": the process was killed at the end of the grace time");
+            ledger.violation(name + ", life " + lives
+                    + ": the process was killed at the end of the grace time, SIGTERM at " + current.termEpochMillis());
             process.kill();
             process.awaitEnd(GatewayLife.GRACE_MILLIS);
         } else if (!current.terminated() && process.exitCode() != HANGUP_BEFORE_HANDLERS) {
