--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -475,7 +475,7 @@
         boolean permitted = exchange.stalledAttempt().isEmpty()
                 && resumable(exchange)
                 && exchange.history()
-                        .couldRetryAfterRun(exchange.timeLeft(now()).toMillis())
+                        .couldRetryAfterRuns(1, exchange.timeLeft(now()).toMillis())
                 && quarantinedFor(exchange.request(), exchange.workspace()).isEmpty()
                 && retryBudget.allows(exchange.profile().name().value(), now().toEpochMilli());
         if (!permitted) {
