A line tells that a stop has ended its wait, before connections are closed

A process that was killed while it closed its connections left no line after stopping, as one that drained leaves none at WARN: the operators' record can't tell the two apart.

--- a/node/src/main/java/org/tanagerhinge/node/daemon/GracefulStop.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/GracefulStop.java
@@ -3,6 +3,9 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import org.tanagerhinge.node.log.LogEvent;
+import org.tanagerhinge.node.log.LogField;
+import org.tanagerhinge.node.log.LogLine;
 
 /** Stops a daemon: lets it finish what is in flight, up to its stop timeout, and closes it. */
 public final class GracefulStop {
@@ -34,6 +37,9 @@
             Thread.currentThread().interrupt();
         }
         boolean drained = isDrained(daemon);
+        LogLine.of(LogEvent.CLOSING, !drained)
+                .with(LogField.MS, (System.nanoTime() - requestedNanos) / 1_000_000)
+                .write();
         daemon.close();
         return drained;
     }
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -55,6 +55,7 @@
 
     STARTED(Subject.PROCESS),
     STOPPING(Subject.PROCESS),
+    CLOSING(Subject.PROCESS),
     STOPPED(Subject.PROCESS),
     SETTINGS_READ(Subject.PROCESS),
     SETTINGS_REFUSED(Subject.PROCESS),
