--- a/harness/src/test/java/org/tanagerhinge/bench/relay/OddEntriesTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/OddEntriesTest.java
@@ -74,11 +74,11 @@
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("service", "\"plain\"");
         fields.put("address", "\"" + address + "\"");
-        fields.put("zone", "\"north\"");
+        fields.put(PlatformNames.ZONE, "\"north\"");
         fields.put("slots", "8");
         fields.put("state", "\"ready\"");
         fields.put("version", "\"v1\"");
-        fields.put("born", "1764717600123");
+        fields.put(PlatformNames.BORN, "1764717600123");
         return fields;
     }
 
@@ -176,7 +176,7 @@
 
     /** Guards against an entry that takes the place of a server under whose key it is not. */
     @ParameterizedTest
-    @ValueSource(strings = {"servers/", "servers/zz/s-1", "servers//s-1"})
+    @ValueSource(strings = {PlatformNames.SERVERS_PREFIX, "servers/zz/s-1", "servers//s-1"})
     void entryUnderAnotherKeyCostsNoRequest(String key) throws IOException {
         assertCostsNoRequest(key, "127.0.0.1:" + closedPort());
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoftwareVersionsTest.java
@@ -270,7 +270,9 @@
         ServerStandin first = sound("e-1", "v1");
         scene.stop(scene.gateway());
         scene.store.alterResponses(
-                body -> body.contains("\"servers/") || body.contains(PlatformNames.TTL_MILLIS) ? "{" : body);
+                body -> body.contains('"' + PlatformNames.SERVERS_PREFIX) || body.contains(PlatformNames.TTL_MILLIS)
+                        ? "{"
+                        : body);
         GatewayDaemon late = scene.start("late", scene.store.sideAddress());
         int listings = scene.store.calls(PlatformNames.RANGE_PATH);
         RelayScene.await(() -> scene.store.calls(PlatformNames.RANGE_PATH) > listings + 5);
--- a/harness/src/test/java/org/tanagerhinge/platform/OddDocumentsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/platform/OddDocumentsTest.java
@@ -26,11 +26,11 @@
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("service", "\"plain\"");
         fields.put("address", "\"127.0.0.1:80\"");
-        fields.put("zone", "\"north\"");
+        fields.put(PlatformNames.ZONE, "\"north\"");
         fields.put("version", "\"v1\"");
         fields.put("slots", "8");
         fields.put("state", "\"ready\"");
-        fields.put("born", "1764717600123");
+        fields.put(PlatformNames.BORN, "1764717600123");
         return fields;
     }
 
@@ -61,15 +61,16 @@
     private static Map<String, String> route() {
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("name", "\"a\"");
-        fields.put("hostname", "\"h\"");
+        fields.put(PlatformNames.HOSTNAME, "\"h\"");
         fields.put("prefix", "\"/a/\"");
-        fields.put("routeType", "\"safe\"");
-        fields.put("timeoutMs", "5000");
-        fields.put("targetLatencyMs", "600");
-        fields.put("targetGapMs", "250");
+        fields.put(PlatformNames.ROUTE_TYPE, "\"safe\"");
+        fields.put(PlatformNames.TIMEOUT_MILLIS, "5000");
+        fields.put(PlatformNames.TARGET_LATENCY_MILLIS, "600");
+        fields.put(PlatformNames.TARGET_GAP_MILLIS, "250");
         fields.put("priority", "1");
-        fields.put("maxAttempts", "2");
-        fields.put("trafficSplit", "[{\"service\":\"x\",\"weight\":90},{\"service\":\"y\",\"weight\":10}]");
+        fields.put(PlatformNames.MAX_ATTEMPTS, "2");
+        fields.put(
+                PlatformNames.TRAFFIC_SPLIT, "[{\"service\":\"x\",\"weight\":90},{\"service\":\"y\",\"weight\":10}]");
         return fields;
     }
 
@@ -98,10 +99,10 @@
     private static Map<String, String> config() {
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("version", "3");
-        fields.put("routes", "[{\"hostname\":\"h\",\"prefix\":\"/b/\",\"service\":\"z\"}]");
+        fields.put(PlatformNames.ROUTES, "[{\"hostname\":\"h\",\"prefix\":\"/b/\",\"service\":\"z\"}]");
         fields.put("services", "[{\"name\":\"z\",\"maxConnections\":610,\"engine\":{\"slots\":128}}]");
         fields.put("limits", "{\"maxBodyBytes\":1000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}");
-        fields.put("tenants", "[{\"name\":\"coop\",\"apiKeys\":[\"k1\"],\"priority\":3}]");
+        fields.put(PlatformNames.TENANTS, "[{\"name\":\"coop\",\"apiKeys\":[\"k1\"],\"priority\":3}]");
         return fields;
     }
 
@@ -118,10 +119,10 @@
 
     private static Map<String, String> limits() {
         Map<String, String> fields = new LinkedHashMap<>();
-        fields.put("maxHeaderBytes", "16384");
-        fields.put("maxBodyBytes", "1000");
-        fields.put("headerTimeoutMs", "3000");
-        fields.put("idleTimeoutMs", "15000");
+        fields.put(PlatformNames.MAX_HEADER_BYTES, "16384");
+        fields.put(PlatformNames.MAX_BODY_BYTES, "1000");
+        fields.put(PlatformNames.HEADER_TIMEOUT_MILLIS, "3000");
+        fields.put(PlatformNames.IDLE_TIMEOUT_MILLIS, "15000");
         return fields;
     }
 
