Gateways choose untried servers, and cancel attempts, in one place each

The filter of servers that have not been tried and accept requests stood in two queries, and the end of a cancelled attempt in the cancellation of one hedge and of all attempts. No change of behaviour: RelayPathTest 30 of 30, SilentServersTest 8 of 8, GatewayStopTest 16 of 16.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ConnectionShedding.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ConnectionShedding.java
@@ -9,8 +9,8 @@
  * <p>A load balancer may send most new connections to one node. If that node read all their requests, it would serve
  * none of them in time. A caller whose connection is closed unread reaches another node at once.
  *
- * <p>The share that is closed follows the delay of the node's event loop once that lasts. Without the comparison with other nodes, nodes
- * that are all overloaded would pass their callers to and fro.
+ * <p>The share that is closed follows the delay of the node's event loop once that lasts. Without the comparison with
+ * other nodes, nodes that are all overloaded would pass their callers to and fro.
  */
 public final class ConnectionShedding {
     /** Multiple of the other nodes' mean rate of new connections from which on a node may close some. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -504,20 +504,24 @@
 
     /** Returns whether there is a server that {@link #candidates} may return. */
     boolean hasUntriedServer(String service, Optional<String> softwareVersion, Set<String> triedServers) {
-        long nowMillis = nowMillis();
-        return available(service, softwareVersion)
-                .anyMatch(server -> !triedServers.contains(server.id())
-                        && serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis));
+        return untried(service, softwareVersion, triedServers, nowMillis())
+                .findAny()
+                .isPresent();
     }
 
     /** Returns those servers of {@link #candidates} that show no sign of failure: for requests that run elsewhere too. */
     List<ServerInstance> healthyCandidates(
             String service, Optional<String> softwareVersion, Set<String> triedServers, long nowMillis) {
+        return untried(service, softwareVersion, triedServers, nowMillis)
+                .filter(server -> healthy(server, nowMillis))
+                .toList();
+    }
+
+    private Stream<ServerInstance> untried(
+            String service, Optional<String> softwareVersion, Set<String> triedServers, long nowMillis) {
         return available(service, softwareVersion)
                 .filter(server -> !triedServers.contains(server.id())
-                        && serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis)
-                        && healthy(server, nowMillis))
-                .toList();
+                        && serverAnnouncements.acceptsRequests(server.instanceId(), nowMillis));
     }
 
     private boolean healthy(ServerInstance server, long nowMillis) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -321,11 +321,8 @@
 
     private void cancelBeside(RelayAttempt answering, RelayAttempt other) {
         long silenceMillis = other.silenceMillis();
-        other.cancel();
+        cancel(other);
         history.recordEnd(other.sent());
-        if (other.sent()) {
-            runEnded(other, false);
-        }
         if (other.number() < answering.number()) {
             gateway.attemptFailed(other.server(), AttemptFailure.SILENT);
             telemetry.replaced(other, silenceMillis, progress);
@@ -651,16 +648,18 @@
     }
 
     private void cancelAttempts() {
-        for (RelayAttempt inProgress : attempts()) {
-            inProgress.cancel();
-            if (inProgress.sent()) {
-                runEnded(inProgress, false);
-            }
-        }
+        attempts().forEach(this::cancel);
         attempt = null;
         hedges.clear();
     }
 
+    private void cancel(RelayAttempt inProgress) {
+        inProgress.cancel();
+        if (inProgress.sent()) {
+            runEnded(inProgress, false);
+        }
+    }
+
     private List<RelayAttempt> attempts() {
         return Stream.concat(Stream.ofNullable(attempt), hedges.stream()).toList();
     }
