--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayOutOfStepTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayOutOfStepTest.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumSet;
@@ -27,7 +26,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
-import org.tanagerhinge.standin.FreePorts;
+import org.tanagerhinge.standin.relay.GatewayFixture;
 import org.tanagerhinge.standin.relay.ServerStandin;
 import org.tanagerhinge.standin.relay.StoreStandin;
 
@@ -247,36 +246,10 @@
     private record Suspendable(GatewayProcess process, InetSocketAddress address) {}
 
     private Suspendable startProcess(String name, Path folder) throws IOException {
-        int port = FreePorts.next();
         Path settings = folder.resolve("gateway.ini");
-        Files.writeString(settings, """
-                [gateway]
-                name = %s
-                failure_domain = north
-                listen = 127.0.0.1:%d
-                status = 127.0.0.1:%d
-                peers = 127.0.0.1:%d
-                [platform]
-                store = 127.0.0.1:%d
-                [bounds]
-                stop_timeout = 8s
-                retry_ratio = 0.2
-                retry_slack = 50
-                retry_window = 10s
-                [duties]
-                address = 127.0.0.1:%d
-                lease = 1s
-                usage_window = 1s
-                usage_late = 6s
-                """.formatted(
-                        name,
-                        port,
-                        FreePorts.next(),
-                        FreePorts.next(),
-                        scene.store.address().getPort(),
-                        scene.duties.address().getPort()));
+        GatewayFixture.Ports ports = GatewayFixture.writeSettings(settings, name, scene.store, scene.duties);
         GatewayProcess process = GatewayProcess.start(settings, folder.resolve("gateway.log"));
-        return new Suspendable(process, new InetSocketAddress("127.0.0.1", port));
+        return new Suspendable(process, new InetSocketAddress("127.0.0.1", ports.listenPort()));
     }
 
     /** Lets a release happen while a gateway is suspended, and resumes its streams there as it goes on. */
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/OutdatedServerListTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/OutdatedServerListTest.java
@@ -32,11 +32,7 @@
 
     @BeforeEach
     void setUp() {
-        scene = new RelayScene();
-        scene.platform.service("plain", 0);
-        scene.platform.route("/safe/", "safe", "plain");
-        scene.platform.workspace("coop", "key-1");
-        scene.platform.publish();
+        scene = RelayScene.withPlainService();
     }
 
     @AfterEach
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayPathTest.java
@@ -186,6 +186,16 @@
         never.countDown();
     }
 
+    /** Returns the body of the answer to a safe request that may be sent to each of three servers. */
+    private String askWithThreeAttempts(ServerStandin.ResponseScript script) throws IOException {
+        scene.platform.route("/safe/", "safe", "plain").put(PlatformNames.MAX_ATTEMPTS, 3);
+        scene.platform.publish();
+        scene.server("s-1", "plain", script);
+        scene.server("s-2", "plain", script);
+        scene.server("s-3", "plain", script);
+        return ask(scene.gateway(), "GET", "/safe/x", "", "").body();
+    }
+
     /** Guards against waiting for a server that hangs when the first server asked in its place refuses or fails. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -205,13 +215,7 @@
                 default -> connection.answer(200, server.headers(request), "third");
             }
         };
-        scene.platform.route("/safe/", "safe", "plain").put(PlatformNames.MAX_ATTEMPTS, 3);
-        scene.platform.publish();
-        scene.server("s-1", "plain", script);
-        scene.server("s-2", "plain", script);
-        scene.server("s-3", "plain", script);
-        GatewayDaemon gateway = scene.gateway();
-        assertEquals("third", ask(gateway, "GET", "/safe/x", "", "").body());
+        assertEquals("third", askWithThreeAttempts(script));
         never.countDown();
     }
 
@@ -226,13 +230,7 @@
             }
             connection.answer(200, server.headers(request), "third");
         };
-        scene.platform.route("/safe/", "safe", "plain").put(PlatformNames.MAX_ATTEMPTS, 3);
-        scene.platform.publish();
-        scene.server("s-1", "plain", script);
-        scene.server("s-2", "plain", script);
-        scene.server("s-3", "plain", script);
-        GatewayDaemon gateway = scene.gateway();
-        assertEquals("third", ask(gateway, "GET", "/safe/x", "", "").body());
+        assertEquals("third", askWithThreeAttempts(script));
         never.countDown();
     }
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -40,6 +40,16 @@
     /** Whether a gateway has ended, so that those started later aren't part of the fleet's first start. */
     private boolean anyStopped;
 
+    /** Returns a scene with the service {@code plain} behind {@code /safe/}. */
+    static RelayScene withPlainService() {
+        RelayScene scene = new RelayScene();
+        scene.platform.service("plain", 0);
+        scene.platform.route("/safe/", "safe", "plain");
+        scene.platform.workspace("coop", "key-1");
+        scene.platform.publish();
+        return scene;
+    }
+
     /** Starts a server and registers it. */
     ServerStandin server(String id, String service, ServerStandin.ResponseScript script) {
         return server(id, service, "", script);
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
@@ -90,6 +90,12 @@
 
     /** Writes the settings file of a gateway with free ports, and returns these. */
     public Ports settings(Path file, String name) throws IOException {
+        return writeSettings(file, name, store, duties);
+    }
+
+    /** Writes the settings file of a gateway with free ports at a store and a place for duties, and returns its ports. */
+    public static Ports writeSettings(Path file, String name, StoreStandin store, DutyStandin duties)
+            throws IOException {
         Ports ports = new Ports(FreePorts.next(), FreePorts.next());
         Files.writeString(file, """
                 [gateway]
