An answer without a length is cut if its connection ends before the request is written

Cause: the kernel reports a reset once, to a read or to a write. Here a write met it. Netty then closes the channel without an exception in the pipeline, the decoder emits the last content of a response without a length as at an orderly end, and BackendConnection only asked whether the server accepts connections, which it does.

Why it works: once the request is written completely no write can meet a reset, so the end of the input that a read sees is the server's own. Whatever ends before counts as cut. ResponseFraming states for each way in which the end of a response is marked when it is whole. Responses without a body by rule (204, 304, HEAD) don't count as unframed any more.

What it costs: a server that answers without a length and closes in order before it has read the request is taken for cut; with bytes unread the kernel sends a reset anyway.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -67,7 +66,7 @@
     private boolean skipping;
     private boolean broken;
     private boolean closeAfter;
-    private boolean unframed;
+    private ResponseFraming framing = ResponseFraming.NO_BODY;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
     private long bytesBeforeResponse;
@@ -192,6 +191,7 @@
         }
         skipping = false;
         responding = true;
+        framing = ResponseFraming.of(response, decoder.isContentAlwaysEmpty(response));
         readKeepAlive(response);
         activeListener.responseHead(response, metadata);
     }
@@ -214,22 +214,23 @@
             activeListener.responseBody(bytes);
         }
         if (last && activeListener != null) {
-            if (unframed && !channel.isActive()) {
-                finishUnframed();
+            if (framing == ResponseFraming.CONNECTION_END) {
+                connectionEnded();
             } else {
                 finish();
             }
         }
     }
 
-    /**
-     * Finishes a response that has ended with its connection. A crashing server closes its connections in the same way,
-     * so the response counts as complete only if the server doesn't refuse another connection, also if it is leaving:
-     * it serves on after its last response.
-     */
-    private void finishUnframed() {
+    /** Finishes a response that has ended with its connection, if it is whole. */
+    private void connectionEnded() {
+        if (!written.isSuccess()) {
+            fail(AttemptFailure.BROKEN, "connection ended before the request was written");
+            return;
+        }
         AttemptListener listener = activeListener;
         activeListener = null;
+        cancelDiscardTimer();
         pool.checkNotCrashed(server, running -> {
             if (running) {
                 listener.responseCompleted();
@@ -242,10 +243,7 @@
     private void finish() {
         AttemptListener listener = activeListener;
         activeListener = null;
-        if (discardTimer != null) {
-            discardTimer.cancel(false);
-            discardTimer = null;
-        }
+        cancelDiscardTimer();
         idleSinceMillis = pool.nowMillis();
         if (closeAfter || !written.isDone() || !channel.isActive() || decoder.hasUnreadBytes()) {
             channel.close();
@@ -256,9 +254,15 @@
         listener.responseCompleted();
     }
 
+    private void cancelDiscardTimer() {
+        if (discardTimer != null) {
+            discardTimer.cancel(false);
+            discardTimer = null;
+        }
+    }
+
     private void readKeepAlive(HttpResponse response) {
-        unframed = !hasBodyFraming(response);
-        closeAfter = !HttpUtil.isKeepAlive(response) || unframed;
+        closeAfter = !HttpUtil.isKeepAlive(response) || framing == ResponseFraming.CONNECTION_END;
         String line = response.headers().get("Keep-Alive");
         int at = line == null ? -1 : line.indexOf("timeout=");
         if (at < 0) {
@@ -274,11 +278,6 @@
         }
     }
 
-    private static boolean hasBodyFraming(HttpMessage message) {
-        return HttpUtil.isTransferEncodingChunked(message)
-                || message.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    }
-
     private void fail(AttemptFailure failure, String reason) {
         broken = true;
         AttemptListener listener = activeListener;
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
 import org.tanagerhinge.platform.PlatformNames;
 
 /** Writes configuration documents and server registrations into a store. */
@@ -91,18 +92,29 @@
 
     /** Registers a server; state is {@code ready} or {@code draining}. */
     public void register(ServerStandin server, String service, String state) {
-        ObjectNode entry = JSON.createObjectNode()
-                .put("service", service)
-                .put("address", "127.0.0.1:" + server.address().getPort())
-                .put(PlatformNames.ZONE, "north")
-                .put("slots", 8)
-                .put("state", state);
+        ObjectNode entry = entry(server.address(), service, state);
         if (!server.softwareVersion().isEmpty()) {
             entry.put("version", server.softwareVersion());
         }
         store.put(PlatformNames.SERVERS_PREFIX + server.id(), entry.toString());
     }
 
+    /** Registers a server by its id and address. */
+    public void register(String id, InetSocketAddress address, String service) {
+        store.put(
+                PlatformNames.SERVERS_PREFIX + id,
+                entry(address, service, "ready").toString());
+    }
+
+    private static ObjectNode entry(InetSocketAddress address, String service, String state) {
+        return JSON.createObjectNode()
+                .put("service", service)
+                .put("address", "127.0.0.1:" + address.getPort())
+                .put(PlatformNames.ZONE, "north")
+                .put("slots", 8)
+                .put("state", state);
+    }
+
     /** Removes a server's registration. */
     public void unregister(ServerStandin server) {
         store.remove(PlatformNames.SERVERS_PREFIX + server.id());
