An answer that ends with its connection is whole only if its server is shown to run afterwards

The gateway did not send them elsewhere, although the route is safe.

Cause: the gateway took such an answer for whole if the server's address accepted another connection. The kernel closes the sockets of a killed process one after the other, and accepts connections until it comes to the listening one. Besides, anything that listens at the address by then passed the check, as after a suspension of the gateway; and an address that can't be reached at all passed it too. The detection of crashes had the same check, and missed crashes.

Why it works: ServerLivenessCheck sends a health check over a new connection, with the id of the expected instance. A killed process can't answer what it receives after its connections have ended, and another instance answers 421 or states its own id. Health checks wait for slots, so a connection that stays open for 250 ms counts as well, unless the gateway was suspended: a killed process has lost its listening socket by then, with all that waits in it. A reset leads to one more connection, since full servers reset them too. Whatever isn't certain counts as cut.

What it costs: one round trip more for an answer without a length, at most 250 ms (before: one round trip for the connection); one check at a time for each instance.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ServiceConfig.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ServiceConfig.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.core.relay;
 
+import java.util.Optional;
+
 /**
  * Holds the operators' configuration of a service.
  *
@@ -8,6 +10,7 @@
  * @param cacheCapacityTokens tokens that a model engine's memory holds; 0 for a plain service
  * @param bytesPerToken memory of one token, in bytes; 0 if unknown
  * @param linkBitsPerMilli bandwidth of an engine's link to other engines, in bits per millisecond; 0 if unknown
+ * @param healthPath path of the backend servers' health check; empty if unknown
  */
 public record ServiceConfig(
         String name,
@@ -15,7 +18,19 @@
         int slots,
         long cacheCapacityTokens,
         long bytesPerToken,
-        double linkBitsPerMilli) {
+        double linkBitsPerMilli,
+        Optional<String> healthPath) {
+    /** Creates the configuration of a service without a health check. */
+    public ServiceConfig(
+            String name,
+            int maxConnections,
+            int slots,
+            long cacheCapacityTokens,
+            long bytesPerToken,
+            double linkBitsPerMilli) {
+        this(name, maxConnections, slots, cacheCapacityTokens, bytesPerToken, linkBitsPerMilli, Optional.empty());
+    }
+
     /** Creates the configuration of a service with unknown links between its engines. */
     public static ServiceConfig of(String name, int maxConnections, int slots, long cacheCapacityTokens) {
         return new ServiceConfig(name, maxConnections, slots, cacheCapacityTokens, 0, 0);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -19,6 +19,7 @@
 import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.relay.ServerInstance;
@@ -231,11 +232,15 @@
         AttemptListener listener = activeListener;
         activeListener = null;
         cancelDiscardTimer();
-        pool.checkNotCrashed(server, running -> {
-            if (running) {
+        pool.livenessCheck().check(server, verdict -> {
+            if (verdict == ServerLivenessCheck.Verdict.RUNNING) {
                 listener.responseCompleted();
             } else {
-                listener.attemptFailed(AttemptFailure.BROKEN, "server crashed at the end of an unframed response");
+                pool.count("unframed_answer_cut");
+                listener.attemptFailed(
+                        AttemptFailure.BROKEN,
+                        "response without framing ended, and its server is "
+                                + verdict.name().toLowerCase(Locale.ROOT));
             }
         });
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
@@ -5,12 +5,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -28,7 +26,7 @@
     /**
      * Shorter than the one second after which a lost SYN packet is sent again, since another server is tried by then.
      */
-    private static final int CONNECT_TIMEOUT_MILLIS = 600;
+    static final int CONNECT_TIMEOUT_MILLIS = 600;
     /** TCP keep-alive: a server that lost power or its network is detected after about three seconds. */
     private static final int KEEP_ALIVE_PROBE_SECONDS = 1;
 
@@ -46,6 +44,7 @@
     private final LongSupplier clock;
     private final Consumer<String> counter;
     private final ResponseListener responseListener;
+    private final ServerLivenessCheck livenessCheck;
     private final Map<String, Deque<BackendConnection>> idleByInstance = new HashMap<>();
     private final Map<String, Set<BackendConnection>> connectionsByInstance = new HashMap<>();
 
@@ -54,12 +53,14 @@
             Dialect dialect,
             LongSupplier clock,
             Consumer<String> counter,
-            ResponseListener hearer) {
+            ResponseListener hearer,
+            ServerLivenessCheck livenessCheck) {
         this.loop = loop;
         this.dialect = dialect;
         this.clock = clock;
         this.counter = counter;
         this.responseListener = hearer;
+        this.livenessCheck = livenessCheck;
     }
 
     /** Receives the metadata of each response, whichever request it belongs to. */
@@ -71,6 +72,10 @@
         responseListener.responseReceived(server, status, metadata);
     }
 
+    ServerLivenessCheck livenessCheck() {
+        return livenessCheck;
+    }
+
     Dialect dialect() {
         return dialect;
     }
@@ -107,40 +112,11 @@
 
     /** Opens a connection; {@code onConnected} receives it, or null if the connection failed. */
     void connect(ServerInstance server, Consumer<BackendConnection> onConnected) {
-        connect(server, onConnected, failure -> onConnected.accept(null));
-    }
-
-    /**
-     * Opens a connection, which goes to the pool, to find out whether a server has crashed; {@code onResult} receives
-     * false if it refuses the connection.
-     */
-    void checkNotCrashed(ServerInstance server, Consumer<Boolean> onResult) {
-        connect(
-                server,
-                connection -> {
-                    release(connection);
-                    onResult.accept(true);
-                },
-                failure -> onResult.accept(
-                        !(failure instanceof ConnectException) || failure instanceof ConnectTimeoutException));
-    }
-
-    private void connect(
-            ServerInstance server, Consumer<BackendConnection> onConnected, Consumer<Throwable> onFailure) {
         BackendConnection connection = new BackendConnection(this, server);
         connectionsByInstance
                 .computeIfAbsent(server.instanceId(), id -> new HashSet<>())
                 .add(connection);
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+        bootstrap(loop)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -153,11 +129,25 @@
                         onConnected.accept(connection);
                     } else {
                         connectionClosed(connection);
-                        onFailure.accept(future.cause());
+                        onConnected.accept(null);
                     }
                 });
     }
 
+    /** Returns a bootstrap with the options of connections to backend servers. */
+    static Bootstrap bootstrap(EventLoopGroup loop) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES);
+    }
+
     /** Bounds what is read from one server before others have their turn; servers may send without end. */
     private static RecvByteBufAllocator receiveBuffers() {
         return new AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BYTES, INITIAL_RECEIVE_BYTES, MAX_RECEIVE_BYTES)
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashDetector.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashDetector.java
@@ -12,8 +12,7 @@
  * Distinguishes crashed servers from broken connections, and reports the runs that were in flight at a crash.
  *
  * <p>A connection also breaks if a server loses or corrupts a response or closes while idle; the affected runs are not
- * suspects then. So the server is probed with a new connection, which a crashed server refuses; a successful connection
- * goes to the pool.
+ * suspects then. So the server is checked, and has crashed if it refuses connections.
  */
 final class CrashDetector {
     /** Maximum number of runs that become suspects of one crash: as many as a large server has at once. */
@@ -24,7 +23,7 @@
     private static final int MAX_CRASHES_REMEMBERED = 64;
 
     private final Gateway gateway;
-    private final Map<String, Set<SuspectRun>> suspectsByProbe = new HashMap<>();
+    private final Map<String, Set<SuspectRun>> suspectsByCheck = new HashMap<>();
     private final Map<String, Long> crashedAtMillis = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
@@ -36,21 +35,21 @@
         this.gateway = gateway;
     }
 
-    /** Records that a connection broke with a run in flight, and probes the server unless a probe is pending. */
+    /** Records that a connection broke with a run in flight, and checks the server unless a check is pending. */
     void connectionBroke(ServerInstance server, SuspectRun run) {
         if (crashedRecently(server)) {
             gateway.crashQuarantine().serverCrashed(server, Set.of(run));
             return;
         }
-        Set<SuspectRun> suspects = suspectsByProbe.get(server.instanceId());
+        Set<SuspectRun> suspects = suspectsByCheck.get(server.instanceId());
         if (suspects != null) {
             if (suspects.size() < MAX_SUSPECTS) {
                 suspects.add(run);
             }
             return;
         }
-        suspectsByProbe.put(server.instanceId(), new LinkedHashSet<>(Set.of(run)));
-        gateway.pool().connect(server, connection -> probeCompleted(server, connection));
+        suspectsByCheck.put(server.instanceId(), new LinkedHashSet<>(Set.of(run)));
+        gateway.livenessCheck().check(server, verdict -> checkCompleted(server, verdict));
     }
 
     private boolean crashedRecently(ServerInstance server) {
@@ -58,11 +57,10 @@
         return atMillis != null && gateway.nowMillis() - atMillis < CRASH_WINDOW_MILLIS;
     }
 
-    private void probeCompleted(ServerInstance server, BackendConnection connection) {
-        Set<SuspectRun> suspects = suspectsByProbe.remove(server.instanceId());
-        if (connection != null) {
+    private void checkCompleted(ServerInstance server, ServerLivenessCheck.Verdict verdict) {
+        Set<SuspectRun> suspects = suspectsByCheck.remove(server.instanceId());
+        if (verdict != ServerLivenessCheck.Verdict.REFUSED) {
             gateway.count("broken_at_running_server");
-            gateway.pool().release(connection);
             return;
         }
         gateway.count("server_crashed");
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Dialect.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Dialect.java
@@ -20,6 +20,12 @@
     /** Returns the metadata in the head of a backend server's response. */
     BackendResponseMetadata responseMetadata(HttpResponse response);
 
+    /** Sets the headers of a health check, so that no other server runs it in place of the one with this id. */
+    void prepareHealthCheck(HttpHeaders headers, String serverId);
+
+    /** Returns whether the response to a health check can come from the server with this id. */
+    boolean isHealthOf(HttpResponse response, String serverId);
+
     /** Returns the path at which the platform checks whether this node accepts new connections. */
     String readinessPath();
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -79,6 +79,7 @@
     private final ServerAnnouncements serverAnnouncements = ServerAnnouncements.create();
     private final CrashQuarantine crashQuarantine = new CrashQuarantine(this);
     private final CrashDetector crashDetector = new CrashDetector(this);
+    private final ServerLivenessCheck livenessCheck;
     private final StreamTracker streams = StreamTracker.of(this);
     private final ConnectionShedding shedding = ConnectionShedding.create();
     private final OutcomeTelemetry outcomes = new OutcomeTelemetry(this);
@@ -113,7 +114,9 @@
         this.metrics = metrics;
         this.placement = placement;
         this.admission = AdmissionPolicy.without(options.disabledMechanisms());
-        this.pool = new BackendConnectionPool(loop, dialect, this::nowMillis, this::count, this::responseReceived);
+        this.livenessCheck = new ServerLivenessCheck(this, loop, dialect);
+        this.pool = new BackendConnectionPool(
+                loop, dialect, this::nowMillis, this::count, this::responseReceived, livenessCheck);
         GatewayOptions.Bounds bounds = options.bounds();
         this.fleetSize = FleetSize.of(
                 PeerCodec.text(options.peerAddress()), StoreSynchronizer.LEASE_TTL.toMillis(), nowMillis());
@@ -222,6 +225,10 @@
         return outcomes;
     }
 
+    ServerLivenessCheck livenessCheck() {
+        return livenessCheck;
+    }
+
     CrashDetector crashDetector() {
         return crashDetector;
     }
@@ -539,6 +546,11 @@
         return nowMillis() - lastSweepMillis >= STALL_MILLIS;
     }
 
+    /** Returns whether the event loop is stalled or was so at the last periodic check. */
+    boolean recentlyStalled() {
+        return stalled() || sweepDelayMillis >= STALL_MILLIS - SWEEP_MILLIS;
+    }
+
     /** Returns how much later than planned the last periodic check began, in milliseconds. */
     long sweepDelayMillis() {
         return sweepDelayMillis;
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -158,6 +158,14 @@
                     "", false, false, Optional.empty(), Optional.empty(), false, OptionalLong.empty());
         }
 
+        @Override
+        public void prepareHealthCheck(HttpHeaders headers, String serverId) {}
+
+        @Override
+        public boolean isHealthOf(HttpResponse response, String serverId) {
+            return true;
+        }
+
         @Override
         public String readinessPath() {
             return "/ready";
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
@@ -99,7 +99,7 @@
 
     private static void server(Object key, String routeKind, String written, EndingServer.End end) {
         String id = "s" + SERVERS.size();
-        EndingServer server = EndingServer.start(new EndingServer.Script(written, end));
+        EndingServer server = EndingServer.start(id, new EndingServer.Script(written, end));
         SERVERS.add(server);
         PATHS.put(key, "/" + id + "/");
         scene.platform.service(id, routeKind.equals("streaming") ? 8 : 0);
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/EndingServer.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/EndingServer.java
@@ -17,10 +17,16 @@
     /** How a server ends the connection of an answer. */
     public enum End {
         CLOSED(false, true),
+        /** The server doesn't answer its health check in time. */
+        CLOSED_WHILE_BUSY(false, true),
         RESET(false, false),
         RESET_BEFORE_REQUEST_IS_READ(true, false),
         /** The kernel resets a connection that is closed with bytes that were not read. */
-        CLOSED_BEFORE_REQUEST_IS_READ(true, false);
+        CLOSED_BEFORE_REQUEST_IS_READ(true, false),
+        /** The kernel closes the listening socket of a killed process after its connections. */
+        KILLED(false, false),
+        /** Another server is at the address by the time of the check. */
+        KILLED_AND_REPLACED(false, false);
 
         private final boolean early;
         private final boolean inOrder;
@@ -47,11 +53,16 @@
     private static final int RECEIVE_BUFFER_BYTES = 16_384;
     private static final int EARLY_BYTES = 16_384;
     private static final long PAUSE_MILLIS = 60;
+    /** Time after which the listening socket of a killed process is closed. */
+    private static final long KILL_MILLIS = 100;
 
+    private final String id;
     private final Script script;
     private final ServerSocket listener;
+    private volatile boolean killed;
 
-    private EndingServer(Script script, ServerSocket listener) {
+    private EndingServer(String id, Script script, ServerSocket listener) {
+        this.id = id;
         this.script = script;
         this.listener = listener;
     }
@@ -60,12 +71,12 @@
     public record Script(String answer, End end) {}
 
     /** Starts a server that answers all requests by a script. */
-    public static EndingServer start(Script script) {
+    public static EndingServer start(String id, Script script) {
         try {
             ServerSocket listener = new ServerSocket();
             listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
             listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            EndingServer server = new EndingServer(script, listener);
+            EndingServer server = new EndingServer(id, script, listener);
             Thread.ofVirtual().start(server::accept);
             return server;
         } catch (IOException e) {
@@ -83,7 +94,7 @@
     }
 
     private void accept() {
-        while (!listener.isClosed()) {
+        while (!killed) {
             try {
                 Socket socket = listener.accept();
                 Thread.ofVirtual().start(() -> serve(socket));
@@ -96,7 +107,7 @@
     private void serve(Socket socket) {
         try {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            line(in);
+            String firstLine = line(in);
             int length = 0;
             for (String line = line(in); !line.isEmpty(); line = line(in)) {
                 if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
@@ -104,6 +115,10 @@
                             line.substring(line.indexOf(':') + 1).trim());
                 }
             }
+            if (firstLine.startsWith("GET /health ")) {
+                answerHealthCheck(socket);
+                return;
+            }
             in.readNBytes(script.end().early() ? EARLY_BYTES : length);
             write(socket, script.answer());
             Thread.sleep(PAUSE_MILLIS);
@@ -115,16 +130,45 @@
         }
     }
 
-    private void end(Socket socket) throws IOException {
+    private void answerHealthCheck(Socket socket) throws IOException {
+        switch (script.end()) {
+            case CLOSED_WHILE_BUSY -> {}
+            case KILLED_AND_REPLACED ->
+                write(
+                        socket,
+                        "HTTP/1.1 421 Misdirected\r\n" + PlatformNames.INSTANCE_ID
+                                + ": other\r\nContent-Length: 0\r\n\r\n");
+            default ->
+                write(
+                        socket,
+                        "HTTP/1.1 200 OK\r\n" + PlatformNames.INSTANCE_ID + ": " + id
+                                + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        }
+    }
+
+    private void end(Socket socket) throws IOException, InterruptedException {
         switch (script.end()) {
-            case CLOSED, CLOSED_BEFORE_REQUEST_IS_READ -> socket.close();
+            case CLOSED, CLOSED_WHILE_BUSY, CLOSED_BEFORE_REQUEST_IS_READ, KILLED_AND_REPLACED -> socket.close();
             case RESET, RESET_BEFORE_REQUEST_IS_READ -> {
                 socket.setSoLinger(true, 0);
                 socket.close();
             }
+            case KILLED -> {
+                stopAccepting();
+                socket.close();
+                Thread.sleep(KILL_MILLIS);
+                listener.close();
+            }
         }
     }
 
+    /** Leaves further connections to the kernel, which accepts them until the listening socket is closed. */
+    private void stopAccepting() throws IOException {
+        killed = true;
+        // The acceptor thread takes one more connection before it sees that it has to end.
+        new Socket(listener.getInetAddress(), listener.getLocalPort()).close();
+    }
+
     private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
@@ -55,6 +55,11 @@
     public void server(String id, String service, ServerStandin.ResponseScript script) {
         ServerStandin server = ServerStandin.start(id, script);
         servers.add(server);
+        register(server, service);
+    }
+
+    /** Registers a server that the caller closes. */
+    public void register(ServerStandin server, String service) {
         platform.register(server, service, "ready");
     }
 
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
@@ -10,6 +10,8 @@
 public final class PlatformFixture {
     /** Timeout of a route, unless it is changed. */
     public static final int TIMEOUT_MILLIS = 5_000;
+    /** Path of the health checks of all services. */
+    public static final String HEALTH_PATH = "/health";
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -60,7 +62,10 @@
 
     /** Adds a service; one with more than 0 slots is a model engine. */
     public ObjectNode service(String name, int slots) {
-        ObjectNode service = services.addObject().put("name", name).put(PlatformNames.MAX_CONNECTIONS, 300);
+        ObjectNode service = services.addObject()
+                .put("name", name)
+                .put(PlatformNames.HEALTH_PATH, HEALTH_PATH)
+                .put(PlatformNames.MAX_CONNECTIONS, 300);
         if (slots > 0) {
             service.putObject("engine").put("slots", slots).put(PlatformNames.KV_CAPACITY_TOKENS, 300_000);
         }
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/ServerStandin.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.tanagerhinge.platform.PlatformNames;
 
-/** Simulates a backend server: records requests and answers them by a script. */
+/** Simulates a backend server: answers health checks, records all other requests and answers them by a script. */
 public final class ServerStandin implements AutoCloseable {
     /** Writes the response to a request. */
     public interface ResponseScript {
@@ -54,7 +54,7 @@
         return server.address();
     }
 
-    /** Returns the received requests, including rejected ones. */
+    /** Returns the received requests, including rejected ones, without health checks. */
     public List<RawServer.Request> receivedRequests() {
         return receivedRequests;
     }
@@ -81,6 +81,10 @@
             connection.answer(421, PlatformNames.INSTANCE_ID + ": " + id + "\r\n", "");
             return;
         }
+        if (request.path().equals(PlatformFixture.HEALTH_PATH)) {
+            connection.answer(200, PlatformNames.INSTANCE_ID + ": " + id + "\r\n", "");
+            return;
+        }
         receivedRequests.add(request);
         try {
             script.get().answer(this, request, connection);
