--- a/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -21,11 +22,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against calls that get no reply, and against connections that stay open, whatever the other side sends. */
 class SequentialHttpClientTest {
@@ -171,4 +174,29 @@
         call(TIMEOUT_MILLIS, responses::add);
         assertEquals(200, nextResponse().status());
     }
+
+    private record Cut(int bytes, boolean reset) {}
+
+    private static java.util.stream.Stream<Cut> cuts() {
+        return IntStream.range(1, ANSWER.length())
+                .boxed()
+                .flatMap(bytes -> java.util.stream.Stream.of(new Cut(bytes, false), new Cut(bytes, true)));
+    }
+
+    /** Guards against a response of the store or of a peer that counts although it ended within its head or body. */
+    @ParameterizedTest
+    @MethodSource("cuts")
+    void responseThatIsCutFails(Cut cut) throws Exception {
+        serve(out -> {
+            write(out, ANSWER.substring(0, cut.bytes()));
+            try {
+                sockets.getLast().setSoLinger(cut.reset(), 0);
+                sockets.getLast().close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        loop.execute(() -> client.call(HttpMethod.GET, "/", "", TIMEOUT_MILLIS, responses::add));
+        assertEquals(0, responses.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).status());
+    }
 }
