Agents don't take an answer for whole that a reset or the end of its server's process cut

What callers saw: a router answered a call of a plain service with 200 and the part of the body that had arrived, framed as whole, if the answer had neither a length nor chunks and its connection was reset, or its server killed.

Model calls are not concerned, since their answers have an end marker of their own.

Why it works: a read that meets a reset fails the response (ResetReportingConnector, for all clients of the daemons). After an answer that ends with its connection the agent requests the health path: a killed process answers no request that it receives after its connections have ended.

--- a/agent/src/main/java/org/tanagerhinge/agent/BackendClient.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/BackendClient.java
@@ -14,17 +14,27 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.tanagerhinge.core.agent.Run;
 import org.tanagerhinge.core.message.BackendCall;
 import org.tanagerhinge.core.result.ResultCode;
 
-/** Calls the backend server over HTTP and passes its output to a listener as it arrives. */
+/**
+ * Calls the backend server over HTTP and passes its output to a listener as it arrives.
+ *
+ * <p>An answer to a model call is whole with its end marker, any other one with its length or its last chunk. One that
+ * has neither ends with its connection, as all do when the server's process is killed, so it is whole only if the server
+ * answers its health check afterwards.
+ */
 final class BackendClient {
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(10);
     private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
     private static final int MIN_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
+    private static final String COMPLETE = "complete";
 
     private final HttpClient client;
     private final String baseUrl;
@@ -61,10 +71,14 @@
 
     /** Requests the backend server's health path; any status below 500 counts as healthy. */
     void probe(Consumer<Boolean> onResult) {
+        requestHealth(result ->
+                onResult.accept(result.isSucceeded() && result.getResponse().getStatus() < MIN_SERVER_ERROR_STATUS));
+    }
+
+    private void requestHealth(Response.CompleteListener onResult) {
         client.newRequest(baseUrl + probePath)
                 .timeout(PROBE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .send(result -> onResult.accept(
-                        result.isSucceeded() && result.getResponse().getStatus() < MIN_SERVER_ERROR_STATUS));
+                .send(onResult);
     }
 
     /** One HTTP exchange with the backend server. */
@@ -149,8 +163,10 @@
                 boolean reachedBackend = !(cause instanceof ConnectException);
                 ResultCode code = reachedBackend ? ResultCode.ENGINE_FAILED : ResultCode.SERVICE_ERROR;
                 listener.onFailed(run.id(), reachedBackend, code, "the backend server failed: " + cause);
+            } else if (passThrough && endsWithConnection(result)) {
+                requestHealth(this::onHealthAfterEnd);
             } else if (passThrough) {
-                listener.onFinished(run.id(), "complete");
+                listener.onFinished(run.id(), COMPLETE);
             } else if (result.getResponse().getStatus() >= MIN_ERROR_STATUS) {
                 String detail =
                         "the backend server answered " + result.getResponse().getStatus();
@@ -163,6 +179,24 @@
                 listener.onFailed(run.id(), true, ResultCode.ANSWER_CUT, "the answer ended without its end marker");
             }
         }
+
+        private void onHealthAfterEnd(Result health) {
+            if (health.isFailed()) {
+                String detail = "the answer ended with its connection, and the backend server does not answer any more";
+                listener.onFailed(run.id(), true, ResultCode.ANSWER_CUT, detail);
+            } else {
+                listener.onFinished(run.id(), COMPLETE);
+            }
+        }
+    }
+
+    /** Returns whether nothing but the end of its connection marks the end of an answer. */
+    private static boolean endsWithConnection(Result result) {
+        Response response = result.getResponse();
+        return !HttpMethod.HEAD.is(result.getRequest().getMethod())
+                && !HttpStatus.hasNoBody(response.getStatus())
+                && !response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+                && !response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
     }
 
     private Request buildRequest(Run run) {
--- a/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
@@ -130,6 +130,13 @@
         return this;
     }
 
+    /** Registers the server of a plain service at a URL, and starts its agent. */
+    public LocalCluster serviceAt(String url, String name, String domain, String service) throws TanagerhingeException {
+        startAgent(name, 0, url);
+        registerServer(name, domain, ServerKind.SERVICE, service);
+        return this;
+    }
+
     private void registerServer(String name, String domain, ServerKind serverKind, String target)
             throws TanagerhingeException {
         BackendServer server = new BackendServer(
@@ -145,9 +152,15 @@
 
     /** Starts an agent for an existing backend server on the given port, or on a free one if 0. */
     public void startAgent(String name, int port) throws TanagerhingeException {
-        String url = engines.containsKey(name)
-                ? engines.get(name).url()
-                : services.get(name).url();
+        startAgent(
+                name,
+                port,
+                engines.containsKey(name)
+                        ? engines.get(name).url()
+                        : services.get(name).url());
+    }
+
+    private void startAgent(String name, int port, String url) throws TanagerhingeException {
         AgentOptions options = kind == Kind.PRODUCT
                 ? AgentOptions.defaults()
                 : AgentOptions.defaults().withConcurrency(new AgentOptions.ConcurrencyPolicy.Unbounded());
--- /dev/null
+++ b/harness/src/test/java/org/tanagerhinge/bench/ServiceAnswerEndTest.java
@@ -0,0 +1,98 @@
+package org.tanagerhinge.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.stream.Stream;
+import org.eclipse.jetty.client.ContentResponse;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.tanagerhinge.bench.cluster.LocalCluster;
+import org.tanagerhinge.bench.relay.EndingServer;
+import org.tanagerhinge.bench.relay.EndingServer.End;
+
+/** Guards against answers of plain services that routers pass on as whole although their server was killed. */
+class ServiceAnswerEndTest {
+    private static final String BODY = "answer;".repeat(20);
+    private static final String HALF = BODY.substring(0, BODY.length() / 2);
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n";
+    private static final String FRAMED_HEAD = HEAD + "Content-Length: " + BODY.length() + "\r\n\r\n";
+
+    private static LocalCluster cluster;
+    private static final List<EndingServer> SERVERS = new ArrayList<>();
+    private static final List<EndingServer.Script> SCRIPTS = scripts().toList();
+
+    private static Stream<EndingServer.Script> scripts() {
+        Stream<EndingServer.Script> bodies = Stream.of(End.CLOSED, End.RESET, End.KILLED)
+                .flatMap(end -> Stream.of(
+                        new EndingServer.Script(FRAMED_HEAD + BODY, end),
+                        new EndingServer.Script(FRAMED_HEAD + HALF, end),
+                        new EndingServer.Script(chunked(HALF), end),
+                        new EndingServer.Script(chunked(BODY) + "0\r\n\r\n", end),
+                        new EndingServer.Script(HEAD + "\r\n" + BODY, end)));
+        Stream<EndingServer.Script> heads = Stream.iterate(1, bytes -> bytes < FRAMED_HEAD.length(), bytes -> bytes + 7)
+                .flatMap(bytes -> Stream.of(End.CLOSED, End.RESET)
+                        .map(end -> new EndingServer.Script(FRAMED_HEAD.substring(0, bytes), end)));
+        return Stream.concat(bodies, heads);
+    }
+
+    private static String chunked(String text) {
+        return HEAD + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(text.length()) + "\r\n" + text
+                + "\r\n";
+    }
+
+    private static Stream<Integer> scriptNumbers() {
+        return Stream.iterate(0, number -> number < SCRIPTS.size(), number -> number + 1);
+    }
+
+    private static String service(int number) {
+        return "service-" + number;
+    }
+
+    @BeforeAll
+    static void setUp() throws Exception {
+        cluster = LocalCluster.create(LocalCluster.Kind.PRODUCT).profiles(Callers.profiles());
+        for (int number = 0; number < SCRIPTS.size(); number++) {
+            server(service(number), SCRIPTS.get(number));
+        }
+        cluster.router("router-1", "kita").awaitReady();
+    }
+
+    private static void server(String service, EndingServer.Script script) throws Exception {
+        EndingServer server = EndingServer.start(service, script);
+        SERVERS.add(server);
+        cluster.serviceAt("http://127.0.0.1:" + server.address().getPort(), service, "kita", service);
+    }
+
+    @AfterAll
+    static void tearDown() {
+        cluster.close();
+        SERVERS.forEach(EndingServer::close);
+    }
+
+    @ParameterizedTest
+    @MethodSource("scriptNumbers")
+    void answerIsWholeOnlyIfItsServerHasEndedIt(int number) throws Exception {
+        String url = cluster.routerUrls().get(0) + "/v1/services/" + service(number) + "/x";
+        EndingServer.Script script = SCRIPTS.get(number);
+        try {
+            ContentResponse response =
+                    Callers.post(cluster.http(), url, "status", "{}", Map.of()).send();
+            boolean whole = script.answer().startsWith(FRAMED_HEAD + BODY)
+                    || script.answer().endsWith("0\r\n\r\n")
+                    || (script.answer().startsWith(HEAD + "\r\n") && script.end() == End.CLOSED);
+            assertEquals(whole ? 200 : 502, response.getStatus(), response.getContentAsString());
+            if (whole) {
+                assertEquals(BODY, response.getContentAsString());
+            }
+        } catch (ExecutionException e) {
+            assertFalse(script.answer().startsWith(FRAMED_HEAD + BODY), () -> "cut: " + e);
+        }
+    }
+}
--- a/node/src/main/java/org/tanagerhinge/node/daemon/HttpClients.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/HttpClients.java
@@ -19,7 +19,7 @@
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName(name);
         threads.setDaemon(true);
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetReportingConnector();
         connector.setSelectors(1);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
