Reports to peers leave cached prompt parts out that don't fit into a datagram

What callers saw: none directly. Peers took a gateway for absent (`peer_lost`) while it sent prompts of many parts, so that the load that it puts on engines did not count, and another gateway read the store beside it.

Cause: a report lists the shared parts of up to 24 prompts, whose number callers choose, and what is longer than 4,096 bytes can't be read by its receiver.

Why it works: at most 32 parts of a prompt are listed, and prompts are left out until the report fits, which is counted. Without them peers estimate cached prefixes worse, and nothing else.

--- a/core/src/main/java/org/tanagerhinge/core/relay/ReportSchedule.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/ReportSchedule.java
@@ -20,6 +20,8 @@
     public static final long EARLY_REPORT_TOKENS = 4_000;
     /** Largest number of prompts whose shared parts are listed in one report, which must fit into a datagram. */
     public static final int MAX_PROMPTS_PER_REPORT = 24;
+    /** Largest number of shared parts of one prompt that are listed in a report. */
+    public static final int MAX_PARTS_PER_REPORTED_PROMPT = 32;
 
     private ReportSchedule() {}
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerCodec.java
@@ -68,6 +68,11 @@
             all.addAll(added);
             return new PeerMessage(report, cachedPrefixes, all, leavingInstances, dutyStatus, workspaceUses);
         }
+
+        /** Returns this message with other cached prefixes. */
+        PeerMessage withCachedPrefixes(List<CachedPrefix> replacement) {
+            return new PeerMessage(report, replacement, suspicions, leavingInstances, dutyStatus, workspaceUses);
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerSynchronizer.java
@@ -33,6 +33,7 @@
 import org.tanagerhinge.core.relay.PeerReport;
 import org.tanagerhinge.core.relay.PeerTable;
 import org.tanagerhinge.core.relay.Prompt;
+import org.tanagerhinge.core.relay.PromptPart;
 import org.tanagerhinge.core.relay.RankedLoad;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.relay.ReportSchedule;
@@ -170,7 +171,9 @@
         reportIfDue(prompt.inputTokens());
         if (pendingPrefixes.size() < ReportSchedule.MAX_PROMPTS_PER_REPORT
                 && prompt.parts().size() > 1) {
-            pendingPrefixes.add(new PeerCodec.CachedPrefix(server.instanceId(), prompt.sharedParts()));
+            List<PromptPart> shared = prompt.sharedParts();
+            int count = Math.min(shared.size(), ReportSchedule.MAX_PARTS_PER_REPORTED_PROMPT);
+            pendingPrefixes.add(new PeerCodec.CachedPrefix(server.instanceId(), shared.subList(0, count)));
         }
     }
 
@@ -230,11 +233,11 @@
                 leaving,
                 dutyStatus.get(),
                 gateway.admission().shares().nextReport(addresses.size(), gateway.nowMillis()));
-        byte[] bytes = PeerCodec.encodeState(message);
+        byte[] bytes = encodeForDatagram(message);
         byte[] fullBytes = bytes;
         int fullReportIndex = -1;
         if (!standing.isEmpty() && !addresses.isEmpty()) {
-            fullBytes = PeerCodec.encodeState(message.withSuspicions(standing));
+            fullBytes = encodeForDatagram(message.withSuspicions(standing));
             fullReportTurn = (fullReportTurn + 1) % addresses.size();
             fullReportIndex = fullReportTurn;
         }
@@ -251,6 +254,22 @@
         channel.flush();
     }
 
+    /**
+     * Encodes a report, and leaves out cached prefixes if it wouldn't fit into a datagram: peers take a gateway whose
+     * reports they can't read for absent, while they only estimate worse without some prefixes.
+     */
+    private byte[] encodeForDatagram(PeerCodec.PeerMessage message) {
+        PeerCodec.PeerMessage reduced = message;
+        byte[] bytes = PeerCodec.encodeState(reduced);
+        while (bytes.length > MAX_DATAGRAM_BYTES && !reduced.cachedPrefixes().isEmpty()) {
+            gateway.count("peer_report_reduced");
+            reduced = reduced.withCachedPrefixes(
+                    reduced.cachedPrefixes().subList(0, reduced.cachedPrefixes().size() / 2));
+            bytes = PeerCodec.encodeState(reduced);
+        }
+        return bytes;
+    }
+
     /** Sends what is new of crashed servers and suspected prompt parts to all peers. */
     private void reportCrashes() {
         for (CrashMessage message : gateway.crashQuarantine().takeUpdates()) {
