What gateways keep of prompts is bounded over all servers together

Cause: PrefixCacheTracker bounds the parts that it keeps of each server by the tokens of the server's memory, not by their number, which callers choose: 0.8 x 1,239,967 / 8 for each of 13 servers, in a heap of 96 MB. Parts of no tokens were never evicted.

Red before, green now: PromptsOfManyPartsTest.gatewayWithTheHeapOfTheDeployFileAnswers, 2,400 prompts of 400 parts at one gateway process with the options of the deploy file (read timeout of a caller after 30 s).

New gauges: heap_used_bytes, heap_max_bytes, cached_parts.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/EndedRuns.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/EndedRuns.java
@@ -18,8 +18,11 @@
     private static final long INCOMPLETE_RETENTION_MILLIS = 5_000;
 
     private static final int MAX_RUNS = 8_192;
+    /** Largest number of prompt parts of all runs together; runs with many parts take more memory than others. */
+    static final int MAX_PARTS = 65_536;
 
     private final Deque<Ended> runs = new ArrayDeque<>();
+    private int parts;
 
     private EndedRuns() {}
 
@@ -38,12 +41,23 @@
 
     /** Records that a run has ended. */
     public void add(String instanceId, SuspectRun run, boolean completed, long nowMillis) {
-        if (runs.size() >= MAX_RUNS) {
-            runs.removeFirst();
+        parts += run.parts().size();
+        while (runs.size() >= MAX_RUNS || (parts > MAX_PARTS && !runs.isEmpty())) {
+            parts -= runs.removeFirst().run().parts().size();
         }
         runs.addLast(new Ended(instanceId, run, completed, nowMillis));
     }
 
+    /** Returns the number of runs that are remembered. */
+    int size() {
+        return runs.size();
+    }
+
+    private void remove(Iterator<Ended> iterator, Ended ended) {
+        iterator.remove();
+        parts -= ended.run().parts().size();
+    }
+
     /** Removes and returns the runs that ended at a server that has crashed. */
     public List<Ended> takeCrashed(Predicate<String> crashedInstance) {
         List<Ended> crashed = new ArrayList<>();
@@ -52,7 +66,7 @@
             Ended ended = iterator.next();
             if (crashedInstance.test(ended.instanceId())) {
                 crashed.add(ended);
-                iterator.remove();
+                remove(iterator, ended);
             }
         }
         return crashed;
@@ -70,9 +84,9 @@
             }
             if (ended.completed()) {
                 sound.add(ended);
-                iterator.remove();
+                remove(iterator, ended);
             } else if (ageMillis >= INCOMPLETE_RETENTION_MILLIS) {
-                iterator.remove();
+                remove(iterator, ended);
             }
         }
         return sound;
--- a/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PlacementPolicy.java
@@ -48,6 +48,11 @@
      */
     default void recordPeerWorkTime(ServerInstance server, PeerReport.StatedWorkTime stated, long nowMillis) {}
 
+    /** Returns the number of prompt parts that are tracked at all servers together. */
+    default int trackedParts() {
+        return 0;
+    }
+
     /** Discards the state kept for a server instance that was removed. */
     default void forgetInstance(String instanceId) {}
 
--- a/core/src/main/java/org/tanagerhinge/core/relay/PrefixCacheTracker.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PrefixCacheTracker.java
@@ -13,6 +13,10 @@
  * <p>Engines evict the least recently used parts when they need memory, so the tracker keeps the most recently used
  * parts of each engine up to a share of its capacity. A part counts only if all parts before it are cached too.
  *
+ * <p>Callers choose the number of parts, so the entries of all engines together are bounded as well: beyond {@value
+ * #MAX_ENTRIES}, no engine keeps more than an equal share. Long ids count as several entries. Parts without tokens are
+ * not kept, since prefilling them costs nothing.
+ *
  * <p>For placement a part counts as cached as soon as it is sent, so that prompts with the same part go to the engine
  * that prefills it. Other engines can fetch it only after its prefill, which is assumed to take one second.
  */
@@ -24,8 +28,13 @@
      * isn't prefilled by then, the engine that tries to fetch it prefills the prompt itself.
      */
     private static final long PREFILL_MILLIS = 1_000;
+    /** Largest number of entries of all engines together; they take about a tenth of a gateway's heap. */
+    static final int MAX_ENTRIES = 65_536;
+    /** Length of an id that counts as one more entry. */
+    private static final int ID_CHARS_PER_ENTRY = 64;
 
     private final Map<String, ServerCache> cacheByInstanceId = new HashMap<>();
+    private int entries;
 
     private PrefixCacheTracker() {}
 
@@ -51,6 +60,9 @@
         }
         int tokens = 0;
         for (PromptPart part : prompt.parts()) {
+            if (part.tokens() <= 0) {
+                continue;
+            }
             CachedPart cached = cache.parts.get(part.id());
             if (cached == null || cached.sentAtMillis() > sentUntilMillis) {
                 break;
@@ -64,28 +76,67 @@
     public void recordSent(String instanceId, List<PromptPart> parts, long capacityTokens, long nowMillis) {
         ServerCache cache = cacheByInstanceId.computeIfAbsent(instanceId, id -> new ServerCache());
         for (PromptPart part : parts) {
-            CachedPart previous = cache.parts.remove(part.id());
-            cache.tokens += part.tokens() - (previous == null ? 0 : previous.tokens());
-            cache.parts.put(
-                    part.id(), new CachedPart(part.tokens(), previous == null ? nowMillis : previous.sentAtMillis()));
+            if (part.tokens() > 0) {
+                cache.put(part, nowMillis);
+            }
         }
-        Iterator<Map.Entry<String, CachedPart>> leastRecentlyUsed =
-                cache.parts.entrySet().iterator();
-        while (cache.tokens > CACHE_MEMORY_SHARE * capacityTokens && leastRecentlyUsed.hasNext()) {
-            cache.tokens -= leastRecentlyUsed.next().getValue().tokens();
-            leastRecentlyUsed.remove();
+        cache.evictBeyond((long) (CACHE_MEMORY_SHARE * capacityTokens), MAX_ENTRIES);
+        if (entries > MAX_ENTRIES) {
+            int share = MAX_ENTRIES / cacheByInstanceId.size();
+            cacheByInstanceId.values().forEach(each -> each.evictBeyond(Long.MAX_VALUE, share));
         }
     }
 
+    /** Returns the number of entries of all engines together. */
+    public int entries() {
+        return entries;
+    }
+
     /** Discards the cache estimate of a server that was removed. */
     public void forget(String instanceId) {
-        cacheByInstanceId.remove(instanceId);
+        ServerCache removed = cacheByInstanceId.remove(instanceId);
+        if (removed != null) {
+            entries -= removed.entries;
+        }
     }
 
     private record CachedPart(int tokens, long sentAtMillis) {}
 
-    private static final class ServerCache {
+    private static int entriesOf(String partId) {
+        return 1 + partId.length() / ID_CHARS_PER_ENTRY;
+    }
+
+    private final class ServerCache {
         private final LinkedHashMap<String, CachedPart> parts = new LinkedHashMap<>();
         private long tokens;
+        private int entries;
+
+        private void put(PromptPart part, long nowMillis) {
+            CachedPart previous = parts.remove(part.id());
+            if (previous == null) {
+                addEntries(entriesOf(part.id()));
+            } else {
+                tokens -= previous.tokens();
+            }
+            tokens += part.tokens();
+            parts.put(part.id(), new CachedPart(part.tokens(), previous == null ? nowMillis : previous.sentAtMillis()));
+        }
+
+        /** Removes the least recently used parts until neither limit is exceeded. */
+        private void evictBeyond(long maxTokens, int maxEntries) {
+            Iterator<Map.Entry<String, CachedPart>> leastRecentlyUsed =
+                    parts.entrySet().iterator();
+            while ((tokens > maxTokens || entries > maxEntries) && leastRecentlyUsed.hasNext()) {
+                Map.Entry<String, CachedPart> evicted = leastRecentlyUsed.next();
+                tokens -= evicted.getValue().tokens();
+                addEntries(-entriesOf(evicted.getKey()));
+                leastRecentlyUsed.remove();
+            }
+        }
+
+        private void addEntries(int change) {
+            entries += change;
+            PrefixCacheTracker.this.entries += change;
+        }
     }
 }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PromptAwarePlacement.java
@@ -107,6 +107,11 @@
         prefixCaches.recordSent(server.instanceId(), parts, service.cacheCapacityTokens(), nowMillis);
     }
 
+    @Override
+    public int trackedParts() {
+        return prefixCaches.entries();
+    }
+
     @Override
     public void forgetInstance(String instanceId) {
         prefixCaches.forget(instanceId);
--- a/core/src/test/java/org/tanagerhinge/core/attempt/EndedRunsTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/EndedRunsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a run that is taken for sound although its server crashed right after it, and against forgetting it. */
@@ -38,4 +39,20 @@
         assertEquals(List.of(), runs.takeSound(9_000));
         assertEquals(List.of(), runs.takeCrashed("a"::equals));
     }
+
+    /** Guards against runs with many prompt parts that fill the heap. */
+    @Test
+    void partsOfAllRunsTogetherAreBounded() {
+        List<PartId> parts =
+                IntStream.range(0, 128).mapToObj(i -> PartId.of("part-" + i)).toList();
+        for (int i = 0; i < 2_000; i++) {
+            runs.add("a", new SuspectRun(new RequestFingerprint(1, i), parts), false, i);
+        }
+        assertEquals(EndedRuns.MAX_PARTS / parts.size(), runs.size());
+        assertEquals(
+                EndedRuns.MAX_PARTS / parts.size(),
+                runs.takeCrashed("a"::equals).size());
+        runs.add("a", RUN, true, 2_000);
+        assertEquals(1, runs.size());
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -114,6 +114,11 @@
         return daemon;
     }
 
+    private static double usedHeapBytes() {
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
     /** Registers gauges for in-flight requests and the age of shared state; they are read on the event loop. */
     private void registerGauges(PeerSynchronizer peers) {
         metrics.registerGauge("requests_in_progress", "Requests in flight", gateway::inFlight);
@@ -122,6 +127,15 @@
                 "caller_unsent_bytes",
                 "Bytes of answers that the kernel has not taken, since callers read slowly",
                 gateway::unsentBytes);
+        metrics.registerGauge("heap_used_bytes", "Used memory of the heap", GatewayDaemon::usedHeapBytes);
+        metrics.registerGauge(
+                "heap_max_bytes",
+                "Largest size of the heap",
+                () -> Runtime.getRuntime().maxMemory());
+        metrics.registerGauge(
+                "cached_parts",
+                "Prompt parts that engines are expected to have cached",
+                () -> gateway.placement().trackedParts());
         metrics.registerGauge("config_version", "Version of the active configuration", gateway::configVersion);
         metrics.registerGauge(
                 "store_era",
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/PromptsOfManyPartsTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/PromptsOfManyPartsTest.java
@@ -22,7 +22,8 @@
 import org.tanagerhinge.standin.relay.ServerStandin;
 
 /**
- * Guards against peers that take a gateway for absent since its reports list the parts of prompts with many of them.
+ * Guards against gateways that prompts of many short parts fill with what is kept of them, at the heap of the deploy
+ * file, and against peers that take a gateway for absent since its reports list these parts.
  */
 class PromptsOfManyPartsTest {
     private static final String HOST = "shop.example";
@@ -59,6 +60,12 @@
         fixture.awaitReady(ports.getLast());
     }
 
+    @Test
+    void gatewayWithTheHeapOfTheDeployFileAnswers() throws Exception {
+        startGateway("gateway-a");
+        assertAllAreServed(300);
+    }
+
     @Test
     void gatewaysStayInTouchWithEachOther() throws Exception {
         startGateway("gateway-a");
