The store forgets a request that a completed run has cleared

Cause: the completed run ends the quarantine here and at the peers, but the key of the request in the platform's store was removed for prompt parts only.

Why it works: whoever sees the completed run removes the key, and the reader does when a peer reports it. A write of the key that is still retried then finds that the request isn't quarantined any more.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -190,9 +190,7 @@
         for (EndedRuns.Ended ended : endedRuns.takeSound(nowMillis)) {
             ServerInstance server = gateway.directory().instance(ended.instanceId());
             String serverId = server == null ? ended.instanceId() : server.id();
-            if (requests.recordCompletedRun(ended.run().request(), nowMillis)) {
-                logCleared(LogField.FINGERPRINT, ended.run().request().toString(), serverId, "completed by the server");
-            }
+            requestCompleted(ended.run().request(), serverId, nowMillis);
             if (server != null) {
                 runIsSound(server, ended.run().parts());
             }
@@ -202,13 +200,33 @@
         announceCulprits("crashes explained anew", false);
     }
 
+    private void requestCompleted(RequestFingerprint request, String serverId, long nowMillis) {
+        boolean wasQuarantined = requests.remainingMillis(request, nowMillis).isPresent();
+        if (requests.recordCompletedRun(request, nowMillis)) {
+            logCleared(LogField.FINGERPRINT, request.toString(), serverId, "completed by the server");
+            suspicionListener.run();
+        }
+        requestReleased(request, wasQuarantined, true);
+    }
+
+    /** Has the store forget a request that was quarantined and isn't any more. */
+    private void requestReleased(RequestFingerprint request, boolean wasQuarantined, boolean seenHere) {
+        if (wasQuarantined
+                && requests.remainingMillis(request, gateway.nowMillis()).isEmpty()) {
+            storeListener.ifPresent(store -> store.released(request, seenHere));
+        }
+    }
+
     // ---- evidence of others
 
     /** Merges a peer's suspicion against a request. */
     void suspicionReceived(String peer, RequestQuarantine.Suspicion suspicion) {
+        boolean wasQuarantined = requests.remainingMillis(suspicion.request(), gateway.nowMillis())
+                .isPresent();
         if (requests.merge(suspicion, gateway.nowMillis())) {
             requestQuarantined(suspicion.request(), "reported by " + peer, false);
         }
+        requestReleased(suspicion.request(), wasQuarantined, false);
     }
 
     /** Merges what a peer reports of crashes and suspected parts of prompts. */
