A quarantine that may be a mistake ends with a trial that has run, not with one that was only granted

Cause: a held part that once ran well has a single trial in ten minutes, taken before a server was looked for. The first request after the delay took it while there was no server. A trial whose request was rejected, whose server was full, or whose caller left was lost in the same way. A held request had no trial at all, and neither had what was read from the store at a start. Only the reader of the store may begin a trial, and may never get a request for it.

PartQuarantineTest, RequestQuarantineTest (new tests of repeated, failed and restored trials).

Why it works: a trial begins when its request is sent, and ends by what its run shows: a sound run clears the suspect, a crash excludes trials for ten minutes, at all nodes that hear of it. One that did not run is free at once, one that showed nothing after 5 s, one whose end nobody noticed or whose connection broke after 60 s, one that ended with its gateway at the next gateway. Gateways may begin one by one, each 2 s later than the one before, at most a minute. Refused callers are told the time until a trial has shown something.

Who has a trial: parts that ran well before, as until now; requests whose three crashes came within half a second, since all servers crashed by one cause; what the store lists as doubtful for one of these reasons. A part that was never seen to run well has none, so that a part that crashes servers reaches no more of them than before; a request that crashes three servers within half a second may end one more.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.tanagerhinge.core.attempt.SuspectTable.Crash;
 
@@ -34,7 +35,7 @@
      */
     private static final double RARE_SHARE = 0.25;
     /** Time without a crash after which one request may show that a quarantined part is sound. */
-    static final long TRIAL_DELAY_MILLIS = 5_000;
+    static final long TRIAL_DELAY_MILLIS = SuspectTable.TRIAL_DELAY_MILLIS;
     /** Time for which an answer must go on, or its server stay up after it, to show that the prompt's parts are sound. */
     public static final long SOUND_RUN_MILLIS = 500;
     /**
@@ -167,20 +168,55 @@
     }
 
     /**
-     * Returns whether a request may be sent although one of its parts is quarantined, to show that the part is sound; a
-     * part has one such trial in each quarantine. At most one node should ask.
+     * Returns whether a request may be sent although one of its parts is quarantined, to show that the part is sound.
+     * One trial at a time is in progress, and none follows one that has crashed its server. At most one node should ask.
      *
      * @param unknownSinceMillis time since which this node can't know which parts run well: those with crashes after it
      *     have a trial although it knows no sound run of them; the largest number if it can
      */
     public boolean takeTrial(Culprit culprit, long unknownSinceMillis, long nowMillis) {
-        return culprit.parts().stream().allMatch(part -> {
+        OptionalLong fromMillis = trialFromMillis(culprit, unknownSinceMillis);
+        return fromMillis.isPresent()
+                && fromMillis.getAsLong() < nowMillis
+                && culprit.parts().stream().allMatch(part -> takeTrial(part, nowMillis));
+    }
+
+    /**
+     * Returns the time from which a request may be sent to show that quarantined parts are sound; empty if there is no
+     * reason to doubt that they are at fault: none of them has ever run well, as far as is known.
+     *
+     * @param unknownSinceMillis as for {@link #takeTrial}
+     */
+    public OptionalLong trialFromMillis(Culprit culprit, long unknownSinceMillis) {
+        long fromMillis = Long.MIN_VALUE;
+        for (PartId part : culprit.parts()) {
             SuspectTable<PartId>.Suspect suspect = suspects.find(part);
-            return suspect != null
-                    && (suspect.newestCrashMillis() > unknownSinceMillis || soundAtMillis.containsKey(part))
-                    && suspect.newestCrashMillis() + TRIAL_DELAY_MILLIS < nowMillis
-                    && suspect.takeTrial(nowMillis);
-        });
+            if (suspect == null || !(isDoubtful(part) || suspect.newestCrashMillis() > unknownSinceMillis)) {
+                return OptionalLong.empty();
+            }
+            fromMillis = Math.max(fromMillis, suspect.trialFromMillis());
+        }
+        return OptionalLong.of(fromMillis);
+    }
+
+    /** Begins the trial of one part; returns false if it may not begin yet. */
+    public boolean takeTrial(PartId part, long nowMillis) {
+        SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+        return suspect != null && suspect.takeTrial(nowMillis);
+    }
+
+    /** Ends the trial of a part that has shown nothing; the next one may begin at a time. */
+    public void endTrial(PartId part, long nextMillis) {
+        SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+        if (suspect != null) {
+            suspect.endTrial(nextMillis);
+        }
+    }
+
+    /** Returns whether a part has run well before its crashes, so that it may be quarantined by mistake. */
+    public boolean isDoubtful(PartId part) {
+        SuspectTable<PartId>.Suspect suspect = suspects.find(part);
+        return soundAtMillis.containsKey(part) || (suspect != null && suspect.doubtful());
     }
 
     /** Returns the parts that are quarantined by themselves. */
@@ -256,7 +292,16 @@
 
     /** Restores a quarantine read from the platform's store. */
     public void restore(PartId part, long nowMillis) {
-        suspects.findOrAdd(part).quarantineUntil(nowMillis + RequestQuarantine.QUARANTINE_MILLIS);
+        restore(part, false, nowMillis);
+    }
+
+    /**
+     * Restores a quarantine read from the platform's store.
+     *
+     * @param doubtful whether a trial may show that the part is sound, since it once ran well
+     */
+    public void restore(PartId part, boolean doubtful, long nowMillis) {
+        suspects.findOrAdd(part).restore(doubtful, nowMillis);
         evidenceChanged = true;
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/attempt/RequestQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/RequestQuarantine.java
@@ -9,7 +9,8 @@
  *
  * <p>Without it, one request that crashes servers and is retried takes down servers faster than they restart, together
  * with all other requests that run there. Each request in flight at a server that crashes is suspected. {@value
- * #CRASHES_TO_QUARANTINE} crashes quarantine a request, unless a server completes it in between, which clears it.
+ * #CRASHES_TO_QUARANTINE} crashes quarantine a request, unless a server completes it in between, which clears it. If these
+ * crashes came together, one request at a time may be sent on trial.
  *
  * <p>Nodes report suspicions to each other. Their number is bounded and they expire: crashes after {@link
  * #CRASH_RETENTION_MILLIS}, a quarantine after {@link #QUARANTINE_MILLIS}; one more crash then renews it.
@@ -20,6 +21,9 @@
     /** Duration of a quarantine, which is the maximum lease time of the platform's store. */
     public static final long QUARANTINE_MILLIS = 600_000;
 
+    /** Time within which crashes may have one cause that isn't the request: all servers of a service crash at once. */
+    static final long COMMON_CAUSE_MILLIS = 500;
+
     static final long CRASH_RETENTION_MILLIS = 2 * QUARANTINE_MILLIS;
     static final int MAX_SUSPECTS = 512;
     static final int MAX_UPDATES_PER_REPORT = 32;
@@ -74,6 +78,39 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns the time from which a quarantined request may be sent on trial; empty if there is no reason to doubt that it
+     * is at fault.
+     */
+    public OptionalLong trialFromMillis(RequestFingerprint request) {
+        return isDoubtful(request) ? OptionalLong.of(suspects.find(request).trialFromMillis()) : OptionalLong.empty();
+    }
+
+    /** Returns whether the crashes of a request may have had another cause, so that it may be quarantined by mistake. */
+    public boolean isDoubtful(RequestFingerprint request) {
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.find(request);
+        if (suspect == null) {
+            return false;
+        }
+        List<SuspectTable.Crash> crashes = suspect.crashes();
+        return suspect.doubtful()
+                || (crashes.size() >= CRASHES_TO_QUARANTINE
+                        && suspect.newestCrashMillis() - crashes.getFirst().atMillis() <= COMMON_CAUSE_MILLIS);
+    }
+
+    /** Begins a trial of a request; returns false if it may not begin yet. */
+    public boolean takeTrial(RequestFingerprint request, long nowMillis) {
+        return isDoubtful(request) && suspects.find(request).takeTrial(nowMillis);
+    }
+
+    /** Ends the trial of a request that has shown nothing; the next one may begin at a time. */
+    public void endTrial(RequestFingerprint request, long nextMillis) {
+        SuspectTable<RequestFingerprint>.Suspect suspect = suspects.find(request);
+        if (suspect != null) {
+            suspect.endTrial(nextMillis);
+        }
+    }
+
     /** Returns the quarantined requests. */
     public List<RequestFingerprint> quarantined(long nowMillis) {
         return suspects.quarantined(nowMillis);
@@ -120,9 +157,18 @@
 
     /** Restores a quarantine read from the platform's store; returns whether it was not known here. */
     public boolean restore(RequestFingerprint request, long nowMillis) {
+        return restore(request, false, nowMillis);
+    }
+
+    /**
+     * Restores a quarantine read from the platform's store; returns whether it was not known here.
+     *
+     * @param doubtful whether the request may have a trial, since its crashes may have had another cause
+     */
+    public boolean restore(RequestFingerprint request, boolean doubtful, long nowMillis) {
         SuspectTable<RequestFingerprint>.Suspect suspect = suspects.findOrAdd(request);
         boolean wasQuarantined = suspect.isQuarantined(nowMillis);
-        suspect.quarantineUntil(nowMillis + QUARANTINE_MILLIS);
+        suspect.restore(doubtful, nowMillis);
         return !wasQuarantined;
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/attempt/SuspectTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/SuspectTable.java
@@ -24,6 +24,10 @@
     private static final long CLEARED_RETENTION_MILLIS = 30_000;
     /** Reports of a server's crash within this time are the same crash; shorter than a server's start. */
     private static final long SAME_CRASH_WINDOW_MILLIS = 2_000;
+    /** Time after the newest crash, or after a trial that has shown nothing, before which no trial begins. */
+    static final long TRIAL_DELAY_MILLIS = 5_000;
+    /** Time after which a trial counts as ended whose end was not noticed. */
+    static final long TRIAL_TIMEOUT_MILLIS = 60_000;
 
     private final int maxSuspects;
     private final int maxCrashes;
@@ -59,7 +63,9 @@
         private final List<Crash> crashes = new ArrayList<>();
         private long clearedUntilMillis = Long.MIN_VALUE;
         private long quarantinedUntilMillis = Long.MIN_VALUE;
-        private long trialTakenUntilMillis = Long.MIN_VALUE;
+        private boolean doubtful;
+        private boolean trialInProgress;
+        private long noTrialUntilMillis = Long.MIN_VALUE;
         private int pendingReports;
 
         /** Returns the known crashes since it was last cleared, oldest first. */
@@ -72,6 +78,7 @@
             if (crash.atMillis() <= clearedUntilMillis || crashes.stream().anyMatch(crash::isSameAs)) {
                 return false;
             }
+            noteFailedTrial(crash);
             crashes.add(crash);
             crashes.sort(Comparator.comparingLong(Crash::atMillis));
             if (crashes.size() > maxCrashes) {
@@ -80,6 +87,16 @@
             return true;
         }
 
+        /** Excludes further trials after a crash that only a trial, of this node or another one, can have led to. */
+        private void noteFailedTrial(Crash crash) {
+            boolean held = doubtful || crashes.size() >= RequestQuarantine.CRASHES_TO_QUARANTINE;
+            if (trialInProgress || (held && crash.atMillis() >= newestCrashMillis() + TRIAL_DELAY_MILLIS)) {
+                noTrialUntilMillis = crash.atMillis() + RequestQuarantine.QUARANTINE_MILLIS;
+            }
+            trialInProgress = false;
+            doubtful = false;
+        }
+
         /** Removes the crashes up to a time. */
         void clearUntil(long millis) {
             clearedUntilMillis = Math.max(clearedUntilMillis, millis);
@@ -103,17 +120,47 @@
 
         void endQuarantine() {
             quarantinedUntilMillis = Long.MIN_VALUE;
+            doubtful = false;
         }
 
-        /** Takes the only trial of the current quarantine; returns whether there was one left. */
+        /** Restores a quarantine that is known from the platform's store; a doubtful one may have a trial. */
+        void restore(boolean isDoubtful, long nowMillis) {
+            quarantineUntil(nowMillis + RequestQuarantine.QUARANTINE_MILLIS);
+            if (isDoubtful && !doubtful && crashes.isEmpty()) {
+                doubtful = true;
+                noTrialUntilMillis = nowMillis + TRIAL_DELAY_MILLIS;
+            }
+        }
+
+        /** Returns whether the store's quarantine was doubtful, and nothing is known of crashes since. */
+        boolean doubtful() {
+            return doubtful;
+        }
+
+        /** Returns the time from which a trial may begin. */
+        long trialFromMillis() {
+            long afterCrashes = crashes.isEmpty() ? Long.MIN_VALUE : newestCrashMillis() + TRIAL_DELAY_MILLIS;
+            return Math.max(afterCrashes, noTrialUntilMillis);
+        }
+
+        /** Begins a trial; returns false if it may not begin yet. */
         boolean takeTrial(long nowMillis) {
-            if (nowMillis < trialTakenUntilMillis) {
+            if (nowMillis < trialFromMillis()) {
                 return false;
             }
-            trialTakenUntilMillis = nowMillis + RequestQuarantine.QUARANTINE_MILLIS;
+            trialInProgress = true;
+            noTrialUntilMillis = nowMillis + TRIAL_TIMEOUT_MILLIS;
             return true;
         }
 
+        /** Ends a trial that has shown nothing; the next one may begin at a time. */
+        void endTrial(long nextMillis) {
+            if (trialInProgress) {
+                trialInProgress = false;
+                noTrialUntilMillis = nextMillis;
+            }
+        }
+
         long quarantinedUntilMillis() {
             return quarantinedUntilMillis;
         }
--- a/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/relay/PeerTable.java
@@ -136,14 +136,24 @@
      * @param storeReachable whether this node can reach the store
      */
     public boolean isStoreReader(boolean storeReachable, long nowMillis) {
+        return storeReaderRank(storeReachable, nowMillis) == 0;
+    }
+
+    /**
+     * Returns how many present nodes come before this one as readers of the platform's store.
+     *
+     * @param storeReachable whether this node can reach the store
+     */
+    public int storeReaderRank(boolean storeReachable, long nowMillis) {
+        int rank = 0;
         for (Peer peer : peers.values()) {
             if (present(peer, nowMillis)
                     && peer.report().storeReachable()
                     && (!storeReachable || peer.report().name().compareTo(self) < 0)) {
-                return false;
+                rank++;
             }
         }
-        return true;
+        return rank;
     }
 
     /** Returns the load that the present peers report, summed by instance id. */
--- a/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
@@ -285,4 +285,63 @@
         assertEquals(id, PartId.parse(id.toString()).orElseThrow());
         assertTrue(PartId.parse("a/b").isEmpty());
     }
+
+    /** Holds a part that has run well, and returns it as a culprit at a time when a trial is due. */
+    private PartQuarantine.Culprit heldByMistake(long crashMillis) {
+        quarantine.recordSoundRun(List.of(RARE), crashMillis - 2 * PartQuarantine.SOUND_MILLIS);
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(run(RARE), "a-" + i, crashMillis);
+        }
+        return quarantine.culpritAmong(List.of(RARE), crashMillis).orElseThrow();
+    }
+
+    /** Guards against a sound part that is held since its only trial did not run, or showed nothing. */
+    @Test
+    void trialIsRepeatedIfItEndedWithoutACrash() {
+        PartQuarantine.Culprit culprit = heldByMistake(20_000);
+        assertTrue(quarantine.takeTrial(culprit, Long.MAX_VALUE, 26_000));
+        quarantine.endTrial(RARE, 26_000);
+        assertTrue(quarantine.takeTrial(culprit, Long.MAX_VALUE, 26_001), "did not run");
+        quarantine.endTrial(RARE, 32_000);
+        assertFalse(quarantine.takeTrial(culprit, Long.MAX_VALUE, 31_000), "too early after a run without evidence");
+        assertTrue(quarantine.takeTrial(culprit, Long.MAX_VALUE, 32_001));
+        assertTrue(
+                quarantine.takeTrial(culprit, Long.MAX_VALUE, 32_002 + SuspectTable.TRIAL_TIMEOUT_MILLIS),
+                "nobody has told how the trial ended");
+    }
+
+    /** Guards against a part that crashes servers and is tried again and again. */
+    @Test
+    void trialThatCrashesItsServerIsTheLastOneAtAllNodes() {
+        PartQuarantine other = PartQuarantine.create();
+        PartQuarantine.Culprit culprit = heldByMistake(20_000);
+        report(quarantine, other, 20_000);
+        other.recordSoundRun(List.of(COMMON), 20_000);
+        assertTrue(quarantine.takeTrial(culprit, Long.MAX_VALUE, 26_000));
+        quarantine.recordCrash(run(RARE), "b", 26_100);
+        quarantine.endTrial(RARE, 26_100);
+        report(quarantine, other, 26_100);
+        for (PartQuarantine node : List.of(quarantine, other)) {
+            PartQuarantine.Culprit held =
+                    node.culpritAmong(List.of(RARE), 40_000).orElseThrow();
+            assertFalse(node.takeTrial(held, Long.MAX_VALUE, 40_000));
+            assertFalse(node.takeTrial(held, Long.MAX_VALUE, 26_100 + RequestQuarantine.QUARANTINE_MILLIS - 1));
+        }
+    }
+
+    /** Guards against a sound part that is held for ten minutes after all gateways have started anew. */
+    @Test
+    void partThatTheStoreListsAsDoubtfulHasATrial() {
+        quarantine.restore(RARE, true, 1_000);
+        quarantine.restore(CULPRIT, 1_000);
+        PartQuarantine.Culprit rare =
+                quarantine.culpritAmong(List.of(RARE), 1_000).orElseThrow();
+        PartQuarantine.Culprit culprit =
+                quarantine.culpritAmong(List.of(CULPRIT), 1_000).orElseThrow();
+        assertFalse(quarantine.takeTrial(rare, Long.MAX_VALUE, 2_000), "too early");
+        assertFalse(quarantine.takeTrial(culprit, Long.MAX_VALUE, 8_000), "not doubtful");
+        assertTrue(quarantine.takeTrial(rare, Long.MAX_VALUE, 8_000));
+        quarantine.recordCrash(run(RARE), "a", 8_100);
+        assertFalse(quarantine.takeTrial(rare, Long.MAX_VALUE, 90_000));
+    }
 }
--- a/core/src/test/java/org/tanagerhinge/core/attempt/RequestQuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/RequestQuarantineTest.java
@@ -187,4 +187,40 @@
         return RequestFingerprint.of(
                 workspace, method, host, target, ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
     }
+
+    private void recordCrashes(long gapMillis) {
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordCrash(request, "s" + i, i * gapMillis);
+        }
+    }
+
+    /** Guards against a sound request that is refused for ten minutes since all servers crashed while they ran it. */
+    @Test
+    void requestWhoseServersCrashedTogetherHasATrial() {
+        recordCrashes(10);
+        assertFalse(quarantine.takeTrial(request, 4_000), "too early");
+        assertTrue(quarantine.takeTrial(request, 6_000));
+        assertFalse(quarantine.takeTrial(request, 6_100), "in progress");
+        quarantine.endTrial(request, 6_200);
+        assertTrue(quarantine.takeTrial(request, 6_200), "did not run");
+        quarantine.recordCompletedRun(request, 7_000);
+        assertFalse(isQuarantined(quarantine, 7_000));
+    }
+
+    /** Guards against a trial of a request that crashes one server after the other. */
+    @Test
+    void requestWhoseServersCrashedOneAfterTheOtherHasNoTrial() {
+        recordCrashes(RequestQuarantine.COMMON_CAUSE_MILLIS);
+        assertFalse(quarantine.takeTrial(request, 20_000));
+        assertTrue(quarantine.trialFromMillis(request).isEmpty());
+    }
+
+    @Test
+    void requestWhoseTrialCrashedItsServerHasNoOther() {
+        recordCrashes(10);
+        assertTrue(quarantine.takeTrial(request, 6_000));
+        quarantine.recordCrash(request, "t", 6_100);
+        quarantine.endTrial(request, 6_100);
+        assertFalse(quarantine.takeTrial(request, RequestQuarantine.QUARANTINE_MILLIS));
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -30,6 +31,13 @@
 final class CrashQuarantine {
     private static final int MAX_LOGGED_SUSPECTS = 16;
 
+    /** Time by which a trial has shown whether its suspect is at fault, for callers that wait for it. */
+    private static final long TRIAL_RUN_MILLIS = 2_000;
+    /** Time by which a trial may begin later at each further gateway. */
+    private static final long TURN_MILLIS = 2_000;
+
+    private static final long MAX_TURN_DELAY_MILLIS = 60_000;
+
     /** Time after its start for which a gateway can't know which parts have run well. */
     private static final long COLD_MILLIS = 20_000;
 
@@ -64,12 +72,18 @@
          */
         void released(CrashSuspect suspect, boolean seenHere);
 
-        /** Returns whether this gateway acts for all in what one of them should do. */
-        boolean actsForAll();
+        /** Returns the turn of this gateway in what one of them should do for all, from 0. */
+        int trialTurn();
     }
 
-    /** Why a request is not sent. */
-    record Held(String reason, long remainingMillis) {}
+    /**
+     * Why a request is not sent.
+     *
+     * @param remainingMillis time after which it may be sent, or another request has shown whether it may
+     * @param suspects what is quarantined
+     * @param trialDue whether this gateway may send it on trial
+     */
+    record Held(String reason, long remainingMillis, List<CrashSuspect> suspects, boolean trialDue) {}
 
     /** Registers the listener for new suspicions and clearings. */
     void onSuspicion(Runnable listener) {
@@ -93,33 +107,100 @@
         parts.recordArrival(sharedParts);
     }
 
-    /** Returns why a request must not be sent; empty if it may. */
+    /** Returns why a request must not be sent, unless on trial; empty if it may. */
     Optional<Held> held(Supplier<RequestFingerprint> fingerprint, List<PartId> sharedParts) {
         long nowMillis = gateway.nowMillis();
-        Optional<PartQuarantine.Culprit> culprit = parts.culpritAmong(sharedParts, nowMillis);
-        if (culprit.isPresent() && !takeTrial(culprit.get(), nowMillis)) {
-            String reason = culprit.get().crashCount() + " servers crashed while running prompts with "
-                    + joined(culprit.get().parts());
-            return Optional.of(new Held(reason, culprit.get().untilMillis() - nowMillis));
+        Optional<Held> heldForPart = parts.culpritAmong(sharedParts, nowMillis).map(this::heldFor);
+        Optional<Held> heldForRequest = requests.isEmpty() ? Optional.empty() : heldFor(fingerprint.get(), nowMillis);
+        if (heldForPart.isEmpty() || heldForRequest.isEmpty()) {
+            return heldForPart.or(() -> heldForRequest);
         }
-        if (requests.isEmpty()) {
-            return Optional.empty();
+        Held part = heldForPart.get();
+        Held request = heldForRequest.get();
+        Held longer = part.remainingMillis() >= request.remainingMillis() ? part : request;
+        List<CrashSuspect> both = new ArrayList<>(part.suspects());
+        both.addAll(request.suspects());
+        return Optional.of(
+                new Held(longer.reason(), longer.remainingMillis(), both, part.trialDue() && request.trialDue()));
+    }
+
+    private Held heldFor(PartQuarantine.Culprit culprit) {
+        String reason = culprit.crashCount() + " servers crashed while running prompts with " + joined(culprit.parts());
+        return held(
+                reason,
+                culprit.untilMillis() - gateway.nowMillis(),
+                List.copyOf(culprit.parts()),
+                parts.trialFromMillis(culprit, unknownSinceMillis()));
+    }
+
+    private Optional<Held> heldFor(RequestFingerprint request, long nowMillis) {
+        OptionalLong remainingMillis = requests.remainingMillis(request, nowMillis);
+        return remainingMillis.isEmpty()
+                ? Optional.empty()
+                : Optional.of(held(
+                        "servers crashed while running " + request,
+                        remainingMillis.getAsLong(),
+                        List.of(request),
+                        requests.trialFromMillis(request)));
+    }
+
+    private Held held(String reason, long untilEndMillis, List<CrashSuspect> suspects, OptionalLong trialFromMillis) {
+        if (trialFromMillis.isEmpty()) {
+            return new Held(reason, untilEndMillis, suspects, false);
         }
-        OptionalLong remainingMillis = requests.remainingMillis(fingerprint.get(), nowMillis);
-        return remainingMillis.isPresent()
-                ? Optional.of(
-                        new Held("servers crashed while running " + fingerprint.get(), remainingMillis.getAsLong()))
-                : Optional.empty();
-    }
-
-    private boolean takeTrial(PartQuarantine.Culprit culprit, long nowMillis) {
-        boolean cold = nowMillis - startedAtMillis < COLD_MILLIS;
-        boolean taken = storeListener.map(StoreListener::actsForAll).orElse(false)
-                && parts.takeTrial(culprit, cold ? startedAtMillis : Long.MAX_VALUE, nowMillis);
-        if (taken) {
-            gateway.count("part_tried");
+        long untilTrialMillis = trialFromMillis.getAsLong() - gateway.nowMillis();
+        OptionalInt turn = trialTurn();
+        boolean due = turn.isPresent() && untilTrialMillis + turnDelayMillis(turn.getAsInt()) < 0;
+        long untilShownMillis = Math.max(0, untilTrialMillis) + TRIAL_RUN_MILLIS;
+        return new Held(reason, Math.min(untilEndMillis, untilShownMillis), suspects, due);
+    }
+
+    /** Begins the trial of a request for which one is due. */
+    QuarantineTrial takeTrial(Held held) {
+        for (CrashSuspect suspect : held.suspects()) {
+            switch (suspect) {
+                case RequestFingerprint request -> {
+                    requests.takeTrial(request, gateway.nowMillis());
+                    gateway.count("request_tried");
+                }
+                case PartId part -> {
+                    parts.takeTrial(part, gateway.nowMillis());
+                    gateway.count("part_tried");
+                }
+            }
         }
-        return taken;
+        return new QuarantineTrial(held.suspects(), this::endTrial);
+    }
+
+    private void endTrial(CrashSuspect suspect, long delayMillis) {
+        long nextMillis = gateway.nowMillis() + delayMillis;
+        switch (suspect) {
+            case RequestFingerprint request -> requests.endTrial(request, nextMillis);
+            case PartId part -> parts.endTrial(part, nextMillis);
+        }
+    }
+
+    private OptionalInt trialTurn() {
+        return storeListener.map(store -> OptionalInt.of(store.trialTurn())).orElse(OptionalInt.empty());
+    }
+
+    /** Lets one gateway after the other begin a trial, since those before may get no request for it. */
+    private static long turnDelayMillis(int turn) {
+        return Math.min(MAX_TURN_DELAY_MILLIS, turn * TURN_MILLIS);
+    }
+
+    /** Returns the time since which this gateway can't know which parts run well, as long as it acts for all. */
+    private long unknownSinceMillis() {
+        boolean cold = gateway.nowMillis() - startedAtMillis < COLD_MILLIS;
+        return cold && trialTurn().equals(OptionalInt.of(0)) ? startedAtMillis : Long.MAX_VALUE;
+    }
+
+    /** Returns whether something may be quarantined by mistake, so that a trial may clear it. */
+    boolean isDoubtful(CrashSuspect suspect) {
+        return switch (suspect) {
+            case RequestFingerprint request -> requests.isDoubtful(request);
+            case PartId part -> parts.isDoubtful(part);
+        };
     }
 
     /** Returns the suspected ones of some parts, each with its number of crashes; empty without any. */
@@ -261,15 +342,15 @@
     }
 
     /** Quarantines what the platform's store lists as quarantined. */
-    void quarantinedInStore(List<CrashSuspect> stored) {
-        for (CrashSuspect suspect : stored) {
-            switch (suspect) {
+    void quarantinedInStore(List<MetadataStore.Quarantined> stored) {
+        for (MetadataStore.Quarantined item : stored) {
+            switch (item.suspect()) {
                 case RequestFingerprint request -> {
-                    if (requests.restore(request, gateway.nowMillis())) {
+                    if (requests.restore(request, item.doubtful(), gateway.nowMillis())) {
                         logRequestHeld(request, "listed in the store");
                     }
                 }
-                case PartId part -> parts.restore(part, gateway.nowMillis());
+                case PartId part -> parts.restore(part, item.doubtful(), gateway.nowMillis());
             }
         }
         announceCulprits("listed in the store", false);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/InstrumentedStore.java
@@ -69,8 +69,8 @@
     }
 
     @Override
-    public void quarantine(CrashSuspect suspect, Duration duration, Consumer<Reply<Long>> onReply) {
-        store.quarantine(suspect, duration, timed("hold", onReply));
+    public void quarantine(Quarantined quarantined, Duration duration, Consumer<Reply<Long>> onReply) {
+        store.quarantine(quarantined, duration, timed("hold", onReply));
     }
 
     @Override
@@ -79,7 +79,7 @@
     }
 
     @Override
-    public void listQuarantined(Consumer<Reply<Listing<CrashSuspect>>> onReply) {
+    public void listQuarantined(Consumer<Reply<Listing<Quarantined>>> onReply) {
         store.listQuarantined(timed("held", onReply));
     }
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/MetadataStore.java
@@ -44,14 +44,21 @@
     /** Lists the peer addresses of all gateways, as IP:PORT. */
     void listGateways(Consumer<Reply<Listing<String>>> onReply);
 
+    /**
+     * What is quarantined.
+     *
+     * @param doubtful whether it may be quarantined by mistake, so that a trial may clear it
+     */
+    record Quarantined(CrashSuspect suspect, boolean doubtful) {}
+
     /** Stores what is quarantined for a time, also for gateways that start later. */
-    void quarantine(CrashSuspect suspect, Duration duration, Consumer<Reply<Long>> onReply);
+    void quarantine(Quarantined quarantined, Duration duration, Consumer<Reply<Long>> onReply);
 
     /** Removes what is not quarantined any more. */
     void endQuarantine(CrashSuspect suspect, Consumer<Reply<Boolean>> onReply);
 
     /** Lists what is quarantined. */
-    void listQuarantined(Consumer<Reply<Listing<CrashSuspect>>> onReply);
+    void listQuarantined(Consumer<Reply<Listing<Quarantined>>> onReply);
 
     /** Stores for a time that software versions of services serve. */
     void recordSoftwareVersions(List<ServiceVersion> versions, Duration duration, Consumer<Reply<Long>> onReply);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -68,6 +68,9 @@
     /** Whether the retry budget was charged for a hedge that reached no server. */
     private boolean retryUnused;
 
+    /** Set while an attempt is in progress that shows whether something quarantined is at fault. */
+    private Optional<QuarantineTrial> trial = Optional.empty();
+
     private AttemptHistory history;
     private RequestFingerprint fingerprint;
     private List<PartId> sharedParts;
@@ -197,7 +200,7 @@
     private void startAttempt() {
         long nowMillis = gateway.nowMillis();
         Optional<CrashQuarantine.Held> held = gateway.crashQuarantine().held(this::fingerprint, sharedParts());
-        if (held.isPresent()) {
+        if (held.isPresent() && !held.get().trialDue()) {
             telemetry.quarantined(held.get().reason());
             endWithoutResponse(
                     "request is quarantined: " + held.get().reason(),
@@ -216,6 +219,7 @@
         if (rejected(request, decision.get())) {
             return;
         }
+        trial = held.map(gateway.crashQuarantine()::takeTrial);
         attempt = newAttempt(request, decision.get(), candidates.size());
         attempt.start();
     }
@@ -538,6 +542,7 @@
         } else if (failure.mayHaveRun()) {
             runEnded(ended, false);
         }
+        endTrial(failure);
         if (hedged()) {
             retryUnused = !failure.reachedServer();
             if (!hedges.remove(ended)) {
@@ -561,6 +566,20 @@
         endWithoutResponse(reason, Refusal.notExecuted(ResultCode.NO_SERVER, retryAfterMillis()));
     }
 
+    /** Ends a trial whose attempt has failed; if the connection broke, it may still turn out that the server crashed. */
+    private void endTrial(AttemptFailure failure) {
+        if (failure.connectionBroken()) {
+            trial = Optional.empty();
+        } else {
+            endTrial(failure.mayHaveRun());
+        }
+    }
+
+    private void endTrial(boolean mayHaveRun) {
+        trial.ifPresent(mayHaveRun ? QuarantineTrial::showedNothing : QuarantineTrial::didNotRun);
+        trial = Optional.empty();
+    }
+
     private boolean canResume() {
         return route.resumable() && gateway.enabled(Mechanism.RESUME);
     }
@@ -613,6 +632,12 @@
     void responseCompleted(int status, ServerInstance server) {
         gateway.responseReceived(server, status);
         runEnded(attempt, status < MIN_ERROR_STATUS);
+        if (status < MIN_ERROR_STATUS) {
+            // The server has to stay up for a while before this shows anything.
+            trial = Optional.empty();
+        } else {
+            endTrial(true);
+        }
         attempt = null;
         admission.completed(status, gateway.nowMillis() - arrivedAtMillis);
         telemetry.completed(status, progress);
@@ -658,6 +683,7 @@
         if (inProgress.sent()) {
             runEnded(inProgress, false);
         }
+        endTrial(inProgress.sent());
     }
 
     private List<RelayAttempt> attempts() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StoreSynchronizer.java
@@ -438,7 +438,7 @@
     /** Reads the quarantined requests from the store, where they survive a simultaneous loss of all gateways. */
     private void readQuarantine() {
         store.listQuarantined(quarantines.onReply(reply -> {
-            if (reply instanceof MetadataStore.Success<MetadataStore.Listing<CrashSuspect>> success) {
+            if (reply instanceof MetadataStore.Success<MetadataStore.Listing<MetadataStore.Quarantined>> success) {
                 markReachable();
                 recordUnreadable(quarantines.name(), success.value());
                 gateway.crashQuarantine().quarantinedInStore(success.value().entries());
@@ -512,7 +512,9 @@
         if (!gateway.crashQuarantine().quarantines(suspect)) {
             return;
         }
-        store.quarantine(suspect, Duration.ofMillis(RequestQuarantine.QUARANTINE_MILLIS), reply -> {
+        MetadataStore.Quarantined quarantined =
+                new MetadataStore.Quarantined(suspect, gateway.crashQuarantine().isDoubtful(suspect));
+        store.quarantine(quarantined, Duration.ofMillis(RequestQuarantine.QUARANTINE_MILLIS), reply -> {
             if (reply instanceof MetadataStore.Success<Long>) {
                 markReachable();
             } else {
@@ -545,8 +547,8 @@
         }
 
         @Override
-        public boolean actsForAll() {
-            return isReader();
+        public int trialTurn() {
+            return peers.table().storeReaderRank(storeReachable, gateway.nowMillis());
         }
 
         @Override
--- a/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/PeriodicTaskRecoveryTest.java
@@ -116,7 +116,7 @@
         }
 
         @Override
-        public void quarantine(CrashSuspect suspect, Duration time, Consumer<Reply<Long>> onReply) {
+        public void quarantine(Quarantined quarantined, Duration time, Consumer<Reply<Long>> onReply) {
             reply("hold", 7L, onReply);
         }
 
@@ -126,7 +126,7 @@
         }
 
         @Override
-        public void listQuarantined(Consumer<Reply<Listing<CrashSuspect>>> onReply) {
+        public void listQuarantined(Consumer<Reply<Listing<Quarantined>>> onReply) {
             reply("held", Listing.of(List.of()), onReply);
         }
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/HeldByMistakeTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/HeldByMistakeTest.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.bench.relay;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -17,6 +19,10 @@
 /** Guards against sound requests that are refused for long since servers crashed by another cause while they ran them. */
 class HeldByMistakeTest {
     private static final int SERVERS = 3;
+    private static final List<String> SYSTEM = List.of("system");
+    /** Longer than a sound run excludes its parts, and than the delay of a trial. */
+    private static final long LONG_MILLIS = 5_500;
+
     private static final Duration SEND_INTERVAL = Duration.ofMillis(20);
 
     private final CountDownLatch completed = new CountDownLatch(1);
@@ -73,10 +79,19 @@
         }
     }
 
+    private void crash(List<ServerStandin> servers) {
+        servers.forEach(ServerStandin::close);
+        servers.forEach(scene.platform::unregister);
+    }
+
     private int askForStatus() {
         return RelayScene.status(gateway, "/safe/status");
     }
 
+    private boolean askWithSystemPrompt() {
+        return PromptCaller.begins(gateway, SYSTEM, "");
+    }
+
     private long count(String reason) {
         return gateway.metrics()
                 .text()
@@ -86,6 +101,36 @@
                 .sum();
     }
 
+    @Test
+    void promptPartIsServedAlthoughItsTrialFellIntoATimeWithoutServers() {
+        ServerStandin first = scene.server("first", "model", ServerStandin.events(2, 1));
+        RelayScene.await(this::askWithSystemPrompt);
+        RelayScene.sleep(LONG_MILLIS);
+        crash(List.of(first));
+        for (int i = 0; i < SERVERS; i++) {
+            List<ServerStandin> crashing = List.of(scene.server("crashing" + i, "model", silent()));
+            occupy(crashing, this::askWithSystemPrompt);
+            crash(crashing);
+        }
+        RelayScene.await(() -> count("part_held") > 0);
+        RelayScene.sleep(LONG_MILLIS);
+        assertFalse(askWithSystemPrompt(), "there is no server");
+        servers("second", "model", ServerStandin.events(2, 1));
+        RelayScene.await(this::askWithSystemPrompt);
+    }
+
+    @Test
+    void requestIsServedAfterAllServersThatRanItHaveCrashedAtOnce() {
+        List<ServerStandin> servers = servers("first", "plain", silent());
+        occupy(servers, this::askForStatus);
+        crash(servers);
+        RelayScene.await(() -> count("request_held") > 0);
+        servers("second", "plain", ServerStandin.plain(200, "sound"));
+        RelayScene.await(() -> askForStatus() == 200);
+        RelayScene.await(() -> askForStatus() == 200 && askForStatus() == 200);
+        assertEquals(1, count("request_tried"));
+    }
+
     /** Guards against gateways that start later and refuse a request that a completed run has cleared. */
     @Test
     void requestThatACompletedRunClearsIsNotKeptInTheStore() {
