Routers send requests on trial that they may hold by mistake

What callers saw: a router refused calls for ten minutes after all engines had gone down at once while they ran the same call, and prompts with a part that had run well before.

Cause: routers ask the same quarantines as gateways, but never begin a trial, so that only time ends them.

Evidence: CrashAttributionTest.callWhoseEnginesWentDownTogetherIsSentOnTrial (the method for trials is new; before, the call stayed quarantined). CallThatEndsEnginesTest, MessageCrashesEnginesTest, SoakTest and StalledAttemptTest pass unchanged.

Why it works: as at gateways, the trial is taken once a server is chosen, ends with its attempt, and is free at once if the call did not run, else after 5 s. A crash excludes further ones for ten minutes.

At gateways a request whose trial did not run may be sent to another server within the same millisecond.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/PartQuarantine.java
@@ -177,7 +177,7 @@
     public boolean takeTrial(Culprit culprit, long unknownSinceMillis, long nowMillis) {
         OptionalLong fromMillis = trialFromMillis(culprit, unknownSinceMillis);
         return fromMillis.isPresent()
-                && fromMillis.getAsLong() < nowMillis
+                && fromMillis.getAsLong() <= nowMillis
                 && culprit.parts().stream().allMatch(part -> takeTrial(part, nowMillis));
     }
 
--- a/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
@@ -29,6 +29,9 @@
      */
     private static final Duration CRASH_DETECTION_WINDOW = Duration.ofSeconds(2);
 
+    /** Time by which a trial has shown whether its suspect is at fault, for callers that wait for it. */
+    private static final Duration TRIAL_RUN = Duration.ofSeconds(2);
+
     private static final int MAX_PENDING_RUNS_PER_SERVER = 128;
 
     private record FailedRun(SuspectRun run, Instant failedAt) {}
@@ -47,17 +50,52 @@
         parts.recordArrival(sharedParts);
     }
 
-    /** Returns for how long a request stays quarantined; empty if it may be sent. */
+    /** Returns after how long a request may be sent; empty if it may be sent now, perhaps on trial. */
     Optional<Duration> quarantinedFor(SuspectRun run, Instant now) {
         long nowMillis = now.toEpochMilli();
+        Optional<Duration> forPart = parts.culpritAmong(run.parts(), nowMillis)
+                .flatMap(culprit ->
+                        remaining(culprit.untilMillis(), parts.trialFromMillis(culprit, Long.MAX_VALUE), nowMillis));
+        if (forPart.isPresent()) {
+            return forPart;
+        }
+        OptionalLong remainingMillis = requests.remainingMillis(run.request(), nowMillis);
+        return remainingMillis.isEmpty()
+                ? Optional.empty()
+                : remaining(
+                        nowMillis + remainingMillis.getAsLong(), requests.trialFromMillis(run.request()), nowMillis);
+    }
+
+    /** Returns the time until the end of a quarantine, or until a trial has shown whether it is a mistake. */
+    private static Optional<Duration> remaining(long untilMillis, OptionalLong trialFromMillis, long nowMillis) {
+        if (trialFromMillis.isEmpty()) {
+            return Optional.of(Duration.ofMillis(untilMillis - nowMillis));
+        }
+        long untilTrialMillis = trialFromMillis.getAsLong() - nowMillis;
+        return untilTrialMillis <= 0
+                ? Optional.empty()
+                : Optional.of(Duration.ofMillis(Math.min(untilMillis - nowMillis, untilTrialMillis))
+                        .plus(TRIAL_RUN));
+    }
+
+    /** Begins a trial if a request that may be sent is quarantined; returns whether it is on trial. */
+    boolean takeTrial(SuspectRun run, Instant now) {
+        long nowMillis = now.toEpochMilli();
+        boolean onTrial = false;
         Optional<PartQuarantine.Culprit> culprit = parts.culpritAmong(run.parts(), nowMillis);
         if (culprit.isPresent()) {
-            return Optional.of(Duration.ofMillis(culprit.get().untilMillis() - nowMillis));
+            onTrial = parts.takeTrial(culprit.get(), Long.MAX_VALUE, nowMillis);
         }
-        OptionalLong remainingMillis = requests.remainingMillis(run.request(), nowMillis);
-        return remainingMillis.isPresent()
-                ? Optional.of(Duration.ofMillis(remainingMillis.getAsLong()))
-                : Optional.empty();
+        if (requests.remainingMillis(run.request(), nowMillis).isPresent()) {
+            onTrial |= requests.takeTrial(run.request(), nowMillis);
+        }
+        return onTrial;
+    }
+
+    /** Ends a trial that has shown nothing; the next one may begin at a time. */
+    void endTrial(SuspectRun run, Instant next) {
+        requests.endTrial(run.request(), next.toEpochMilli());
+        run.parts().forEach(part -> parts.endTrial(part, next.toEpochMilli()));
     }
 
     /** Records that a run failed at a server. */
--- a/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/Exchange.java
@@ -65,6 +65,7 @@
     private boolean headSent;
     private boolean attemptUnresolved;
     private boolean attached;
+    private boolean onTrial;
     private Instant firstOutputAt;
     private Instant lastProgressAt;
     private RequestFailure lastFailure;
@@ -454,4 +455,13 @@
     public String toString() {
         return "request " + id() + " (" + profile.name() + ", " + machine.state() + ")";
     }
+
+    /** Returns whether the current attempt shows whether something quarantined is at fault. */
+    boolean onTrial() {
+        return onTrial;
+    }
+
+    void onTrial(boolean isOnTrial) {
+        onTrial = isOnTrial;
+    }
 }
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -45,6 +45,9 @@
     private static final long MIN_MODEL_CREDIT_TOKENS = 64;
     private static final long MIN_SERVICE_CREDIT_BYTES = 64 * 1024;
     private static final long PROMPT_TOKENS_PER_UNIT = 16;
+    /** Time after a run on trial that has shown nothing before which the next one doesn't begin. */
+    private static final Duration TRIAL_REPEAT_DELAY = Duration.ofSeconds(5);
+
     private static final Duration EJECTION_CHECK_INTERVAL = Duration.ofMillis(300);
     /** Time between two ticks from which on the process counts as not having run in between. */
     private static final Duration MIN_PAUSE = Duration.ofMillis(500);
@@ -235,7 +238,7 @@
         return suspectRun(exchange.request(), exchange.workspace());
     }
 
-    /** Returns for how long a request stays quarantined; computes its fingerprint only if anything is suspected. */
+    /** Returns after how long a request may be sent; computes its fingerprint only if anything is suspected. */
     private Optional<Duration> quarantinedFor(IncomingRequest request, Workspace workspace) {
         return crashAttribution.isEmpty()
                 ? Optional.empty()
@@ -279,6 +282,7 @@
     // ---- server choice
 
     void dispatch(Exchange exchange) {
+        endTrial(exchange);
         Optional<Duration> quarantinedFor = quarantinedFor(exchange.request(), exchange.workspace());
         if (quarantinedFor.isPresent()) {
             refuse(exchange, withActualOutcome(exchange, quarantineFailure(quarantinedFor.get())));
@@ -289,6 +293,7 @@
             refuse(exchange, withActualOutcome(exchange, exchange.lastFailure().orElseGet(() -> noServer(exchange))));
             return;
         }
+        exchange.onTrial(!crashAttribution.isEmpty() && crashAttribution.takeTrial(suspectRun(exchange), now()));
         exchange.assignServer(chosen.get().server().id(), chosen.get().incarnation());
         if (exchange.keyed()) {
             claims.requestClaim(exchange);
@@ -298,6 +303,15 @@
         }
     }
 
+    /** Ends a trial whose attempt has ended without showing anything, so that another request may have it. */
+    private void endTrial(Exchange exchange) {
+        if (exchange.onTrial()) {
+            Duration delay = exchange.mayHaveRun() ? TRIAL_REPEAT_DELAY : Duration.ZERO;
+            crashAttribution.endTrial(suspectRun(exchange), now().plus(delay));
+            exchange.onTrial(false);
+        }
+    }
+
     /** Returns the server for the next attempt of an exchange. */
     private Optional<ServerView> chooseServer(Exchange exchange) {
         List<ServerView> candidates = servers.accepting(exchange.request().kind(), exchange.target()).stream()
@@ -788,6 +802,7 @@
     }
 
     private void close(Exchange exchange, RequestFailure failure) {
+        endTrial(exchange);
         exchanges.remove(exchange);
         workspaceLimiter.release(exchange.workspace(), exchange.profile());
         if (!exchange.anythingDelivered() || !exchange.machine().tryFire(ExchangeEvent.CUT)) {
--- a/core/src/test/java/org/tanagerhinge/core/router/CrashAttributionTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/router/CrashAttributionTest.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.core.router;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Instant;
@@ -78,4 +79,37 @@
         assertTrue(attribution.quarantinedFor(next, START.plusSeconds(3)).isPresent());
         assertTrue(attribution.quarantinedFor(request, START.plusSeconds(3)).isEmpty());
     }
+
+    private void crashTogether() {
+        for (int i = 0; i < 3; i++) {
+            failAt("engine-" + i, 0);
+            downAt("engine-" + i, 0);
+        }
+    }
+
+    /** Guards against a sound call that is refused for ten minutes since all engines went down while they ran it. */
+    @Test
+    void callWhoseEnginesWentDownTogetherIsSentOnTrial() {
+        crashTogether();
+        assertTrue(attribution.quarantinedFor(request, START.plusSeconds(1)).isPresent());
+        assertTrue(attribution.quarantinedFor(request, START.plusSeconds(6)).isEmpty());
+        assertTrue(attribution.takeTrial(request, START.plusSeconds(6)));
+        assertTrue(attribution.quarantinedFor(request, START.plusSeconds(7)).isPresent(), "one trial at a time");
+        attribution.endTrial(request, START.plusSeconds(8));
+        assertTrue(attribution.quarantinedFor(request, START.plusSeconds(9)).isEmpty(), "it did not run");
+        assertTrue(attribution.takeTrial(request, START.plusSeconds(9)));
+        attribution.recordCompletedRun(request, START.plusSeconds(10));
+        assertFalse(attribution.takeTrial(request, START.plusSeconds(11)), "not quarantined any more");
+    }
+
+    @Test
+    void callWhoseTrialTookAnEngineDownIsNotSentAgain() {
+        crashTogether();
+        assertTrue(attribution.takeTrial(request, START.plusSeconds(6)));
+        failAt("engine-4", 7);
+        attribution.endTrial(request, START.plusSeconds(12));
+        downAt("engine-4", 8);
+        assertTrue(attribution.quarantinedFor(request, START.plusSeconds(60)).isPresent());
+        assertFalse(attribution.takeTrial(request, START.plusSeconds(60)));
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -150,7 +150,7 @@
         }
         long untilTrialMillis = trialFromMillis.getAsLong() - gateway.nowMillis();
         OptionalInt turn = trialTurn();
-        boolean due = turn.isPresent() && untilTrialMillis + turnDelayMillis(turn.getAsInt()) < 0;
+        boolean due = turn.isPresent() && untilTrialMillis + turnDelayMillis(turn.getAsInt()) <= 0;
         long untilShownMillis = Math.max(0, untilTrialMillis) + TRIAL_RUN_MILLIS;
         return new Held(reason, Math.min(untilEndMillis, untilShownMillis), suspects, due);
     }
