Linter: the router's suspects are named where they are attributed; no method call in orElse

One assertion that compared a call with itself waits for the clearing instead, and then asks once more.

--- a/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/CrashAttribution.java
@@ -1,5 +1,7 @@
 package org.tanagerhinge.core.router;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -11,9 +13,12 @@
 import java.util.OptionalLong;
 import org.tanagerhinge.core.attempt.PartId;
 import org.tanagerhinge.core.attempt.PartQuarantine;
+import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RequestQuarantine;
 import org.tanagerhinge.core.attempt.SuspectRun;
+import org.tanagerhinge.core.config.Workspace;
 import org.tanagerhinge.core.id.ServerId;
+import org.tanagerhinge.core.message.BackendCall;
 
 /**
  * Attributes crashes of backend servers to the requests that were running there and to the parts of their prompts, and
@@ -40,6 +45,18 @@
     private final PartQuarantine parts = PartQuarantine.create();
     private final Map<ServerId, Deque<FailedRun>> pendingRuns = new HashMap<>();
 
+    /** Returns what may crash the server on which a request runs; equal for repeats of it under other ids. */
+    static SuspectRun suspectRun(IncomingRequest request, Workspace workspace) {
+        String path = request.call() instanceof BackendCall.ServiceCall call ? call.method() + " " + call.path() : "";
+        RequestFingerprint fingerprint = RequestFingerprint.of(
+                workspace.id().value(),
+                request.kind().name(),
+                request.target(),
+                path,
+                ByteBuffer.wrap(request.bodyDigest().getBytes(StandardCharsets.UTF_8)));
+        return new SuspectRun(fingerprint, request.sharedParts());
+    }
+
     /** Returns whether nothing is suspected. */
     boolean isEmpty() {
         return requests.isEmpty() && parts.isEmpty();
--- a/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
+++ b/core/src/main/java/org/tanagerhinge/core/router/RouterCore.java
@@ -1,7 +1,5 @@
 package org.tanagerhinge.core.router;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -12,7 +10,6 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.tanagerhinge.core.attempt.AttemptHistory;
-import org.tanagerhinge.core.attempt.RequestFingerprint;
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.attempt.SuspectRun;
 import org.tanagerhinge.core.claim.ClaimDecision;
@@ -26,7 +23,6 @@
 import org.tanagerhinge.core.invariant.Invariant;
 import org.tanagerhinge.core.invariant.InvariantMonitor;
 import org.tanagerhinge.core.message.AgentLoad;
-import org.tanagerhinge.core.message.BackendCall;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.StoredClaim;
 import org.tanagerhinge.core.result.RequestFailure;
@@ -222,27 +218,15 @@
         dispatch(exchange);
     }
 
-    /** Returns what may crash the server on which a request runs; equal for repeats of it under other ids. */
-    private static SuspectRun suspectRun(IncomingRequest request, Workspace workspace) {
-        String path = request.call() instanceof BackendCall.ServiceCall call ? call.method() + " " + call.path() : "";
-        RequestFingerprint fingerprint = RequestFingerprint.of(
-                workspace.id().value(),
-                request.kind().name(),
-                request.target(),
-                path,
-                ByteBuffer.wrap(request.bodyDigest().getBytes(StandardCharsets.UTF_8)));
-        return new SuspectRun(fingerprint, request.sharedParts());
-    }
-
     private static SuspectRun suspectRun(Exchange exchange) {
-        return suspectRun(exchange.request(), exchange.workspace());
+        return CrashAttribution.suspectRun(exchange.request(), exchange.workspace());
     }
 
     /** Returns after how long a request may be sent; computes its fingerprint only if anything is suspected. */
     private Optional<Duration> quarantinedFor(IncomingRequest request, Workspace workspace) {
         return crashAttribution.isEmpty()
                 ? Optional.empty()
-                : crashAttribution.quarantinedFor(suspectRun(request, workspace), now());
+                : crashAttribution.quarantinedFor(CrashAttribution.suspectRun(request, workspace), now());
     }
 
     private static RequestFailure quarantineFailure(Duration wait) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CrashQuarantine.java
@@ -181,7 +181,7 @@
     }
 
     private OptionalInt trialTurn() {
-        return storeListener.map(store -> OptionalInt.of(store.trialTurn())).orElse(OptionalInt.empty());
+        return storeListener.stream().mapToInt(StoreListener::trialTurn).findFirst();
     }
 
     /** Lets one gateway after the other begin a trial, since those before may get no request for it. */
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/HeldByMistakeTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/HeldByMistakeTest.java
@@ -127,7 +127,8 @@
         RelayScene.await(() -> count("request_held") > 0);
         servers("second", "plain", ServerStandin.plain(200, "sound"));
         RelayScene.await(() -> askForStatus() == 200);
-        RelayScene.await(() -> askForStatus() == 200 && askForStatus() == 200);
+        RelayScene.await(() -> count("suspicion_cleared") > 0);
+        assertEquals(200, askForStatus());
         assertEquals(1, count("request_tried"));
     }
 
