--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
@@ -22,6 +22,10 @@
     private static final String FRAMED_HEAD =
             "HTTP/1.1 200 OK\r\n" + EndingServer.headers(ATTEMPT) + "Content-Length: 1000\r\n\r\n";
 
+    private static final String UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\n" + EndingServer.headers(ATTEMPT) + "\r\n";
+    /** Stands for a whole head without framing, after which nothing follows. */
+    private static final int UNFRAMED = 0;
+
     private static RelayScene scene;
     private static GatewayDaemon gateway;
     private static final List<EndingServer> SERVERS = new ArrayList<>();
@@ -69,7 +73,11 @@
         }
     }
 
-    private record HeadCase(int bytes, EndingServer.End end) {}
+    private record HeadCase(int bytes, EndingServer.End end) {
+        String written() {
+            return bytes == UNFRAMED ? UNFRAMED_HEAD : FRAMED_HEAD.substring(0, bytes);
+        }
+    }
 
     private static Stream<AnswerCase> answers() {
         return Stream.of(Framing.values())
@@ -79,19 +87,27 @@
                                         .map(kind -> new AnswerCase(framing, complete, end, kind)))));
     }
 
-    /** Returns heads that are cut at each byte of the last line and of the blank line, and within each other line. */
+    /**
+     * Returns heads that are cut at each byte of the last line and of the blank line, and within each other line, and one
+     * that is followed by nothing.
+     */
     private static Stream<HeadCase> heads() {
         int lastLine = FRAMED_HEAD.indexOf("Content-Length");
-        return Stream.iterate(1, bytes -> bytes < FRAMED_HEAD.length(), bytes -> bytes + (bytes < lastLine - 7 ? 7 : 1))
+        Stream<HeadCase> withoutBody = Stream.of(EndingServer.End.values())
+                .filter(end -> !end.inOrder())
+                .map(end -> new HeadCase(UNFRAMED, end));
+        Stream<HeadCase> cut = Stream.iterate(
+                        1, bytes -> bytes < FRAMED_HEAD.length(), bytes -> bytes + (bytes < lastLine - 7 ? 7 : 1))
                 .flatMap(bytes -> Stream.of(EndingServer.End.CLOSED, EndingServer.End.RESET)
                         .map(end -> new HeadCase(bytes, end)));
+        return Stream.concat(cut, withoutBody);
     }
 
     @BeforeAll
     static void setUp() throws IOException {
         scene = new RelayScene();
         answers().forEach(answer -> server(answer, answer.kind().routeKind, answer.written(), answer.end()));
-        heads().forEach(head -> server(head, "unsafe", FRAMED_HEAD.substring(0, head.bytes()), head.end()));
+        heads().forEach(head -> server(head, "unsafe", head.written(), head.end()));
         scene.platform.workspace("coop", "key-1");
         scene.platform.publish();
         gateway = scene.gateway();
@@ -113,6 +129,10 @@
         SERVERS.forEach(EndingServer::close);
     }
 
+    private static String body(EndingServer.End end) {
+        return end.early() ? "x".repeat(EndingServer.LONG_REQUEST_BYTES) : "{}";
+    }
+
     private static RawCaller.Answer ask(String path, String body) throws IOException {
         try (RawCaller caller = RawCaller.to(gateway.address())) {
             return caller.exchange(RawCaller.request("POST", path, ATTEMPT, "", body));
@@ -122,8 +142,7 @@
     @ParameterizedTest
     @MethodSource("answers")
     void answerIsWholeOnlyIfItCannotHaveBeenCut(AnswerCase scenario) throws IOException {
-        String body = scenario.end().early() ? "x".repeat(EndingServer.LONG_REQUEST_BYTES) : "{}";
-        RawCaller.Answer answer = ask(PATHS.get(scenario), body);
+        RawCaller.Answer answer = ask(PATHS.get(scenario), body(scenario.end()));
         boolean whole = answer.status() == 200 && answer.whole();
         assertEquals(
                 scenario.mayBeWhole(),
@@ -137,7 +156,7 @@
     @ParameterizedTest
     @MethodSource("heads")
     void answerThatEndsWithinItsHeadIsNoSuccess(HeadCase scenario) throws IOException {
-        RawCaller.Answer answer = ask(PATHS.get(scenario), "{}");
+        RawCaller.Answer answer = ask(PATHS.get(scenario), body(scenario.end()));
         assertEquals(502, answer.status());
         assertTrue(answer.whole());
         assertFalse(answer.headers().containsKey("x-server-seal"));
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/PlatformFixture.java
@@ -77,6 +77,11 @@
         tenants.addObject().put("name", name).putArray(PlatformNames.API_KEYS).add(key);
     }
 
+    /** Adds a workspace without keys. */
+    public void workspaceWithoutKeys(String name) {
+        tenants.addObject().put("name", name).putArray(PlatformNames.API_KEYS);
+    }
+
     /** Removes all workspaces. */
     public void dropWorkspaces() {
         tenants.removeAll();
