A restored part that once ran well has its trial; one failing listener doesn't lose the verdict of others

The time of a trial that may always begin was the smallest number, and the difference to it overflowed at gateways, so that a trial of a part that the store lists, without known crashes, and that ran well long ago was never due there. PartQuarantineTest.restoredPartThatOnceRanWellHasATrialAtOnce, red before.

Verdicts of a liveness check go to each waiting answer on its own, so that what one of them throws is logged and costs the others nothing.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/SuspectTable.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/SuspectTable.java
@@ -28,6 +28,8 @@
     static final long TRIAL_DELAY_MILLIS = 5_000;
     /** Time after which a trial counts as ended whose end was not noticed. */
     static final long TRIAL_TIMEOUT_MILLIS = 60_000;
+    /** Long before any time, and far enough from the smallest number that differences don't overflow. */
+    private static final long EVER_SINCE_MILLIS = Long.MIN_VALUE / 2;
 
     private final int maxSuspects;
     private final int maxCrashes;
@@ -65,7 +67,7 @@
         private long quarantinedUntilMillis = Long.MIN_VALUE;
         private boolean doubtful;
         private boolean trialInProgress;
-        private long noTrialUntilMillis = Long.MIN_VALUE;
+        private long noTrialUntilMillis = EVER_SINCE_MILLIS;
         private int pendingReports;
 
         /** Returns the known crashes since it was last cleared, oldest first. */
@@ -139,7 +141,7 @@
 
         /** Returns the time from which a trial may begin. */
         long trialFromMillis() {
-            long afterCrashes = crashes.isEmpty() ? Long.MIN_VALUE : newestCrashMillis() + TRIAL_DELAY_MILLIS;
+            long afterCrashes = crashes.isEmpty() ? EVER_SINCE_MILLIS : newestCrashMillis() + TRIAL_DELAY_MILLIS;
             return Math.max(afterCrashes, noTrialUntilMillis);
         }
 
--- a/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
+++ b/core/src/test/java/org/tanagerhinge/core/attempt/PartQuarantineTest.java
@@ -329,6 +329,17 @@
         }
     }
 
+    /** Guards against a restored part without a trial, whose crashes nobody knows any more though it once ran well. */
+    @Test
+    void restoredPartThatOnceRanWellHasATrialAtOnce() {
+        quarantine.recordSoundRun(List.of(RARE), 0);
+        quarantine.restore(RARE, 100_000);
+        PartQuarantine.Culprit rare =
+                quarantine.culpritAmong(List.of(RARE), 100_000).orElseThrow();
+        assertTrue(quarantine.trialFromMillis(rare, Long.MAX_VALUE).getAsLong() - 100_000 < 0);
+        assertTrue(quarantine.takeTrial(rare, Long.MAX_VALUE, 100_000));
+    }
+
     /** Guards against a sound part that is held for ten minutes after all gateways have started anew. */
     @Test
     void partThatTheStoreListsAsDoubtfulHasATrial() {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/ServerLivenessCheck.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/ServerLivenessCheck.java
@@ -159,7 +159,7 @@
                 waitingByInstance.put(server.instanceId(), new ArrayList<>());
                 new Check(server, next).connect();
             }
-            listeners.forEach(listener -> listener.accept(verdict));
+            listeners.forEach(listener -> gateway.runGuarded(() -> listener.accept(verdict)));
         }
 
         /** Awaits the head of the response to a health check, or the end of the connection. */
