--- a/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
@@ -43,7 +43,10 @@
     /** Name of the plain service that all service stand-ins provide. */
     public static final String SERVICE = "jobs";
 
-    private static final SharedSecret SECRET = SharedSecret.of("local-cluster-secret");
+    /** Secret that the routers and agents of a cluster share. */
+    public static final String SECRET_TEXT = "local-cluster-secret";
+
+    private static final SharedSecret SECRET = SharedSecret.of(SECRET_TEXT);
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration POLL_INTERVAL = Duration.ofSeconds(1);
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayProcess.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayProcess.java
@@ -38,8 +38,20 @@
 
     /** Starts a gateway with a settings file; its output is appended to a file. */
     static GatewayProcess start(Path settings, Path log) throws IOException {
+        return start(settings, log, command(repository()));
+    }
+
+    /** Starts a gateway that may have a number of open descriptors. */
+    static GatewayProcess start(Path settings, Path log, int maxDescriptors) throws IOException {
+        List<String> limited = new ArrayList<>(
+                List.of("bash", "-c", "ulimit -n " + maxDescriptors + " && exec \"$@\"", "gateway"));
+        limited.addAll(command(repository()));
+        return start(settings, log, limited);
+    }
+
+    private static GatewayProcess start(Path settings, Path log, List<String> command) throws IOException {
         Path root = repository();
-        ProcessBuilder builder = new ProcessBuilder(command(root))
+        ProcessBuilder builder = new ProcessBuilder(command)
                 .directory(root.toFile())
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
@@ -95,6 +107,10 @@
         }
     }
 
+    ProcessUsage usage(int port) {
+        return ProcessUsage.of(process.pid(), port);
+    }
+
     boolean alive() {
         return process.isAlive();
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RawCaller.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RawCaller.java
@@ -62,7 +62,11 @@
     }
 
     void send(String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        send(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
         socket.getOutputStream().flush();
     }
 
--- a/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
+++ b/standin/src/main/java/org/tanagerhinge/standin/relay/GatewayFixture.java
@@ -68,6 +68,12 @@
         platform.route(prefix, "streaming", service).put(PlatformNames.TIMEOUT_MILLIS, STREAM_TIMEOUT_MILLIS);
     }
 
+    /** Adds a route of a kind to a new service without engines. */
+    public void route(String prefix, String kind, String service) {
+        platform.service(service, 0);
+        platform.route(prefix, kind, service);
+    }
+
     /** Removes a server's registration. */
     public void unregister(String id) {
         servers.stream().filter(server -> server.id().equals(id)).forEach(platform::unregister);
@@ -90,8 +96,8 @@
         platform.publish();
     }
 
-    /** Ports of a gateway for callers and for its status. */
-    public record Ports(int listenPort, int statusPort) {}
+    /** Ports of a gateway for callers, for its status and for its peers. */
+    public record Ports(int listenPort, int statusPort, int peerPort) {}
 
     /** Writes the settings file of a gateway with free ports, and returns these. */
     public Ports settings(Path file, String name) throws IOException {
@@ -101,7 +107,7 @@
     /** Writes the settings file of a gateway with free ports at a store and a place for duties, and returns its ports. */
     public static Ports writeSettings(Path file, String name, StoreStandin store, DutyStandin duties)
             throws IOException {
-        Ports ports = new Ports(FreePorts.next(), FreePorts.next());
+        Ports ports = new Ports(FreePorts.next(), FreePorts.next(), FreePorts.next());
         Files.writeString(file, """
                 [gateway]
                 name = %s
@@ -125,7 +131,7 @@
                         name,
                         ports.listenPort(),
                         ports.statusPort(),
-                        FreePorts.next(),
+                        ports.peerPort(),
                         store.address().getPort(),
                         duties.address().getPort()));
         return ports;
