What callers make a gateway hold before their requests run is bounded over all connections

What callers saw: 300 callers that sent bodies of 4 MB, or heads of 16 KB in lines of four bytes, and stopped just short of their end ended a gateway with 96 MB of heap; with bodies in chunks of one byte, or of requests that were going to be refused anyway, nobody was answered any more.

Now: MemoryBound accounts for what each connection holds, from above (heads, bodies in blocks, undecoded bytes, the kernel's buffer while reading pauses, parts of answers), at most a quarter of the heap, a quarter of that for small requests. If it is met, the request that has occupied most memory for the longest time and is still arriving is refused as not run (503, 2014, Retry-After); what follows a running request is dropped instead. What callers complete quickly is never the largest occupant, so they are answered beside the crowd. CallerDecoder leaves what follows a request undecoded, bounds the head by the configuration, and lets requests that take over a millisecond take turns. Bodies of requests that will be refused are not kept; too long ones are refused by their Content-Length.

A partial head is no idle connection any more: in a stop it is refused after the time for heads, and not closed after half a second.

--- a/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
+++ b/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
@@ -40,6 +40,7 @@
             "backend servers crashed under this request, or under others that share a part of its prompt; it is not sent for now"),
     NO_SERVER_OF_VERSION(2012, 503, "no backend server of the software version that began the stream is reachable"),
     STREAM_UNKNOWN(2013, 503, "which software version began the resumed stream is not known here"),
+    MEMORY_FULL(2014, 503, "the node has no memory left for the request"),
     CONNECTION_LOST(3001, 502, "the connection to the agent was lost while the request may have been running"),
     ENGINE_FAILED(3002, 502, "the backend server failed while it ran the request"),
     ANSWER_CUT(3003, 502, "the answer ended before it was whole"),
@@ -106,6 +107,7 @@
                     REQUEST_HELD,
                     NO_SERVER_OF_VERSION,
                     STREAM_UNKNOWN,
+                    MEMORY_FULL,
                     IN_PROGRESS,
                     CLAIMS_UNSETTLED,
                     NOT_READY -> true;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -8,34 +8,40 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.result.ResultCode;
 
 /** Reads the requests of one caller connection, one after the other, and writes their responses. */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /** Maximum number of decoded objects of pipelined requests that are queued; beyond it, reading pauses. */
-    private static final int MAX_PIPELINED = 64;
+final class CallerConnection extends ChannelInboundHandlerAdapter implements MemoryBound.Holder {
+    /** Bytes that wait to be decoded, behind a running request or for a turn; beyond them, reading pauses. */
+    private static final int MAX_UNDECODED_BYTES = 8_192;
+    /** Receive buffer of the kernel, which may fill up while reading pauses. */
+    static final int RECEIVE_BUFFER_BYTES = 65_536;
+    /** Memory of a decoded header line in addition to twice its bytes. */
+    private static final int LINE_MEMORY_BYTES = 200;
+    /** The configured limit may be reached by the request line and by the headers, each. */
+    private static final int HEAD_PARTS = 2;
+
     /** Time that a caller has to close its side after the last response. */
     private static final long LINGER_MILLIS = 1_000;
     /**
@@ -51,13 +57,26 @@
     private static final int CRLF = '\r' << 8 | '\n';
 
     private final Gateway gateway;
-    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    /** Null after it was removed: it would keep what it holds of an incomplete request. */
+    private CallerDecoder decoder;
+
+    private final MemoryBound.Share share;
     private Channel channel;
-    private ChannelHandlerContext codec;
+    private ChannelHandlerContext encoder;
     private boolean chunked;
     private HttpRequest head;
-    private ByteBuf body;
+    private RequestBody body;
+    /** Whether the body is not kept, since the request will be refused whatever it is. */
+    private boolean bodyDiscarded;
+
+    private int discardedBodyBytes;
+    private boolean answersHead;
     private long headAtMillis;
+    /** When the first bytes of an incomplete request were decoded; meaningless without one. */
+    private long begunAtMillis;
+
+    private long headMemory;
+    private long bufferedAnswerBytes;
     private RelayExchange exchange;
     private boolean keepAlive = true;
     private boolean closing;
@@ -66,14 +85,22 @@
     /** A connection is closed if it is idle twice: after a stall of the event loop, a request may wait to be read. */
     private boolean idleAtLastSweep;
 
-    CallerConnection(Gateway gateway) {
+    private CallerConnection(Gateway gateway) {
         this.gateway = gateway;
+        this.decoder = new CallerDecoder(this, gateway.decodingTurns());
+        this.share = gateway.callerMemory().open(this);
+    }
+
+    /** Adds the handlers of a caller connection to a pipeline. */
+    static void addTo(ChannelPipeline pipeline, Gateway gateway) {
+        CallerConnection connection = new CallerConnection(gateway);
+        pipeline.addLast(connection.decoder, new CallerEncoder(connection), connection);
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
-        codec = context.pipeline().context(HttpServerCodec.class);
+        encoder = context.pipeline().context(CallerEncoder.class);
     }
 
     @Override
@@ -96,14 +123,182 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (exchange != null || !pipelined.isEmpty()) {
-            pipelined.add(object);
-            if (pipelined.size() > MAX_PIPELINED) {
-                channel.config().setAutoRead(false);
+        read(object);
+    }
+
+    // ---- used by the decoder
+
+    /** Returns whether more may be decoded: the next request only after the response to the one before. */
+    boolean takesInput() {
+        return closing || (exchange == null && channel.isWritable());
+    }
+
+    /** Returns whether a request has begun to arrive and is not complete. */
+    boolean readsRequest() {
+        return !closing && exchange == null && (head != null || headMemory > 0);
+    }
+
+    boolean answersHead() {
+        return answersHead;
+    }
+
+    /** Records what is held of an incomplete head, or of the trailers after a body. */
+    void headInPart(int bytes, int lines) {
+        if (inputDropped()) {
+            return;
+        }
+        if (headMemory == 0 && bytes > 0) {
+            begunAtMillis = gateway.nowMillis();
+        }
+        if (bytes > HEAD_PARTS * gateway.limits().maxHeaderBytes() && !closing) {
+            refuseTooLong();
+            return;
+        }
+        holdHead(bytes, lines);
+    }
+
+    /** Records what is held of a complete head. */
+    void headRead(int bytes, int lines) {
+        if (headMemory == 0) {
+            begunAtMillis = gateway.nowMillis();
+        }
+        if (bytes > HEAD_PARTS * gateway.limits().maxHeaderBytes() && !closing) {
+            refuseTooLong();
+        } else {
+            holdHead(bytes, lines);
+        }
+    }
+
+    private void holdHead(int bytes, int lines) {
+        headMemory = Math.max(headMemory, 2L * bytes + (long) LINE_MEMORY_BYTES * lines);
+        if (!share.tryResize(heldBytes())) {
+            if (closing) {
+                dropInput();
+            } else {
+                refuseForMemory();
             }
+        }
+    }
+
+    private void refuseTooLong() {
+        keepAlive = false;
+        releaseRequest();
+        dropInput();
+        refuseUnread(Refusal.of(431, ResultCode.HEADER_TOO_LONG));
+    }
+
+    /** Pauses or resumes reading after bytes have been read or decoded. */
+    void bytesRead() {
+        boolean paused = !inputDropped() && (decoder.awaitingTurn() || decoder.undecodedBytes() >= MAX_UNDECODED_BYTES);
+        if (channel.config().isAutoRead() == paused) {
+            channel.config().setAutoRead(!paused);
+        }
+        long held = heldBytes();
+        if (held != share.bytes() && !share.tryResize(held)) {
+            evict();
+        }
+    }
+
+    /** Goes on with what was left undecoded, and resumes reading. */
+    void resumeReading() {
+        if (inputDropped() || !channel.isOpen()) {
             return;
         }
-        read(object);
+        try {
+            decoder.resume();
+        } catch (Exception e) {
+            channel.pipeline().fireExceptionCaught(e);
+        }
+        if (!inputDropped()) {
+            bytesRead();
+        }
+    }
+
+    private boolean inputDropped() {
+        return decoder == null;
+    }
+
+    // ---- memory
+
+    private long heldBytes() {
+        long held = bufferedAnswerBytes + unsentBytes() + (exchange == null ? headMemory : 2 * headMemory);
+        if (body != null) {
+            held += body.memoryWith(0);
+        } else if (exchange != null) {
+            held += exchange.bodyBytes();
+        }
+        return held + undecodedMemory();
+    }
+
+    private long undecodedMemory() {
+        if (inputDropped()) {
+            return 0;
+        }
+        return 2L * decoder.undecodedBytes() + (channel.config().isAutoRead() ? 0 : RECEIVE_BUFFER_BYTES);
+    }
+
+    @Override
+    public long evictableBytes() {
+        if (readsRequest()) {
+            return share.bytes();
+        }
+        return exchange != null && decoder.undecodedBytes() > 0 ? undecodedMemory() : 0;
+    }
+
+    @Override
+    public long evictableSinceMillis() {
+        return begunAtMillis;
+    }
+
+    /** Refuses the request that arrives, or drops what was sent after the one that runs. */
+    @Override
+    public void evict() {
+        if (exchange == null && !closing) {
+            refuseForMemory();
+        } else {
+            keepAlive = false;
+            dropInput();
+        }
+    }
+
+    private void refuseForMemory() {
+        keepAlive = false;
+        releaseRequest();
+        dropInput();
+        refuse(Refusal.notExecuted(ResultCode.MEMORY_FULL, gateway.retryAfterMillis()));
+    }
+
+    /** Drops what was not decoded and all that follows; the connection ends with its current response. */
+    private void dropInput() {
+        if (inputDropped()) {
+            return;
+        }
+        headMemory = exchange == null ? 0 : headMemory;
+        decoder.endTurns();
+        channel.pipeline().remove(decoder);
+        decoder = null;
+        channel.config().setAutoRead(true);
+        share.resize(heldBytes());
+    }
+
+    /**
+     * Records that bytes of an answer are kept until it is complete.
+     *
+     * @return whether there is memory for them; otherwise the answer has to be forwarded as it arrives
+     */
+    boolean holdAnswer(int bytes) {
+        bufferedAnswerBytes += bytes;
+        if (share.tryResize(heldBytes())) {
+            return true;
+        }
+        bufferedAnswerBytes -= bytes;
+        return false;
+    }
+
+    /** Records that bytes of an answer are not kept any more. */
+    void releaseAnswer(int bytes) {
+        bufferedAnswerBytes -= bytes;
+        share.resize(heldBytes());
     }
 
     private void read(HttpObject object) {
@@ -124,21 +319,30 @@
     }
 
     private void refuseMalformed(Throwable cause) {
-        boolean tooLong = cause instanceof TooLongHttpHeaderException;
+        boolean tooLong = cause instanceof TooLongFrameException;
         keepAlive = false;
+        releaseRequest();
+        dropInput();
         refuseUnread(Refusal.of(tooLong ? 431 : 400, tooLong ? ResultCode.HEADER_TOO_LONG : ResultCode.MALFORMED_BODY));
     }
 
     private void beginRequest(HttpRequest request) {
         headAtMillis = gateway.nowMillis();
         keepAlive = HttpUtil.isKeepAlive(request);
+        answersHead = request.method().equals(HttpMethod.HEAD);
         if (ambiguous(request)) {
             keepAlive = false;
             refuseUnread(Refusal.of(400, ResultCode.MALFORMED_BODY));
             return;
         }
+        if (HttpUtil.getContentLength(request, 0L) > gateway.limits().maxBodyBytes()) {
+            refuseTooLarge();
+            return;
+        }
         head = request;
-        body = channel.alloc().heapBuffer(256);
+        body = new RequestBody(channel.alloc());
+        bodyDiscarded = false;
+        discardedBodyBytes = 0;
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -159,24 +363,68 @@
                 || !request.uri().startsWith("/");
     }
 
+    private void refuseTooLarge() {
+        releaseRequest();
+        keepAlive = false;
+        refuseUnread(Refusal.of(413, ResultCode.BODY_TOO_LARGE));
+    }
+
     private void readBody(HttpContent content) {
-        CallerLimits limits = gateway.limits();
-        if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
-            releaseRequest();
-            keepAlive = false;
-            refuseUnread(Refusal.of(413, ResultCode.BODY_TOO_LARGE));
+        int more = content.content().readableBytes();
+        if (body.length() + discardedBodyBytes + more > gateway.limits().maxBodyBytes()) {
+            refuseTooLarge();
+            return;
+        }
+        boolean becomesLarge =
+                body.length() <= RequestBody.BLOCK_BYTES && body.length() + more > RequestBody.BLOCK_BYTES;
+        if (becomesLarge && !bodyDiscarded) {
+            bodyDiscarded = RelayExchange.refusalByHead(gateway, head).isPresent();
+        }
+        if (bodyDiscarded) {
+            discardedBodyBytes += more;
+        } else if (!keep(content.content())) {
+            refuseForMemory();
             return;
         }
-        body.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
+            requestComplete();
+        }
+    }
+
+    /** Appends to the body if there is memory for it. */
+    private boolean keep(ByteBuf content) {
+        int memory = body.memoryWith(content.readableBytes());
+        if (memory > body.memoryWith(0) && !share.tryResize(heldBytes() - body.memoryWith(0) + memory)) {
+            return false;
+        }
+        body.append(content);
+        return true;
+    }
+
+    private void requestComplete() {
+        if (bodyDiscarded) {
             HttpRequest request = head;
-            ByteBuf wholeBody = body;
-            head = null;
-            body = null;
-            exchange = RelayExchange.of(gateway, this, request, wholeBody, headAtMillis);
-            lastAttemptId = exchange.attemptId();
-            exchange.start();
+            releaseRequest();
+            // A configuration that came in the meantime may allow the request, whose body is gone.
+            Refusal refusal = RelayExchange.refusalByHead(gateway, request)
+                    .orElseGet(() -> Refusal.notExecuted(ResultCode.NOT_READY, gateway.retryAfterMillis()));
+            RequestTelemetry.of(
+                            gateway, gateway.dialect().callerMetadata(request).attemptId(), headAtMillis)
+                    .refused(refusal);
+            refuse(refusal);
+            return;
+        }
+        if (!share.tryResize(heldBytes() + headMemory)) {
+            refuseForMemory();
+            return;
         }
+        HttpRequest request = head;
+        ByteBuf wholeBody = body.take();
+        head = null;
+        body = null;
+        exchange = RelayExchange.of(gateway, this, request, wholeBody, headAtMillis);
+        lastAttemptId = exchange.attemptId();
+        exchange.start();
     }
 
     /** Returns whether the caller reads as fast as responses arrive. */
@@ -209,7 +457,7 @@
             ByteBufUtil.writeShortBE(chunk, CRLF);
             chunk.writeBytes(bytes);
             ByteBufUtil.writeShortBE(chunk, CRLF);
-            codec.writeAndFlush(chunk);
+            encoder.writeAndFlush(chunk);
         }
         bytes.release();
     }
@@ -262,7 +510,8 @@
 
     private void setConnectionHeader(HttpResponse response) {
         // Pipelined requests are answered first; the last of their responses closes the connection.
-        if (pipelined.isEmpty() && (gateway.draining() || gateway.shedding().dispersesCallers())) {
+        boolean pipelined = !inputDropped() && decoder.undecodedBytes() > 0;
+        if (!pipelined && (gateway.draining() || gateway.shedding().dispersesCallers())) {
             keepAlive = false;
         }
         if (!keepAlive) {
@@ -272,16 +521,15 @@
 
     private void responseFinished() {
         exchange = null;
+        headMemory = 0;
+        answersHead = false;
         idleSinceMillis = gateway.nowMillis();
         if (!keepAlive) {
             closeGracefully();
-            return;
-        }
-        while (exchange == null && !closing && !pipelined.isEmpty()) {
-            read(pipelined.poll());
         }
-        if (pipelined.isEmpty()) {
-            channel.config().setAutoRead(true);
+        share.resize(heldBytes());
+        if (!closing) {
+            resumeReading();
         }
     }
 
@@ -291,7 +539,7 @@
      */
     private void closeGracefully() {
         closing = true;
-        dropPipelined();
+        resumeReading();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) future -> {
             ((SocketChannel) channel).shutdownOutput();
             channel.eventLoop().schedule(() -> channel.close(), lingerMillis(), TimeUnit.MILLISECONDS);
@@ -308,11 +556,12 @@
         if (closing || exchange != null) {
             return;
         }
-        if (head == null) {
+        if (!readsRequest()) {
             closeGracefully();
         } else {
             releaseRequest();
             keepAlive = false;
+            dropInput();
             refuseUnread(Refusal.notExecuted(ResultCode.ROUTER_STOPPING, gateway.retryAfterMillis()));
         }
     }
@@ -344,28 +593,43 @@
     /** Closes the connection if it exceeded the idle limit, or refuses a request that arrives too slowly. */
     void sweep(long nowMillis) {
         CallerLimits limits = gateway.limits();
+        share.resize(heldBytes());
         if (closing || exchange != null) {
             return;
         }
-        if (head != null && nowMillis - headAtMillis > limits.headerTimeoutMillis() + limits.idleTimeoutMillis()) {
-            releaseRequest();
-            keepAlive = false;
-            refuseUnread(Refusal.of(408, ResultCode.CALLER_TOO_SLOW));
+        if (readsRequest()) {
+            sweepUnreadRequest(nowMillis, limits);
             return;
         }
         long maxIdleMillis =
                 gateway.intakeClosed() ? STOP_IDLE_MILLIS : limits.idleTimeoutMillis() + limits.headerTimeoutMillis();
-        boolean idle = head == null && nowMillis - idleSinceMillis > maxIdleMillis;
+        boolean idle = nowMillis - idleSinceMillis > maxIdleMillis;
         if (idle && idleAtLastSweep) {
             closeGracefully();
         }
         idleAtLastSweep = idle;
     }
 
+    private void sweepUnreadRequest(long nowMillis, CallerLimits limits) {
+        if (head == null && gateway.intakeClosed()) {
+            if (nowMillis - begunAtMillis > limits.headerTimeoutMillis()) {
+                refuseUnread();
+            }
+        } else if (nowMillis - (head == null ? begunAtMillis : headAtMillis)
+                > limits.headerTimeoutMillis() + limits.idleTimeoutMillis()) {
+            releaseRequest();
+            keepAlive = false;
+            dropInput();
+            refuseUnread(Refusal.of(408, ResultCode.CALLER_TOO_SLOW));
+        }
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (exchange != null) {
             exchange.callerWritabilityChanged(channel.isWritable());
+        } else if (channel.isWritable()) {
+            resumeReading();
         }
     }
 
@@ -382,7 +646,10 @@
             logUnread(head, "its connection was closed before its body was complete");
         }
         releaseRequest();
-        dropPipelined();
+        share.close();
+        if (!inputDropped()) {
+            decoder.endTurns();
+        }
         if (exchange != null) {
             RelayExchange abandoned = exchange;
             exchange = null;
@@ -405,10 +672,4 @@
                     .unread(why);
         }
     }
-
-    private void dropPipelined() {
-        pipelined.forEach(object -> logUnread(object, "its connection was closed before its turn"));
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
-    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/EarlyListener.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/EarlyListener.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -37,7 +38,7 @@
             }
             String ip = text.substring(line + LISTEN_KEY.length(), colon);
             int port = Integer.parseInt(text.substring(colon + 1, end));
-            ServerSocketChannel channel = ServerSocketChannel.open();
+            ServerSocketChannel channel = bounded(ServerSocketChannel.open());
             channel.bind(new InetSocketAddress(InetAddress.ofLiteral(ip), port), BACKLOG);
             return Optional.of(channel);
         } catch (IOException | IllegalArgumentException e) {
@@ -46,4 +47,9 @@
             return Optional.empty();
         }
     }
+
+    /** Bounds the bytes that the kernel keeps for each connection that is accepted; they count as memory of the process. */
+    static ServerSocketChannel bounded(ServerSocketChannel channel) throws IOException {
+        return channel.setOption(StandardSocketOptions.SO_RCVBUF, CallerConnection.RECEIVE_BUFFER_BYTES / 2);
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -56,6 +56,9 @@
     private static final int MIN_RETRY_AFTER_MILLIS = 300;
 
     private static final long SWEEP_MILLIS = 250;
+    private static final long REFUSALS_LOG_MILLIS = 1_000;
+    /** Bodies of the largest size for which there is memory, whatever the heap is. */
+    private static final long MIN_LARGE_REQUESTS = 2;
     /** A server that sends nothing for this long, twice the longest usual gap, to open streams gets no new requests. */
     private static final long SILENT_SERVER_MILLIS = 500;
     /** Resumable streams are sent to another server as well if theirs sends nothing for this long. */
@@ -84,6 +87,8 @@
     private final ConnectionShedding shedding = ConnectionShedding.create();
     private final OutcomeTelemetry outcomes = new OutcomeTelemetry(this);
     private final Set<CallerConnection> callers = new HashSet<>();
+    private final MemoryBound callerMemory;
+    private final DecodingTurns decodingTurns = new DecodingTurns(System::nanoTime, this::schedule);
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private final List<RecurringTask> tasks = new ArrayList<>();
     private Optional<RelayConfig> config = Optional.empty();
@@ -92,6 +97,8 @@
     private boolean peerLoadAvailable;
     private int peersPresent;
     private long lastSweepMillis;
+    private long loggedEvictions;
+    private long refusalsLoggedMillis;
     private long sweepDelayMillis;
     private boolean measuringLoopDelay;
     private BiConsumer<ServerInstance, Prompt> sentListener = (server, prompt) -> {};
@@ -117,6 +124,7 @@
         this.livenessCheck = new ServerLivenessCheck(this, loop, dialect);
         this.pool = new BackendConnectionPool(
                 loop, dialect, this::nowMillis, this::count, this::responseReceived, livenessCheck);
+        this.callerMemory = new MemoryBound(this::callerMemoryLimit, this::nowMillis);
         GatewayOptions.Bounds bounds = options.bounds();
         this.fleetSize = FleetSize.of(
                 PeerCodec.text(options.peerAddress()), StoreSynchronizer.LEASE_TTL.toMillis(), nowMillis());
@@ -325,6 +333,20 @@
         return config.map(RelayConfig::limits).orElse(CallerLimits.DEFAULT);
     }
 
+    MemoryBound callerMemory() {
+        return callerMemory;
+    }
+
+    DecodingTurns decodingTurns() {
+        return decodingTurns;
+    }
+
+    /** Returns the memory that requests and answers of callers may take; a single request inside the limits fits in. */
+    long callerMemoryLimit() {
+        long share = Runtime.getRuntime().maxMemory() * options.limits().callerMemoryPercent() / 100;
+        return Math.max(share, MIN_LARGE_REQUESTS * limits().maxBodyBytes());
+    }
+
     Future<?> schedule(Runnable task, long millis) {
         return loop.next().schedule(() -> runGuarded(task), millis, TimeUnit.MILLISECONDS);
     }
@@ -759,6 +781,7 @@
             restartOverdueTasks(nowMillis);
         }
         runGuarded(this::measureLoopDelay);
+        runGuarded(() -> logRefusals(nowMillis));
         forEachGuarded(exchanges, exchange -> exchange.refreshOrigin(nowMillis));
         runGuarded(streams::sweep);
         forEachGuarded(callers, caller -> caller.sweep(nowMillis));
@@ -768,6 +791,20 @@
         runGuarded(() -> serverAnnouncements.removeExpired(nowMillis));
     }
 
+    /** Logs at most once per interval how many requests found no memory. */
+    private void logRefusals(long nowMillis) {
+        long evictions = callerMemory.evictions();
+        if (evictions > loggedEvictions && nowMillis - refusalsLoggedMillis >= REFUSALS_LOG_MILLIS) {
+            LogLine.of(LogEvent.MEMORY_FULL, true)
+                    .with(LogField.COUNT, evictions - loggedEvictions)
+                    .with(LogField.HELD_BYTES, callerMemory.heldBytes())
+                    .with(LogField.CONNECTIONS, callerConnections)
+                    .write();
+            loggedEvictions = evictions;
+            refusalsLoggedMillis = nowMillis;
+        }
+    }
+
     void restartOverdueTasks(long nowMillis) {
         forEachGuarded(tasks, task -> task.runIfOverdue(nowMillis));
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -1,6 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandler;
@@ -8,10 +9,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
@@ -46,9 +47,10 @@
 public final class GatewayDaemon implements Daemon {
     private static final Logger LOG = System.getLogger(GatewayDaemon.class.getName());
     private static final int BACKLOG = 1024;
-    private static final int MAX_INITIAL_LINE_BYTES = 8192;
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 16_384;
     /** Maximum size of a peer's message; usage counts of thousands of workspaces fit in. */
     private static final int MAX_PEER_MESSAGE_BYTES = 1 << 20;
     /** Time in which a stop accepts at least the connections that wait in the listener's backlog. */
@@ -127,6 +129,18 @@
                 "caller_unsent_bytes",
                 "Bytes of answers that the kernel has not taken, since callers read slowly",
                 gateway::unsentBytes);
+        metrics.registerGauge(
+                "caller_memory_bytes",
+                "Memory for requests and answers of callers, as accounted for",
+                () -> gateway.callerMemory().heldBytes());
+        metrics.registerGauge(
+                "caller_memory_max_bytes",
+                "Bound of the memory for requests and answers of callers",
+                gateway::callerMemoryLimit);
+        metrics.registerGauge(
+                "callers_awaiting_decoding",
+                "Caller connections whose request takes long to decode and waits for its turn",
+                () -> gateway.decodingTurns().waiting());
         metrics.registerGauge("heap_used_bytes", "Used memory of the heap", GatewayDaemon::usedHeapBytes);
         metrics.registerGauge(
                 "heap_max_bytes",
@@ -200,11 +214,7 @@
         ChannelHandler callers = new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                HttpDecoderConfig limits = new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setMaxChunkSize(MAX_CHUNK_BYTES);
-                channel.pipeline().addLast(new HttpServerCodec(limits), new CallerConnection(gateway));
+                CallerConnection.addTo(channel.pipeline(), gateway);
             }
         };
         callerSocket = earlySocket.orElseGet(() -> bind(options.listenAddress()));
@@ -230,17 +240,24 @@
 
     private static ServerSocketChannel bind(InetSocketAddress address) {
         try {
-            return ServerSocketChannel.open().bind(address, BACKLOG);
+            return EarlyListener.bounded(ServerSocketChannel.open()).bind(address, BACKLOG);
         } catch (IOException e) {
             throw new UncheckedIOException("cannot listen on " + address, e);
         }
     }
 
+    /** Bounds what is read from one caller before others have their turn. */
+    private static RecvByteBufAllocator receiveBuffers() {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(1);
+    }
+
     private Channel adoptSocket(ServerSocketChannel socket, ChannelHandler handler) {
         return new ServerBootstrap()
                 .group(loop)
                 .channelFactory(() -> new NioServerSocketChannel(socket))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
                 .childHandler(handler)
                 .register()
                 .syncUninterruptibly()
@@ -263,6 +280,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
                 .childHandler(handler)
                 .bind(address)
                 .syncUninterruptibly()
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -17,6 +17,7 @@
  * @param metricsAddress additional address for metrics, for platforms that scrape one port on all hosts
  * @param peerAddress address for peer gateways: state reports over UDP, requests over TCP
  * @param bounds the platform's limits
+ * @param limits limits of what callers and others may make this node hold
  * @param firstStart whether all nodes start for the first time, so that none has spent any of the retry budget
  * @param duties settings of duties, if the platform uses any
  * @param disabledMechanisms mechanisms that an experiment or the settings disable
@@ -29,6 +30,7 @@
         Optional<InetSocketAddress> metricsAddress,
         InetSocketAddress peerAddress,
         Bounds bounds,
+        Limits limits,
         boolean firstStart,
         Optional<DutyOptions> duties,
         Set<Mechanism> disabledMechanisms) {
@@ -43,6 +45,7 @@
                 metricsAddress,
                 peerAddress,
                 none,
+                limits,
                 firstStart,
                 duties,
                 disabledMechanisms);
@@ -55,6 +58,18 @@
      */
     public record DutyOptions(DutySettings settings, int hostCapacity) {}
 
+    /**
+     * Holds the limits of what connections may make this node hold.
+     *
+     * @param callerMemoryPercent memory for requests and answers of callers, in percent of the heap
+     * @param controlMemoryBytes memory for requests at the addresses for status and peers
+     * @param descriptors descriptors that the process may have open
+     */
+    public record Limits(int callerMemoryPercent, int controlMemoryBytes, int descriptors) {
+        /** Limits that no caller inside the limits of the configuration meets. */
+        public static final Limits DEFAULT = new Limits(25, 8 << 20, 4_096);
+    }
+
     /**
      * Holds the limits that the platform sets.
      *
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -66,6 +66,9 @@
     private RankGate.PendingRequest firstOutputWait;
     private HttpResponse response;
     private CompositeByteBuf buffered;
+    /** Bytes of {@link #buffered} that the caller's connection accounts for. */
+    private int heldBytes;
+
     private EventSplitter events;
 
     RelayAttempt(
@@ -237,11 +240,14 @@
         } else if (buffered == null) {
             caller.writeChunk(bytes.retain());
         } else {
+            boolean held = caller.holdAnswer(bytes.readableBytes());
+            heldBytes += held ? bytes.readableBytes() : 0;
             buffered.addComponent(true, bytes.retain());
-            if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+            if (!held || buffered.readableBytes() > MAX_BUFFERED_BYTES) {
                 forwardHead();
                 caller.writeChunk(buffered);
                 buffered = null;
+                releaseHeld();
             }
         }
     }
@@ -322,6 +328,7 @@
         }
         ByteBuf body = buffered;
         buffered = null;
+        releaseHeld();
         exchange.responseCompleted(response.status().code(), server);
         caller.writeResponse(new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, response.status(), body, headers, EmptyHttpHeaders.INSTANCE));
@@ -403,6 +410,12 @@
         if (buffered != null) {
             buffered.release();
             buffered = null;
+            releaseHeld();
         }
     }
+
+    private void releaseHeld() {
+        caller.releaseAnswer(heldBytes);
+        heldBytes = 0;
+    }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -100,6 +100,31 @@
         return new RelayExchange(gateway, caller, head, body, arrivedAtMillis);
     }
 
+    /** Returns the refusal that a request gets by the current configuration whatever its body is. */
+    static Optional<Refusal> refusalByHead(Gateway gateway, HttpRequest head) {
+        if (!gateway.initialized()) {
+            return Optional.empty();
+        }
+        RelayConfig config = gateway.config().orElseThrow();
+        Optional<Route> route = config.route(head.headers().get(HttpHeaderNames.HOST), head.uri());
+        if (route.isEmpty()) {
+            return Optional.of(Refusal.of(404, ResultCode.UNKNOWN_PATH));
+        }
+        boolean known = route.get().anonymous()
+                || !config.requiresKey()
+                || gateway.dialect()
+                        .callerMetadata(head)
+                        .key()
+                        .flatMap(config::workspace)
+                        .isPresent();
+        return known ? Optional.empty() : Optional.of(Refusal.of(401, ResultCode.UNKNOWN_KEY));
+    }
+
+    /** Returns the size of the body in bytes. */
+    int bodyBytes() {
+        return body.refCnt() == 0 ? 0 : body.capacity();
+    }
+
     /** Resolves the route and sends the request, or refuses it. */
     void start() {
         gateway.exchangeStarted(this);
--- a/gateway/src/test/java/org/tanagerhinge/gateway/GatewayOptionsFixture.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/GatewayOptionsFixture.java
@@ -19,6 +19,7 @@
                 Optional.empty(),
                 address,
                 new GatewayOptions.Bounds(Duration.ofSeconds(1), 0.2, 50, Duration.ofSeconds(10)),
+                GatewayOptions.Limits.DEFAULT,
                 true,
                 Optional.empty(),
                 Set.of());
--- a/harness/src/main/java/org/tanagerhinge/bench/capacity/LogCost.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/capacity/LogCost.java
@@ -102,6 +102,7 @@
                             Optional.empty(),
                             FreePorts.address(),
                             new GatewayOptions.Bounds(Duration.ofSeconds(8), 0.2, 50, Duration.ofSeconds(10)),
+                            GatewayOptions.Limits.DEFAULT,
                             true,
                             Optional.empty(),
                             Set.of()),
--- a/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
@@ -251,9 +251,9 @@
         awaitReady();
         try (ProcessUsage usage = ProcessUsage.of(process.pid(), listen)) {
             try (CallerCrowd crowd = CallerCrowd.send(listen, 100, (number, out) -> {
-                        out.write(new byte[] {1, -1, -1, -1});
-                        repeat(out, BLOCK, 440);
-                    })) {
+                out.write(new byte[] {1, -1, -1, -1});
+                repeat(out, BLOCK, 440);
+            })) {
                 crowd.awaitSettled();
                 awaitReady();
                 try (Socket socket = new Socket()) {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AbusiveCallersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AbusiveCallersTest.java
@@ -192,8 +192,7 @@
         process = GatewayProcess.start(folder.resolve("gateway.ini"), log());
         fixture.awaitReady(ports);
         try (ProcessUsage usage = process.usage(kind.port.applyAsInt(ports))) {
-            try (CallerCrowd crowd =
-                    CallerCrowd.send(kind.port.applyAsInt(ports), kind.connections, kind.script)) {
+            try (CallerCrowd crowd = CallerCrowd.send(kind.port.applyAsInt(ports), kind.connections, kind.script)) {
                 crowd.awaitSettled();
                 assertOrdinaryCallerIsAnswered("beside");
                 fixture.awaitReady(ports);
@@ -264,7 +263,8 @@
             try (RawCaller caller =
                     RawCaller.to(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.listenPort()))) {
                 caller.send(request.bytes);
-                assertEquals(200, caller.read().status(), request.name());
+                RawCaller.Answer answer = caller.read();
+                assertEquals(200, answer.status(), request + " gets " + answer);
             }
         }
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayProcess.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayProcess.java
@@ -43,8 +43,8 @@
 
     /** Starts a gateway that may have a number of open descriptors. */
     static GatewayProcess start(Path settings, Path log, int maxDescriptors) throws IOException {
-        List<String> limited = new ArrayList<>(
-                List.of("bash", "-c", "ulimit -n " + maxDescriptors + " && exec \"$@\"", "gateway"));
+        List<String> limited =
+                new ArrayList<>(List.of("bash", "-c", "ulimit -n " + maxDescriptors + " && exec \"$@\"", "gateway"));
         limited.addAll(command(repository()));
         return start(settings, log, limited);
     }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/RelayScene.java
@@ -109,6 +109,7 @@
                 Optional.empty(),
                 FreePorts.address(),
                 new GatewayOptions.Bounds(Duration.ofSeconds(8), RETRY_RATIO, RETRY_SLACK, Duration.ofSeconds(10)),
+                GatewayOptions.Limits.DEFAULT,
                 !anyStopped,
                 dutyOptions,
                 Set.of());
--- a/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogEvent.java
@@ -43,6 +43,7 @@
     CONFIG_WATCH(Subject.BELIEF),
     SHEDDING(Subject.BELIEF),
     SHEDDING_ENDED(Subject.BELIEF),
+    MEMORY_FULL(Subject.BELIEF),
     PEER_LOST(Subject.BELIEF),
     PEER_BACK(Subject.BELIEF),
     PEER_ASK_FAILED(Subject.BELIEF),
--- a/node/src/main/java/org/tanagerhinge/node/log/LogField.java
+++ b/node/src/main/java/org/tanagerhinge/node/log/LogField.java
@@ -121,6 +121,8 @@
     LEASE_LEFT_MS,
     /** New connections of callers per second. */
     CONNECTIONS,
+    /** Memory that requests and answers of callers take, as accounted for. */
+    HELD_BYTES,
     /** Bytes of answers that were written but not yet taken by the kernel. */
     UNSENT_BYTES,
     UNITS,
