Connections of callers leave descriptors for servers, peers and other callers

Cause: caller connections were bounded by nothing but the descriptors of the process.

When the bound is met, a new connection takes the place of the oldest that has not sent a complete request, else of the one that has been idle for longest; those that wait for an answer, or have not read it, keep theirs.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -82,6 +82,7 @@
     private boolean closing;
     private String lastAttemptId = "";
     private long idleSinceMillis;
+    private boolean served;
     /** A connection is closed if it is idle twice: after a stall of the event loop, a request may wait to be read. */
     private boolean idleAtLastSweep;
 
@@ -112,7 +113,31 @@
             channel.close();
             return;
         }
-        gateway.callerConnected(this);
+        if (!gateway.callerConnected(this)) {
+            closing = true;
+            channel.close();
+        }
+    }
+
+    /** Returns whether the connection may be closed to make room for another one. */
+    boolean dismissible() {
+        return exchange == null && !closing && unsentBytes() == 0;
+    }
+
+    /** Returns whether a request of the connection has been answered. */
+    boolean served() {
+        return served;
+    }
+
+    /** Returns when the connection was opened, or its last response written. */
+    long idleSinceMillis() {
+        return idleSinceMillis;
+    }
+
+    /** Closes the connection at once, to make room for another one. */
+    void dismiss() {
+        closing = true;
+        channel.close();
     }
 
     @Override
@@ -523,6 +548,7 @@
         exchange = null;
         headMemory = 0;
         answersHead = false;
+        served = true;
         idleSinceMillis = gateway.nowMillis();
         if (!keepAlive) {
             closeGracefully();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -88,6 +89,7 @@
     private final OutcomeTelemetry outcomes = new OutcomeTelemetry(this);
     private final Set<CallerConnection> callers = new HashSet<>();
     private final MemoryBound callerMemory;
+    private final ConnectionLimits connectionLimits;
     private final DecodingTurns decodingTurns = new DecodingTurns(System::nanoTime, this::schedule);
     private final Set<RelayExchange> exchanges = new HashSet<>();
     private final List<RecurringTask> tasks = new ArrayList<>();
@@ -124,6 +126,8 @@
         this.livenessCheck = new ServerLivenessCheck(this, loop, dialect);
         this.pool = new BackendConnectionPool(
                 loop, dialect, this::nowMillis, this::count, this::responseReceived, livenessCheck);
+        this.connectionLimits = ConnectionLimits.of(
+                ConnectionLimits.withinProcessLimit(options.limits().descriptors()));
         this.callerMemory = new MemoryBound(this::callerMemoryLimit, this::nowMillis);
         GatewayOptions.Bounds bounds = options.bounds();
         this.fleetSize = FleetSize.of(
@@ -341,6 +345,10 @@
         return decodingTurns;
     }
 
+    ConnectionLimits connectionLimits() {
+        return connectionLimits;
+    }
+
     /** Returns the memory that requests and answers of callers may take; a single request inside the limits fits in. */
     long callerMemoryLimit() {
         long share = Runtime.getRuntime().maxMemory() * options.limits().callerMemoryPercent() / 100;
@@ -666,9 +674,27 @@
                 : firstMillis + ThreadLocalRandom.current().nextInt(MIN_RETRY_AFTER_MILLIS);
     }
 
-    void callerConnected(CallerConnection caller) {
+    /**
+     * Records a new connection of a caller. If there are too many, another one is closed for it: first one that has sent no
+     * complete request, then one that is idle, in each case the oldest.
+     *
+     * @return whether there is a place for the connection
+     */
+    boolean callerConnected(CallerConnection caller) {
+        if (callers.size() >= connectionLimits.callers()) {
+            count("caller_connections_exceeded");
+            Optional<CallerConnection> other = callers.stream()
+                    .filter(CallerConnection::dismissible)
+                    .min(Comparator.comparing(CallerConnection::served)
+                            .thenComparingLong(CallerConnection::idleSinceMillis));
+            if (other.isEmpty()) {
+                return false;
+            }
+            other.get().dismiss();
+        }
         callers.add(caller);
         callerConnections = callers.size();
+        return true;
     }
 
     void callerDisconnected(CallerConnection caller) {
