Connections for status, metrics and peers are bounded

These listeners are for the platform and for peers; nothing but the network keeps clients from them.

Causes: each request made the text of the metrics anew on the event loop; answers piled up behind a reader that doesn't read; unfinished requests of up to 1 MB and any number of connections were kept.

Now the text is made at most once in 100 ms; a connection that asks again before it has read is closed; unfinished requests share a bound of memory, and each listener has a bound of connections, at which the one that was used least recently is closed.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -57,6 +58,7 @@
     private static final int MIN_RETRY_AFTER_MILLIS = 300;
 
     private static final long SWEEP_MILLIS = 250;
+    private static final long METRICS_INTERVAL_MILLIS = 100;
     private static final long REFUSALS_LOG_MILLIS = 1_000;
     /** Bodies of the largest size for which there is memory, whatever the heap is. */
     private static final long MIN_LARGE_REQUESTS = 2;
@@ -95,6 +97,8 @@
     private final List<RecurringTask> tasks = new ArrayList<>();
     private Optional<RelayConfig> config = Optional.empty();
     private byte[] configDocument;
+    private byte[] metricsText;
+    private long metricsTextMillis;
     private long configReceivedMillis;
     private boolean peerLoadAvailable;
     private int peersPresent;
@@ -349,6 +353,16 @@
         return connectionLimits;
     }
 
+    /** Returns the metrics as text, which is made anew at most once in an interval, however often it is asked for. */
+    byte[] metricsText() {
+        long nowMillis = nowMillis();
+        if (metricsText == null || nowMillis - metricsTextMillis >= METRICS_INTERVAL_MILLIS) {
+            metricsText = metrics.text().getBytes(StandardCharsets.UTF_8);
+            metricsTextMillis = nowMillis;
+        }
+        return metricsText;
+    }
+
     /** Returns the memory that requests and answers of callers may take; a single request inside the limits fits in. */
     long callerMemoryLimit() {
         long share = Runtime.getRuntime().maxMemory() * options.limits().callerMemoryPercent() / 100;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -66,6 +66,8 @@
     private final Gateway gateway;
     private final NodeMetrics metrics;
     private final GatewayOptions options;
+    private final ConnectionLimits connectionLimits;
+    private final MemoryBound controlMemory;
     private volatile Duration stopTimeout;
     private Optional<DutyParticipant> duties = Optional.empty();
     private ServerSocketChannel callerSocket;
@@ -77,6 +79,8 @@
         this.metrics = metrics;
         this.options = options;
         this.stopTimeout = options.bounds().stopTimeout();
+        this.connectionLimits = gateway.connectionLimits();
+        this.controlMemory = new MemoryBound(() -> options.limits().controlMemoryBytes(), gateway::nowMillis);
     }
 
     /**
@@ -137,6 +141,12 @@
                 "caller_memory_max_bytes",
                 "Bound of the memory for requests and answers of callers",
                 gateway::callerMemoryLimit);
+        metrics.registerGauge(
+                "control_memory_bytes",
+                "Memory for requests at the addresses for status and peers, as accounted for",
+                controlMemory::heldBytes);
+        metrics.registerGauge(
+                "caller_connections_max", "Most connections of callers", () -> connectionLimits.callers());
         metrics.registerGauge(
                 "callers_awaiting_decoding",
                 "Caller connections whose request takes long to decode and waits for its turn",
@@ -199,18 +209,8 @@
     }
 
     private void openListeners(Optional<ServerSocketChannel> earlySocket) {
-        ChannelHandler status = new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline()
-                        .addLast(
-                                new HttpServerCodec(),
-                                new HttpObjectAggregator(MAX_HEADER_BYTES),
-                                new StatusHandler(gateway, metrics));
-            }
-        };
-        listen(options.statusAddress(), status);
-        options.metricsAddress().ifPresent(address -> tryListen(address, status));
+        listen(options.statusAddress(), statusHandlers());
+        options.metricsAddress().ifPresent(address -> tryListen(address, statusHandlers()));
         ChannelHandler callers = new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -225,12 +225,34 @@
                 .write();
     }
 
+    private ControlConnections controlConnections(int maxConnections) {
+        return new ControlConnections(maxConnections, controlMemory, gateway::nowMillis, gateway::count);
+    }
+
+    /** Returns what handles the connections of one listener for readiness checks and metrics. */
+    private ChannelHandler statusHandlers() {
+        ControlConnections connections = controlConnections(connectionLimits.status());
+        return new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(
+                                connections.guard(),
+                                new HttpServerCodec(),
+                                new HttpObjectAggregator(MAX_HEADER_BYTES),
+                                new StatusHandler(gateway));
+            }
+        };
+    }
+
     private void openPeerListener() {
+        ControlConnections connections = controlConnections(connectionLimits.peers());
         listen(options.peerAddress(), new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
                         .addLast(
+                                connections.guard(),
                                 new HttpServerCodec(),
                                 new HttpObjectAggregator(MAX_PEER_MESSAGE_BYTES),
                                 new PeerRequestHandler(gateway, duties));
--- a/gateway/src/main/java/org/tanagerhinge/gateway/PeerRequestHandler.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/PeerRequestHandler.java
@@ -31,6 +31,11 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (!context.channel().isWritable()) {
+            // A peer asks again only after it has read the answer.
+            context.close();
+            return;
+        }
         Optional<byte[]> body = switch (request.uri()) {
             case CONFIG_PATH -> gateway.configDocument();
             case SERVERS_PATH -> Optional.of(servers());
--- a/gateway/src/main/java/org/tanagerhinge/gateway/StatusHandler.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/StatusHandler.java
@@ -1,7 +1,7 @@
 package org.tanagerhinge.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -10,33 +10,36 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import org.tanagerhinge.node.metrics.NodeMetrics;
+import java.nio.charset.StandardCharsets;
 
 /** Serves the readiness check of the platform and the metrics. */
 final class StatusHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private final Gateway gateway;
-    private final NodeMetrics metrics;
 
-    StatusHandler(Gateway gateway, NodeMetrics metrics) {
+    StatusHandler(Gateway gateway) {
         this.gateway = gateway;
-        this.metrics = metrics;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (!context.channel().isWritable()) {
+            // Nobody asks again before reading the answer.
+            context.close();
+            return;
+        }
         String path = request.uri();
         HttpResponseStatus status = HttpResponseStatus.OK;
-        String text = "";
+        byte[] text = new byte[0];
         if (path.equals(gateway.dialect().readinessPath())) {
             boolean ready = gateway.ready();
             status = ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-            text = ready ? "ready\n" : "not ready\n";
+            text = (ready ? "ready\n" : "not ready\n").getBytes(StandardCharsets.UTF_8);
         } else if (path.equals("/metrics")) {
-            text = metrics.text();
+            text = gateway.metricsText();
         } else {
             status = HttpResponseStatus.NOT_FOUND;
         }
-        ByteBuf body = ByteBufUtil.writeUtf8(context.alloc(), text);
+        ByteBuf body = Unpooled.wrappedBuffer(text);
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
