Whole answers that a caller doesn't read don't stay for good

A connection was never closed while bytes of its answer were unsent: the close waits for them, and a caller that reads nothing keeps them, up to 256 KB a connection. Now a connection is reset if its caller has taken nothing of a whole answer for as long as it may be idle, and, with the decoder that leaves pipelined requests alone until their turn, no request is begun while the answer before it waits to be read.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -83,6 +83,8 @@
     private String lastAttemptId = "";
     private long idleSinceMillis;
     private boolean served;
+    private long lastUnsentBytes;
+    private long unsentSinceMillis;
     /** A connection is closed if it is idle twice: after a stall of the event loop, a request may wait to be read. */
     private boolean idleAtLastSweep;
 
@@ -620,6 +622,7 @@
     void sweep(long nowMillis) {
         CallerLimits limits = gateway.limits();
         share.resize(heldBytes());
+        sweepUnsent(nowMillis, limits);
         if (closing || exchange != null) {
             return;
         }
@@ -636,6 +639,18 @@
         idleAtLastSweep = idle;
     }
 
+    /** Resets the connection if its caller has read nothing of a complete answer for as long as it may be idle. */
+    private void sweepUnsent(long nowMillis, CallerLimits limits) {
+        long unsentBytes = unsentBytes();
+        if (unsentBytes == 0 || unsentBytes != lastUnsentBytes || exchange != null) {
+            lastUnsentBytes = unsentBytes;
+            unsentSinceMillis = nowMillis;
+        } else if (nowMillis - unsentSinceMillis > limits.headerTimeoutMillis() + limits.idleTimeoutMillis()) {
+            gateway.count("answer_not_read");
+            abortResponse();
+        }
+    }
+
     private void sweepUnreadRequest(long nowMillis, CallerLimits limits) {
         if (head == null && gateway.intakeClosed()) {
             if (nowMillis - begunAtMillis > limits.headerTimeoutMillis()) {
