--- a/gateway/src/main/java/org/tanagerhinge/gateway/MemoryBound.java
+++ b/core/src/main/java/org/tanagerhinge/core/memory/MemoryBound.java
@@ -1,4 +1,4 @@
-package org.tanagerhinge.gateway;
+package org.tanagerhinge.core.memory;
 
 import java.util.HashSet;
 import java.util.Set;
@@ -9,11 +9,11 @@
  *
  * <p>If the bound is reached, the connection that has occupied most memory for the longest time has to give up an unfinished
  * request. A quarter is reserved for connections that hold little, so that small requests are read while large ones fill the
- * rest.
+ * rest. May be used by several threads.
  */
-final class MemoryBound {
+public final class MemoryBound {
     /** Memory up to which a connection may use the reserved part. */
-    static final long SMALL_BYTES = 64 << 10;
+    public static final long SMALL_BYTES = 64 << 10;
 
     private static final double LARGE_SHARE = 0.75;
 
@@ -30,13 +30,13 @@
      * @param limitBytes current bound in bytes
      * @param clock steady clock in milliseconds
      */
-    MemoryBound(LongSupplier limitBytes, LongSupplier clock) {
+    public MemoryBound(LongSupplier limitBytes, LongSupplier clock) {
         this.limitBytes = limitBytes;
         this.clock = clock;
     }
 
     /** A connection that holds memory. */
-    interface Holder {
+    public interface Holder {
         /** Returns the bytes that it can give up now, 0 if none. */
         long evictableBytes();
 
@@ -48,22 +48,38 @@
     }
 
     /** Returns the share of a connection, which holds nothing yet. */
-    Share open(Holder holder) {
+    public synchronized Share open(Holder holder) {
         Share share = new Share(holder);
         shares.add(share);
         return share;
     }
 
     /** Returns the bytes that all connections hold together. */
-    long heldBytes() {
+    public synchronized long heldBytes() {
         return heldBytes;
     }
 
     /** Returns how often a connection had to give up what it held, or got no more. */
-    long evictions() {
+    public synchronized long evictions() {
         return evictions;
     }
 
+    private boolean makeRoom(Share share, long newBytes) {
+        while (newBytes > share.bytes && exceeded(share, newBytes)) {
+            evictions++;
+            Share victim = largestOccupant();
+            if (victim == null || victim == share) {
+                return false;
+            }
+            long before = victim.bytes;
+            victim.holder.evict();
+            if (victim.bytes >= before) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private boolean exceeded(Share share, long bytes) {
         long limit = limitBytes.getAsLong();
         return heldBytes - share.bytes + bytes > limit
@@ -90,7 +106,7 @@
     }
 
     /** The memory that one connection holds. */
-    final class Share {
+    public final class Share {
         private final Holder holder;
         private long bytes;
 
@@ -98,8 +114,10 @@
             this.holder = holder;
         }
 
-        long bytes() {
-            return bytes;
+        public long bytes() {
+            synchronized (MemoryBound.this) {
+                return bytes;
+            }
         }
 
         /**
@@ -107,34 +125,31 @@
          *
          * @return whether there is room; otherwise the share stays as it was
          */
-        boolean tryResize(long newBytes) {
-            while (newBytes > bytes && exceeded(this, newBytes)) {
-                Share victim = largestOccupant();
-                evictions++;
-                if (victim == null || victim == this) {
-                    return false;
-                }
-                long before = victim.bytes;
-                victim.holder.evict();
-                if (victim.bytes >= before) {
+        public boolean tryResize(long newBytes) {
+            synchronized (MemoryBound.this) {
+                if (!makeRoom(this, newBytes)) {
                     return false;
                 }
+                resize(newBytes);
+                return true;
             }
-            resize(newBytes);
-            return true;
         }
 
         /** Changes the memory that the connection holds whether or not there is room. */
-        void resize(long newBytes) {
-            heldBytes += newBytes - bytes;
-            heldByLargeBytes += large(newBytes) - large(bytes);
-            bytes = newBytes;
+        public void resize(long newBytes) {
+            synchronized (MemoryBound.this) {
+                heldBytes += newBytes - bytes;
+                heldByLargeBytes += large(newBytes) - large(bytes);
+                bytes = newBytes;
+            }
         }
 
         /** Ends the share of a connection that was closed. */
-        void close() {
-            resize(0);
-            shares.remove(this);
+        public void close() {
+            synchronized (MemoryBound.this) {
+                resize(0);
+                shares.remove(this);
+            }
         }
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -28,6 +28,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.result.ResultCode;
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/ControlConnections.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/ControlConnections.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.tanagerhinge.core.memory.MemoryBound;
 
 /**
  * Bounds what the connections of a listener for operators and peers make this node hold: their number, requests that are not
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import java.util.stream.Stream;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.attempt.RetryBudget;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.relay.AdmissionPolicy;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.relay.ConnectionShedding;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -32,6 +32,7 @@
 import java.util.stream.Collectors;
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.duty.DutyClient;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.relay.PlacementPolicy;
 import org.tanagerhinge.core.relay.RelayConfig;
 import org.tanagerhinge.core.store.StoreEra;
