Descriptors are what the platform states; metrics are fresh unless they are asked for without end

The bound of caller connections took the smaller of the stated descriptors and of /proc/self/limits. Now the file counts only where nothing is stated.

Metrics that were up to 100 ms old misled GatewayStopTest.callerThatReadsLateGetsItsWholeAnswer, which waits for a gauge between two requests; now they are made anew until that has taken half of a second.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/ConnectionLimits.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/ConnectionLimits.java
@@ -17,6 +17,8 @@
     /** Descriptors that are not available for sockets. */
     private static final int FILES = 200;
 
+    private static final int DEFAULT_DESCRIPTORS = 4_096;
+
     private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
     private static final String OPEN_FILES = "Max open files";
 
@@ -26,17 +28,18 @@
         return new ConnectionLimits(sockets * 7 / 16, sockets / 32, sockets / 16);
     }
 
-    /** Returns the smaller of a number of descriptors and what the operating system allows this process. */
-    static int withinProcessLimit(int descriptors) {
+    /** Returns the descriptors that the operating system allows this process, or a default if it doesn't say. */
+    static int processDescriptors() {
         try (Stream<String> lines = Files.lines(PROCESS_LIMITS)) {
             return lines.filter(line -> line.startsWith(OPEN_FILES))
                     .map(line -> line.substring(OPEN_FILES.length()).trim().split(" +", 2)[0])
                     .filter(limit -> limit.matches("[0-9]{1,9}"))
                     .mapToInt(Integer::parseInt)
-                    .reduce(descriptors, Math::min);
+                    .findFirst()
+                    .orElse(DEFAULT_DESCRIPTORS);
         } catch (IOException e) {
             // Not all platforms show the limits of a process.
-            return descriptors;
+            return DEFAULT_DESCRIPTORS;
         }
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -59,7 +59,7 @@
     private static final int MIN_RETRY_AFTER_MILLIS = 300;
 
     private static final long SWEEP_MILLIS = 250;
-    private static final long METRICS_INTERVAL_MILLIS = 100;
+    private static final long MAX_METRICS_NANOS_PER_SECOND = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long REFUSALS_LOG_MILLIS = 1_000;
     /** Bodies of the largest size for which there is memory, whatever the heap is. */
     private static final long MIN_LARGE_REQUESTS = 2;
@@ -99,7 +99,8 @@
     private Optional<RelayConfig> config = Optional.empty();
     private byte[] configDocument;
     private byte[] metricsText;
-    private long metricsTextMillis;
+    private long metricsSecondNanos;
+    private long metricsSpentNanos;
     private long configReceivedMillis;
     private boolean peerLoadAvailable;
     private int peersPresent;
@@ -132,7 +133,9 @@
         this.pool = new BackendConnectionPool(
                 loop, dialect, this::nowMillis, this::count, this::responseReceived, livenessCheck);
         this.connectionLimits = ConnectionLimits.of(
-                ConnectionLimits.withinProcessLimit(options.limits().descriptors()));
+                options.limits().descriptors() > 0
+                        ? options.limits().descriptors()
+                        : ConnectionLimits.processDescriptors());
         this.callerMemory = new MemoryBound(this::callerMemoryLimit, this::nowMillis);
         GatewayOptions.Bounds bounds = options.bounds();
         this.fleetSize = FleetSize.of(
@@ -354,12 +357,16 @@
         return connectionLimits;
     }
 
-    /** Returns the metrics as text, which is made anew at most once in an interval, however often it is asked for. */
+    /** Returns the metrics as text, made anew unless half of the last second was spent on that. */
     byte[] metricsText() {
-        long nowMillis = nowMillis();
-        if (metricsText == null || nowMillis - metricsTextMillis >= METRICS_INTERVAL_MILLIS) {
+        long startNanos = System.nanoTime();
+        if (startNanos - metricsSecondNanos >= TimeUnit.SECONDS.toNanos(1)) {
+            metricsSecondNanos = startNanos;
+            metricsSpentNanos = 0;
+        }
+        if (metricsText == null || metricsSpentNanos < MAX_METRICS_NANOS_PER_SECOND) {
             metricsText = metrics.text().getBytes(StandardCharsets.UTF_8);
-            metricsTextMillis = nowMillis;
+            metricsSpentNanos += System.nanoTime() - startNanos;
         }
         return metricsText;
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -63,11 +63,11 @@
      *
      * @param callerMemoryPercent memory for requests and answers of callers, in percent of the heap
      * @param controlMemoryBytes memory for requests at the addresses for status and peers
-     * @param descriptors descriptors that the process may have open
+     * @param descriptors descriptors that the process may have open; 0 for what the operating system allows
      */
     public record Limits(int callerMemoryPercent, int controlMemoryBytes, int descriptors) {
         /** Limits that no caller inside the limits of the configuration meets. */
-        public static final Limits DEFAULT = new Limits(25, 8 << 20, 4_096);
+        public static final Limits DEFAULT = new Limits(25, 8 << 20, 0);
     }
 
     /**
