Agents read only small packets from hosts that have not proved that they are routers

An agent collected packets of up to 32 MB from any host that connected, before it checked the secret; ten of them fill its heap. Found by reading; AbusiveCallersOfRoutersTest.agentStaysInTouchWhileStrangersSendPackets passed before as well, since the connections were closed by the errors that they caused. Packets of the handshake have a hundred bytes; until the peer is authenticated, 4 KB is the limit.

--- a/wire/src/main/java/org/tanagerhinge/wire/LinkHandler.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/LinkHandler.java
@@ -108,6 +108,7 @@
             return;
         }
         authenticated = true;
+        LinkInitializer.allowLargePackets(ctx.pipeline());
         listener.onUp(this);
     }
 
--- a/wire/src/main/java/org/tanagerhinge/wire/LinkInitializer.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/LinkInitializer.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -19,6 +20,10 @@
 final class LinkInitializer extends ChannelInitializer<Channel> {
     private static final int LENGTH_BYTES = 4;
     private static final int MAX_PACKET_BYTES = 32 << 20;
+    /** Maximum size of a packet before the peer is authenticated. */
+    private static final int MAX_HANDSHAKE_BYTES = 4_096;
+
+    private static final String FRAME_DECODER = "frames";
     private static final int LOW_WATERMARK_BYTES = 8 << 20;
     private static final int HIGH_WATERMARK_BYTES = 48 << 20;
 
@@ -35,6 +40,15 @@
         return new LinkInitializer(handlerFactory, idleTimeout);
     }
 
+    private static LengthFieldBasedFrameDecoder frameDecoder(int maxPacketBytes) {
+        return new LengthFieldBasedFrameDecoder(maxPacketBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+    }
+
+    /** Allows packets of full size on a connection whose peer has proved knowledge of the shared secret. */
+    static void allowLargePackets(ChannelPipeline pipeline) {
+        pipeline.replace(FRAME_DECODER, FRAME_DECODER, frameDecoder(MAX_PACKET_BYTES));
+    }
+
     @Override
     protected void initChannel(Channel channel) {
         channel.config().setOption(ChannelOption.TCP_NODELAY, true);
@@ -46,7 +60,7 @@
                 .addLast(new FlushConsolidationHandler(64, true))
                 .addLast(new IdleStateHandler(
                         idleTimeout.toMillis() / LinkHandler.IDLE_CHECKS, 0, 0, TimeUnit.MILLISECONDS))
-                .addLast(new LengthFieldBasedFrameDecoder(MAX_PACKET_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(FRAME_DECODER, frameDecoder(MAX_HANDSHAKE_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
                 .addLast(new ProtobufDecoder(Packet.getDefaultInstance()))
                 .addLast(new ProtobufEncoder())
