What callers make a router hold is bounded over all connections

Causes: a body was collected as the chunks that the HTTP server read, each of which keeps a network buffer, without a bound over all requests; header fields of incomplete heads were not counted; connections had no bound.

Now BodyReader copies what is read into blocks and accounts for the request, with its head, until its response is written; the same bound as in gateways decides which request gives way (503, 2014, Retry-After, or its connection is closed while its head is incomplete). Large bodies are parsed one at a time. The kernel keeps at most 64 KB a connection, and at 3,000 connections the silent ones are closed.

--- a/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
@@ -77,6 +77,11 @@
     private HttpServer httpServer;
     private ConfigPoller poller;
 
+    /** Connections for metrics and checks, and the memory of their incomplete heads. */
+    private static final int MAX_STATUS_CONNECTIONS = 256;
+
+    private static final long MAX_STATUS_MEMORY_BYTES = 8 << 20;
+
     private AgentDaemon(Parts parts) {
         this.parts = parts;
         this.control = ControlLoop.start("control-" + parts.name(), metrics);
@@ -107,6 +112,7 @@
         registerGauges();
         httpServer = HttpServer.start(
                 parts.metricsAddress(),
+                HttpServer.Limits.of(MAX_STATUS_CONNECTIONS, MAX_STATUS_MEMORY_BYTES),
                 Map.of(
                         "/metrics", () -> Page.text(200, metrics.text()),
                         "/healthz", () -> Page.text(200, "ok\n"),
--- a/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
@@ -217,6 +217,7 @@
                 POLL_INTERVAL,
                 PEER_IDLE_TIMEOUT,
                 MAX_BODY_BYTES,
+                RouterDaemon.CallerBounds.DEFAULT,
                 STOP_TIMEOUT));
         routers.put(name, router);
         allMetrics.add(router.metrics());
--- /dev/null
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/BoundedHttpConnectionFactory.java
@@ -0,0 +1,110 @@
+package org.tanagerhinge.node.daemon;
+
+import java.util.function.LongSupplier;
+import org.eclipse.jetty.http.BadMessageException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.internal.HttpConnection;
+import org.tanagerhinge.core.memory.MemoryBound;
+
+/** Creates HTTP connections whose incomplete heads and trailers are bounded over all of them together. */
+final class BoundedHttpConnectionFactory extends HttpConnectionFactory {
+    /** Memory of a header field in addition to twice its characters. */
+    private static final int FIELD_MEMORY_BYTES = 200;
+
+    private final MemoryBound memory;
+    private final LongSupplier clock;
+
+    BoundedHttpConnectionFactory(HttpConfiguration configuration, MemoryBound memory, LongSupplier clock) {
+        super(configuration);
+        this.memory = memory;
+        this.clock = clock;
+    }
+
+    @Override
+    public Connection newConnection(Connector connector, EndPoint endPoint) {
+        HttpConnection connection = new BoundedConnection(connector, endPoint);
+        connection.setUseInputDirectByteBuffers(isUseInputDirectByteBuffers());
+        connection.setUseOutputDirectByteBuffers(isUseOutputDirectByteBuffers());
+        return configure(connection, connector, endPoint);
+    }
+
+    private final class BoundedConnection extends HttpConnection implements MemoryBound.Holder {
+        private final MemoryBound.Share share = memory.open(this);
+        private volatile long begunAtMillis;
+
+        BoundedConnection(Connector connector, EndPoint endPoint) {
+            super(BoundedHttpConnectionFactory.this.getHttpConfiguration(), connector, endPoint);
+        }
+
+        @Override
+        protected RequestHandler newRequestHandler() {
+            return new RequestHandler() {
+                @Override
+                public void messageBegin() {
+                    begunAtMillis = clock.getAsLong();
+                    super.messageBegin();
+                }
+
+                @Override
+                public void parsedHeader(HttpField field) {
+                    hold(field);
+                    super.parsedHeader(field);
+                }
+
+                @Override
+                public boolean headerComplete() {
+                    share.resize(0);
+                    return super.headerComplete();
+                }
+
+                @Override
+                public void parsedTrailer(HttpField field) {
+                    hold(field);
+                    super.parsedTrailer(field);
+                }
+
+                @Override
+                public boolean messageComplete() {
+                    share.resize(0);
+                    return super.messageComplete();
+                }
+            };
+        }
+
+        private void hold(HttpField field) {
+            int characters = (field.getName() == null ? 0 : field.getName().length())
+                    + (field.getValue() == null ? 0 : field.getValue().length());
+            if (!share.tryResize(share.bytes() + FIELD_MEMORY_BYTES + 2L * characters)) {
+                throw new BadMessageException(HttpStatus.SERVICE_UNAVAILABLE_503);
+            }
+        }
+
+        @Override
+        public long evictableBytes() {
+            return share.bytes();
+        }
+
+        @Override
+        public long evictableSinceMillis() {
+            return begunAtMillis;
+        }
+
+        @Override
+        public void evict() {
+            share.resize(0);
+            getEndPoint().close();
+        }
+
+        @Override
+        public void onClose(Throwable cause) {
+            share.close();
+            super.onClose(cause);
+        }
+    }
+}
--- a/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
@@ -3,12 +3,13 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -16,6 +17,7 @@
 import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.result.TanagerhingeException;
 
@@ -25,11 +27,32 @@
     private static final int MIN_THREADS = 4;
     private static final int MAX_THREADS = 32;
     private static final int ACCEPT_QUEUE_SIZE = 1024;
+    /** Most bytes that the kernel keeps for a connection that isn't read; the kernel doubles what it is told. */
+    private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
+    /** Time without a byte after which a connection is closed while there are as many as there may be. */
+    private static final Duration CROWDED_IDLE = Duration.ofSeconds(2);
     /** Time without a byte after which a graceful shutdown closes a connection. */
     private static final Duration SHUTDOWN_IDLE = Duration.ofMillis(500);
+    /** When a caller may come back for whose request there was no memory. */
+    public static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     /** Maximum time that a graceful shutdown takes. */
     private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(2);
 
+    /**
+     * Limits of what connections may make the process hold.
+     *
+     * @param connections most open connections; when there are as many, silent ones are closed and no more accepted
+     * @param memory bound of heads that are not complete
+     * @param clock clock of the bound, in milliseconds
+     */
+    public record Limits(int connections, MemoryBound memory, LongSupplier clock) {
+        /** Returns limits with a bound of their own, in bytes. */
+        public static Limits of(int connections, long memoryBytes) {
+            LongSupplier clock = () -> System.nanoTime() / 1_000_000;
+            return new Limits(connections, new MemoryBound(() -> memoryBytes, clock), clock);
+        }
+    }
+
     /** Content of a page, produced at each request. */
     public record Page(int status, String contentType, String body) {
         /** Returns a plain text page. */
@@ -58,10 +81,12 @@
     /**
      * Starts a server.
      *
+     * @param limits what connections may make the process hold
      * @param pages page suppliers by path
      * @param fallback handles all other paths
      */
-    public static HttpServer start(InetSocketAddress address, Map<String, Supplier<Page>> pages, Handler fallback)
+    public static HttpServer start(
+            InetSocketAddress address, Limits limits, Map<String, Supplier<Page>> pages, Handler fallback)
             throws HttpServerException {
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName("http");
@@ -70,7 +95,12 @@
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
         http.setSendServerVersion(false);
-        ServerConnector connector = new ServerConnector(server, 1, 2, new HttpConnectionFactory(http));
+        ServerConnector connector = new ServerConnector(
+                server, 1, 2, new BoundedHttpConnectionFactory(http, limits.memory(), limits.clock()));
+        connector.setAcceptedReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        NetworkConnectionLimit connections = new NetworkConnectionLimit(limits.connections(), connector);
+        connections.setEndPointIdleTimeout(CROWDED_IDLE.toMillis());
+        server.addBean(connections);
         connector.setHost(address.getAddress().getHostAddress());
         connector.setPort(address.getPort());
         connector.setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
@@ -142,6 +172,9 @@
         public boolean handle(Request request, Response response, Callback callback) {
             ResultCode code = resultCode(response.getStatus());
             response.getHeaders().put(ResultCode.HEADER, Integer.toString(code.number()));
+            if (code.retryable()) {
+                response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(RETRY_AFTER.toSeconds()));
+            }
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
             Content.Sink.write(response, true, code.meaning() + "\n", callback);
             return true;
@@ -153,6 +186,7 @@
                 case 405 -> ResultCode.BAD_METHOD;
                 case 413 -> ResultCode.BODY_TOO_LARGE;
                 case 431 -> ResultCode.HEADER_TOO_LONG;
+                case 503 -> ResultCode.MEMORY_FULL;
                 default -> status < 500 ? ResultCode.MALFORMED_BODY : ResultCode.INTERNAL;
             };
         }
--- a/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
@@ -5,24 +5,26 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
 import org.tanagerhinge.core.config.ServerKind;
 import org.tanagerhinge.core.id.KeyDigest;
 import org.tanagerhinge.core.id.RequestId;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.message.BackendCall;
 import org.tanagerhinge.core.result.RequestFailure;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.router.IncomingRequest;
+import org.tanagerhinge.node.daemon.HttpServer;
 
 /** Parses and validates callers' HTTP requests and opens a session for each. */
 final class CallerHandler extends Handler.Abstract {
@@ -32,15 +34,20 @@
     private static final String PROFILE_HEADER = "X-Tanagerhinge-Profile";
     private static final String KEY_HEADER = "Idempotency-Key";
     private static final String BEARER = "Bearer ";
+    private static final int LARGE_BODY_BYTES = 256 * 1024;
     private static final int MAX_HEADER_CHARS = 8 * 1024;
 
     private final RouterDaemon daemon;
     private final int maxBodyBytes;
+    private final MemoryBound memory;
+    /** Held while a large body is parsed, which may take many times its size. */
+    private final Lock largeBodyLock = new ReentrantLock();
 
-    CallerHandler(RouterDaemon daemon, int maxBodyBytes) {
+    CallerHandler(RouterDaemon daemon, int maxBodyBytes, MemoryBound memory) {
         super(InvocationType.NON_BLOCKING);
         this.daemon = daemon;
         this.maxBodyBytes = maxBodyBytes;
+        this.memory = memory;
     }
 
     @Override
@@ -65,16 +72,79 @@
             sendModelList(request, plainSession);
             return true;
         }
-        Content.Source.asByteArrayAsync(
-                request,
-                maxBodyBytes,
-                Promise.Invocable.from(
-                        InvocationType.NON_BLOCKING,
-                        body -> onBody(id, request, response, callback, path, body),
-                        failure -> failUnreadBody(plainSession, failure)));
+        new BodyListener(id, request, response, callback, path, plainSession).start();
         return true;
     }
 
+    /** Goes on with a request when its body has been read, or refuses it. */
+    private final class BodyListener implements BodyReader.Listener {
+        private final RequestId id;
+        private final Request request;
+        private final Response response;
+        private final Callback callback;
+        private final String path;
+        private final CallerSession plainSession;
+        private BodyReader reader;
+
+        BodyListener(
+                RequestId id,
+                Request request,
+                Response response,
+                Callback callback,
+                String path,
+                CallerSession plainSession) {
+            this.id = id;
+            this.request = request;
+            this.response = response;
+            this.callback = callback;
+            this.path = path;
+            this.plainSession = plainSession;
+        }
+
+        void start() {
+            reader = BodyReader.of(request, maxBodyBytes, memory, RouterDaemon.nowMillis(), this);
+            reader.start();
+        }
+
+        @Override
+        public void onBody(byte[] body) {
+            if (body.length < LARGE_BODY_BYTES) {
+                CallerHandler.this.onBody(id, request, response, callback, path, body, reader);
+                return;
+            }
+            largeBodyLock.lock();
+            try {
+                CallerHandler.this.onBody(id, request, response, callback, path, body, reader);
+            } finally {
+                largeBodyLock.unlock();
+            }
+        }
+
+        @Override
+        public void onTooLarge() {
+            fail(bodyTooLarge());
+        }
+
+        @Override
+        public void onMemoryFull() {
+            // What was not read stays unread, so the connection is closed.
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+            fail(RequestFailure.notRun(
+                    ResultCode.MEMORY_FULL, HttpServer.RETRY_AFTER, ResultCode.MEMORY_FULL.meaning()));
+        }
+
+        @Override
+        public void onFailure(Throwable cause) {
+            fail(RequestFailure.notRun(ResultCode.MALFORMED_BODY, "the body cannot be read: " + cause.getMessage()));
+        }
+
+        private void fail(RequestFailure failure) {
+            reader.close();
+            daemon.countFailure(failure);
+            plainSession.fail(failure);
+        }
+    }
+
     private Optional<RequestFailure> validateHead(Request request, String path) {
         for (HttpField field : request.getHeaders()) {
             if (field.getValue() != null && field.getValue().length() > MAX_HEADER_CHARS) {
@@ -107,15 +177,6 @@
         return RequestFailure.notRun(ResultCode.BODY_TOO_LARGE, "the body exceeds " + maxBodyBytes + " bytes");
     }
 
-    private void failUnreadBody(CallerSession session, Throwable cause) {
-        boolean tooLarge = cause instanceof IllegalStateException || cause instanceof IllegalArgumentException;
-        RequestFailure requestFailure = tooLarge
-                ? bodyTooLarge()
-                : RequestFailure.notRun(ResultCode.MALFORMED_BODY, "the body cannot be read: " + cause.getMessage());
-        daemon.countFailure(requestFailure);
-        session.fail(requestFailure);
-    }
-
     private void sendModelList(Request request, CallerSession session) {
         Optional<String> list = daemon.modelList(keyHash(request));
         if (list.isEmpty()) {
@@ -129,14 +190,22 @@
         session.complete("", 0);
     }
 
-    private void onBody(RequestId id, Request request, Response response, Callback callback, String path, byte[] body) {
+    private void onBody(
+            RequestId id,
+            Request request,
+            Response response,
+            Callback callback,
+            String path,
+            byte[] body,
+            BodyReader reader) {
         try {
             boolean modelCall = path.equals(COMPLETIONS);
             ParsedCall parsed = modelCall ? parseCompletion(id, request, body) : parseService(id, request, path, body);
             CallerSession session = daemon.newSession(id, response, callback, parsed.format());
             channelOf(request).ifPresent(channel -> daemon.watch(id, channel));
-            daemon.submit(parsed.incoming(), session);
+            daemon.submit(parsed.incoming(), session, reader);
         } catch (MalformedCallException e) {
+            reader.close();
             daemon.countFailure(e.failure());
             daemon.newSession(id, response, callback, new ResponseFormat.PassThrough(""))
                     .fail(e.failure());
--- a/router/src/main/java/org/tanagerhinge/router/CallerRegistry.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerRegistry.java
@@ -16,6 +16,7 @@
     /** Requests whose responses are not completely written; a graceful stop waits for them. */
     private final Set<RequestId> unwrittenResponses = ConcurrentHashMap.newKeySet();
 
+    private final Map<RequestId, BodyReader> bodies = new ConcurrentHashMap<>();
     private final Map<RequestId, SocketChannel> watchedChannels = new ConcurrentHashMap<>();
 
     private CallerRegistry(HangupWatcher hangups) {
@@ -36,7 +37,8 @@
         hangups.watch(channel, onHangup);
     }
 
-    void register(RequestId id, CallerSession session) {
+    void register(RequestId id, CallerSession session, BodyReader body) {
+        bodies.put(id, body);
         sessions.put(id, session);
         unwrittenResponses.add(id);
     }
@@ -57,6 +59,10 @@
     /** Records that a request's response is completely written. */
     void responseWritten(RequestId id) {
         unwrittenResponses.remove(id);
+        BodyReader body = bodies.remove(id);
+        if (body != null) {
+            body.close();
+        }
     }
 
     /** Returns the number of requests whose responses are not completely written. */
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -29,6 +29,7 @@
 import org.tanagerhinge.core.id.RequestId;
 import org.tanagerhinge.core.id.RouterId;
 import org.tanagerhinge.core.id.ServerId;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.message.ClaimEntry;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.core.message.StoredClaim;
@@ -68,6 +69,7 @@
 /** The router process: connects {@link RouterCore} to callers, agents and the platform's store. */
 public final class RouterDaemon implements Daemon {
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+    private static final Duration REFUSALS_LOG_INTERVAL = Duration.ofSeconds(1);
     private static final Duration CLAIM_RECOVERY_INTERVAL = Duration.ofSeconds(1);
     private static final int NETWORK_THREADS = 2;
     private static final int TRAFFIC_THREADS = 4;
@@ -84,8 +86,20 @@
             Duration pollInterval,
             Duration peerIdle,
             int maxBodyBytes,
+            CallerBounds callerBounds,
             Duration stopTimeout) {}
 
+    /**
+     * Bounds of what all callers together may make a router hold.
+     *
+     * @param connections most open connections
+     * @param memoryPercent memory for requests that arrive, wait or run, in percent of the heap
+     */
+    public record CallerBounds(int connections, int memoryPercent) {
+        /** Bounds that no caller within the limits of a request meets. */
+        public static final CallerBounds DEFAULT = new CallerBounds(3_000, 25);
+    }
+
     private final Parts parts;
     private final RouterId self;
     private final NodeMetrics metrics = NodeMetrics.create();
@@ -97,7 +111,9 @@
     private final AtomicLong requestNumbers = new AtomicLong();
     private final Map<ServerId, LinkClient> linkClients = new HashMap<>();
     private final Map<ServerId, Link> links = new ConcurrentHashMap<>();
+    private final MemoryBound callerMemory = new MemoryBound(this::callerMemoryLimit, RouterDaemon::nowMillis);
     private volatile ClusterConfig config = ClusterConfig.EMPTY;
+    private long loggedEvictions;
     private volatile long stopBegunNanos;
     private volatile boolean stopping;
     private CallerRegistry callers;
@@ -135,13 +151,15 @@
         registerGauges();
         httpServer = HttpServer.start(
                 parts.listen(),
+                new HttpServer.Limits(parts.callerBounds().connections(), callerMemory, RouterDaemon::nowMillis),
                 Map.of(
                         "/metrics", () -> Page.text(200, metrics.text()),
                         "/healthz", () -> Page.text(200, "ok\n"),
                         "/readyz", this::readinessPage),
-                new CallerHandler(this, parts.maxBodyBytes()));
+                new CallerHandler(this, parts.maxBodyBytes(), callerMemory));
         poller = ConfigPoller.start(ConfigStore.in(parts.platform()), parts::pollInterval, this::onConfigRead, metrics);
         control.scheduleEvery(TICK_INTERVAL, core::onTick);
+        control.scheduleEvery(REFUSALS_LOG_INTERVAL, this::logRefusals);
         control.scheduleEvery(CLAIM_RECOVERY_INTERVAL, claims::recover);
         LogSetup.setNodeName(self.name());
         LogLine.of(LogEvent.STARTED)
@@ -155,7 +173,33 @@
         claims.recover();
     }
 
+    static long nowMillis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** Returns the memory for requests of callers; two of the largest size fit in, each with its copy for an agent. */
+    private long callerMemoryLimit() {
+        long share = Runtime.getRuntime().maxMemory() * parts.callerBounds().memoryPercent() / 100;
+        return Math.max(share, 4L * parts.maxBodyBytes());
+    }
+
+    /** Logs how many requests found no memory since the last time, if any did. */
+    private void logRefusals() {
+        long evictions = callerMemory.evictions();
+        if (evictions > loggedEvictions) {
+            LogLine.of(LogEvent.MEMORY_FULL, true)
+                    .with(LogField.COUNT, evictions - loggedEvictions)
+                    .with(LogField.HELD_BYTES, callerMemory.heldBytes())
+                    .write();
+            loggedEvictions = evictions;
+        }
+    }
+
     private void registerGauges() {
+        metrics.registerGauge(
+                "caller_memory_bytes", "Memory for requests of callers, as accounted for", callerMemory::heldBytes);
+        metrics.registerGauge(
+                "caller_memory_max_bytes", "Bound of the memory for requests of callers", this::callerMemoryLimit);
         metrics.registerGauge("requests_in_progress", "Requests in progress", () -> control.query(core::inFlight));
         metrics.registerGauge("links", "Agents connected", () -> control.query(core::linkedAgents));
         metrics.registerGauge(
@@ -225,8 +269,8 @@
                 }));
     }
 
-    void submit(IncomingRequest incoming, CallerSession session) {
-        callers.register(incoming.id(), session);
+    void submit(IncomingRequest incoming, CallerSession session, BodyReader body) {
+        callers.register(incoming.id(), session, body);
         control.post(() -> core.onRequest(incoming));
     }
 
--- a/router/src/main/java/org/tanagerhinge/router/RouterModule.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterModule.java
@@ -44,6 +44,9 @@
                 RouterSettings.pollInterval(settings.value(RouterSettings.EXPECTED_ROUTERS)),
                 settings.value(RouterSettings.PEER_IDLE_TIMEOUT),
                 settings.value(RouterSettings.MAX_BODY_KILOBYTES) * BYTES_PER_KILOBYTE,
+                new RouterDaemon.CallerBounds(
+                        settings.value(RouterSettings.MAX_CONNECTIONS),
+                        settings.value(RouterSettings.CALLER_MEMORY_PERCENT)),
                 settings.value(RouterSettings.STOP_TIMEOUT));
     }
 }
--- a/router/src/main/java/org/tanagerhinge/router/RouterSettings.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterSettings.java
@@ -41,6 +41,20 @@
             "the secret that routers and agents share");
     static final Setting<Integer> MAX_BODY_KILOBYTES =
             Setting.integer("limits", "body_kilobytes", 1, 65_536, 4096, "maximum size of a request body");
+    static final Setting<Integer> MAX_CONNECTIONS = Setting.integer(
+            "limits",
+            "connections",
+            16,
+            1_000_000,
+            RouterDaemon.CallerBounds.DEFAULT.connections(),
+            "maximum number of open connections of callers");
+    static final Setting<Integer> CALLER_MEMORY_PERCENT = Setting.integer(
+            "limits",
+            "caller_memory_percent",
+            5,
+            75,
+            RouterDaemon.CallerBounds.DEFAULT.memoryPercent(),
+            "memory for requests of callers, in percent of the heap");
     static final Setting<Integer> MAX_REQUESTS =
             Setting.integer("limits", "requests", 1, 1_000_000, 20_000, "maximum number of requests in flight");
     static final Setting<Integer> MAX_LINKS_PER_TARGET = Setting.integer(
@@ -65,6 +79,8 @@
                 EXPECTED_ROUTERS,
                 SECRET,
                 MAX_BODY_KILOBYTES,
+                MAX_CONNECTIONS,
+                CALLER_MEMORY_PERCENT,
                 MAX_REQUESTS,
                 MAX_LINKS_PER_TARGET,
                 PEER_IDLE_TIMEOUT);
