Routers close the connection that gives way on a thread of its own

The connection whose incomplete head had to give way was closed by the thread of another one, under the lock of the bound.

--- a/node/src/main/java/org/tanagerhinge/node/daemon/BoundedHttpConnectionFactory.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/BoundedHttpConnectionFactory.java
@@ -98,7 +98,8 @@
         @Override
         public void evict() {
             share.resize(0);
-            getEndPoint().close();
+            // Not on this thread, which holds the lock of the bound and belongs to another connection.
+            getConnector().getExecutor().execute(getEndPoint()::close);
         }
 
         @Override
