--- a/node/src/main/java/org/tanagerhinge/node/daemon/BoundedHttpConnectionFactory.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/BoundedHttpConnectionFactory.java
@@ -28,10 +28,7 @@
 
     @Override
     public Connection newConnection(Connector connector, EndPoint endPoint) {
-        HttpConnection connection = new BoundedConnection(connector, endPoint);
-        connection.setUseInputDirectByteBuffers(isUseInputDirectByteBuffers());
-        connection.setUseOutputDirectByteBuffers(isUseOutputDirectByteBuffers());
-        return configure(connection, connector, endPoint);
+        return configure(new BoundedConnection(connector, endPoint), connector, endPoint);
     }
 
     private final class BoundedConnection extends HttpConnection implements MemoryBound.Holder {
