A head of which few bytes have come counts as a request that arrives

Heads of which less than 256 bytes were decoded counted as idle connections, which a stop closes after half a second. Found by reading the change again; the bound of a head can't overflow either, whatever the configuration allows.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -41,7 +41,7 @@
     /** Memory of a decoded header line in addition to twice its bytes. */
     private static final int LINE_MEMORY_BYTES = 200;
     /** The configured limit may be reached by the request line and by the headers, each. */
-    private static final int HEAD_PARTS = 2;
+    private static final long HEAD_PARTS = 2;
 
     /** Time that a caller has to close its side after the last response. */
     private static final long LINGER_MILLIS = 1_000;
@@ -166,6 +166,11 @@
         return !closing && exchange == null && (head != null || headMemory > 0);
     }
 
+    /** Returns whether the next bytes belong to a head, and not to a body or what follows it. */
+    boolean awaitsHead() {
+        return head == null;
+    }
+
     boolean answersHead() {
         return answersHead;
     }
@@ -178,10 +183,6 @@
         if (headMemory == 0 && bytes > 0) {
             begunAtMillis = gateway.nowMillis();
         }
-        if (bytes > HEAD_PARTS * gateway.limits().maxHeaderBytes() && !closing) {
-            refuseTooLong();
-            return;
-        }
         holdHead(bytes, lines);
     }
 
@@ -190,14 +191,14 @@
         if (headMemory == 0) {
             begunAtMillis = gateway.nowMillis();
         }
-        if (bytes > HEAD_PARTS * gateway.limits().maxHeaderBytes() && !closing) {
-            refuseTooLong();
-        } else {
-            holdHead(bytes, lines);
-        }
+        holdHead(bytes, lines);
     }
 
     private void holdHead(int bytes, int lines) {
+        if (bytes > HEAD_PARTS * gateway.limits().maxHeaderBytes() && !closing) {
+            refuseTooLong();
+            return;
+        }
         headMemory = Math.max(headMemory, 2L * bytes + (long) LINE_MEMORY_BYTES * lines);
         if (!share.tryResize(heldBytes())) {
             if (closing) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerDecoder.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerDecoder.java
@@ -18,7 +18,7 @@
     private static final int MAX_LINE_BYTES = 1 << 20;
 
     private static final int MAX_CHUNK_BYTES = 16_384;
-    /** Bytes of an incomplete head, or of the frame of a chunk, that are not worth accounting for. */
+    /** Bytes of the frame of a chunk, or of trailers, that are not worth accounting for. */
     private static final int MIN_COUNTED_BYTES = 256;
     /** Time that a request may take to be decoded before it takes turns with others. */
     private static final long FREE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -116,7 +116,7 @@
         super.decode(ctx, in, out);
         if (out.size() == objects) {
             countLines(in, start);
-            if (incompleteBytes >= MIN_COUNTED_BYTES) {
+            if (incompleteBytes >= (connection.awaitsHead() ? 1 : MIN_COUNTED_BYTES)) {
                 connection.headInPart(incompleteBytes, incompleteLines);
             }
         } else {
