--- a/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -40,9 +39,6 @@
     private static final long AGENT_HOST_BYTES = 362L << 20;
     private static final int HOST_DESCRIPTORS = 4_096;
     private static final int TRIES = 3;
-    private static final byte[] LARGE_CHUNK = bytes("ea60\r\n" + "b".repeat(60_000) + "\r\n");
-    private static final byte[] SMALL_CHUNKS = bytes("1\r\nb\r\n".repeat(1_024));
-    private static final byte[] BLOCK = new byte[65_536];
 
     @TempDir
     private Path folder;
@@ -54,24 +50,26 @@
     /** What each connection of a crowd sends to a router. */
     private enum Kind {
         BODY_WITH_LENGTH(200, (number, out) -> {
-            out.write(bytes(head() + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
-            unfinished(out, MAX_BODY_BYTES);
+            out.write(CallerCrowd.bytes(head() + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
+            CallerCrowd.unfinished(out, MAX_BODY_BYTES);
         }),
         BODY_IN_LARGE_CHUNKS(200, (number, out) -> {
-            out.write(bytes(head() + "Transfer-Encoding: chunked\r\n\r\n"));
-            repeat(out, LARGE_CHUNK, MAX_BODY_BYTES / 60_000 - 1);
+            out.write(CallerCrowd.bytes(head() + "Transfer-Encoding: chunked\r\n\r\n"));
+            CallerCrowd.repeat(out, CallerCrowd.LARGE_CHUNK, MAX_BODY_BYTES / 60_000 - 1);
         }),
         BODY_IN_CHUNKS_OF_ONE_BYTE(200, (number, out) -> {
-            out.write(bytes(head() + "Transfer-Encoding: chunked\r\n\r\n"));
-            repeat(out, SMALL_CHUNKS, 1_024);
+            out.write(CallerCrowd.bytes(head() + "Transfer-Encoding: chunked\r\n\r\n"));
+            CallerCrowd.repeat(out, CallerCrowd.SMALL_CHUNKS, 1_024);
         }),
         BODY_OF_UNKNOWN_KEY(200, (number, out) -> {
-            out.write(bytes(head().replace(Callers.KEY, "none") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
-            unfinished(out, MAX_BODY_BYTES);
+            out.write(CallerCrowd.bytes(
+                    head().replace(Callers.KEY, "none") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
+            CallerCrowd.unfinished(out, MAX_BODY_BYTES);
         }),
-        SHORT_HEADER_LINES(600, (number, out) -> out.write(bytes(head() + "a:b\r\n".repeat(HEAD_BYTES / 5 - 50)))),
+        SHORT_HEADER_LINES(
+                600, (number, out) -> out.write(CallerCrowd.bytes(head() + "a:b\r\n".repeat(HEAD_BYTES / 5 - 50)))),
         ANSWERS_NOT_READ(200, (number, out) -> {
-            repeat(out, bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"), 4_000);
+            CallerCrowd.repeat(out, CallerCrowd.bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"), 4_000);
         });
 
         private final int connections;
@@ -88,22 +86,6 @@
                 + "\r\nX-Tanagerhinge-Profile: chat\r\nContent-Type: application/json\r\n";
     }
 
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
-    }
-
-    /** Writes a body without its last byte. */
-    private static void unfinished(OutputStream out, int length) throws IOException {
-        repeat(out, BLOCK, (length - 1) / BLOCK.length);
-        out.write(BLOCK, 0, (length - 1) % BLOCK.length);
-    }
-
-    private static void repeat(OutputStream out, byte[] bytes, int times) throws IOException {
-        for (int i = 0; i < times; i++) {
-            out.write(bytes);
-        }
-    }
-
     @BeforeEach
     void setUp() throws Exception {
         cluster = LocalCluster.create(LocalCluster.Kind.PRODUCT)
@@ -220,7 +202,7 @@
             request.append("1\r\n").append(c).append("\r\n");
         }
         try (Socket socket = new Socket("127.0.0.1", port)) {
-            socket.getOutputStream().write(bytes(request + "0\r\n\r\n"));
+            socket.getOutputStream().write(CallerCrowd.bytes(request + "0\r\n\r\n"));
             String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
             assertTrue(answer.startsWith("HTTP/1.1 200") && answer.contains("[DONE]"), answer);
         }
@@ -252,7 +234,7 @@
         try (ProcessUsage usage = ProcessUsage.of(process.pid(), listen)) {
             try (CallerCrowd crowd = CallerCrowd.send(listen, 100, (number, out) -> {
                 out.write(new byte[] {1, -1, -1, -1});
-                repeat(out, BLOCK, 440);
+                CallerCrowd.repeat(out, CallerCrowd.BLOCK, 440);
             })) {
                 crowd.awaitSettled();
                 awaitReady();
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AbusiveCallersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AbusiveCallersTest.java
@@ -4,10 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -35,9 +33,6 @@
     private static final int HOST_DESCRIPTORS = 4_096;
     private static final int FEW_DESCRIPTORS = 300;
     private static final int TRIES = 3;
-    private static final byte[] LARGE_CHUNK = bytes("ea60\r\n" + "b".repeat(60_000) + "\r\n");
-    private static final byte[] SMALL_CHUNKS = bytes("1\r\nb\r\n".repeat(1_024));
-    private static final byte[] BLOCK = new byte[65_536];
     private static final int LARGE_ANSWER_BYTES = 200_000;
 
     @TempDir
@@ -51,60 +46,64 @@
     /** What each connection of a crowd sends, and to which listener. */
     private enum Kind {
         BODY_WITH_LENGTH(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "key-1", "/plain/") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
-            unfinished(out, MAX_BODY_BYTES);
+            out.write(CallerCrowd.bytes(
+                    head(number, "key-1", "/plain/") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
+            CallerCrowd.unfinished(out, MAX_BODY_BYTES);
         }),
         BODY_IN_PIECES(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "key-1", "/plain/") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
+            out.write(CallerCrowd.bytes(
+                    head(number, "key-1", "/plain/") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
             for (int i = 0; i < MAX_BODY_BYTES / 8_192 - 1; i++) {
-                out.write(BLOCK, 0, 8_192);
+                out.write(CallerCrowd.BLOCK, 0, 8_192);
             }
         }),
         BODY_IN_LARGE_CHUNKS(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "key-1", "/plain/") + "Transfer-Encoding: chunked\r\n\r\n"));
-            repeat(out, LARGE_CHUNK, MAX_BODY_BYTES / 60_000 - 1);
+            out.write(CallerCrowd.bytes(head(number, "key-1", "/plain/") + "Transfer-Encoding: chunked\r\n\r\n"));
+            CallerCrowd.repeat(out, CallerCrowd.LARGE_CHUNK, MAX_BODY_BYTES / 60_000 - 1);
         }),
         BODY_IN_CHUNKS_OF_ONE_BYTE(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "key-1", "/plain/") + "Transfer-Encoding: chunked\r\n\r\n"));
-            repeat(out, SMALL_CHUNKS, 1_024);
+            out.write(CallerCrowd.bytes(head(number, "key-1", "/plain/") + "Transfer-Encoding: chunked\r\n\r\n"));
+            CallerCrowd.repeat(out, CallerCrowd.SMALL_CHUNKS, 1_024);
         }),
         BODY_OF_UNKNOWN_KEY(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "none", "/plain/") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
-            unfinished(out, MAX_BODY_BYTES);
+            out.write(CallerCrowd.bytes(
+                    head(number, "none", "/plain/") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"));
+            CallerCrowd.unfinished(out, MAX_BODY_BYTES);
         }),
         BODY_WITHOUT_ROUTE(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "key-1", "/none/") + "Transfer-Encoding: chunked\r\n\r\n"));
-            repeat(out, LARGE_CHUNK, MAX_BODY_BYTES / 60_000 - 1);
+            out.write(CallerCrowd.bytes(head(number, "key-1", "/none/") + "Transfer-Encoding: chunked\r\n\r\n"));
+            CallerCrowd.repeat(out, CallerCrowd.LARGE_CHUNK, MAX_BODY_BYTES / 60_000 - 1);
         }),
         SHORT_HEADER_LINES(300, GatewayFixture.Ports::listenPort, (number, out) -> {
             String head = head(number, "key-1", "/plain/");
-            out.write(bytes(head + "a:\r\n".repeat((HEAD_BYTES - head.length()) / 4)));
+            out.write(CallerCrowd.bytes(head + "a:\r\n".repeat((HEAD_BYTES - head.length()) / 4)));
         }),
         SHORT_TRAILER_LINES(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "key-1", "/plain/") + "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+            out.write(CallerCrowd.bytes(head(number, "key-1", "/plain/") + "Transfer-Encoding: chunked\r\n\r\n0\r\n"
                     + "a:\r\n".repeat(HEAD_BYTES / 4 - 1)));
         }),
         REQUESTS_WHILE_ONE_RUNS(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            out.write(bytes(head(number, "key-1", "/stuck/") + "\r\n"));
-            out.write(bytes("GET / HTTP/1.1\r\na:\r\nHost:a\r\n\r\n".repeat(4_000)));
+            out.write(CallerCrowd.bytes(head(number, "key-1", "/stuck/") + "\r\n"));
+            out.write(CallerCrowd.bytes("GET / HTTP/1.1\r\na:\r\nHost:a\r\n\r\n".repeat(4_000)));
         }),
         HEADS_WHILE_ONE_RUNS(300, GatewayFixture.Ports::listenPort, (number, out) -> {
             String head = head(number, "key-1", "/plain/");
-            out.write(bytes(head(number, "key-1", "/stuck/") + "\r\n"));
-            out.write(bytes((head + "a:\r\n".repeat((HEAD_BYTES - head.length()) / 4 - 1) + "\r\n").repeat(4)));
+            out.write(CallerCrowd.bytes(head(number, "key-1", "/stuck/") + "\r\n"));
+            out.write(CallerCrowd.bytes((head + "a:\r\n".repeat((HEAD_BYTES - head.length()) / 4 - 1) + "\r\n")
+                    .repeat(4)));
         }),
         ANSWERS_NOT_READ(300, GatewayFixture.Ports::listenPort, (number, out) -> {
-            repeat(out, bytes(head(number, "key-1", "/large/") + "\r\n"), 200);
+            CallerCrowd.repeat(out, CallerCrowd.bytes(head(number, "key-1", "/large/") + "\r\n"), 200);
         }),
         METRICS_NOT_READ(300, GatewayFixture.Ports::statusPort, (number, out) -> {
-            repeat(out, bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"), 4_000);
+            CallerCrowd.repeat(out, CallerCrowd.bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"), 4_000);
         }),
         HEADS_OF_STATUS(600, GatewayFixture.Ports::statusPort, (number, out) -> {
-            out.write(bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n" + "a:\r\n".repeat(2_000)));
+            out.write(CallerCrowd.bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n" + "a:\r\n".repeat(2_000)));
         }),
         BODIES_OF_PEERS(300, GatewayFixture.Ports::peerPort, (number, out) -> {
-            out.write(bytes("POST /usage-counts HTTP/1.1\r\nHost: a\r\nContent-Length: 1048576\r\n\r\n"));
-            unfinished(out, 1 << 20);
+            out.write(CallerCrowd.bytes("POST /usage-counts HTTP/1.1\r\nHost: a\r\nContent-Length: 1048576\r\n\r\n"));
+            CallerCrowd.unfinished(out, 1 << 20);
         });
 
         private final int connections;
@@ -123,22 +122,6 @@
                 + PlatformNames.ATTEMPT_ID + ": crowd-" + number + "\r\n" + PlatformNames.DEADLINE + ": 20000\r\n";
     }
 
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
-    }
-
-    /** Writes a body without its last byte. */
-    private static void unfinished(OutputStream out, int length) throws IOException {
-        repeat(out, BLOCK, (length - 1) / BLOCK.length);
-        out.write(BLOCK, 0, (length - 1) % BLOCK.length);
-    }
-
-    private static void repeat(OutputStream out, byte[] bytes, int times) throws IOException {
-        for (int i = 0; i < times; i++) {
-            out.write(bytes);
-        }
-    }
-
     @BeforeEach
     void setUp() throws IOException {
         fixture = GatewayFixture.open("shop.example");
@@ -224,7 +207,8 @@
     private enum ConnectionState {
         SILENT(GatewayFixture.Ports::listenPort, (number, out) -> {}),
         HEAD_IN_PART(
-                GatewayFixture.Ports::listenPort, (number, out) -> out.write(bytes(head(number, "key-1", "/plain/")))),
+                GatewayFixture.Ports::listenPort,
+                (number, out) -> out.write(CallerCrowd.bytes(head(number, "key-1", "/plain/")))),
         SILENT_AT_STATUS(GatewayFixture.Ports::statusPort, (number, out) -> {}),
         SILENT_AT_PEERS(GatewayFixture.Ports::peerPort, (number, out) -> {});
 
@@ -250,7 +234,7 @@
         private final byte[] bytes;
 
         UnusualRequest(String text) {
-            this.bytes = bytes(text);
+            this.bytes = CallerCrowd.bytes(text);
         }
     }
 
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/CallerCrowd.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/CallerCrowd.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -25,6 +26,13 @@
     private static final long SETTLED_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long MAX_SENDING_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** A block of a body. */
+    public static final byte[] BLOCK = new byte[65_536];
+    /** A chunk of 60,000 bytes, and 1,024 chunks of one byte. */
+    public static final byte[] LARGE_CHUNK = bytes("ea60\r\n" + "b".repeat(60_000) + "\r\n");
+
+    public static final byte[] SMALL_CHUNKS = bytes("1\r\nb\r\n".repeat(1_024));
+
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
     private final List<Thread> senders = new ArrayList<>();
     private volatile boolean closed;
@@ -39,6 +47,24 @@
         void send(int connection, OutputStream out) throws IOException;
     }
 
+    /** Returns the bytes of a text. */
+    public static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Writes a body without its last byte. */
+    public static void unfinished(OutputStream out, int length) throws IOException {
+        repeat(out, BLOCK, (length - 1) / BLOCK.length);
+        out.write(BLOCK, 0, (length - 1) % BLOCK.length);
+    }
+
+    /** Writes the same bytes a number of times. */
+    public static void repeat(OutputStream out, byte[] bytes, int times) throws IOException {
+        for (int i = 0; i < times; i++) {
+            out.write(bytes);
+        }
+    }
+
     /** Starts callers that begin to send at once. */
     public static CallerCrowd send(int port, int callers, Script script) {
         CallerCrowd crowd = new CallerCrowd();
