One estimate of a head's memory, one pipeline for status and peers, one steady clock in routers

The estimate of a head (twice its characters and 200 bytes a line) stood four times, the count of lines twice, of which one in the form that had been too dear at callers; a head complete and in part was recorded by two methods that did the same; the pipelines of status and peers were two copies; routers made a clock of their own beside SteadyClock.

--- a/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
@@ -44,6 +44,11 @@
 
 /** The agent process: connects {@link AgentCore} to routers, the backend server and the platform's store. */
 public final class AgentDaemon implements Daemon {
+    /** Connections for metrics and checks, and the memory of their incomplete heads. */
+    private static final int MAX_STATUS_CONNECTIONS = 256;
+
+    private static final long MAX_STATUS_MEMORY_BYTES = 8 << 20;
+
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
     private static final Duration DISCONNECTED_POLL_INTERVAL = Duration.ofSeconds(1);
     private static final int NETWORK_THREADS = 2;
@@ -77,11 +82,6 @@
     private HttpServer httpServer;
     private ConfigPoller poller;
 
-    /** Connections for metrics and checks, and the memory of their incomplete heads. */
-    private static final int MAX_STATUS_CONNECTIONS = 256;
-
-    private static final long MAX_STATUS_MEMORY_BYTES = 8 << 20;
-
     private AgentDaemon(Parts parts) {
         this.parts = parts;
         this.control = ControlLoop.start("control-" + parts.name(), metrics);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerConnection.java
@@ -28,6 +28,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import org.tanagerhinge.core.memory.HeadMemory;
 import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.relay.CallerLimits;
 import org.tanagerhinge.core.result.ResultCode;
@@ -38,8 +39,6 @@
     private static final int MAX_UNDECODED_BYTES = 8_192;
     /** Receive buffer of the kernel, which may fill up while reading pauses. */
     static final int RECEIVE_BUFFER_BYTES = 65_536;
-    /** Memory of a decoded header line in addition to twice its bytes. */
-    private static final int LINE_MEMORY_BYTES = 200;
     /** The configured limit may be reached by the request line and by the headers, each. */
     private static final long HEAD_PARTS = 2;
 
@@ -175,31 +174,19 @@
         return answersHead;
     }
 
-    /** Records what is held of an incomplete head, or of the trailers after a body. */
-    void headInPart(int bytes, int lines) {
+    /** Records what is held of a head, complete or in part, or of the trailers after a body. */
+    void holdHead(int bytes, int lines) {
         if (inputDropped()) {
             return;
         }
-        if (headMemory == 0 && bytes > 0) {
-            begunAtMillis = gateway.nowMillis();
-        }
-        holdHead(bytes, lines);
-    }
-
-    /** Records what is held of a complete head. */
-    void headRead(int bytes, int lines) {
         if (headMemory == 0) {
             begunAtMillis = gateway.nowMillis();
         }
-        holdHead(bytes, lines);
-    }
-
-    private void holdHead(int bytes, int lines) {
         if (bytes > HEAD_PARTS * gateway.limits().maxHeaderBytes() && !closing) {
             refuseTooLong();
             return;
         }
-        headMemory = Math.max(headMemory, 2L * bytes + (long) LINE_MEMORY_BYTES * lines);
+        headMemory = Math.max(headMemory, HeadMemory.of(bytes, lines));
         if (!share.tryResize(heldBytes())) {
             if (closing) {
                 dropInput();
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerDecoder.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerDecoder.java
@@ -117,12 +117,12 @@
         if (out.size() == objects) {
             countLines(in, start);
             if (incompleteBytes >= (connection.awaitsHead() ? 1 : MIN_COUNTED_BYTES)) {
-                connection.headInPart(incompleteBytes, incompleteLines);
+                connection.holdHead(incompleteBytes, incompleteLines);
             }
         } else {
             if (out.get(objects) instanceof HttpRequest) {
                 countLines(in, start);
-                connection.headRead(incompleteBytes, incompleteLines);
+                connection.holdHead(incompleteBytes, incompleteLines);
             }
             incompleteBytes = 0;
             incompleteLines = 0;
@@ -133,10 +133,17 @@
     private void countLines(ByteBuf in, int start) {
         int end = in.readerIndex();
         incompleteBytes += end - start;
+        incompleteLines += lines(in, start, end);
+    }
+
+    /** Returns the number of line ends between two indexes; cheap also for the few bytes of a chunk's frame. */
+    static int lines(ByteBuf bytes, int start, int end) {
+        int lines = 0;
         for (int at = start; at < end; at++) {
-            if (in.getByte(at) == '\n') {
-                incompleteLines++;
+            if (bytes.getByte(at) == '\n') {
+                lines++;
             }
         }
+        return lines;
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/ControlConnections.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/ControlConnections.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.tanagerhinge.core.memory.HeadMemory;
 import org.tanagerhinge.core.memory.MemoryBound;
 
 /**
@@ -18,9 +19,6 @@
  * complete, and responses that are not read.
  */
 final class ControlConnections {
-    /** Memory of a decoded header line in addition to twice its bytes. */
-    private static final int LINE_MEMORY_BYTES = 200;
-
     private final int maxConnections;
     private final MemoryBound memory;
     private final LongSupplier clock;
@@ -78,7 +76,9 @@
             if (incompleteBytes == 0) {
                 usedAtMillis = clock.getAsLong();
             }
-            incompleteBytes += 2L * received.readableBytes() + (long) LINE_MEMORY_BYTES * lines(received);
+            incompleteBytes += HeadMemory.of(
+                    received.readableBytes(),
+                    CallerDecoder.lines(received, received.readerIndex(), received.writerIndex()));
             // A peer or scraper asks for more only after it has read the answer.
             boolean unread = !active.channel().isWritable();
             if (unread || !connections.contains(this) || !share.tryResize(incompleteBytes)) {
@@ -89,17 +89,6 @@
             active.fireChannelRead(message);
         }
 
-        private static int lines(ByteBuf bytes) {
-            int lines = 0;
-            int end = bytes.writerIndex();
-            for (int at = bytes.indexOf(bytes.readerIndex(), end, (byte) '\n');
-                    at >= 0;
-                    at = bytes.indexOf(at + 1, end, (byte) '\n')) {
-                lines++;
-            }
-            return lines;
-        }
-
         @Override
         public void write(ChannelHandlerContext active, Object message, ChannelPromise promise) throws Exception {
             incompleteBytes = 0;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.tanagerhinge.core.attempt.RetryBudget;
 import org.tanagerhinge.core.duty.DutyClient;
@@ -226,39 +227,36 @@
                 .write();
     }
 
-    private ControlConnections controlConnections(int maxConnections) {
-        return new ControlConnections(maxConnections, controlMemory, gateway::nowMillis, gateway::count);
-    }
-
     /** Returns what handles the connections of one listener for readiness checks and metrics. */
     private ChannelHandler statusHandlers() {
-        ControlConnections connections = controlConnections(connectionLimits.status());
-        return new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline()
-                        .addLast(
-                                connections.guard(),
-                                new HttpServerCodec(),
-                                new HttpObjectAggregator(MAX_HEADER_BYTES),
-                                new StatusHandler(gateway));
-            }
-        };
+        return controlHandlers(connectionLimits.status(), MAX_HEADER_BYTES, () -> new StatusHandler(gateway));
     }
 
     private void openPeerListener() {
-        ControlConnections connections = controlConnections(connectionLimits.peers());
-        listen(options.peerAddress(), new ChannelInitializer<Channel>() {
+        listen(
+                options.peerAddress(),
+                controlHandlers(
+                        connectionLimits.peers(),
+                        MAX_PEER_MESSAGE_BYTES,
+                        () -> new PeerRequestHandler(gateway, duties)));
+    }
+
+    /** Returns what handles the connections of one listener for operators or peers. */
+    private ChannelHandler controlHandlers(
+            int maxConnections, int maxMessageBytes, Supplier<ChannelHandler> requestHandler) {
+        ControlConnections connections =
+                new ControlConnections(maxConnections, controlMemory, gateway::nowMillis, gateway::count);
+        return new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
                         .addLast(
                                 connections.guard(),
                                 new HttpServerCodec(),
-                                new HttpObjectAggregator(MAX_PEER_MESSAGE_BYTES),
-                                new PeerRequestHandler(gateway, duties));
+                                new HttpObjectAggregator(maxMessageBytes),
+                                requestHandler.get());
             }
-        });
+        };
     }
 
     private static ServerSocketChannel bind(InetSocketAddress address) {
--- a/node/src/main/java/org/tanagerhinge/node/daemon/BoundedHttpConnectionFactory.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/BoundedHttpConnectionFactory.java
@@ -1,6 +1,6 @@
 package org.tanagerhinge.node.daemon;
 
-import java.util.function.LongSupplier;
+import java.time.InstantSource;
 import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpStatus;
@@ -10,22 +10,29 @@
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.internal.HttpConnection;
+import org.tanagerhinge.core.memory.HeadMemory;
 import org.tanagerhinge.core.memory.MemoryBound;
 
 /** Creates HTTP connections whose incomplete heads and trailers are bounded over all of them together. */
 final class BoundedHttpConnectionFactory extends HttpConnectionFactory {
-    /** Memory of a header field in addition to twice its characters. */
-    private static final int FIELD_MEMORY_BYTES = 200;
-
     private final MemoryBound memory;
-    private final LongSupplier clock;
+    private final InstantSource clock;
 
-    BoundedHttpConnectionFactory(HttpConfiguration configuration, MemoryBound memory, LongSupplier clock) {
+    BoundedHttpConnectionFactory(HttpConfiguration configuration, MemoryBound memory, InstantSource clock) {
         super(configuration);
         this.memory = memory;
         this.clock = clock;
     }
 
+    /** Returns the memory that a field of a request takes, in bytes. */
+    static long memory(HttpField field) {
+        return HeadMemory.of(length(field.getName()) + length(field.getValue()), 1);
+    }
+
+    private static int length(String text) {
+        return text == null ? 0 : text.length();
+    }
+
     @Override
     public Connection newConnection(Connector connector, EndPoint endPoint) {
         return configure(new BoundedConnection(connector, endPoint), connector, endPoint);
@@ -44,7 +51,7 @@
             return new RequestHandler() {
                 @Override
                 public void messageBegin() {
-                    begunAtMillis = clock.getAsLong();
+                    begunAtMillis = clock.millis();
                     super.messageBegin();
                 }
 
@@ -75,9 +82,7 @@
         }
 
         private void hold(HttpField field) {
-            int characters = (field.getName() == null ? 0 : field.getName().length())
-                    + (field.getValue() == null ? 0 : field.getValue().length());
-            if (!share.tryResize(share.bytes() + FIELD_MEMORY_BYTES + 2L * characters)) {
+            if (!share.tryResize(share.bytes() + memory(field))) {
                 throw new BadMessageException(HttpStatus.SERVICE_UNAVAILABLE_503);
             }
         }
--- a/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/HttpServer.java
@@ -2,8 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Map;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
@@ -20,6 +20,7 @@
 import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.core.result.TanagerhingeException;
+import org.tanagerhinge.core.time.SteadyClock;
 
 /** Jetty server on one address that serves pages such as {@code /metrics} and passes other paths to a handler. */
 public final class HttpServer implements AutoCloseable {
@@ -43,16 +44,23 @@
      *
      * @param connections most open connections; when there are as many, silent ones are closed and no more accepted
      * @param memory bound of heads that are not complete
-     * @param clock clock of the bound, in milliseconds
+     * @param clock clock of the bound
      */
-    public record Limits(int connections, MemoryBound memory, LongSupplier clock) {
+    public record Limits(int connections, MemoryBound memory, InstantSource clock) {
         /** Returns limits with a bound of their own, in bytes. */
         public static Limits of(int connections, long memoryBytes) {
-            LongSupplier clock = () -> System.nanoTime() / 1_000_000;
-            return new Limits(connections, new MemoryBound(() -> memoryBytes, clock), clock);
+            InstantSource clock = SteadyClock.create();
+            return new Limits(connections, new MemoryBound(() -> memoryBytes, clock::millis), clock);
         }
     }
 
+    /** Returns the memory that the head of a request takes, in bytes. */
+    public static long headMemory(Request request) {
+        return request.getHeaders().stream()
+                .mapToLong(BoundedHttpConnectionFactory::memory)
+                .sum();
+    }
+
     /** Content of a page, produced at each request. */
     public record Page(int status, String contentType, String body) {
         /** Returns a plain text page. */
--- a/router/src/main/java/org/tanagerhinge/router/BodyReader.java
+++ b/router/src/main/java/org/tanagerhinge/router/BodyReader.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.thread.Invocable;
 import org.tanagerhinge.core.memory.MemoryBound;
+import org.tanagerhinge.node.daemon.HttpServer;
 
 /**
  * Reads the body of one request within the memory that all callers share, and accounts for the request until it has ended.
@@ -15,9 +16,6 @@
  */
 final class BodyReader implements Invocable.Task, MemoryBound.Holder {
     private static final int BLOCK_BYTES = 16_384;
-    /** Memory of a header field in addition to twice its characters. */
-    private static final int FIELD_MEMORY_BYTES = 200;
-
     private final Request request;
     private final int maxBytes;
     private final Listener listener;
@@ -45,14 +43,7 @@
         this.maxBytes = maxBytes;
         this.listener = listener;
         this.startedAtMillis = nowMillis;
-        this.headMemory = request.getHeaders().stream()
-                .mapToLong(field -> FIELD_MEMORY_BYTES
-                        + 2L
-                                * (field.getName().length()
-                                        + (field.getValue() == null
-                                                ? 0
-                                                : field.getValue().length())))
-                .sum();
+        this.headMemory = HttpServer.headMemory(request);
         this.share = memory.open(this);
     }
 
--- a/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
@@ -3,6 +3,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.locks.Lock;
@@ -40,14 +41,16 @@
     private final RouterDaemon daemon;
     private final int maxBodyBytes;
     private final MemoryBound memory;
+    private final InstantSource clock;
     /** Held while a large body is parsed, which may take many times its size. */
     private final Lock largeBodyLock = new ReentrantLock();
 
-    CallerHandler(RouterDaemon daemon, int maxBodyBytes, MemoryBound memory) {
+    CallerHandler(RouterDaemon daemon, int maxBodyBytes, MemoryBound memory, InstantSource clock) {
         super(InvocationType.NON_BLOCKING);
         this.daemon = daemon;
         this.maxBodyBytes = maxBodyBytes;
         this.memory = memory;
+        this.clock = clock;
     }
 
     @Override
@@ -102,7 +105,7 @@
         }
 
         void start() {
-            reader = BodyReader.of(request, maxBodyBytes, memory, RouterDaemon.nowMillis(), this);
+            reader = BodyReader.of(request, maxBodyBytes, memory, clock.millis(), this);
             reader.start();
         }
 
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -111,7 +111,8 @@
     private final AtomicLong requestNumbers = new AtomicLong();
     private final Map<ServerId, LinkClient> linkClients = new HashMap<>();
     private final Map<ServerId, Link> links = new ConcurrentHashMap<>();
-    private final MemoryBound callerMemory = new MemoryBound(this::callerMemoryLimit, RouterDaemon::nowMillis);
+    private final SteadyClock clock = SteadyClock.create();
+    private final MemoryBound callerMemory = new MemoryBound(this::callerMemoryLimit, clock::millis);
     private volatile ClusterConfig config = ClusterConfig.EMPTY;
     private long loggedEvictions;
     private volatile long stopBegunNanos;
@@ -151,12 +152,12 @@
         registerGauges();
         httpServer = HttpServer.start(
                 parts.listen(),
-                new HttpServer.Limits(parts.callerBounds().connections(), callerMemory, RouterDaemon::nowMillis),
+                new HttpServer.Limits(parts.callerBounds().connections(), callerMemory, clock),
                 Map.of(
                         "/metrics", () -> Page.text(200, metrics.text()),
                         "/healthz", () -> Page.text(200, "ok\n"),
                         "/readyz", this::readinessPage),
-                new CallerHandler(this, parts.maxBodyBytes(), callerMemory));
+                new CallerHandler(this, parts.maxBodyBytes(), callerMemory, clock));
         poller = ConfigPoller.start(ConfigStore.in(parts.platform()), parts::pollInterval, this::onConfigRead, metrics);
         control.scheduleEvery(TICK_INTERVAL, core::onTick);
         control.scheduleEvery(REFUSALS_LOG_INTERVAL, this::logRefusals);
@@ -173,10 +174,6 @@
         claims.recover();
     }
 
-    static long nowMillis() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     /** Returns the memory for requests of callers; two of the largest size fit in, each with its copy for an agent. */
     private long callerMemoryLimit() {
         long share = Runtime.getRuntime().maxMemory() * parts.callerBounds().memoryPercent() / 100;
