--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AbusiveCallersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AbusiveCallersTest.java
@@ -33,6 +33,11 @@
     private static final int HOST_DESCRIPTORS = 4_096;
     private static final int FEW_DESCRIPTORS = 300;
     private static final int TRIES = 3;
+    /** Several times the grace time of a stop. */
+    private static final long STOP_MILLIS = 30_000;
+
+    private static final int SLOW_PIECES = 20;
+    private static final long SLOW_PAUSE_MILLIS = 100;
     private static final int LARGE_ANSWER_BYTES = 200_000;
 
     @TempDir
@@ -221,6 +226,22 @@
         }
     }
 
+    /** Guards against a stop that hangs, or that waits to be killed, while a crowd is connected. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Kind.class,
+            names = {"BODY_WITH_LENGTH", "SHORT_HEADER_LINES", "REQUESTS_WHILE_ONE_RUNS", "ANSWERS_NOT_READ"})
+    void stopEndsWhileTheCrowdIsConnected(Kind kind) throws Exception {
+        process = GatewayProcess.start(folder.resolve("gateway.ini"), log());
+        fixture.awaitReady(ports);
+        try (CallerCrowd crowd = CallerCrowd.send(kind.port.applyAsInt(ports), kind.connections, kind.script)) {
+            crowd.awaitSettled();
+            process.signal(GatewayProcess.Signal.TERM);
+            assertTrue(process.awaitEnd(STOP_MILLIS), process.output());
+            assertEquals(0, process.exitCode());
+        }
+    }
+
     /** A request that is unusual but inside the limits. */
     private enum UnusualRequest {
         LARGE_BODY(head(0, "key-1", "/plain/") + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n"
@@ -252,4 +273,21 @@
             }
         }
     }
+
+    /** Guards against a bound that takes a slow body for one that never ends. */
+    @Test
+    void slowBodyIsServed() throws Exception {
+        process = GatewayProcess.start(folder.resolve("gateway.ini"), log());
+        fixture.awaitReady(ports);
+        try (RawCaller caller =
+                RawCaller.to(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.listenPort()))) {
+            caller.send(head(0, "key-1", "/plain/") + "Content-Length: " + SLOW_PIECES * CallerCrowd.BLOCK.length
+                    + "\r\n\r\n");
+            for (int i = 0; i < SLOW_PIECES; i++) {
+                Thread.sleep(SLOW_PAUSE_MILLIS);
+                caller.send(CallerCrowd.BLOCK);
+            }
+            assertEquals(200, caller.read().status());
+        }
+    }
 }
