Hosts that have not proved that they are routers can't keep an agent's descriptors

Cause: the idle timeout counts any byte, and nothing bounded connections before the handshake. Now a peer has the idle timeout to prove that it knows the secret, and the oldest connection that has not done so is closed for a new one beyond links.unauthenticated (256, or a quarter of the descriptors for sockets). The bounds of the agent's status listener, constants until now, are settings.

--- a/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentDaemon.java
@@ -24,6 +24,7 @@
 import org.tanagerhinge.core.time.SteadyClock;
 import org.tanagerhinge.node.control.ControlLoop;
 import org.tanagerhinge.node.daemon.Daemon;
+import org.tanagerhinge.node.daemon.Descriptors;
 import org.tanagerhinge.node.daemon.HttpServer;
 import org.tanagerhinge.node.daemon.HttpServer.Page;
 import org.tanagerhinge.node.daemon.Incarnation;
@@ -44,11 +45,6 @@
 
 /** The agent process: connects {@link AgentCore} to routers, the backend server and the platform's store. */
 public final class AgentDaemon implements Daemon {
-    /** Connections for metrics and checks, and the memory of their incomplete heads. */
-    private static final int MAX_STATUS_CONNECTIONS = 256;
-
-    private static final long MAX_STATUS_MEMORY_BYTES = 8 << 20;
-
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
     private static final Duration DISCONNECTED_POLL_INTERVAL = Duration.ofSeconds(1);
     private static final int NETWORK_THREADS = 2;
@@ -68,8 +64,21 @@
             PlatformStore platform,
             Duration pollInterval,
             Duration peerIdle,
+            ConnectionBounds connectionBounds,
             Duration stopTimeout) {}
 
+    /**
+     * Bounds of what connections may make an agent hold; fewer connections if the process has few descriptors.
+     *
+     * @param unauthenticated most connections of hosts that have not proved that they are routers
+     * @param status most connections for metrics and checks
+     * @param statusMemoryBytes memory for their incomplete heads
+     */
+    public record ConnectionBounds(int unauthenticated, int status, int statusMemoryBytes) {
+        /** Bounds that no router and no scraper meets. */
+        public static final ConnectionBounds DEFAULT = new ConnectionBounds(256, 256, 8 << 20);
+    }
+
     private final Parts parts;
     private final NodeMetrics metrics = NodeMetrics.create();
     private final ControlLoop control;
@@ -107,12 +116,21 @@
 
     private void open() throws TanagerhingeException {
         Peer self = Peer.agent(parts.name().value(), core.incarnation());
+        int sockets = Descriptors.forSockets(Descriptors.ofProcess());
         linkServer = LinkServer.start(
-                eventLoops, parts.listen(), self, parts.secret(), parts.peerIdle(), new LinkEventForwarder());
+                eventLoops,
+                parts.listen(),
+                self,
+                parts.secret(),
+                parts.peerIdle(),
+                Math.min(parts.connectionBounds().unauthenticated(), sockets / 4),
+                new LinkEventForwarder());
         registerGauges();
         httpServer = HttpServer.start(
                 parts.metricsAddress(),
-                HttpServer.Limits.of(MAX_STATUS_CONNECTIONS, MAX_STATUS_MEMORY_BYTES),
+                HttpServer.Limits.of(
+                        Math.min(parts.connectionBounds().status(), sockets / 4),
+                        parts.connectionBounds().statusMemoryBytes()),
                 Map.of(
                         "/metrics", () -> Page.text(200, metrics.text()),
                         "/healthz", () -> Page.text(200, "ok\n"),
--- a/agent/src/main/java/org/tanagerhinge/agent/AgentModule.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentModule.java
@@ -45,6 +45,10 @@
                 platform,
                 settings.value(AgentSettings.PLATFORM_POLL_INTERVAL),
                 settings.value(AgentSettings.PEER_IDLE_TIMEOUT),
+                new AgentDaemon.ConnectionBounds(
+                        settings.value(AgentSettings.MAX_UNAUTHENTICATED),
+                        settings.value(AgentSettings.MAX_STATUS_CONNECTIONS),
+                        settings.value(AgentSettings.STATUS_MEMORY_KILOBYTES) << 10),
                 settings.value(AgentSettings.STOP_TIMEOUT));
     }
 }
--- a/agent/src/main/java/org/tanagerhinge/agent/AgentSettings.java
+++ b/agent/src/main/java/org/tanagerhinge/agent/AgentSettings.java
@@ -50,6 +50,27 @@
             Setting.integer("limits", "concurrency_most", 1, 4096, 512, "maximum concurrency limit");
     static final Setting<Duration> PEER_IDLE_TIMEOUT = Setting.duration(
             "links", "idle", "3s", "time without a frame from a router after which its link is closed");
+    static final Setting<Integer> MAX_UNAUTHENTICATED = Setting.integer(
+            "links",
+            "unauthenticated",
+            1,
+            100_000,
+            AgentDaemon.ConnectionBounds.DEFAULT.unauthenticated(),
+            "maximum number of connections of hosts that have not proved that they are routers");
+    static final Setting<Integer> MAX_STATUS_CONNECTIONS = Setting.integer(
+            "limits",
+            "status_connections",
+            4,
+            100_000,
+            AgentDaemon.ConnectionBounds.DEFAULT.status(),
+            "maximum number of connections for metrics and checks");
+    static final Setting<Integer> STATUS_MEMORY_KILOBYTES = Setting.integer(
+            "limits",
+            "status_memory_kilobytes",
+            64,
+            1 << 20,
+            AgentDaemon.ConnectionBounds.DEFAULT.statusMemoryBytes() >> 10,
+            "memory for incomplete heads of requests for metrics and checks");
 
     private AgentSettings() {}
 
@@ -71,7 +92,10 @@
                 MAX_QUEUED_MEGABYTES,
                 INITIAL_CONCURRENCY,
                 MAX_CONCURRENCY,
-                PEER_IDLE_TIMEOUT);
+                PEER_IDLE_TIMEOUT,
+                MAX_UNAUTHENTICATED,
+                MAX_STATUS_CONNECTIONS,
+                STATUS_MEMORY_KILOBYTES);
     }
 
     static AgentOptions options(Settings settings) {
--- a/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
@@ -179,6 +179,7 @@
                 EtcdStore.at(http, platform.url(), PLATFORM_TIMEOUT),
                 POLL_INTERVAL.multipliedBy(20),
                 PEER_IDLE_TIMEOUT,
+                AgentDaemon.ConnectionBounds.DEFAULT,
                 STOP_TIMEOUT));
         agents.put(name, agent);
         allMetrics.add(agent.metrics());
--- a/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.eclipse.jetty.client.ContentResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -38,7 +39,13 @@
 
     private static final long AGENT_HOST_BYTES = 362L << 20;
     private static final int HOST_DESCRIPTORS = 4_096;
+    private static final int FEW_DESCRIPTORS = 300;
     private static final int TRIES = 3;
+    private static final int GREETING_MILLIS = 20_000;
+    /** Bytes that a stranger sends one by one, for longer than a router waits for a greeting. */
+    private static final int TRICKLED_BYTES = 60;
+
+    private static final long TRICKLE_MILLIS = 1_000;
 
     @TempDir
     private Path folder;
@@ -100,9 +107,13 @@
     }
 
     /** Starts a program with the options of {@code bin/run-java}. */
-    private void start(Class<?> program, String settings) throws IOException {
+    private void start(Class<?> program, int maxDescriptors, String settings) throws IOException {
         Path file = Files.writeString(folder.resolve("settings.ini"), settings);
         process = new ProcessBuilder(List.of(
+                        "bash",
+                        "-c",
+                        "ulimit -n " + maxDescriptors + " && exec \"$@\"",
+                        "program",
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-XX:+UseSerialGC",
                         "-Xmx256m",
@@ -123,8 +134,12 @@
     }
 
     private void startRouter() throws IOException {
+        startRouter(HOST_DESCRIPTORS);
+    }
+
+    private void startRouter(int maxDescriptors) throws IOException {
         port = FreePorts.next();
-        start(RouterMain.class, """
+        start(RouterMain.class, maxDescriptors, """
                 [router]
                 name = router-1
                 failure_domain = kita
@@ -133,7 +148,8 @@
                 url = %s
                 [security]
                 shared_secret = %s
-                """.formatted(port, cluster.platform().url(), LocalCluster.SECRET_TEXT));
+                """.formatted(
+                        port, cluster.platform().url(), LocalCluster.SECRET_TEXT));
         awaitReady();
     }
 
@@ -172,9 +188,13 @@
     }
 
     private void assertWithin(ProcessUsage usage, long maxBytes) throws IOException {
+        assertWithin(usage, maxBytes, HOST_DESCRIPTORS);
+    }
+
+    private void assertWithin(ProcessUsage usage, long maxBytes, int maxDescriptors) throws IOException {
         assertTrue(process.isAlive(), Files.readString(log()));
         assertTrue(usage.peakBytes() <= maxBytes, "peak memory of " + usage.peakBytes() + " bytes");
-        assertTrue(usage.peakDescriptors() < HOST_DESCRIPTORS, usage.peakDescriptors() + " descriptors");
+        assertTrue(usage.peakDescriptors() < maxDescriptors, usage.peakDescriptors() + " descriptors");
     }
 
     @ParameterizedTest
@@ -211,9 +231,64 @@
     /** Guards against packets of hosts that have not proved that they are routers, which fill the memory of an agent. */
     @Test
     void agentStaysInTouchWhileStrangersSendPackets() throws Exception {
+        int listen = startAgent(HOST_DESCRIPTORS);
+        try (ProcessUsage usage = ProcessUsage.of(process.pid(), listen)) {
+            try (CallerCrowd crowd = CallerCrowd.send(listen, 100, (number, out) -> {
+                out.write(new byte[] {1, -1, -1, -1});
+                CallerCrowd.repeat(out, CallerCrowd.BLOCK, 440);
+            })) {
+                crowd.awaitSettled();
+                assertAgentGreets(listen);
+            }
+            awaitReady();
+            assertWithin(usage, AGENT_HOST_BYTES);
+        }
+    }
+
+    /** Guards against strangers that keep their connections open byte by byte until no router can connect. */
+    @Test
+    void agentStaysInTouchWhileStrangersTakeTheirTime() throws Exception {
+        int listen = startAgent(FEW_DESCRIPTORS);
+        try (ProcessUsage usage = ProcessUsage.of(process.pid(), listen)) {
+            CountDownLatch begun = new CountDownLatch(FEW_DESCRIPTORS);
+            try (CallerCrowd crowd = CallerCrowd.send(listen, 2 * FEW_DESCRIPTORS, (number, out) -> {
+                out.write(new byte[] {0, 0, 1, 0});
+                begun.countDown();
+                for (int i = 0; i < TRICKLED_BYTES; i++) {
+                    sleep(TRICKLE_MILLIS);
+                    out.write(0);
+                }
+            })) {
+                begun.await();
+                assertAgentGreets(listen);
+            }
+            awaitReady();
+            assertWithin(usage, AGENT_HOST_BYTES, FEW_DESCRIPTORS);
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    private void assertAgentGreets(int listen) throws IOException {
+        awaitReady();
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", listen), GREETING_MILLIS);
+            socket.setSoTimeout(GREETING_MILLIS);
+            assertTrue(socket.getInputStream().read() >= 0, "the agent doesn't greet a router");
+        }
+    }
+
+    /** Starts an agent, and returns the port where routers connect. */
+    private int startAgent(int maxDescriptors) throws IOException {
         int listen = FreePorts.next();
         port = FreePorts.next();
-        start(AgentMain.class, """
+        start(AgentMain.class, maxDescriptors, """
                 [agent]
                 name = engine-2
                 listen = 127.0.0.1:%d
@@ -231,21 +306,6 @@
                         cluster.platform().url(),
                         LocalCluster.SECRET_TEXT));
         awaitReady();
-        try (ProcessUsage usage = ProcessUsage.of(process.pid(), listen)) {
-            try (CallerCrowd crowd = CallerCrowd.send(listen, 100, (number, out) -> {
-                out.write(new byte[] {1, -1, -1, -1});
-                CallerCrowd.repeat(out, CallerCrowd.BLOCK, 440);
-            })) {
-                crowd.awaitSettled();
-                awaitReady();
-                try (Socket socket = new Socket()) {
-                    socket.connect(new InetSocketAddress("127.0.0.1", listen), 20_000);
-                    socket.setSoTimeout(20_000);
-                    assertTrue(socket.getInputStream().read() >= 0, "the agent doesn't greet a router");
-                }
-            }
-            awaitReady();
-            assertWithin(usage, AGENT_HOST_BYTES);
-        }
+        return listen;
     }
 }
--- a/wire/src/main/java/org/tanagerhinge/wire/LinkHandler.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/LinkHandler.java
@@ -1,9 +1,11 @@
 package org.tanagerhinge.wire;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.AttributeKey;
 import java.util.Optional;
 import org.tanagerhinge.core.message.Frame;
 import org.tanagerhinge.wire.proto.Hello;
@@ -25,6 +27,7 @@
     static final int IDLE_CHECKS = 3;
 
     private static final int PROTOCOL_VERSION = 1;
+    private static final AttributeKey<Boolean> AUTHENTICATED = AttributeKey.valueOf("authenticated");
 
     private final Peer self;
     private final Peer.Role expectedRole;
@@ -51,6 +54,11 @@
         this.listener = listener;
     }
 
+    /** Returns whether the peer of a connection has proved knowledge of the shared secret. */
+    static boolean isAuthenticated(Channel channel) {
+        return Boolean.TRUE.equals(channel.attr(AUTHENTICATED).get());
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
@@ -108,6 +116,7 @@
             return;
         }
         authenticated = true;
+        ctx.channel().attr(AUTHENTICATED).set(true);
         LinkInitializer.allowLargePackets(ctx.pipeline());
         listener.onUp(this);
     }
--- a/wire/src/main/java/org/tanagerhinge/wire/LinkServer.java
+++ b/wire/src/main/java/org/tanagerhinge/wire/LinkServer.java
@@ -33,7 +33,9 @@
      * Starts listening.
      *
      * @param address address to listen on; port 0 selects a free port
-     * @param idleTimeout how long a peer may send nothing before its connection is closed as lost
+     * @param idleTimeout how long a peer may send nothing before its connection is closed as lost, and how long it may
+     *     take to prove knowledge of the secret
+     * @param maxUnauthenticated most connections of peers that have not done so
      */
     public static LinkServer start(
             EventLoopGroup group,
@@ -41,9 +43,12 @@
             Peer self,
             SharedSecret secret,
             Duration idleTimeout,
+            int maxUnauthenticated,
             LinkListener listener)
             throws LinkBindException {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        UnauthenticatedLinks unauthenticated =
+                new UnauthenticatedLinks(maxUnauthenticated, idleTimeout, listener::onRefused);
         LinkInitializer initializer = new LinkInitializer(
                 () -> new LinkHandler(self, Peer.Role.ROUTER, Optional.empty(), secret, listener), idleTimeout);
         ServerBootstrap bootstrap = new ServerBootstrap()
@@ -55,6 +60,7 @@
                     @Override
                     protected void initChannel(Channel accepted) {
                         connections.add(accepted);
+                        unauthenticated.accepted(accepted);
                         accepted.pipeline().addLast(initializer.copy());
                     }
                 });
--- a/wire/src/test/java/org/tanagerhinge/wire/LinkTest.java
+++ b/wire/src/test/java/org/tanagerhinge/wire/LinkTest.java
@@ -63,7 +63,13 @@
     void start() throws Exception {
         group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         server = LinkServer.start(
-                group, new InetSocketAddress("127.0.0.1", 0), Peer.agent("engine-1", 7), SECRET, IDLE_TIMEOUT, agent);
+                group,
+                new InetSocketAddress("127.0.0.1", 0),
+                Peer.agent("engine-1", 7),
+                SECRET,
+                IDLE_TIMEOUT,
+                16,
+                agent);
     }
 
     @AfterEach
