Connections of callers leave a router descriptors for agents and the platform

Cause: limits.connections was 3,000 whatever the process may have open. Half of the descriptors for sockets is the most now; at the bound the HTTP server closes connections that are silent for 2 s and accepts no more meanwhile. How many descriptors there are is found out in one place for gateways, routers and agents.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -42,6 +42,7 @@
 import org.tanagerhinge.core.relay.SoftwareVersions;
 import org.tanagerhinge.core.store.StoreEra;
 import org.tanagerhinge.core.store.StorePosition;
+import org.tanagerhinge.node.daemon.Descriptors;
 import org.tanagerhinge.node.log.LogEvent;
 import org.tanagerhinge.node.log.LogField;
 import org.tanagerhinge.node.log.LogLine;
@@ -133,9 +134,7 @@
         this.pool = new BackendConnectionPool(
                 loop, dialect, this::nowMillis, this::count, this::responseReceived, livenessCheck);
         this.connectionLimits = ConnectionLimits.of(
-                options.limits().descriptors() > 0
-                        ? options.limits().descriptors()
-                        : ConnectionLimits.processDescriptors());
+                options.limits().descriptors() > 0 ? options.limits().descriptors() : Descriptors.ofProcess());
         this.callerMemory = new MemoryBound(this::callerMemoryLimit, this::nowMillis);
         GatewayOptions.Bounds bounds = options.bounds();
         this.fleetSize = FleetSize.of(
--- a/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/AbusiveCallersOfRoutersTest.java
@@ -228,6 +228,21 @@
         }
     }
 
+    /** Guards against connections that take all descriptors, so that none is left for agents and other callers. */
+    @Test
+    void silentConnectionsLeaveDescriptorsForOthers() throws Exception {
+        startRouter(FEW_DESCRIPTORS);
+        try (ProcessUsage usage = ProcessUsage.of(process.pid(), port)) {
+            try (CallerCrowd crowd = CallerCrowd.send(port, 2 * FEW_DESCRIPTORS, (number, out) -> {})) {
+                crowd.awaitSettled();
+                assertOrdinaryCallerIsAnswered();
+                awaitReady();
+            }
+            assertOrdinaryCallerIsAnswered();
+            assertWithin(usage, ROUTER_HOST_BYTES, FEW_DESCRIPTORS);
+        }
+    }
+
     /** Guards against packets of hosts that have not proved that they are routers, which fill the memory of an agent. */
     @Test
     void agentStaysInTouchWhileStrangersSendPackets() throws Exception {
--- a/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
+++ b/router/src/main/java/org/tanagerhinge/router/RouterDaemon.java
@@ -46,6 +46,7 @@
 import org.tanagerhinge.core.time.SteadyClock;
 import org.tanagerhinge.node.control.ControlLoop;
 import org.tanagerhinge.node.daemon.Daemon;
+import org.tanagerhinge.node.daemon.Descriptors;
 import org.tanagerhinge.node.daemon.GracefulStop;
 import org.tanagerhinge.node.daemon.HttpServer;
 import org.tanagerhinge.node.daemon.HttpServer.Page;
@@ -152,7 +153,7 @@
         registerGauges();
         httpServer = HttpServer.start(
                 parts.listen(),
-                new HttpServer.Limits(parts.callerBounds().connections(), callerMemory, clock),
+                new HttpServer.Limits(maxConnections(), callerMemory, clock),
                 Map.of(
                         "/metrics", () -> Page.text(200, metrics.text()),
                         "/healthz", () -> Page.text(200, "ok\n"),
@@ -174,6 +175,12 @@
         claims.recover();
     }
 
+    /** Returns the bound of callers' connections, which leaves descriptors for agents and the platform. */
+    private int maxConnections() {
+        int sockets = Descriptors.forSockets(Descriptors.ofProcess());
+        return Math.min(parts.callerBounds().connections(), sockets / 2);
+    }
+
     /** Returns the memory for requests of callers; two of the largest size fit in, each with its copy for an agent. */
     private long callerMemoryLimit() {
         long share = Runtime.getRuntime().maxMemory() * parts.callerBounds().memoryPercent() / 100;
