Gateways: a status line that HTTP/1.1 does not allow fails the attempt

Callers saw an answer with the status 000, with its server's seal. The same went for any other number (099, 600, 20, 0200, +200), for HTTP/2.0 and HTTP/0.9, for tabs and other control characters within the line, and for blanks before it.

Cause: the gateway relied on the decoder of its library for what a response is. That one parses the status as an integer of any value, checks only the name of the protocol, trims the line, and skips blank characters before it.

ResponseDecoder looks at the line itself before it is parsed: HTTP/1.x, one blank, three digits from 100 to 599, and a reason of printable characters, tabs and bytes above 127. Anything else is passed on as a failed response, so that the attempt counts as broken: 502 without a seal if the request may have run. RFC 9110, section 15, has statuses outside of 100 to 599 treated as 5xx. Left as it was: a missing blank before an empty reason, which RFC 9112 lets recipients accept.

The first bytes are checked as they come, as before, now also those of a response after an interim one.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -7,22 +7,21 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.tanagerhinge.core.attempt.AttemptFailure;
 import org.tanagerhinge.core.relay.ServerInstance;
+import org.tanagerhinge.node.http.ResponseDecoder;
+import org.tanagerhinge.node.http.ResponseFraming;
 
 /**
  * Carries requests, one at a time, over one connection to one instance of a backend server.
@@ -33,12 +32,6 @@
  * before a response, and what is discarded, is bounded, and a response is forwarded no faster than its caller reads.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
-    /** What each response begins with, after blank characters. */
-    private static final byte[] START = "HTTP/".getBytes(StandardCharsets.US_ASCII);
-
-    private static final int MAX_INITIAL_LINE_BYTES = 4096;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 16_384;
     /**
      * HTTP status of an address that now belongs to another server instance; its announcements are not about this one.
      */
@@ -67,11 +60,9 @@
     private boolean skipping;
     private boolean broken;
     private boolean closeAfter;
-    private ResponseFraming framing = ResponseFraming.NO_BODY;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
     private long bytesBeforeResponse;
-    private int matchedStart;
     private long discardedBytes;
     private Future<?> discardTimer;
 
@@ -109,7 +100,6 @@
         skipping = false;
         closeAfter = false;
         bytesBeforeResponse = 0;
-        matchedStart = 0;
         decoder.expect(request.method());
         written = channel.writeAndFlush(request);
     }
@@ -167,9 +157,8 @@
     }
 
     private void handleHead(HttpResponse response) {
-        if (response.decoderResult().isFailure()
-                || !"HTTP".equals(response.protocolVersion().protocolName())) {
-            fail(AttemptFailure.BROKEN, "malformed HTTP response");
+        if (response.decoderResult().isFailure()) {
+            fail(AttemptFailure.BROKEN, malformed(response));
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -192,14 +181,17 @@
         }
         skipping = false;
         responding = true;
-        framing = ResponseFraming.of(response, decoder.isContentAlwaysEmpty(response));
         readKeepAlive(response);
         activeListener.responseHead(response, metadata);
     }
 
+    private static String malformed(HttpObject object) {
+        return "malformed HTTP response: " + object.decoderResult().cause().getMessage();
+    }
+
     private void handleContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            fail(AttemptFailure.BROKEN, "malformed response body");
+            fail(AttemptFailure.BROKEN, malformed(content));
             return;
         }
         boolean last = content instanceof LastHttpContent;
@@ -215,7 +207,7 @@
             activeListener.responseBody(bytes);
         }
         if (last && activeListener != null) {
-            if (framing == ResponseFraming.CONNECTION_END) {
+            if (decoder.framing() == ResponseFraming.CONNECTION_END) {
                 connectionEnded();
             } else {
                 finish();
@@ -267,7 +259,7 @@
     }
 
     private void readKeepAlive(HttpResponse response) {
-        closeAfter = !HttpUtil.isKeepAlive(response) || framing == ResponseFraming.CONNECTION_END;
+        closeAfter = !HttpUtil.isKeepAlive(response) || decoder.framing() == ResponseFraming.CONNECTION_END;
         String line = response.headers().get("Keep-Alive");
         int at = line == null ? -1 : line.indexOf("timeout=");
         if (at < 0) {
@@ -330,10 +322,6 @@
                 }
             } else if (!responding) {
                 bytesBeforeResponse += bytes;
-                if (!matchesStart(received)) {
-                    fail(AttemptFailure.BROKEN, "bytes that begin no HTTP response");
-                    return false;
-                }
                 if (bytesBeforeResponse > MAX_BYTES_BEFORE_RESPONSE) {
                     pool.count("no_answer_in_bytes");
                     fail(AttemptFailure.BROKEN, "no response within " + MAX_BYTES_BEFORE_RESPONSE + " bytes");
@@ -344,44 +332,6 @@
         }
     }
 
-    /**
-     * Returns whether the first bytes after a request begin a response. The decoder would wait for the end of the line,
-     * which may never come.
-     */
-    private boolean matchesStart(ByteBuf received) {
-        for (int i = received.readerIndex(); i < received.writerIndex() && matchedStart < START.length; i++) {
-            byte b = received.getByte(i);
-            boolean blank = matchedStart == 0 && b >= 0 && b <= ' ';
-            if (!blank && b != START[matchedStart++]) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /** Decodes responses; those to HEAD requests have no body. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        private boolean headOnly;
-
-        ResponseDecoder() {
-            super(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
-        }
-
-        /** Returns whether bytes follow the message that was decoded last. */
-        boolean hasUnreadBytes() {
-            return actualReadableBytes() > 0;
-        }
-
-        void expect(HttpMethod method) {
-            headOnly = HttpMethod.HEAD.equals(method);
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return headOnly || super.isContentAlwaysEmpty(message);
-        }
-    }
-
     /** Discards a response that is no longer needed. */
     private record DiscardingListener(Runnable broken) implements AttemptListener {
         @Override
--- /dev/null
+++ b/harness/src/test/java/org/tanagerhinge/bench/BrokenAnswer.java
@@ -0,0 +1,88 @@
+package org.tanagerhinge.bench;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Bytes that a server sends in place of an answer and that HTTP/1.1 doesn't allow as one. */
+public enum BrokenAnswer {
+    STATUS_000("HTTP/1.1 000 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_099("HTTP/1.1 099 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_600("HTTP/1.1 600 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_999("HTTP/1.1 999 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_OF_TWO_DIGITS("HTTP/1.1 20 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_OF_FOUR_DIGITS("HTTP/1.1 0200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_OF_FOUR_HIGH_DIGITS("HTTP/1.1 2000 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_WITH_PLUS("HTTP/1.1 +200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_WITH_PLUS_OF_THREE("HTTP/1.1 +20 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_WITH_MINUS("HTTP/1.1 -200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_WITH_LETTER("HTTP/1.1 2x0 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_WITH_CONTROL("HTTP/1.1 200\u0001 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_MISSING("HTTP/1.1 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    STATUS_000_OF_AN_INTERIM("HTTP/1.1 000 Early\r\n\r\nHTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+
+    VERSION_2_0("HTTP/2.0 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_0_9("HTTP/0.9 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_1_10("HTTP/1.10 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_WITHOUT_MINOR("HTTP/1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_WITH_LETTER("HTTP/1.x 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_IN_LOWER_CASE("http/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_WITH_CONTROL("HTTP/1.1\u0001 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_OF_ANOTHER_PROTOCOL("HTTPS/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    TABS_IN_STATUS_LINE("HTTP/1.1\t200\tOK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERTICAL_TAB_IN_STATUS_LINE("HTTP/1.1\u000b200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    REASON_WITH_CONTROL("HTTP/1.1 200 a\u0001b\r\n@Content-Length: 2\r\n\r\nok"),
+    REASON_WITH_CONTROL_AT_ITS_END("HTTP/1.1 200 OK\u000b\r\n@Content-Length: 2\r\n\r\nok"),
+    REASON_WITH_NUL("HTTP/1.1 200 a\u0000b\r\n@Content-Length: 2\r\n\r\nok"),
+    REASON_WITH_CR("HTTP/1.1 200 a\rb\r\n@Content-Length: 2\r\n\r\nok"),
+    REASON_WITH_DEL("HTTP/1.1 200 a\u007fb\r\n@Content-Length: 2\r\n\r\nok"),
+    BLANK_LINE_BEFORE_HEAD("\r\nHTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    BLANK_BEFORE_HEAD(" HTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    NUL_BEFORE_HEAD("\u0000HTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    CONTROL_BEFORE_HEAD_AFTER_INTERIM(
+            "HTTP/1.1 103 Early Hints\r\n\r\n\u0001HTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    BLANK_BEFORE_HEAD_AFTER_INTERIM(
+            "HTTP/1.1 103 Early Hints\r\n\r\n\r\nHTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    LINES_END_WITH_LF("HTTP/1.1 200 OK\nContent-Length: 2\n\nok"),
+    VALUE_WITH_CONTROL("HTTP/1.1 200 OK\r\n@X: a\u0001b\r\nContent-Length: 2\r\n\r\nok"),
+    VALUE_WITH_NUL("HTTP/1.1 200 OK\r\n@X: a\u0000b\r\nContent-Length: 2\r\n\r\nok"),
+    VALUE_WITH_CR("HTTP/1.1 200 OK\r\n@X: a\rb\r\nContent-Length: 2\r\n\r\nok"),
+    VALUE_WITH_DEL("HTTP/1.1 200 OK\r\n@X: a\u007fb\r\nContent-Length: 2\r\n\r\nok"),
+    VALUE_WITH_VERTICAL_TAB_AT_ITS_END("HTTP/1.1 200 OK\r\n@X: a\u000b\r\nContent-Length: 2\r\n\r\nok");
+
+    private final String text;
+
+    BrokenAnswer(String text) {
+        this.text = text;
+    }
+
+    /** Returns the bytes, with a body that a plain server could send. */
+    public byte[] bytes(String headers) {
+        return bytes(headers, "ok");
+    }
+
+    /**
+     * Returns the bytes.
+     *
+     * @param headers header lines of a sound answer, each with its line end
+     * @param body a text of two characters, which each answer states as its body or as a chunk of it
+     */
+    public byte[] bytes(String headers, String body) {
+        return latin1(text(headers).replace("ok", body));
+    }
+
+    /** Returns the bytes, with chunks before the first one that the answer states; nothing if it has no chunks. */
+    public Optional<byte[]> bytesAfterChunks(String headers, String chunk, int count) {
+        String head = "Transfer-Encoding: chunked\r\n\r\n";
+        String chunks = (Integer.toHexString(chunk.length()) + "\r\n" + chunk + "\r\n").repeat(count);
+        String whole = text(headers);
+        return whole.contains(head) ? Optional.of(latin1(whole.replace(head, head + chunks))) : Optional.empty();
+    }
+
+    private String text(String headers) {
+        return text.replace("@", headers);
+    }
+
+    private static byte[] latin1(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
@@ -0,0 +1,125 @@
+package org.tanagerhinge.node.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * Decodes the responses of one connection, and fails what RFC 9110 and RFC 9112 do not allow as one.
+ *
+ * <p>The base class accepts more: it takes any number for a status, and skips blank characters before a
+ * response. A relay must not, since its caller would take what is left for the server's response.
+ *
+ * <p>A malformed response is passed on as an object whose decoder result is a failure; nothing follows it.
+ */
+public final class ResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_INITIAL_LINE_BYTES = 4096;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+
+    private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    /** A status line without its line feed. The blank before an empty reason is often left out. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}(?: [\\t\\x20-\\x7e\\x80-\\xff]*)?\\r");
+
+    private boolean headOnly;
+    private boolean awaitingStatusLine = true;
+    private boolean failed;
+    private ResponseFraming framing = ResponseFraming.NO_BODY;
+
+    public ResponseDecoder() {
+        super(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+    }
+
+    /** Sets the method of the request whose response comes next; a response to HEAD has no body. */
+    public void expect(HttpMethod method) {
+        headOnly = HttpMethod.HEAD.equals(method);
+    }
+
+    /** Returns the framing of the response whose head was decoded last. */
+    public ResponseFraming framing() {
+        return framing;
+    }
+
+    /** Returns whether bytes follow the response that was decoded last. */
+    public boolean hasUnreadBytes() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        if (!failed && awaitingStatusLine && in.isReadable()) {
+            checkStatusLine(in, out);
+        }
+        if (failed) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        int decoded = out.size();
+        super.decode(context, in, out);
+        for (Object object : out.subList(decoded, out.size())) {
+            note((HttpObject) object);
+        }
+    }
+
+    private void checkStatusLine(ByteBuf in, List<Object> out) {
+        int lineFeed = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
+        if (lineFeed < 0) {
+            if (!beginsResponse(in)) {
+                fail(out, "bytes that begin no HTTP/1.1 response");
+            }
+            return;
+        }
+        awaitingStatusLine = false;
+        String line = in.toString(in.readerIndex(), lineFeed - in.readerIndex(), StandardCharsets.ISO_8859_1);
+        if (!STATUS_LINE.matcher(line).matches()) {
+            fail(out, "status line is not one of HTTP/1.1 with a status from 100 to 599");
+        }
+    }
+
+    /** Returns whether the bytes so far begin a response; its first line may never end. */
+    private static boolean beginsResponse(ByteBuf in) {
+        int length = Math.min(START.length, in.readableBytes());
+        for (int i = 0; i < length; i++) {
+            if (in.getByte(in.readerIndex() + i) != START[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void fail(List<Object> out, String reason) {
+        HttpMessage invalid = createInvalidMessage();
+        fail(invalid, reason);
+        out.add(invalid);
+    }
+
+    private void fail(HttpObject object, String reason) {
+        object.setDecoderResult(DecoderResult.failure(new MalformedResponseException(reason)));
+        failed = true;
+    }
+
+    private void note(HttpObject object) {
+        if (object.decoderResult().isFailure()) {
+            failed = true;
+        } else if (object instanceof LastHttpContent) {
+            awaitingStatusLine = true;
+        }
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        boolean empty = headOnly || super.isContentAlwaysEmpty(message);
+        framing = ResponseFraming.of((HttpResponse) message, empty);
+        return empty;
+    }
+}
--- a/gateway/src/main/java/org/tanagerhinge/gateway/ResponseFraming.java
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseFraming.java
@@ -1,4 +1,4 @@
-package org.tanagerhinge.gateway;
+package org.tanagerhinge.node.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -12,7 +12,7 @@
  * a reset would have been met by a read; the server has closed the connection in order; and it is still running, since
  * the connections of a killed process are closed in order as well.
  */
-enum ResponseFraming {
+public enum ResponseFraming {
     /** The response has no body, by its status or its request's method, and is whole with its head. */
     NO_BODY,
     LENGTH,
