Gateways: a field name that is cut at a blank fails the attempt

Callers saw answers with lines that the server had not sent ("X y: 1" became "X: 1"), and bodies that were not the server's: "Content-Length x: 1" was taken for a length of 1, "Transfer-Encoding x: chunked" for chunks. The same went for tabs, for lines without a colon that hold a blank, for interim responses, and for trailers.

Cause: in responses, the library's decoder ends a field name at a blank or tab, and takes what follows the next colon for the value. Names with control bytes were rejected by it already; the rows for them are kept as guards.

A name now has to end with its colon. RFC 9112, section 5.1, allows no blank between the two; a proxy may not forward it. A line whose answer has been forwarded in part (a trailer) cuts that answer, as other broken chunks do.

--- a/harness/src/test/java/org/tanagerhinge/bench/BrokenAnswer.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/BrokenAnswer.java
@@ -20,6 +20,38 @@
     STATUS_MISSING("HTTP/1.1 OK\r\n@Content-Length: 2\r\n\r\nok"),
     STATUS_000_OF_AN_INTERIM("HTTP/1.1 000 Early\r\n\r\nHTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
 
+    FIELD_NAME_WITH_BLANK("HTTP/1.1 200 OK\r\n@X y: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_BLANK_AT_ITS_END("HTTP/1.1 200 OK\r\n@X : 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_TAB("HTTP/1.1 200 OK\r\n@X\ty: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_CONTROL("HTTP/1.1 200 OK\r\n@X\u0001y: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_CONTROL_AT_ITS_START("HTTP/1.1 200 OK\r\n@\u0001X: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_CONTROL_AT_ITS_END("HTTP/1.1 200 OK\r\n@X\u001f: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_NUL("HTTP/1.1 200 OK\r\n@X\u0000y: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_VERTICAL_TAB("HTTP/1.1 200 OK\r\n@X\u000by: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_CR("HTTP/1.1 200 OK\r\n@X\ry: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_DEL("HTTP/1.1 200 OK\r\n@X\u007fy: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_NON_ASCII("HTTP/1.1 200 OK\r\n@X\u00e9y: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_WITH_DELIMITER("HTTP/1.1 200 OK\r\n@X(y: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_NAME_EMPTY("HTTP/1.1 200 OK\r\n@: 1\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_WITHOUT_COLON("HTTP/1.1 200 OK\r\n@nocolon\r\nContent-Length: 2\r\n\r\nok"),
+    FIELD_WITH_BLANK_WITHOUT_COLON("HTTP/1.1 200 OK\r\n@no colon\r\nContent-Length: 2\r\n\r\nok"),
+    FIRST_FIELD_AFTER_BLANK("HTTP/1.1 200 OK\r\n X: 1\r\n@Content-Length: 2\r\n\r\nok"),
+    LENGTH_NAME_WITH_BLANK("HTTP/1.1 200 OK\r\n@Content-Length x: 1\r\n\r\nok"),
+    LENGTH_NAME_WITH_BLANK_AT_ITS_END("HTTP/1.1 200 OK\r\n@Content-Length : 1\r\n\r\nok"),
+    LENGTH_NAME_WITH_TAB("HTTP/1.1 200 OK\r\n@Content-Length\tx: 1\r\n\r\nok"),
+    CODING_NAME_WITH_BLANK("HTTP/1.1 200 OK\r\n@Transfer-Encoding x: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    CONNECTION_NAME_WITH_BLANK("HTTP/1.1 200 OK\r\n@Connection x: X-Server-Seal\r\nContent-Length: 2\r\n\r\nok"),
+    INTERIM_FIELD_NAME_WITH_BLANK(
+            "HTTP/1.1 103 Early Hints\r\nX y: 1\r\n\r\nHTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    TRAILER_NAME_WITH_BLANK("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX y: 1\r\n\r\n"),
+    TRAILER_NAME_WITH_BLANK_AT_ITS_END(
+            "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX : 1\r\n\r\n"),
+    TRAILER_NAME_WITH_CONTROL(
+            "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX\u0001y: 1\r\n\r\n"),
+    TRAILER_WITHOUT_COLON("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nnocolon\r\n\r\n"),
+    TRAILER_WITH_BLANK_WITHOUT_COLON(
+            "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nno colon\r\n\r\n"),
+
     VERSION_2_0("HTTP/2.0 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
     VERSION_0_9("HTTP/0.9 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
     VERSION_1_10("HTTP/1.10 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
--- a/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.regex.Pattern;
@@ -16,8 +17,8 @@
 /**
  * Decodes the responses of one connection, and fails what RFC 9110 and RFC 9112 do not allow as one.
  *
- * <p>The base class accepts more: it takes any number for a status, and skips blank characters before a
- * response. A relay must not, since its caller would take what is left for the server's response.
+ * <p>The base class accepts more: it takes any number for a status, cuts a field name at a blank, and skips blank
+ * characters before a response. A relay must not, since its caller would take what is left for the server's response.
  *
  * <p>A malformed response is passed on as an object whose decoder result is a failure; nothing follows it.
  */
@@ -116,6 +117,15 @@
         }
     }
 
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') {
+            throw new MalformedResponseException("field name '"
+                    + new String(line, start, length, StandardCharsets.ISO_8859_1) + "' is not followed by a colon");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean empty = headOnly || super.isContentAlwaysEmpty(message);
