Gateways: framing that HTTP/1.1 does not allow fails the attempt

Callers saw bodies in a coding that their answer no longer named (Transfer-Encoding: gzip, with or without chunks), 204 and 205 with the body left out that their server had sent, and answers that followed a switch of protocols that nobody had asked for.

Cause: the gateway took any transfer coding but chunked for none, and removed the field; 204 and interim responses lost their framing before it looked at them, so that their body was read as the start of the next response; the encoder of the caller's connection drops the body of a 205.

ResponseDecoder checks the complete head before its framing is applied: one transfer coding, chunked; neither a coding nor a length but 0 with 1xx and 204 (RFC 9112, section 6); no content with 205 (RFC 9110, section 15.3.6); no 101. Lengths and chunks are checked by the library's decoder; the rows for them are guards.

--- a/harness/src/test/java/org/tanagerhinge/bench/BrokenAnswer.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/BrokenAnswer.java
@@ -79,7 +79,62 @@
     VALUE_WITH_NUL("HTTP/1.1 200 OK\r\n@X: a\u0000b\r\nContent-Length: 2\r\n\r\nok"),
     VALUE_WITH_CR("HTTP/1.1 200 OK\r\n@X: a\rb\r\nContent-Length: 2\r\n\r\nok"),
     VALUE_WITH_DEL("HTTP/1.1 200 OK\r\n@X: a\u007fb\r\nContent-Length: 2\r\n\r\nok"),
-    VALUE_WITH_VERTICAL_TAB_AT_ITS_END("HTTP/1.1 200 OK\r\n@X: a\u000b\r\nContent-Length: 2\r\n\r\nok");
+    VALUE_WITH_VERTICAL_TAB_AT_ITS_END("HTTP/1.1 200 OK\r\n@X: a\u000b\r\nContent-Length: 2\r\n\r\nok"),
+
+    TWO_LENGTHS("HTTP/1.1 200 OK\r\n@Content-Length: 2\r\nContent-Length: 1\r\n\r\nok"),
+    LENGTHS_IN_A_LIST("HTTP/1.1 200 OK\r\n@Content-Length: 2, 1\r\n\r\nok"),
+    LENGTH_WITH_PLUS("HTTP/1.1 200 OK\r\n@Content-Length: +2\r\n\r\nok"),
+    LENGTH_WITH_MINUS("HTTP/1.1 200 OK\r\n@Content-Length: -2\r\n\r\nok"),
+    LENGTH_IN_HEX("HTTP/1.1 200 OK\r\n@Content-Length: 0x2\r\n\r\nok"),
+    LENGTH_EMPTY("HTTP/1.1 200 OK\r\n@Content-Length: \r\n\r\nok"),
+    LENGTH_OF_TWO_WORDS("HTTP/1.1 200 OK\r\n@Content-Length: 2 2\r\n\r\nok"),
+    LENGTH_TOO_LARGE("HTTP/1.1 200 OK\r\n@Content-Length: 99999999999999999999\r\n\r\nok"),
+    LENGTH_AND_CHUNKS(
+            "HTTP/1.1 200 OK\r\n@Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    CODING_GZIP("HTTP/1.1 200 OK\r\n@Transfer-Encoding: gzip\r\nConnection: close\r\n\r\nok"),
+    CODING_GZIP_WITH_LENGTH("HTTP/1.1 200 OK\r\n@Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"),
+    CODING_GZIP_IN_CHUNKS("HTTP/1.1 200 OK\r\n@Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    CODING_CHUNKED_THEN_GZIP("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked, gzip\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    CODING_UNKNOWN("HTTP/1.1 200 OK\r\n@Transfer-Encoding: xchunked\r\nConnection: close\r\n\r\nok"),
+    CODING_QUOTED("HTTP/1.1 200 OK\r\n@Transfer-Encoding: \"chunked\"\r\nConnection: close\r\n\r\nok"),
+    CODING_EMPTY("HTTP/1.1 200 OK\r\n@Transfer-Encoding: \r\nConnection: close\r\n\r\nok"),
+    CODING_TWICE("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    CODING_IN_HTTP_1_0("HTTP/1.0 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    NO_CONTENT_WITH_LENGTH("HTTP/1.1 204 No Content\r\n@Content-Length: 2\r\n\r\nok"),
+    NO_CONTENT_WITH_CHUNKS("HTTP/1.1 204 No Content\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    RESET_CONTENT_WITH_LENGTH("HTTP/1.1 205 Reset Content\r\n@Content-Length: 2\r\n\r\nok"),
+    RESET_CONTENT_WITH_CHUNKS("HTTP/1.1 205 Reset Content\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    RESET_CONTENT_UNTIL_CLOSE("HTTP/1.1 205 Reset Content\r\n@Connection: close\r\n\r\nok"),
+    INTERIM_WITH_LENGTH(
+            "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    INTERIM_WITH_CHUNKS("HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "HTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    PROTOCOL_SWITCH("HTTP/1.1 101 Switching Protocols\r\n@Upgrade: x\r\nConnection: Upgrade\r\n\r\nok"),
+    PROTOCOL_SWITCH_BEFORE_ANSWER("HTTP/1.1 101 Switching Protocols\r\nUpgrade: HTTP/1.1\r\n"
+            + "Connection: Upgrade\r\n\r\nHTTP/1.1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+
+    CHUNK_SIZE_EMPTY("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_AFTER_BLANK("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n 2\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_WITH_PLUS("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_WITH_MINUS("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_WITH_PREFIX("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n0x2\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_WITH_LETTER("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2x\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_OF_TWO_WORDS("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2 3\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_WITH_CONTROL("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\u0001\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_TOO_LARGE("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n100000000000000002\r\nok\r\n0\r\n\r\n"),
+    CHUNK_SIZE_LINE_ENDS_WITH_LF("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n"),
+    CHUNK_EXTENSION_WITH_CONTROL("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2;\u0001\r\nok\r\n0\r\n\r\n"),
+    CHUNK_LONGER_THAN_ITS_SIZE("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n"),
+    CHUNK_SHORTER_THAN_ITS_SIZE("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n3\r\nok\r\n0\r\n\r\n"),
+    CHUNK_WITHOUT_LINE_END("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok0\r\n\r\n"),
+    CHUNK_WITH_LF_AT_ITS_END("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\n0\r\n\r\n"),
+    CHUNK_WITH_CR_AT_ITS_END("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r0\r\n\r\n"),
+    LAST_CHUNK_MISSING("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"),
+    LAST_LINE_MISSING("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"),
+    TRAILER_WITHOUT_LAST_LINE("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n"),
+    TRAILER_VALUE_WITH_CONTROL(
+            "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: a\u0001b\r\n\r\n"),
+    FIRST_TRAILER_AFTER_BLANK("HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n X: 1\r\n\r\n");
 
     private final String text;
 
--- a/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
@@ -3,11 +3,17 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
@@ -34,6 +40,7 @@
 
     private boolean headOnly;
     private boolean awaitingStatusLine = true;
+    private boolean contentAllowed = true;
     private boolean failed;
     private ResponseFraming framing = ResponseFraming.NO_BODY;
 
@@ -112,8 +119,12 @@
     private void note(HttpObject object) {
         if (object.decoderResult().isFailure()) {
             failed = true;
-        } else if (object instanceof LastHttpContent) {
-            awaitingStatusLine = true;
+        } else if (object instanceof HttpContent content) {
+            if (!contentAllowed && content.content().isReadable()) {
+                fail(content, "response has content that its status does not allow");
+            } else if (content instanceof LastHttpContent) {
+                awaitingStatusLine = true;
+            }
         }
     }
 
@@ -126,10 +137,39 @@
         return super.splitHeaderName(line, start, length);
     }
 
+    /** Checks the head, which is complete here, before its framing is applied. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        HttpResponse response = (HttpResponse) message;
+        checkHead(response);
         boolean empty = headOnly || super.isContentAlwaysEmpty(message);
-        framing = ResponseFraming.of((HttpResponse) message, empty);
+        contentAllowed = !response.status().equals(HttpResponseStatus.RESET_CONTENT);
+        framing = ResponseFraming.of(response, empty);
         return empty;
     }
+
+    private static void checkHead(HttpResponse response) {
+        HttpResponseStatus status = response.status();
+        HttpHeaders headers = response.headers();
+        if (status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            throw new MalformedResponseException("server switches to another protocol without being asked");
+        }
+        boolean interim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean unframed = interim || status.equals(HttpResponseStatus.NO_CONTENT);
+        if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            if (unframed || codings.size() != 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))) {
+                throw new MalformedResponseException(
+                        "transfer coding " + codings + " is not allowed with status " + status.code());
+            }
+        }
+        if (unframed || status.equals(HttpResponseStatus.RESET_CONTENT)) {
+            for (String length : headers.getAll(HttpHeaderNames.CONTENT_LENGTH)) {
+                if (!length.equals("0")) {
+                    throw new MalformedResponseException(
+                            "length " + length + " is not allowed with status " + status.code());
+                }
+            }
+        }
+    }
 }
