Gateways: a 304 keeps the length that its server states

Callers saw Content-Length: 0 in each 304, in place of the server's length or of none. A cache would take it for the length of the representation that it holds.

Cause: the length of a buffered answer was set to that of its body for all methods but HEAD. A 304 has no body either; its length is that of the answer to the same request without a condition (RFC 9110, section 8.6).

--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -323,7 +323,7 @@
     private void writeBuffered() {
         HttpHeaders headers = response.headers().copy();
         HopByHopHeaders.remove(headers);
-        if (!exchange.method().equals(HttpMethod.HEAD)) {
+        if (!statesLengthOfOtherResponse()) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, buffered.readableBytes());
         }
         ByteBuf body = buffered;
@@ -334,6 +334,11 @@
                 HttpVersion.HTTP_1_1, response.status(), body, headers, EmptyHttpHeaders.INSTANCE));
     }
 
+    /** Returns whether a length in the head is that of a body which the response leaves out. */
+    private boolean statesLengthOfOtherResponse() {
+        return exchange.method().equals(HttpMethod.HEAD) || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+    }
+
     @Override
     public void attemptFailed(AttemptFailure failure, String reason) {
         fail(progress.headForwarded() && failure == AttemptFailure.BROKEN ? AttemptFailure.CUT : failure, reason);
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/SoundAnswerTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/SoundAnswerTest.java
@@ -35,7 +35,7 @@
      *
      * @param method of its request
      * @param before what comes before it
-     * @param statusLine of the answer, and of what the caller gets unless the version is an older one
+     * @param statusLine of the answer; the caller gets it with the gateway's version
      * @param fields lines that a caller gets as they are
      * @param rest lines of the framing, and the body
      * @param body as a caller has to get it
@@ -138,6 +138,8 @@
                 Sound.of("HTTP/1.1 204 No Content", "", "Content-Length: 0\r\n\r\n", ""),
                 Sound.of("HTTP/1.1 205 Reset Content", "", "Content-Length: 0\r\n\r\n", ""),
                 Sound.of("HTTP/1.1 205 Reset Content", "", CHUNKED + "0\r\n\r\n", ""),
+                Sound.of("HTTP/1.1 304 Not Modified", "ETag: \"1\"\r\n", "\r\n", ""),
+                Sound.of("HTTP/1.1 304 Not Modified", "Content-Length: 1234\r\n", "\r\n", ""),
                 new Sound("HEAD", "", "HTTP/1.1 200 OK", "Content-Length: 1234\r\n", "\r\n", ""),
                 new Sound("HEAD", "", "HTTP/1.1 200 OK", "X: 1\r\n", "\r\n", ""),
                 new Sound("HEAD", "", "HTTP/1.1 200 OK", "", CHUNKED, ""),
