Gateways: a reset after the orderly end of an answer without a length cuts it

Callers saw a part of an answer as a whole one when its server answered a long request at once, without a length, and closed the connection with bytes of the request unread (reported by other operators).

Cause: such a close ends the server's direction in order first, and resets the connection then. The gateway saw the end alone, and took the request for written since its kernel had taken it: requests of 500 KB to 3 MB. Requests that do not fit into the kernel's buffers, and servers that reset at once, were handled already; their rows stay, with one more for a reset without any pause.

Connections to servers now stay half open until the check has shown whether the server runs, which takes two round trips. By then the reset has arrived. It can't be read, since reads repeat the end; a selector reports it as a hang-up.

Servers that end their direction in order and reset some milliseconds later can't be told from those that have sent all.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +62,9 @@
     private boolean skipping;
     private boolean broken;
     private boolean closeAfter;
+    /** Whether a response has ended with the connection, and whether it is whole is not known yet. */
+    private boolean endPending;
+
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
     private long bytesBeforeResponse;
@@ -223,20 +228,43 @@
         }
         AttemptListener listener = activeListener;
         activeListener = null;
+        endPending = true;
         cancelDiscardTimer();
         pool.livenessCheck().check(server, verdict -> {
-            if (verdict == ServerLivenessCheck.Verdict.RUNNING) {
+            boolean reset = wasReset();
+            channel.close();
+            if (verdict == ServerLivenessCheck.Verdict.RUNNING && !reset) {
                 listener.responseCompleted();
             } else {
                 pool.count("unframed_answer_cut");
                 listener.attemptFailed(
                         AttemptFailure.BROKEN,
-                        "response without framing ended, and its server is "
-                                + verdict.name().toLowerCase(Locale.ROOT));
+                        "response without framing ended, and its "
+                                + (reset
+                                        ? "connection was reset"
+                                        : "server is " + verdict.name().toLowerCase(Locale.ROOT)));
             }
         });
     }
 
+    /** Returns whether the server has reset the connection after it had ended its response, as it does with unread bytes. */
+    private boolean wasReset() {
+        try {
+            return ((ResetDetectingChannel) channel).wasReset();
+        } catch (IOException e) {
+            TaskFailure.log("check for a reset of the connection to " + server.id(), e);
+            return true;
+        }
+    }
+
+    /** Closes the connection once the server has ended its direction, unless it is still to be seen how it ended. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !endPending) {
+            channel.close();
+        }
+    }
+
     private void finish() {
         AttemptListener listener = activeListener;
         activeListener = null;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -117,6 +116,7 @@
                 .computeIfAbsent(server.instanceId(), id -> new HashSet<>())
                 .add(connection);
         bootstrap(loop)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -138,7 +138,7 @@
     static Bootstrap bootstrap(EventLoopGroup loop) {
         return new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(ResetDetectingChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.tanagerhinge.gateway.GatewayDaemon;
 
@@ -23,6 +24,10 @@
             "HTTP/1.1 200 OK\r\n" + EndingServer.headers(ATTEMPT) + "Content-Length: 1000\r\n\r\n";
 
     private static final String UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\n" + EndingServer.headers(ATTEMPT) + "\r\n";
+    /** Size of a request that fits into the buffers of the gateway's kernel, but not into those of the server. */
+    private static final int BUFFERED_REQUEST_BYTES = 500_000;
+
+    private static final int TRIES = 10;
     /** Stands for a whole head without framing, after which nothing follows. */
     private static final int UNFRAMED = 0;
 
@@ -60,6 +65,11 @@
             return framing == Framing.CONNECTION_END ? end.inOrder() : complete;
         }
 
+        /** Returns whether a reset may arrive before the rest of an answer that would be whole without it. */
+        boolean mayBeOvertaken() {
+            return end == EndingServer.End.RESET_AT_ONCE && mayBeWhole();
+        }
+
         String written() {
             String head = "HTTP/1.1 200 OK\r\n" + EndingServer.headers(ATTEMPT);
             String part = complete ? kind.body : kind.body.substring(0, kind.body.length() / 2);
@@ -84,7 +94,8 @@
                 .flatMap(framing -> Stream.of(true, false)
                         .flatMap(complete -> Stream.of(EndingServer.End.values())
                                 .flatMap(end -> Stream.of(Kind.values())
-                                        .map(kind -> new AnswerCase(framing, complete, end, kind)))));
+                                        .map(kind -> new AnswerCase(framing, complete, end, kind)))))
+                .filter(answer -> !answer.mayBeOvertaken());
     }
 
     /**
@@ -161,4 +172,17 @@
         assertTrue(answer.whole());
         assertFalse(answer.headers().containsKey("x-server-seal"));
     }
+
+    /** Guards against taking a request for read that the gateway has only handed to its kernel. */
+    @ParameterizedTest
+    @EnumSource(
+            value = EndingServer.End.class,
+            names = {"RESET_BEFORE_REQUEST_IS_READ", "RESET_AT_ONCE", "CLOSED_BEFORE_REQUEST_IS_READ"})
+    void answerIsCutByAResetWhileTheKernelSendsTheRequest(EndingServer.End end) throws IOException {
+        String path = PATHS.get(new AnswerCase(Framing.CONNECTION_END, false, end, Kind.SMALL));
+        for (int i = 0; i < TRIES; i++) {
+            RawCaller.Answer answer = ask(path, "x".repeat(BUFFERED_REQUEST_BYTES));
+            assertEquals(502, answer.status(), answer.body());
+        }
+    }
 }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/EndingServer.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/EndingServer.java
@@ -21,6 +21,8 @@
         CLOSED_WHILE_BUSY(false, true),
         RESET(false, false),
         RESET_BEFORE_REQUEST_IS_READ(true, false),
+        /** The server reads the head alone, and answers and resets without a pause. */
+        RESET_AT_ONCE(true, false),
         /** The kernel resets a connection that is closed with bytes that were not read. */
         CLOSED_BEFORE_REQUEST_IS_READ(true, false),
         /** The kernel closes the listening socket of a killed process after its connections. */
@@ -119,9 +121,13 @@
                 answerHealthCheck(socket);
                 return;
             }
-            in.readNBytes(script.end().early() ? EARLY_BYTES : length);
+            if (script.end() != End.RESET_AT_ONCE) {
+                in.readNBytes(script.end().early() ? EARLY_BYTES : length);
+            }
             write(socket, script.answer());
-            Thread.sleep(PAUSE_MILLIS);
+            if (script.end() != End.RESET_AT_ONCE) {
+                Thread.sleep(PAUSE_MILLIS);
+            }
             end(socket);
         } catch (IOException e) {
             // The gateway or the test has closed the connection.
@@ -149,7 +155,7 @@
     private void end(Socket socket) throws IOException, InterruptedException {
         switch (script.end()) {
             case CLOSED, CLOSED_WHILE_BUSY, CLOSED_BEFORE_REQUEST_IS_READ, KILLED_AND_REPLACED -> socket.close();
-            case RESET, RESET_BEFORE_REQUEST_IS_READ -> {
+            case RESET, RESET_BEFORE_REQUEST_IS_READ, RESET_AT_ONCE -> {
                 socket.setSoLinger(true, 0);
                 socket.close();
             }
