--- a/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
+++ b/harness/src/main/java/org/tanagerhinge/bench/cluster/LocalCluster.java
@@ -74,6 +74,8 @@
     private final List<NodeMetrics> allMetrics = Collections.synchronizedList(new ArrayList<>());
     private final ConfigStore store;
 
+    private int maxBodyBytes = MAX_BODY_BYTES;
+
     private LocalCluster(Kind kind) {
         this.kind = kind;
         this.store = ConfigStore.in(EtcdStore.at(http, platform.url(), PLATFORM_TIMEOUT));
@@ -84,6 +86,12 @@
         return new LocalCluster(kind);
     }
 
+    /** Sets the largest request body that routers take which are added from now on. */
+    public LocalCluster maxBodyBytes(int bytes) {
+        maxBodyBytes = bytes;
+        return this;
+    }
+
     /** Stores the profiles; the naive kind gets them without tiers, shares and queue limits. */
     public LocalCluster profiles(ProfilesDocument document) throws TanagerhingeException {
         long baseRevision = store.read().profiles().revision();
@@ -217,7 +225,7 @@
                 EtcdStore.at(http, platform.url(), PLATFORM_TIMEOUT),
                 POLL_INTERVAL,
                 PEER_IDLE_TIMEOUT,
-                MAX_BODY_BYTES,
+                maxBodyBytes,
                 RouterDaemon.CallerBounds.DEFAULT,
                 STOP_TIMEOUT));
         routers.put(name, router);
