Agents, routers and the command line: a malformed response fails

Callers of a router saw answers of services with a status over 599 or in HTTP/2.0, bodies in a transfer coding that no caller was told of, 205 with content, and bodies of which a part was missing: what follows a chunk up to the end of its line was skipped, and an answer whose trailers were cut off by the end of its connection counted as whole.

Cause: Jetty's parser accepts these, and has no setting for them. It can't be replaced, since its receiver makes it itself.

Each connection that HttpClients opens passes what it receives through the decoder that gateways use, before Jetty's parser sees it; a response that it rejects fails with its reason, and so does one whose connection ends before it is complete. That covers answers of backend servers, health checks, and the platform's store. The end of a connection is held back for a possible reset only if it completes a response.

--- a/node/src/main/java/org/tanagerhinge/node/daemon/HttpClients.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/HttpClients.java
@@ -1,8 +1,6 @@
 package org.tanagerhinge.node.daemon;
 
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Creates Jetty HTTP clients with the limits that the daemons use. */
@@ -19,9 +17,7 @@
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName(name);
         threads.setDaemon(true);
-        ClientConnector connector = new ResetReportingConnector();
-        connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClient client = new HttpClient(CheckedHttpTransport.create());
         client.setExecutor(threads);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         client.setMaxRequestsQueuedPerDestination(MAX_CONNECTIONS);
