Calls of the store, of duties and of peers: a malformed response fails

What gateways saw of the store, of the platform's calls for duties and of their peers were responses with a status over 599 or of four digits, in HTTP/2.0, after a blank line, with names and lengths cut at a blank, in transfer codings that were left out, after an unasked switch of protocols, and of bodies that 204 and 205 exclude: for a caller of the gateway that is a configuration or a list of servers that nobody wrote.

Cause: the same as for answers of backend servers, the lenient decoder of the library. A status of 000 was reported as a call that got no response.

SequentialHttpClient uses ResponseDecoder; a malformed response is a call that failed, with the reason, on a connection of its own.

Evidence: SequentialHttpClientTest.malformedResponseFails, 12 of 17 rows failed before.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
@@ -12,11 +12,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.tanagerhinge.node.http.ResponseDecoder;
 
 /**
  * Sends HTTP requests to one address, one at a time and in order, over a persistent connection.
@@ -47,6 +48,7 @@
     private final InetSocketAddress address;
     private final Deque<Call> queued = new ArrayDeque<>();
     private Channel channel;
+    private ResponseDecoder decoder;
     private Call current;
 
     private SequentialHttpClient(EventLoopGroup loop, InetSocketAddress address) {
@@ -155,9 +157,11 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel created) {
+                        decoder = new ResponseDecoder();
                         created.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new HttpRequestEncoder(),
+                                        decoder,
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                         new ResponseHandler());
                     }
@@ -207,6 +211,7 @@
         if (call.body.length > 0 || call.method.equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
         }
+        decoder.expect(call.method);
         channel.writeAndFlush(request);
     }
 
@@ -249,7 +254,8 @@
                 return;
             }
             if (response.decoderResult().isFailure()) {
-                fail("malformed HTTP response");
+                fail("malformed HTTP response: "
+                        + response.decoderResult().cause().getMessage());
                 return;
             }
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
@@ -199,4 +199,42 @@
         loop.execute(() -> client.call(HttpMethod.GET, "/", "", TIMEOUT_MILLIS, responses::add));
         assertEquals(0, responses.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).status());
     }
+
+    /** What the other side sends in place of a response, in its head, framing, chunks and trailers. */
+    private enum Malformed {
+        STATUS_000("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"),
+        STATUS_600("HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok"),
+        STATUS_OF_FOUR_DIGITS("HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok"),
+        VERSION("HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+        BLANK_LINE_BEFORE_HEAD("\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+        NAME_WITH_BLANK("HTTP/1.1 200 OK\r\nX y: 1\r\nContent-Length: 2\r\n\r\nok"),
+        NAME_WITH_CONTROL("HTTP/1.1 200 OK\r\nX\u0001y: 1\r\nContent-Length: 2\r\n\r\nok"),
+        LENGTH_NAME_WITH_BLANK("HTTP/1.1 200 OK\r\nContent-Length x: 1\r\n\r\nok"),
+        INTERIM_NAME_WITH_BLANK("HTTP/1.1 103 Early Hints\r\nX y: 1\r\n\r\n" + ANSWER),
+        PROTOCOL_SWITCH("HTTP/1.1 101 Switching Protocols\r\nUpgrade: HTTP/1.1\r\n\r\n" + ANSWER),
+        TRANSFER_CODING("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+        TWO_LENGTHS("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\nok"),
+        CHUNK_SIZE("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n"),
+        CHUNK_TOO_LONG("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n"),
+        TRAILER("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX y: 1\r\n\r\n"),
+        NO_CONTENT_WITH_CHUNKS("HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+        RESET_CONTENT("HTTP/1.1 205 No\r\nContent-Length: 2\r\n\r\nok");
+
+        private final String bytes;
+
+        Malformed(String bytes) {
+            this.bytes = bytes;
+        }
+    }
+
+    /** Guards against malformed bytes of the store or of a peer that count as a response, and against later calls that fail. */
+    @ParameterizedTest
+    @EnumSource(Malformed.class)
+    void malformedResponseFails(Malformed malformed) throws InterruptedException {
+        serve(out -> write(out, malformed.bytes));
+        call(TIMEOUT_MILLIS, responses::add);
+        assertEquals(0, nextResponse().status());
+        call(TIMEOUT_MILLIS, responses::add);
+        assertEquals("ok", nextResponse().text());
+    }
 }
