Calls of the store, of duties and of peers: a cut response without a length fails

A response without a length counted as whole although its connection had ended while the request was still being written.

Cause: a write may meet the reset, and the connection then ends as in order.

Such a response counts only if its request was written.

Evidence: SequentialHttpClientTest.responseWithoutLengthFailsIfTheRequestWasNotWritten failed before.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -30,6 +31,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagerhinge.node.http.ResponseDecoder;
+import org.tanagerhinge.node.http.ResponseFraming;
 
 /**
  * Sends HTTP requests to one address, one at a time and in order, over a persistent connection.
@@ -49,6 +51,7 @@
     private final Deque<Call> queued = new ArrayDeque<>();
     private Channel channel;
     private ResponseDecoder decoder;
+    private ChannelFuture written;
     private Call current;
 
     private SequentialHttpClient(EventLoopGroup loop, InetSocketAddress address) {
@@ -212,7 +215,7 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
         }
         decoder.expect(call.method);
-        channel.writeAndFlush(request);
+        written = channel.writeAndFlush(request);
     }
 
     private void fail(String reason) {
@@ -261,6 +264,10 @@
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
+            if (decoder.framing() == ResponseFraming.CONNECTION_END && !written.isSuccess()) {
+                fail("connection ended before the request was written");
+                return;
+            }
             byte[] body = new byte[response.content().readableBytes()];
             response.content().readBytes(body);
             if (!HttpUtil.isKeepAlive(response)) {
--- a/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
+++ b/gateway/src/test/java/org/tanagerhinge/gateway/SequentialHttpClientTest.java
@@ -38,6 +38,8 @@
     private static final int TIMEOUT_MILLIS = 20_000;
     private static final long PATIENCE_SECONDS = 20;
     private static final int BUFFER_BYTES = 65_536;
+    private static final int LONG_REQUEST_BYTES = 16 << 20;
+    private static final long RESET_DELAY_MILLIS = 50;
     private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     private final LinkedBlockingQueue<SequentialHttpClient.Response> responses = new LinkedBlockingQueue<>();
@@ -237,4 +239,23 @@
         call(TIMEOUT_MILLIS, responses::add);
         assertEquals("ok", nextResponse().text());
     }
+
+    /** Guards against a part of a response without a length that counts although a reset has met the request. */
+    @Test
+    void responseWithoutLengthFailsIfTheRequestWasNotWritten() throws InterruptedException {
+        serve(out -> {
+            write(out, "HTTP/1.1 200 OK\r\n\r\npart");
+            try {
+                sockets.getFirst().setSoLinger(true, 0);
+                sockets.getFirst().shutdownOutput();
+                Thread.sleep(RESET_DELAY_MILLIS);
+                sockets.getFirst().close();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        byte[] body = new byte[LONG_REQUEST_BYTES];
+        loop.execute(() -> client.call(HttpMethod.POST, "/", java.util.Map.of(), body, TIMEOUT_MILLIS, responses::add));
+        assertEquals(0, nextResponse().status());
+    }
 }
