Gateways: a malformed answer to a health check does not show that a server runs

An answer without a length passed for whole, and a crash for none, on the word of bytes that are no answer: a status of 000, names cut at a blank, a head whose chunks or trailers were malformed or cut.

Cause: ServerLivenessCheck read heads with the lenient decoder of the library, and did not look at what follows them.

The check uses ResponseDecoder and waits for the end of the answer. One that is malformed, or that its connection cuts, shows nothing.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/ServerLivenessCheck.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/ServerLivenessCheck.java
@@ -7,13 +7,15 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.ConnectException;
@@ -26,12 +28,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagerhinge.core.relay.ServerInstance;
+import org.tanagerhinge.node.http.ResponseDecoder;
 
 /**
  * Finds out whether an instance of a backend server still runs after one of its connections has ended.
  *
  * <p>The kernel closes the sockets of a killed process one after the other, so its listening socket may accept
- * connections after others have ended, and another process may listen at the address soon. Only an answer to a health
+ * connections after others have ended, and another process may listen at the address soon. Only a whole answer to a health
  * check that was sent afterwards shows that the instance runs. Since a health check may have to wait for a free slot, a
  * connection that stays open for {@value #SURVIVAL_MILLIS} ms counts as well, unless this process was suspended
  * meanwhile: the listening socket of a killed process is closed by then, and what it had accepted is reset.
@@ -97,7 +100,8 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            channel.pipeline().addLast(new HttpClientCodec(), new ProbeHandler());
+                            channel.pipeline()
+                                    .addLast(new HttpRequestEncoder(), new ResponseDecoder(), new ProbeHandler());
                         }
                     })
                     .connect(server.address())
@@ -162,32 +166,44 @@
             listeners.forEach(listener -> gateway.runGuarded(() -> listener.accept(verdict)));
         }
 
-        /** Awaits the head of the response to a health check, or the end of the connection. */
+        /** Awaits the response to a health check, or the end of the connection. */
         private final class ProbeHandler extends ChannelInboundHandlerAdapter {
+            /** What the response shows if it is whole; empty before its head. */
+            private Optional<Verdict> verdict = Optional.empty();
+
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
                 try {
-                    if (message instanceof HttpResponse response
-                            && response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                        end(verdictOf(response));
-                        context.close();
-                    }
+                    read(context, (HttpObject) message);
                 } finally {
                     ReferenceCountUtil.release(message);
                 }
             }
 
-            private Verdict verdictOf(HttpResponse response) {
-                if (response.decoderResult().isFailure()) {
-                    return Verdict.UNKNOWN;
+            private void read(ChannelHandlerContext context, HttpObject object) {
+                if (object.decoderResult().isFailure()) {
+                    verdict = Optional.of(Verdict.UNKNOWN);
+                } else if (object instanceof HttpResponse response
+                        && response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                    verdict = Optional.of(verdictOf(response));
+                }
+                boolean last = object.decoderResult().isFailure() || object instanceof LastHttpContent;
+                if (last && verdict.isPresent()) {
+                    end(verdict.get());
+                    context.close();
                 }
+            }
+
+            private Verdict verdictOf(HttpResponse response) {
                 return dialect.isHealthOf(response, server.id()) ? Verdict.RUNNING : Verdict.REPLACED;
             }
 
             /** Distinguishes a server that accepts no more connections from one whose process has ended. */
             @Override
             public void channelInactive(ChannelHandlerContext context) {
-                if (!ended && !reconnecting) {
+                if (verdict.isPresent()) {
+                    end(Verdict.UNKNOWN);
+                } else if (!ended && !reconnecting) {
                     reconnecting = true;
                     survivalTimer.cancel(false);
                     connect();
