Gateways: what is kept of incomplete responses is bounded over all servers' connections

Callers of a gateway lost their answers since its process ended: out of memory, with 200 requests at servers that send heads, trailers or an event without end (reported by other operators; one machine's requests ended with it).

Cause: each connection had a bound of its own, 64 KB of head or trailer lines, which take up to 3 MB as objects when they have four bytes each, and 1 MB of an event. Nothing bounded them together, and a heap of 96 MB has room for some thirty of them.

The memory of heads, frames, undecoded bytes and incomplete events is accounted for as that of callers is: estimated from above (HeadMemory), and bounded over all connections (MemoryBound, limits.server_memory_percent, 20% of the heap, 4 MB at least). The response that has occupied most for the longest time gives way: its attempt fails as broken, with a line and a counter (answer_memory_full). Answers that wait to be complete were accounted for already, with their callers.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/AttemptListener.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/AttemptListener.java
@@ -15,6 +15,11 @@
     /** Called for each piece of the response body; the caller keeps ownership of the bytes. */
     void responseBody(ByteBuf bytes);
 
+    /** Returns the bytes of the response that are kept and not accounted for elsewhere. */
+    default long heldBytes() {
+        return 0;
+    }
+
     /** Called when the response is complete. */
     void responseCompleted();
 
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -21,6 +21,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.tanagerhinge.core.attempt.AttemptFailure;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.relay.ServerInstance;
 import org.tanagerhinge.node.http.ResponseDecoder;
 import org.tanagerhinge.node.http.ResponseFraming;
@@ -31,9 +32,10 @@
  * <p>A response belongs to the request whose attempt id it names. A server may send a response twice, so a late
  * duplicate can arrive where the next response is expected; it is skipped. Bytes that arrive while no response is
  * expected close the connection, also if they are no complete message. A server may send bytes without end: what comes
- * before a response, and what is discarded, is bounded, and a response is forwarded no faster than its caller reads.
+ * before a response, and what is discarded, is bounded, and a response is forwarded no faster than its caller reads. What
+ * is kept of responses that are not complete is bounded over all connections.
  */
-final class BackendConnection extends ChannelInboundHandlerAdapter {
+final class BackendConnection extends ChannelInboundHandlerAdapter implements MemoryBound.Holder {
     /**
      * HTTP status of an address that now belongs to another server instance; its announcements are not about this one.
      */
@@ -53,6 +55,7 @@
 
     private final BackendConnectionPool pool;
     private final ServerInstance server;
+    private final MemoryBound.Share share;
     private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private AttemptListener activeListener;
@@ -67,6 +70,7 @@
 
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSinceMillis;
+    private long sentAtMillis;
     private long bytesBeforeResponse;
     private long discardedBytes;
     private Future<?> discardTimer;
@@ -74,6 +78,7 @@
     BackendConnection(BackendConnectionPool pool, ServerInstance server) {
         this.pool = pool;
         this.server = server;
+        this.share = pool.memory().open(this);
     }
 
     ServerInstance server() {
@@ -105,6 +110,7 @@
         skipping = false;
         closeAfter = false;
         bytesBeforeResponse = 0;
+        sentAtMillis = pool.nowMillis();
         decoder.expect(request.method());
         written = channel.writeAndFlush(request);
     }
@@ -229,6 +235,7 @@
         AttemptListener listener = activeListener;
         activeListener = null;
         endPending = true;
+        share.resize(0);
         cancelDiscardTimer();
         pool.livenessCheck().check(server, verdict -> {
             boolean reset = wasReset();
@@ -270,6 +277,7 @@
         activeListener = null;
         cancelDiscardTimer();
         idleSinceMillis = pool.nowMillis();
+        share.resize(0);
         if (closeAfter || !written.isDone() || !channel.isActive() || decoder.hasUnreadBytes()) {
             channel.close();
         } else {
@@ -305,6 +313,7 @@
 
     private void fail(AttemptFailure failure, String reason) {
         broken = true;
+        share.resize(0);
         AttemptListener listener = activeListener;
         activeListener = null;
         channel.close();
@@ -324,6 +333,39 @@
         fail(AttemptFailure.BROKEN, "connection closed");
     }
 
+    // ---- memory
+
+    /** Ends the connection's share of the memory for responses. */
+    void releaseMemory() {
+        share.close();
+    }
+
+    private void hold() {
+        if (activeListener == null) {
+            return;
+        }
+        long held = decoder.heldBytes() + activeListener.heldBytes();
+        if (held != share.bytes() && !share.tryResize(held)) {
+            evict();
+        }
+    }
+
+    @Override
+    public long evictableBytes() {
+        return activeListener == null ? 0 : share.bytes();
+    }
+
+    @Override
+    public long evictableSinceMillis() {
+        return sentAtMillis;
+    }
+
+    @Override
+    public void evict() {
+        pool.count("answer_memory_full");
+        fail(AttemptFailure.BROKEN, "response takes memory that others need");
+    }
+
     /** Ends connections on which a server sends too much of what belongs to no response. */
     private final class ByteLimiter extends ChannelInboundHandlerAdapter {
         @Override
@@ -333,6 +375,7 @@
                 return;
             }
             context.fireChannelRead(message);
+            hold();
         }
 
         private boolean accepts(ByteBuf received) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
@@ -18,6 +18,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import jdk.net.ExtendedSocketOptions;
+import org.tanagerhinge.core.memory.MemoryBound;
 import org.tanagerhinge.core.relay.ServerInstance;
 
 /** Pools connections to backend servers by server instance, since another instance may reuse an address. */
@@ -44,6 +45,7 @@
     private final Consumer<String> counter;
     private final ResponseListener responseListener;
     private final ServerLivenessCheck livenessCheck;
+    private final MemoryBound memory;
     private final Map<String, Deque<BackendConnection>> idleByInstance = new HashMap<>();
     private final Map<String, Set<BackendConnection>> connectionsByInstance = new HashMap<>();
 
@@ -53,13 +55,15 @@
             LongSupplier clock,
             Consumer<String> counter,
             ResponseListener hearer,
-            ServerLivenessCheck livenessCheck) {
+            ServerLivenessCheck livenessCheck,
+            MemoryBound memory) {
         this.loop = loop;
         this.dialect = dialect;
         this.clock = clock;
         this.counter = counter;
         this.responseListener = hearer;
         this.livenessCheck = livenessCheck;
+        this.memory = memory;
     }
 
     /** Receives the metadata of each response, whichever request it belongs to. */
@@ -71,6 +75,11 @@
         responseListener.responseReceived(server, status, metadata);
     }
 
+    /** Returns the bound of what servers make this node hold of responses that are not complete. */
+    MemoryBound memory() {
+        return memory;
+    }
+
     ServerLivenessCheck livenessCheck() {
         return livenessCheck;
     }
@@ -165,6 +174,7 @@
     }
 
     void connectionClosed(BackendConnection connection) {
+        connection.releaseMemory();
         String instanceId = connection.server().instanceId();
         Deque<BackendConnection> connections = idleByInstance.get(instanceId);
         if (connections != null) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/CallerDecoder.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/CallerDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.tanagerhinge.node.http.Lines;
 
 /**
  * Decodes the requests of one caller connection. What follows a request stays undecoded until its response is written, and a
@@ -133,17 +134,6 @@
     private void countLines(ByteBuf in, int start) {
         int end = in.readerIndex();
         incompleteBytes += end - start;
-        incompleteLines += lines(in, start, end);
-    }
-
-    /** Returns the number of line ends between two indexes; cheap also for the few bytes of a chunk's frame. */
-    static int lines(ByteBuf bytes, int start, int end) {
-        int lines = 0;
-        for (int at = start; at < end; at++) {
-            if (bytes.getByte(at) == '\n') {
-                lines++;
-            }
-        }
-        return lines;
+        incompleteLines += Lines.count(in, start, end);
     }
 }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/ControlConnections.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/ControlConnections.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import org.tanagerhinge.core.memory.HeadMemory;
 import org.tanagerhinge.core.memory.MemoryBound;
+import org.tanagerhinge.node.http.Lines;
 
 /**
  * Bounds what the connections of a listener for operators and peers make this node hold: their number, requests that are not
@@ -77,8 +78,7 @@
                 usedAtMillis = clock.getAsLong();
             }
             incompleteBytes += HeadMemory.of(
-                    received.readableBytes(),
-                    CallerDecoder.lines(received, received.readerIndex(), received.writerIndex()));
+                    received.readableBytes(), Lines.count(received, received.readerIndex(), received.writerIndex()));
             // A peer or scraper asks for more only after it has read the answer.
             boolean unread = !active.channel().isWritable();
             if (unread || !connections.contains(this) || !share.tryResize(incompleteBytes)) {
--- a/gateway/src/main/java/org/tanagerhinge/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/EventSplitter.java
@@ -65,6 +65,11 @@
         return pending.readableBytes() > MAX_EVENT_BYTES;
     }
 
+    /** Returns the memory that the buffered bytes take. */
+    int heldBytes() {
+        return pending.capacity();
+    }
+
     void release() {
         pending.release();
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -68,6 +68,9 @@
     private static final long SILENT_SERVER_MILLIS = 500;
     /** Resumable streams are sent to another server as well if theirs sends nothing for this long. */
     private static final long HEDGE_STREAM_MILLIS = 900;
+
+    private static final long MIN_SERVER_MEMORY_BYTES = 4 << 20;
+
     /** Interval at which the delay of the event loop is measured. */
     private static final long LOOP_DELAY_INTERVAL_MILLIS = 50;
     /** If a sweep is this late, the event loop was stalled and the silence of servers cannot be measured. */
@@ -93,6 +96,7 @@
     private final OutcomeTelemetry outcomes = new OutcomeTelemetry(this);
     private final Set<CallerConnection> callers = new HashSet<>();
     private final MemoryBound callerMemory;
+    private final MemoryBound serverMemory;
     private final ConnectionLimits connectionLimits;
     private final DecodingTurns decodingTurns = new DecodingTurns(System::nanoTime, this::schedule);
     private final Set<RelayExchange> exchanges = new HashSet<>();
@@ -131,8 +135,9 @@
         this.placement = placement;
         this.admission = AdmissionPolicy.without(options.disabledMechanisms());
         this.livenessCheck = new ServerLivenessCheck(this, loop, dialect);
+        this.serverMemory = new MemoryBound(this::serverMemoryLimit, this::nowMillis);
         this.pool = new BackendConnectionPool(
-                loop, dialect, this::nowMillis, this::count, this::responseReceived, livenessCheck);
+                loop, dialect, this::nowMillis, this::count, this::responseReceived, livenessCheck, serverMemory);
         this.connectionLimits = ConnectionLimits.of(
                 options.limits().descriptors() > 0 ? options.limits().descriptors() : Descriptors.ofProcess());
         this.callerMemory = new MemoryBound(this::callerMemoryLimit, this::nowMillis);
@@ -376,6 +381,16 @@
         return Math.max(share, MIN_LARGE_REQUESTS * limits().maxBodyBytes());
     }
 
+    MemoryBound serverMemory() {
+        return serverMemory;
+    }
+
+    /** Returns the memory that incomplete responses of servers may take; an event of the largest size fits in. */
+    long serverMemoryLimit() {
+        long share = Runtime.getRuntime().maxMemory() * options.limits().serverMemoryPercent() / 100;
+        return Math.max(share, MIN_SERVER_MEMORY_BYTES);
+    }
+
     Future<?> schedule(Runnable task, long millis) {
         return loop.next().schedule(() -> runGuarded(task), millis, TimeUnit.MILLISECONDS);
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayDaemon.java
@@ -143,6 +143,14 @@
                 "caller_memory_max_bytes",
                 "Bound of the memory for requests and answers of callers",
                 gateway::callerMemoryLimit);
+        metrics.registerGauge(
+                "server_memory_bytes",
+                "Memory for incomplete responses of backend servers, as accounted for",
+                () -> gateway.serverMemory().heldBytes());
+        metrics.registerGauge(
+                "server_memory_max_bytes",
+                "Bound of the memory for incomplete responses of backend servers",
+                gateway::serverMemoryLimit);
         metrics.registerGauge(
                 "control_memory_bytes",
                 "Memory for requests at the addresses for status and peers, as accounted for",
--- a/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/GatewayOptions.java
@@ -62,12 +62,13 @@
      * Holds the limits of what connections may make this node hold.
      *
      * @param callerMemoryPercent memory for requests and answers of callers, in percent of the heap
+     * @param serverMemoryPercent memory for incomplete responses of backend servers, in percent of the heap
      * @param controlMemoryBytes memory for requests at the addresses for status and peers
      * @param descriptors descriptors that the process may have open; 0 for what the operating system allows
      */
-    public record Limits(int callerMemoryPercent, int controlMemoryBytes, int descriptors) {
-        /** Limits that no caller inside the limits of the configuration meets. */
-        public static final Limits DEFAULT = new Limits(25, 8 << 20, 0);
+    public record Limits(int callerMemoryPercent, int serverMemoryPercent, int controlMemoryBytes, int descriptors) {
+        /** Limits that no caller inside the limits of the configuration meets, and no sound server. */
+        public static final Limits DEFAULT = new Limits(25, 20, 8 << 20, 0);
     }
 
     /**
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -252,6 +252,11 @@
         }
     }
 
+    @Override
+    public long heldBytes() {
+        return events == null || finished ? 0 : events.heldBytes();
+    }
+
     private void forwardEvents(ByteBuf bytes) {
         long nowMillis = gateway.nowMillis();
         server.recordReceived(nowMillis);
--- a/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
@@ -19,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.regex.Pattern;
+import org.tanagerhinge.core.memory.HeadMemory;
 
 /**
  * Decodes the responses of one connection, and fails what RFC 9110 and RFC 9112 do not allow as one.
@@ -38,7 +39,12 @@
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}(?: [\\t\\x20-\\x7e\\x80-\\xff]*)?\\r");
 
+    private final HeldLines head = new HeldLines();
+    /** The frame of a chunk, or trailers. */
+    private final HeldLines frame = new HeldLines();
+
     private boolean headOnly;
+    private boolean headComplete;
     private boolean awaitingStatusLine = true;
     private boolean contentAllowed = true;
     private boolean failed;
@@ -58,6 +64,14 @@
         return framing;
     }
 
+    /**
+     * Returns an estimate from above, in bytes, of the memory that the current response takes: its head, and what is kept of its
+     * framing and of bytes that are not decoded.
+     */
+    public long heldBytes() {
+        return head.memory() + frame.memory() + 2L * actualReadableBytes();
+    }
+
     /** Returns whether bytes follow the response that was decoded last. */
     public boolean hasUnreadBytes() {
         return actualReadableBytes() > 0;
@@ -72,8 +86,14 @@
             in.skipBytes(in.readableBytes());
             return;
         }
+        int start = in.readerIndex();
         int decoded = out.size();
         super.decode(context, in, out);
+        if (!headComplete) {
+            head.add(in, start);
+        } else if (out.size() == decoded) {
+            frame.add(in, start);
+        }
         for (Object object : out.subList(decoded, out.size())) {
             note((HttpObject) object);
         }
@@ -119,12 +139,17 @@
     private void note(HttpObject object) {
         if (object.decoderResult().isFailure()) {
             failed = true;
+        } else if (object instanceof HttpResponse) {
+            headComplete = true;
         } else if (object instanceof HttpContent content) {
             if (!contentAllowed && content.content().isReadable()) {
                 fail(content, "response has content that its status does not allow");
             } else if (content instanceof LastHttpContent) {
                 awaitingStatusLine = true;
+                headComplete = false;
+                head.clear();
             }
+            frame.clear();
         }
     }
 
@@ -172,4 +197,24 @@
             }
         }
     }
+
+    /** Counts bytes that were decoded and are kept as lines. */
+    private static final class HeldLines {
+        private long bytes;
+        private long lines;
+
+        void add(ByteBuf in, int start) {
+            bytes += in.readerIndex() - start;
+            lines += Lines.count(in, start, in.readerIndex());
+        }
+
+        void clear() {
+            bytes = 0;
+            lines = 0;
+        }
+
+        long memory() {
+            return HeadMemory.of(bytes, lines);
+        }
+    }
 }
