Tests: requests that come late in the grace time of a stop

Reported by other operators: such requests were passed on and cut without an answer at the end of the grace.

--- a/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayStopTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/GatewayStopTest.java
@@ -18,6 +18,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.FutureTask;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,6 +37,10 @@
     private static final long GRACE_MILLIS = 8_000;
     private static final int KILOBYTE = 1 << 10;
     private static final int WAITING_CALLERS = 60;
+    private static final int LATE_FROM_MILLIS = 200;
+    private static final int LATE_STEP_MILLIS = 300;
+    private static final int EARLY_MILLIS = 3_000;
+    private static final long SLOW_ANSWER_MILLIS = 3_000;
     /** More answers than the kernel takes for a caller that reads nothing. */
     private static final int MAX_UNREAD_ANSWERS = 100;
 
@@ -279,6 +285,63 @@
         assertEndsWithinGrace();
     }
 
+    /** A request whose last byte is sent some time after SIGTERM, and what became of it. */
+    private record LateRequest(String path, int afterMillis) {
+        String id() {
+            return "late-" + path.replace("/", "") + "-" + afterMillis + ".";
+        }
+
+        /** Returns whether the caller got a whole answer; a stream that began early may still run at the end of the grace. */
+        boolean answered(RawCaller caller) throws IOException {
+            RawCaller.Answer answer = caller.read();
+            return answer.whole() || (path.equals("/stream/") && afterMillis <= EARLY_MILLIS);
+        }
+    }
+
+    private static List<LateRequest> lateRequests() {
+        return IntStream.iterate(
+                        LATE_FROM_MILLIS, after -> after < (int) GRACE_MILLIS, after -> after + LATE_STEP_MILLIS)
+                .boxed()
+                .flatMap(after -> Stream.of("/slow/", "/stream/").map(path -> new LateRequest(path, after)))
+                .toList();
+    }
+
+    /** Guards against requests that come late in the grace time, are passed on, and are cut without an answer at its end. */
+    @Test
+    void requestsThatComeLateInTheGraceAreAnsweredOrNotPassedOn() throws Exception {
+        fixture.route("/slow/", "unsafe", "slow");
+        fixture.server("s-1", "slow", (server, request, connection) -> {
+            Thread.sleep(SLOW_ANSWER_MILLIS);
+            connection.answer(200, server.headers(request), "slow");
+        });
+        fixture.server("e-2", "model", ServerStandin.events(20, 500));
+        fixture.publish();
+        startUntilReady();
+        List<FutureTask<Boolean>> answered = new ArrayList<>();
+        for (LateRequest late : lateRequests()) {
+            RawCaller caller = RawCaller.to(address());
+            String request = RawCaller.request("POST", late.path() + late.id(), late.id(), "", "{}");
+            caller.send(request.substring(0, request.length() - 1));
+            answered.add(new FutureTask<>(() -> {
+                Thread.sleep(late.afterMillis());
+                try (caller) {
+                    caller.send(request.substring(request.length() - 1));
+                    return late.answered(caller);
+                } catch (IOException e) {
+                    return false;
+                }
+            }));
+        }
+        RelayScene.sleep(200);
+        process.signal(GatewayProcess.Signal.TERM);
+        answered.forEach(task -> Thread.ofVirtual().start(task));
+        for (int i = 0; i < answered.size(); i++) {
+            LateRequest late = lateRequests().get(i);
+            assertTrue(answered.get(i).get() || !fixture.received(late.id()), late + " was passed on and not answered");
+        }
+        assertTrue(process.awaitEnd(GRACE_MILLIS), "the process runs on");
+    }
+
     /** Guards against a process that ends while the last bytes of an answer wait for a slow caller. */
     @Test
     void callerThatReadsLateGetsItsWholeAnswer() throws Exception {
