Calls of the store, of duties, of peers and of health checks: headers are limited to 8 KB again

Who makes a decoder now states the limit: 64 KB for responses that callers get, as before, 8 KB otherwise, as before.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -36,6 +36,7 @@
  * is kept of responses that are not complete is bounded over all connections.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements MemoryBound.Holder {
+    private static final int MAX_HEADER_BYTES = 65_536;
     /**
      * HTTP status of an address that now belongs to another server instance; its announcements are not about this one.
      */
@@ -56,7 +57,7 @@
     private final BackendConnectionPool pool;
     private final ServerInstance server;
     private final MemoryBound.Share share;
-    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final ResponseDecoder decoder = new ResponseDecoder(MAX_HEADER_BYTES);
     private Channel channel;
     private AttemptListener activeListener;
     private String attemptId = "";
--- a/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/SequentialHttpClient.java
@@ -41,6 +41,7 @@
  */
 public final class SequentialHttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
+    private static final int MAX_HEADER_BYTES = 8_192;
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
     /** Headers of a request with a JSON body. */
     public static final Map<String, String> JSON_HEADERS =
@@ -160,7 +161,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel created) {
-                        decoder = new ResponseDecoder();
+                        decoder = new ResponseDecoder(MAX_HEADER_BYTES);
                         created.pipeline()
                                 .addLast(
                                         new HttpRequestEncoder(),
--- a/gateway/src/main/java/org/tanagerhinge/gateway/ServerLivenessCheck.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/ServerLivenessCheck.java
@@ -42,6 +42,8 @@
 final class ServerLivenessCheck {
     /** Time for which a connection must stay open to show that its server runs. */
     private static final long SURVIVAL_MILLIS = 250;
+
+    private static final int MAX_HEADER_BYTES = 8_192;
     /** Delay of the timer above that shows that this process was suspended. */
     private static final long MAX_TIMER_DELAY_MILLIS = 100;
 
@@ -101,7 +103,10 @@
                         @Override
                         protected void initChannel(Channel channel) {
                             channel.pipeline()
-                                    .addLast(new HttpRequestEncoder(), new ResponseDecoder(), new ProbeHandler());
+                                    .addLast(
+                                            new HttpRequestEncoder(),
+                                            new ResponseDecoder(MAX_HEADER_BYTES),
+                                            new ProbeHandler());
                         }
                     })
                     .connect(server.address())
--- a/node/src/main/java/org/tanagerhinge/node/http/ResponseCheck.java
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseCheck.java
@@ -17,7 +17,9 @@
  * trailers, and accepts any status of three digits, other versions of HTTP and other transfer codings.
  */
 public final class ResponseCheck {
-    private ResponseDecoder decoder = new ResponseDecoder();
+    private static final int MAX_HEADER_BYTES = 65_536;
+
+    private ResponseDecoder decoder = new ResponseDecoder(MAX_HEADER_BYTES);
     private EmbeddedChannel channel = new EmbeddedChannel(decoder);
     private boolean complete = true;
     private boolean interim;
@@ -26,7 +28,7 @@
     /** Sets the method of a request that is sent now; its response comes next. */
     public synchronized void expect(HttpMethod method) {
         if (!complete || decoder.hasUnreadBytes()) {
-            decoder = new ResponseDecoder();
+            decoder = new ResponseDecoder(MAX_HEADER_BYTES);
             channel = new EmbeddedChannel(decoder);
         }
         decoder.expect(method);
--- a/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
@@ -31,7 +31,6 @@
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_INITIAL_LINE_BYTES = 4096;
-    private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 16_384;
 
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
@@ -50,8 +49,13 @@
     private boolean failed;
     private ResponseFraming framing = ResponseFraming.NO_BODY;
 
-    public ResponseDecoder() {
-        super(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+    /**
+     * Creates the decoder of a connection.
+     *
+     * @param maxHeaderBytes maximum size of the header lines of a response, and of its trailers
+     */
+    public ResponseDecoder(int maxHeaderBytes) {
+        super(MAX_INITIAL_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES);
     }
 
     /** Sets the method of the request whose response comes next; a response to HEAD has no body. */
