Answers without a length are cut if the server's kernel has not taken the request

Callers of a gateway or router could still see a part of an answer as a whole one, if its server ended its direction some milliseconds before it closed the connection with bytes of a long request unread.

Cause: Java's Socket.close() ends the direction first and closes the connection then. The gateway looked for the reset two round trips after the end, agents 5 ms after it. A server that was preempted in between had not yet reset the connection.

A server that has read the request has also acknowledged it by the time its end arrives.

Evidence: a new way to end, HALF_CLOSED_BEFORE_REQUEST_IS_READ, ends the direction half a second before the connection. Answers to long requests that were read are still whole (4 new rows, and HALF_CLOSED for all others).

Left: a request, or rest of one, that fits into the server's receive buffer counts as taken although the server may not have read it, if the reset comes later than the check.

--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -239,28 +239,28 @@
         share.resize(0);
         cancelDiscardTimer();
         pool.livenessCheck().check(server, verdict -> {
-            boolean reset = wasReset();
+            boolean cut = wasCut();
             channel.close();
-            if (verdict == ServerLivenessCheck.Verdict.RUNNING && !reset) {
+            if (verdict == ServerLivenessCheck.Verdict.RUNNING && !cut) {
                 listener.responseCompleted();
             } else {
                 pool.count("unframed_answer_cut");
                 listener.attemptFailed(
                         AttemptFailure.BROKEN,
                         "response without framing ended, and its "
-                                + (reset
-                                        ? "connection was reset"
+                                + (cut
+                                        ? "connection was reset or has not taken the request"
                                         : "server is " + verdict.name().toLowerCase(Locale.ROOT)));
             }
         });
     }
 
-    /** Returns whether the server has reset the connection after it had ended its response, as it does with unread bytes. */
-    private boolean wasReset() {
+    /** Returns whether the server has ended the connection with a part of the request unread, after it had ended its response. */
+    private boolean wasCut() {
         try {
-            return ((ResetDetectingChannel) channel).wasReset();
+            return ((CutDetectingChannel) channel).wasCut();
         } catch (IOException e) {
-            TaskFailure.log("check for a reset of the connection to " + server.id(), e);
+            TaskFailure.log("check for a cut of the connection to " + server.id(), e);
             return true;
         }
     }
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnectionPool.java
@@ -147,7 +147,7 @@
     static Bootstrap bootstrap(EventLoopGroup loop) {
         return new Bootstrap()
                 .group(loop)
-                .channelFactory(ResetDetectingChannel::new)
+                .channelFactory(CutDetectingChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.tanagerhinge.gateway.GatewayDaemon;
@@ -177,7 +178,12 @@
     @ParameterizedTest
     @EnumSource(
             value = EndingServer.End.class,
-            names = {"RESET_BEFORE_REQUEST_IS_READ", "RESET_AT_ONCE", "CLOSED_BEFORE_REQUEST_IS_READ"})
+            names = {
+                "RESET_BEFORE_REQUEST_IS_READ",
+                "RESET_AT_ONCE",
+                "CLOSED_BEFORE_REQUEST_IS_READ",
+                "HALF_CLOSED_BEFORE_REQUEST_IS_READ"
+            })
     void answerIsCutByAResetWhileTheKernelSendsTheRequest(EndingServer.End end) throws IOException {
         String path = PATHS.get(new AnswerCase(Framing.CONNECTION_END, false, end, Kind.SMALL));
         for (int i = 0; i < TRIES; i++) {
@@ -185,4 +191,19 @@
             assertEquals(502, answer.status(), answer.body());
         }
     }
+
+    /** Guards against failing an answer to a long request that the server has read. */
+    @ParameterizedTest
+    @CsvSource({
+        "CLOSED, 500000",
+        "CLOSED, 4190000",
+        "HALF_CLOSED, 500000",
+        "HALF_CLOSED, 4190000",
+    })
+    void answerToALongRequestThatWasReadIsWhole(EndingServer.End end, int requestBytes) throws IOException {
+        String path = PATHS.get(new AnswerCase(Framing.CONNECTION_END, true, end, Kind.SMALL));
+        RawCaller.Answer answer = ask(path, "x".repeat(requestBytes));
+        assertEquals(200, answer.status());
+        assertEquals(Kind.SMALL.body, answer.body());
+    }
 }
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/EndingServer.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/EndingServer.java
@@ -19,12 +19,16 @@
         CLOSED(false, true),
         /** The server doesn't answer its health check in time. */
         CLOSED_WHILE_BUSY(false, true),
+        /** The server ends its direction some time before it closes the connection. */
+        HALF_CLOSED(false, true),
         RESET(false, false),
         RESET_BEFORE_REQUEST_IS_READ(true, false),
         /** The server reads the head alone, and answers and resets without a pause. */
         RESET_AT_ONCE(true, false),
         /** The kernel resets a connection that is closed with bytes that were not read. */
         CLOSED_BEFORE_REQUEST_IS_READ(true, false),
+        /** The server ends its direction some time before it closes the connection with bytes that were not read. */
+        HALF_CLOSED_BEFORE_REQUEST_IS_READ(true, false),
         /** The kernel closes the listening socket of a killed process after its connections. */
         KILLED(false, false),
         /** Another server is at the address by the time of the check. */
@@ -55,6 +59,8 @@
     private static final int RECEIVE_BUFFER_BYTES = 16_384;
     private static final int EARLY_BYTES = 16_384;
     private static final long PAUSE_MILLIS = 60;
+    /** Longer than the check that follows the end of an answer. */
+    private static final long HALF_CLOSED_MILLIS = 500;
     /** Time after which the listening socket of a killed process is closed. */
     private static final long KILL_MILLIS = 100;
 
@@ -155,6 +161,11 @@
     private void end(Socket socket) throws IOException, InterruptedException {
         switch (script.end()) {
             case CLOSED, CLOSED_WHILE_BUSY, CLOSED_BEFORE_REQUEST_IS_READ, KILLED_AND_REPLACED -> socket.close();
+            case HALF_CLOSED, HALF_CLOSED_BEFORE_REQUEST_IS_READ -> {
+                socket.shutdownOutput();
+                Thread.sleep(HALF_CLOSED_MILLIS);
+                socket.close();
+            }
             case RESET, RESET_BEFORE_REQUEST_IS_READ, RESET_AT_ONCE -> {
                 socket.setSoLinger(true, 0);
                 socket.close();
--- a/node/src/main/java/org/tanagerhinge/node/daemon/CheckedHttpTransport.java
+++ b/node/src/main/java/org/tanagerhinge/node/daemon/CheckedHttpTransport.java
@@ -21,7 +21,7 @@
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
-import org.tanagerhinge.node.http.ConnectionResets;
+import org.tanagerhinge.node.http.ConnectionEnds;
 import org.tanagerhinge.node.http.MalformedResponseException;
 import org.tanagerhinge.node.http.ResponseCheck;
 
@@ -30,7 +30,8 @@
  *
  * <p>Jetty's own connections report a reset as the orderly end of the input, with which a response without a length is
  * complete. A server that closes a connection with bytes unread ends its direction in order and resets the connection then,
- * so such an end counts only if no reset follows within {@value #RESET_ARRIVAL_MILLIS} ms.
+ * so such an end counts only if the server's kernel has taken the request by then, and no reset follows within
+ * {@value #RESET_ARRIVAL_MILLIS} ms.
  */
 final class CheckedHttpTransport extends HttpClientTransportOverHTTP {
     private static final long RESET_ARRIVAL_MILLIS = 5;
@@ -113,7 +114,7 @@
             }
         }
 
-        /** Reports the end of the input, after a time if it completes a response, unless the connection was reset meanwhile. */
+        /** Reports the end of the input, after a time if it completes a response, unless the connection was cut. */
         private int endOfInput() throws IOException {
             if (responses.endsBeforeConnection()) {
                 throw new EOFException("connection ended within a response");
@@ -127,8 +128,8 @@
                 if (nowNanos - endSeenNanos < TimeUnit.MILLISECONDS.toNanos(RESET_ARRIVAL_MILLIS)) {
                     return 0;
                 }
-                if (ConnectionResets.wasReset(getChannel())) {
-                    throw new SocketException("connection reset after the end of the input");
+                if (ConnectionEnds.wasCut(getChannel())) {
+                    throw new SocketException("connection ended with a part of the request unread");
                 }
             }
             shutdownInput();
