Routers: a cut answer does not look whole to callers that don't keep their connection

Callers of a router that asked for Connection: close, or that speak HTTP/1.0, saw a cut answer of a plain service as a whole one: it had no length, and its connection ended in order.

Cause: the HTTP server frames a response of unknown length by the end of its connection if the connection is not kept, and closes it in order when the response fails. On kept connections the last chunk is missing, so they were right before.

Responses to HTTP/1.1 callers that are written in parts are now sent in chunks on any connection. HTTP/1.0 has no chunks; there the connection of a cut response is reset. Gateways have always stated a length or chunks, and reset what they cut.

Answers that are whole have the same body.

--- a/harness/src/test/java/org/tanagerhinge/bench/ServiceAnswerEndTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/ServiceAnswerEndTest.java
@@ -2,7 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +25,7 @@
 
 /** Guards against answers of plain services that routers pass on as whole although their server was killed. */
 class ServiceAnswerEndTest {
+    private static final int READ_MILLIS = 30_000;
     private static final String BODY = "answer;".repeat(20);
     private static final String HALF = BODY.substring(0, BODY.length() / 2);
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n";
@@ -47,6 +54,12 @@
                 + "\r\n";
     }
 
+    private static boolean mayBeWhole(EndingServer.Script script) {
+        return script.answer().startsWith(FRAMED_HEAD + BODY)
+                || script.answer().endsWith("0\r\n\r\n")
+                || (script.answer().startsWith(HEAD + "\r\n") && script.end() == End.CLOSED);
+    }
+
     private static Stream<Integer> scriptNumbers() {
         return Stream.iterate(0, number -> number < SCRIPTS.size(), number -> number + 1);
     }
@@ -84,9 +97,7 @@
         try {
             ContentResponse response =
                     Callers.post(cluster.http(), url, "status", "{}", Map.of()).send();
-            boolean whole = script.answer().startsWith(FRAMED_HEAD + BODY)
-                    || script.answer().endsWith("0\r\n\r\n")
-                    || (script.answer().startsWith(HEAD + "\r\n") && script.end() == End.CLOSED);
+            boolean whole = mayBeWhole(script);
             assertEquals(whole ? 200 : 502, response.getStatus(), response.getContentAsString());
             if (whole) {
                 assertEquals(BODY, response.getContentAsString());
@@ -95,4 +106,41 @@
             assertFalse(script.answer().startsWith(FRAMED_HEAD + BODY), () -> "cut: " + e);
         }
     }
+
+    private record ClosingCaller(int script, String version, String connection) {
+        String request() {
+            return "POST /v1/services/" + service(script) + "/x " + version
+                    + "\r\nHost: router\r\nAuthorization: Bearer " + Callers.KEY
+                    + "\r\nX-Tanagerhinge-Profile: status\r\n" + connection + "Content-Length: 2\r\n\r\n{}";
+        }
+    }
+
+    private static Stream<ClosingCaller> closingCallers() {
+        // A killed server answers once.
+        return scriptNumbers()
+                .filter(number -> SCRIPTS.get(number).end() != End.KILLED)
+                .flatMap(number -> Stream.of(
+                        new ClosingCaller(number, "HTTP/1.1", "Connection: close\r\n"),
+                        new ClosingCaller(number, "HTTP/1.0", "")));
+    }
+
+    /** Guards against cut answers that callers which don't keep their connection can't tell from whole ones. */
+    @ParameterizedTest
+    @MethodSource("closingCallers")
+    void cutAnswerIsNotWholeForCallersThatClose(ClosingCaller caller) throws IOException {
+        URI router = URI.create(cluster.routerUrls().get(0));
+        EndingServer.Script script = SCRIPTS.get(caller.script());
+        try (Socket socket = new Socket(router.getHost(), router.getPort())) {
+            socket.setSoTimeout(READ_MILLIS);
+            socket.getOutputStream().write(caller.request().getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            boolean success = answer.startsWith("HTTP/1.1 200");
+            boolean chunked = answer.contains("\r\nTransfer-Encoding: chunked\r\n");
+            boolean whole = success && (!chunked || answer.endsWith("\r\n0\r\n\r\n"));
+            assertEquals(mayBeWhole(script), whole, answer);
+            assertTrue(!whole || answer.contains(BODY), answer);
+        } catch (SocketException e) {
+            assertFalse(mayBeWhole(script), () -> "reset: " + e);
+        }
+    }
 }
--- a/router/src/main/java/org/tanagerhinge/router/CallerSession.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerSession.java
@@ -1,13 +1,19 @@
 package org.tanagerhinge.router;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.IteratingCallback;
@@ -22,6 +28,7 @@
  * so the buffer is bounded by an agent's credit window.
  */
 final class CallerSession extends IteratingCallback {
+    private static final System.Logger LOGGER = System.getLogger(CallerSession.class.getName());
     private static final String REQUEST_HEADER = "X-Tanagerhinge-Request";
 
     /** Receives the progress of the writing. */
@@ -122,8 +129,12 @@
         if (truncated && out.size() == 0) {
             return Action.SUCCEEDED;
         }
+        boolean last = ending && !truncated;
+        if (!committed && !last) {
+            frameByChunks();
+        }
         committed = true;
-        response.write(ending && !truncated, ByteBuffer.wrap(out.toByteArray()), this);
+        response.write(last, ByteBuffer.wrap(out.toByteArray()), this);
         return Action.SCHEDULED;
     }
 
@@ -166,6 +177,17 @@
         }
     }
 
+    /** Marks the end of the response by a last chunk, also on a connection that ends with it. */
+    private void frameByChunks() {
+        if (httpVersion() == HttpVersion.HTTP_1_1) {
+            response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
+        }
+    }
+
+    private HttpVersion httpVersion() {
+        return response.getRequest().getConnectionMetaData().getHttpVersion();
+    }
+
     private void commonHeaders() {
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, format.contentType());
         response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
@@ -200,12 +222,28 @@
         listener.onFinished(request);
         if (truncated) {
             // A response that ends normally would make the truncated answer look complete.
+            if (httpVersion() != HttpVersion.HTTP_1_1) {
+                resetOnClose();
+            }
             callback.failed(new EofException("the answer was truncated"));
         } else {
             callback.succeeded();
         }
     }
 
+    /** Has the connection reset by its close, the only mark of a truncated response that is not framed. */
+    private void resetOnClose() {
+        EndPoint endPoint =
+                response.getRequest().getConnectionMetaData().getConnection().getEndPoint();
+        if (endPoint instanceof SocketChannelEndPoint socket) {
+            try {
+                socket.getChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException e) {
+                LOGGER.log(System.Logger.Level.DEBUG, "a connection was closed before it could be reset", e);
+            }
+        }
+    }
+
     @Override
     protected void onCompleteFailure(Throwable cause) {
         listener.onWriteFailed(request);
