Gateways: an empty limit of descriptors counts as none

A gateway did not start where the platform states no limit of descriptors: 'host.descriptors: expected a whole number'. The template deploy/gateway.ini fills it in, and a value that the platform does not have is filled in as nothing.

--- a/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
+++ b/node/src/main/java/org/tanagerhinge/node/settings/Setting.java
@@ -83,6 +83,19 @@
                 help);
     }
 
+    /** Returns a setting whose value is an integer in an inclusive range, or empty for its default. */
+    public static Setting<Integer> optionalInteger(
+            String section, String name, int min, int max, int defaultValue, String help) {
+        Setting<Integer> required = integer(section, name, min, max, defaultValue, help);
+        return new Setting<>(
+                section,
+                name,
+                required.expected() + ", or nothing",
+                text -> text.isEmpty() ? defaultValue : required.parser().apply(text),
+                required.defaultText(),
+                help);
+    }
+
     /** Returns a setting whose value is a number in an inclusive range. */
     public static Setting<Double> number(
             String section, String name, double min, double max, double defaultValue, String help) {
