Answers in versions of HTTP that do not exist fail at gateways as they do at agents

Callers of a gateway got an answer in HTTP/1.2 as one in HTTP/1.1; agents rejected it.

RFC 9110, section 2.5, has recipients process a higher minor version as the highest that they know. There is no such version, so no server can conform to one, and one that states it is in trouble; all readers now accept HTTP/1.0 and 1.1 alone.

Evidence: without this change the three rows of VERSION_1_2 in BrokenAnswerTest and the one in HealthAnswerTest fail; the one at agents passes.

--- a/harness/src/test/java/org/tanagerhinge/bench/BrokenAnswer.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/BrokenAnswer.java
@@ -54,6 +54,7 @@
 
     VERSION_2_0("HTTP/2.0 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
     VERSION_0_9("HTTP/0.9 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
+    VERSION_1_2("HTTP/1.2 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
     VERSION_1_10("HTTP/1.10 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
     VERSION_WITHOUT_MINOR("HTTP/1 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
     VERSION_WITH_LETTER("HTTP/1.x 200 OK\r\n@Content-Length: 2\r\n\r\nok"),
--- a/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
+++ b/node/src/main/java/org/tanagerhinge/node/http/ResponseDecoder.java
@@ -36,7 +36,7 @@
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     /** A status line without its line feed. The blank before an empty reason is often left out. */
     private static final Pattern STATUS_LINE =
-            Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}(?: [\\t\\x20-\\x7e\\x80-\\xff]*)?\\r");
+            Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: [\\t\\x20-\\x7e\\x80-\\xff]*)?\\r");
 
     private final HeldLines head = new HeldLines();
     /** The frame of a chunk, or trailers. */
