Gateways: a malformed answer has a result code of its own

Callers whose request failed by a malformed answer were told that the connection to the agent was lost (3001), which was not true: the connection was sound, and a gateway has no agents. The failure of the attempt was logged and counted as a broken one.

AttemptFailure.MALFORMED tells the two apart, with 3009 for the caller if that was the last attempt that may have run the request, and attempt_malformed for operators. It is treated as broken in all other ways: health, retries and the detection of crashes. A response that only its connection cut stays a broken one.

Evidence: BrokenAnswerTest.callerLearnsThatThereIsNoAnswer checks the code of each kind; by the code of before, all had 3001.

--- a/core/src/main/java/org/tanagerhinge/core/attempt/AttemptFailure.java
+++ b/core/src/main/java/org/tanagerhinge/core/attempt/AttemptFailure.java
@@ -10,8 +10,10 @@
     WRONG_SERVER,
     /** The server answered with an error of its own. */
     SERVER_ERROR,
-    /** The connection broke, or the answer was malformed; the request may have run. */
+    /** The connection broke, or the answer was not one to the request; the request may have run. */
     BROKEN,
+    /** The server sent what is no HTTP response; the request may have run. */
+    MALFORMED,
     /** The server did not answer within the timeout; the request may still be running. */
     SILENT,
     /** The answer broke off after part of it was forwarded to the caller. */
@@ -21,13 +23,13 @@
     public boolean mayHaveRun() {
         return switch (this) {
             case NOT_SENT, NOT_RUN, WRONG_SERVER -> false;
-            case SERVER_ERROR, BROKEN, SILENT, CUT -> true;
+            case SERVER_ERROR, BROKEN, MALFORMED, SILENT, CUT -> true;
         };
     }
 
-    /** Returns whether the connection broke during the request, as it does when the server crashes. */
+    /** Returns whether the connection ended with the attempt, as it does when the server crashes. */
     public boolean connectionBroken() {
-        return this == BROKEN || this == CUT;
+        return this == BROKEN || this == MALFORMED || this == CUT;
     }
 
     /** Returns whether the server may have received the request, so that sending it again is a retry there. */
--- a/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
+++ b/core/src/main/java/org/tanagerhinge/core/result/ResultCode.java
@@ -49,6 +49,7 @@
     CALLER_GONE(3006, 499, "the caller hung up"),
     SERVICE_ERROR(3007, 502, "the backend server could not be reached by its agent"),
     CALLER_TOO_SLOW(3008, 408, "the caller did not read its answer"),
+    MALFORMED_ANSWER(3009, 502, "the backend server's answer was not valid HTTP; the request may have run"),
     OUTCOME_UNKNOWN(4001, 409, "an earlier call with this key may have run; its outcome is not known"),
     IN_PROGRESS(4002, 409, "an earlier call with this key is still running"),
     CLAIMS_UNSETTLED(4003, 503, "whether the key was used before cannot be told yet"),
--- a/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/BackendConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -170,7 +171,7 @@
 
     private void handleHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            fail(AttemptFailure.BROKEN, malformed(response));
+            failUndecodable(response);
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -197,13 +198,18 @@
         activeListener.responseHead(response, metadata);
     }
 
-    private static String malformed(HttpObject object) {
-        return "malformed HTTP response: " + object.decoderResult().cause().getMessage();
+    private void failUndecodable(HttpObject object) {
+        Throwable cause = object.decoderResult().cause();
+        if (cause instanceof PrematureChannelClosureException) {
+            fail(AttemptFailure.BROKEN, "connection ended within the response: " + cause.getMessage());
+        } else {
+            fail(AttemptFailure.MALFORMED, "malformed HTTP response: " + cause.getMessage());
+        }
     }
 
     private void handleContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            fail(AttemptFailure.BROKEN, malformed(content));
+            failUndecodable(content);
             return;
         }
         boolean last = content instanceof LastHttpContent;
--- a/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/Gateway.java
@@ -631,7 +631,7 @@
         boolean wasUsable = server.health().usable(nowMillis());
         switch (failure) {
             case NOT_SENT, SILENT -> server.health().recordUnreachable(nowMillis());
-            case SERVER_ERROR, BROKEN, CUT -> server.health().recordFailure(nowMillis());
+            case SERVER_ERROR, BROKEN, MALFORMED, CUT -> server.health().recordFailure(nowMillis());
             case NOT_RUN, WRONG_SERVER -> {}
         }
         logHealthChange(server, wasUsable);
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayAttempt.java
@@ -346,7 +346,7 @@
 
     @Override
     public void attemptFailed(AttemptFailure failure, String reason) {
-        fail(progress.headForwarded() && failure == AttemptFailure.BROKEN ? AttemptFailure.CUT : failure, reason);
+        fail(progress.headForwarded() && failure.connectionBroken() ? AttemptFailure.CUT : failure, reason);
     }
 
     /** Fails the attempt but lets the connection discard the rest of the response and stay usable. */
--- a/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
+++ b/gateway/src/main/java/org/tanagerhinge/gateway/RelayExchange.java
@@ -67,6 +67,8 @@
     private boolean hedgeDenied;
     /** Whether the retry budget was charged for a hedge that reached no server. */
     private boolean retryUnused;
+    /** Whether the last attempt that may have run the request has failed by a malformed answer. */
+    private boolean answerMalformed;
 
     /** Set while an attempt is in progress that shows whether something quarantined is at fault. */
     private Optional<QuarantineTrial> trial = Optional.empty();
@@ -401,7 +403,7 @@
         if (progress.headForwarded()) {
             truncate(reason);
         } else if (history.mayHaveRun()) {
-            refuse(Refusal.of(502, ResultCode.CONNECTION_LOST));
+            refuse(Refusal.of(502, answerMalformed ? ResultCode.MALFORMED_ANSWER : ResultCode.CONNECTION_LOST));
         } else {
             refuse(refusalIfNotExecuted);
         }
@@ -542,6 +544,9 @@
      * already.
      */
     void attemptFailed(RelayAttempt ended, AttemptFailure failure, String reason, boolean retryBudgetTaken) {
+        if (failure.mayHaveRun()) {
+            answerMalformed = failure == AttemptFailure.MALFORMED;
+        }
         if (failure.reachedServer()) {
             history.recordEnd(failure.mayHaveRun());
         } else {
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/BrokenAnswerTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/BrokenAnswerTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.tanagerhinge.bench.BrokenAnswer;
+import org.tanagerhinge.core.result.ResultCode;
 import org.tanagerhinge.gateway.GatewayDaemon;
 import org.tanagerhinge.platform.PlatformNames;
 import org.tanagerhinge.standin.relay.ServerStandin;
@@ -22,6 +24,10 @@
     /** Statuses by which a gateway says that it has no answer, and promises nothing. */
     private static final Set<Integer> FAILURES = Set.of(502, 504);
 
+    /** Those that break only by the end of their connection. */
+    private static final Set<BrokenAnswer> CUT = EnumSet.of(
+            BrokenAnswer.LAST_CHUNK_MISSING, BrokenAnswer.LAST_LINE_MISSING, BrokenAnswer.TRAILER_WITHOUT_LAST_LINE);
+
     private static final long PAUSE_MILLIS = 30;
 
     private static RelayScene scene;
@@ -115,7 +121,11 @@
     @EnumSource
     void callerLearnsThatThereIsNoAnswer(BrokenAnswer broken) throws IOException {
         try (RawCaller caller = RawCaller.to(gateway.address())) {
-            assertFailure(caller.exchange(RawCaller.request("POST", Kind.UNSAFE.path(broken), "attempt-1", "", "{}")));
+            RawCaller.Answer answer =
+                    caller.exchange(RawCaller.request("POST", Kind.UNSAFE.path(broken), "attempt-1", "", "{}"));
+            assertFailure(answer);
+            ResultCode expected = CUT.contains(broken) ? ResultCode.CONNECTION_LOST : ResultCode.MALFORMED_ANSWER;
+            assertEquals(Integer.toString(expected.number()), answer.header(ResultCode.HEADER));
             RawCaller.Answer next = caller.exchange(RawCaller.request("POST", "/sound/x", "attempt-2", "", "{}"));
             assertEquals("sound", next.body());
         }
