--- a/harness/src/test/java/org/tanagerhinge/bench/EarlyServiceAnswerTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/EarlyServiceAnswerTest.java
@@ -53,8 +53,8 @@
     private static Stream<EarlyEnd> earlyEnds() {
         return Stream.of(End.values())
                 .filter(End::early)
-                .flatMap(end ->
-                        Stream.of(500_000, EndingServer.LONG_REQUEST_BYTES).map(bytes -> new EarlyEnd(end, bytes)));
+                .flatMap(end -> Stream.of(60_000, 500_000, EndingServer.LONG_REQUEST_BYTES)
+                        .map(bytes -> new EarlyEnd(end, bytes)));
     }
 
     @ParameterizedTest
--- a/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
+++ b/harness/src/test/java/org/tanagerhinge/bench/relay/AnswerEndTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.tanagerhinge.gateway.GatewayDaemon;
 
@@ -25,8 +25,8 @@
             "HTTP/1.1 200 OK\r\n" + EndingServer.headers(ATTEMPT) + "Content-Length: 1000\r\n\r\n";
 
     private static final String UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\n" + EndingServer.headers(ATTEMPT) + "\r\n";
-    /** Size of a request that fits into the buffers of the gateway's kernel, but not into those of the server. */
-    private static final int BUFFERED_REQUEST_BYTES = 500_000;
+    /** Sizes of requests that fit into the buffers of the gateway's kernel, but not into those of the server. */
+    private static final List<Integer> BUFFERED_REQUEST_BYTES = List.of(60_000, 400_000, 1_500_000);
 
     private static final int TRIES = 10;
     /** Stands for a whole head without framing, after which nothing follows. */
@@ -174,20 +174,19 @@
         assertFalse(answer.headers().containsKey("x-server-seal"));
     }
 
+    private static Stream<Arguments> earlyEnds() {
+        return Stream.of(EndingServer.End.values())
+                .filter(EndingServer.End::early)
+                .flatMap(end -> BUFFERED_REQUEST_BYTES.stream().map(bytes -> Arguments.of(end, bytes)));
+    }
+
     /** Guards against taking a request for read that the gateway has only handed to its kernel. */
     @ParameterizedTest
-    @EnumSource(
-            value = EndingServer.End.class,
-            names = {
-                "RESET_BEFORE_REQUEST_IS_READ",
-                "RESET_AT_ONCE",
-                "CLOSED_BEFORE_REQUEST_IS_READ",
-                "HALF_CLOSED_BEFORE_REQUEST_IS_READ"
-            })
-    void answerIsCutByAResetWhileTheKernelSendsTheRequest(EndingServer.End end) throws IOException {
+    @MethodSource("earlyEnds")
+    void answerIsCutByAResetWhileTheKernelSendsTheRequest(EndingServer.End end, int requestBytes) throws IOException {
         String path = PATHS.get(new AnswerCase(Framing.CONNECTION_END, false, end, Kind.SMALL));
         for (int i = 0; i < TRIES; i++) {
-            RawCaller.Answer answer = ask(path, "x".repeat(BUFFERED_REQUEST_BYTES));
+            RawCaller.Answer answer = ask(path, "x".repeat(requestBytes));
             assertEquals(502, answer.status(), answer.body());
         }
     }
