Routers: the connection of a request is looked up in one place

CallerSession looked for the channel of its caller's connection by the same steps as CallerHandler. Behaviour is the same; ServiceAnswerEndTest (107) and ServiceAnswerTest (130) pass.

--- a/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerHandler.java
@@ -215,7 +215,8 @@
         }
     }
 
-    private static Optional<SocketChannel> channelOf(Request request) {
+    /** Returns the channel of the connection that a request came on, if it is one of TCP. */
+    static Optional<SocketChannel> channelOf(Request request) {
         EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
         return endPoint instanceof SocketChannelEndPoint socket ? Optional.of(socket.getChannel()) : Optional.empty();
     }
--- a/router/src/main/java/org/tanagerhinge/router/CallerSession.java
+++ b/router/src/main/java/org/tanagerhinge/router/CallerSession.java
@@ -11,9 +11,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpVersion;
-import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.IteratingCallback;
@@ -233,15 +231,13 @@
 
     /** Has the connection reset by its close, the only mark of a truncated response that is not framed. */
     private void resetOnClose() {
-        EndPoint endPoint =
-                response.getRequest().getConnectionMetaData().getConnection().getEndPoint();
-        if (endPoint instanceof SocketChannelEndPoint socket) {
+        CallerHandler.channelOf(response.getRequest()).ifPresent(channel -> {
             try {
-                socket.getChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
             } catch (IOException e) {
                 LOGGER.log(System.Logger.Level.DEBUG, "a connection was closed before it could be reset", e);
             }
-        }
+        });
     }
 
     @Override
